Lay the ground: decision core, replicated log, ledgers, settings

Cause: an empty repository. Change: the pure scheduler, our own Raft with its store and driver, claims, configuration ledger, fenced orders, and TOML settings with all mistakes shown.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,13 @@
+import neostandard from 'neostandard'
+
+export default [
+  { ignores: ['dist/', 'node_modules/'] },
+  ...neostandard({ ts: true }),
+  {
+    rules: {
+      'no-labels': 'off',
+      'no-void': 'off',
+      'no-use-before-define': 'off'
+    }
+  }
+]
--- /dev/null
+++ b/src/config/check-table.ts
@@ -0,0 +1,141 @@
+import type { Field, FieldTable } from './field.js'
+import { findLine } from './key-lines.js'
+import type { Mistake } from './mistake.js'
+
+/** A value and every mistake that was found in it. */
+export interface Checked {
+  readonly value: Readonly<Record<string, unknown>>
+  readonly mistakes: readonly Mistake[]
+}
+
+const farthestKey = 3
+
+/**
+ * Checks a parsed table against its description: fills in defaults, and gathers
+ * all mistakes rather than the first alone.
+ */
+export function checkTable (table: Readonly<Record<string, unknown>>, fields: FieldTable, lines: ReadonlyMap<string, number>, path = ''): Checked {
+  const checker = new TableChecker(lines)
+  const value = checker.checkFields(table, fields, path)
+  return { value, mistakes: checker.mistakes }
+}
+
+class TableChecker {
+  readonly mistakes: Mistake[] = []
+  #lines: ReadonlyMap<string, number>
+
+  constructor (lines: ReadonlyMap<string, number>) {
+    this.#lines = lines
+  }
+
+  checkFields (table: Readonly<Record<string, unknown>>, fields: FieldTable, path: string): Record<string, unknown> {
+    const value: Record<string, unknown> = {}
+    for (const [key, field] of Object.entries(fields)) {
+      const at = join(path, key)
+      if (table[key] !== undefined) value[key] = this.#check(table[key], field, at)
+      else if (field.fallback !== undefined) value[key] = field.fallback
+      else if (field.type === 'named') value[key] = {}
+      else this.#add(at, 'nothing', `${describe(field)} (the key is required)`)
+    }
+    for (const key of Object.keys(table)) {
+      if (!Object.hasOwn(fields, key)) this.#addUnknown(key, fields, path)
+    }
+    return value
+  }
+
+  #check (found: unknown, field: Field, path: string): unknown {
+    switch (field.type) {
+      case 'text': return this.#expect(typeof found === 'string' && (field.pattern?.test(found) ?? true), found, field, path)
+      case 'number': return this.#expect(isWithin(found, field), found, field, path)
+      case 'switch': return this.#expect(typeof found === 'boolean', found, field, path)
+      case 'choice': return this.#expect(typeof found === 'string' && field.of.includes(found), found, field, path)
+      case 'list': return this.#checkList(found, field, path)
+      case 'table': return isTable(found) ? this.checkFields(found, field.fields, path) : this.#expect(false, found, field, path)
+      case 'named': return this.#checkNamed(found, field, path)
+    }
+  }
+
+  #checkList (found: unknown, field: Extract<Field, { type: 'list' }>, path: string): unknown {
+    if (!Array.isArray(found) || found.length < field.least) return this.#expect(false, found, field, path)
+    return found.map((one, i) => this.#check(one, field.of, `${path}.${i}`))
+  }
+
+  #checkNamed (found: unknown, field: Extract<Field, { type: 'named' }>, path: string): unknown {
+    if (!isTable(found)) return this.#expect(false, found, field, path)
+    const value: Record<string, unknown> = {}
+    for (const [name, one] of Object.entries(found)) {
+      const at = join(path, name)
+      value[name] = isTable(one) ? this.checkFields(one, field.fields, at) : this.#expect(false, one, field, at)
+    }
+    return value
+  }
+
+  #expect (ok: boolean, found: unknown, field: Field, path: string): unknown {
+    if (!ok) this.#add(path, JSON.stringify(found) ?? 'nothing', describe(field))
+    return found
+  }
+
+  #addUnknown (key: string, fields: FieldTable, path: string): void {
+    const nearest = findNearest(key, Object.keys(fields))
+    const hint = nearest === null ? `one of ${Object.keys(fields).join(', ')}` : `did you mean "${nearest}"?`
+    this.#add(join(path, key), 'an unknown key', hint)
+  }
+
+  #add (key: string, found: string, allowed: string): void {
+    this.mistakes.push({ key, line: findLine(this.#lines, key), found, allowed })
+  }
+}
+
+/** What a field allows, in words. */
+export function describe (field: Field): string {
+  switch (field.type) {
+    case 'text': return field.allowed ?? 'text'
+    case 'number': return `a ${field.whole ? 'whole ' : ''}number from ${field.least} to ${field.most} (${field.unit})`
+    case 'switch': return 'true or false'
+    case 'choice': return field.of.map(one => `"${one}"`).join(' or ')
+    case 'list': return `a list${field.least > 0 ? ` of at least ${field.least}` : ''}, each ${describe(field.of)}`
+    case 'table': return `a table with ${Object.keys(field.fields).join(', ')}`
+    case 'named': return `tables by name, each with ${Object.keys(field.fields).join(', ')}`
+  }
+}
+
+function isWithin (found: unknown, field: Extract<Field, { type: 'number' }>): boolean {
+  if (typeof found !== 'number' || !Number.isFinite(found)) return false
+  if (field.whole && !Number.isInteger(found)) return false
+  return found >= field.least && found <= field.most
+}
+
+function isTable (found: unknown): found is Record<string, unknown> {
+  return typeof found === 'object' && found !== null && !Array.isArray(found)
+}
+
+function join (path: string, key: string): string {
+  return path === '' ? key : `${path}.${key}`
+}
+
+function findNearest (key: string, known: readonly string[]): string | null {
+  let best: string | null = null
+  let least = farthestKey + 1
+  for (const one of known) {
+    const distance = measureDistance(key.toLowerCase(), one.toLowerCase())
+    if (distance < least) {
+      least = distance
+      best = one
+    }
+  }
+  return best
+}
+
+// Levenshtein's distance, one row at a time.
+function measureDistance (a: string, b: string): number {
+  let row = Array.from({ length: b.length + 1 }, (_, j) => j)
+  for (let i = 1; i <= a.length; i++) {
+    const next = [i]
+    for (let j = 1; j <= b.length; j++) {
+      const cost = a[i - 1] === b[j - 1] ? 0 : 1
+      next[j] = Math.min(next[j - 1] + 1, row[j] + 1, row[j - 1] + cost)
+    }
+    row = next
+  }
+  return row[b.length]
+}
--- /dev/null
+++ b/src/config/intent.ts
@@ -0,0 +1,100 @@
+import { applyChanges, diffDocuments } from '../coordination/index.js'
+import type { Change, Document } from '../coordination/index.js'
+import { parse, TomlError } from 'smol-toml'
+import { checkTable } from './check-table.js'
+import type { FieldTable } from './field.js'
+import { intentFields } from './intent-fields.js'
+import { findKeyLines } from './key-lines.js'
+import type { Mistake } from './mistake.js'
+
+/** What an operator's intent states: items to hold, and items to remove. */
+export interface Intent {
+  readonly items: Document
+  readonly remove: readonly string[]
+}
+
+/** A parsed file, or the mistakes in it. */
+export type Parsed<T> =
+  | { readonly ok: true, readonly value: T }
+  | { readonly ok: false, readonly mistakes: readonly Mistake[] }
+
+/** Parses a TOML text against a description, with all its mistakes. */
+export function parseToml (text: string, fields: FieldTable): Parsed<Readonly<Record<string, unknown>>> {
+  let table
+  try {
+    table = parse(text)
+  } catch (error) {
+    if (!(error instanceof TomlError)) throw error
+    const found = error.message.split('\n')[0]
+    return { ok: false, mistakes: [{ key: '', line: error.line, found, allowed: 'a TOML file' }] }
+  }
+  const { value, mistakes } = checkTable(table, fields, findKeyLines(text))
+  return mistakes.length === 0 ? { ok: true, value } : { ok: false, mistakes }
+}
+
+/** Parses an intent. */
+export function parseIntent (text: string): Parsed<Intent> {
+  const parsed = parseToml(text, intentFields)
+  if (!parsed.ok) return parsed
+  const { remove, ...items } = parsed.value
+  return { ok: true, value: { items: items as Document, remove: remove as string[] } }
+}
+
+/** The changes that an intent makes to a document. */
+export function planIntent (intent: Intent, document: Document): Change[] {
+  const removals: Change[] = intent.remove.map(path => {
+    const dot = path.indexOf('.')
+    return { section: path.slice(0, dot), name: path.slice(dot + 1), before: null, after: null }
+  })
+  const additions: Change[] = []
+  for (const [section, items] of Object.entries(intent.items)) {
+    for (const [name, after] of Object.entries(items)) additions.push({ section, name, before: null, after })
+  }
+  return diffDocuments(document, applyChanges(document, [...additions, ...removals]))
+}
+
+/** Mistakes that only show in the whole: names that lead nowhere. */
+export function checkDocument (document: Document): Mistake[] {
+  const mistakes: Mistake[] = []
+  const expect = (path: string, section: string, name: unknown): void => {
+    const known = Object.keys(document[section] ?? {})
+    if (typeof name === 'string' && known.includes(name)) return
+    const allowed = known.length === 0 ? `${section} are not configured` : `one of ${known.join(', ')}`
+    mistakes.push({ key: path, line: null, found: JSON.stringify(name), allowed })
+  }
+  for (const [name, item] of Object.entries(document.workspaces ?? {})) {
+    expect(`workspaces.${name}.defaultClass`, 'classes', (item as { defaultClass: string }).defaultClass)
+  }
+  for (const [name, item] of Object.entries(document.engines ?? {})) {
+    expect(`engines.${name}.pool`, 'pools', (item as { pool: string }).pool)
+  }
+  return [...mistakes, ...checkKeys(document), ...checkClasses(document)]
+}
+
+function checkKeys (document: Document): Mistake[] {
+  const mistakes: Mistake[] = []
+  const owners = new Map<string, string>()
+  for (const [name, item] of Object.entries(document.workspaces ?? {})) {
+    for (const key of (item as { keys: string[] }).keys) {
+      const owner = owners.get(key)
+      if (owner !== undefined && owner !== name) {
+        mistakes.push({ key: `workspaces.${name}.keys`, line: null, found: `a key of workspace ${owner}`, allowed: 'a key that opens one workspace' })
+      }
+      owners.set(key, name)
+    }
+  }
+  return mistakes
+}
+
+// A class that may wait must stand below every class that may not.
+function checkClasses (document: Document): Mistake[] {
+  const classes = Object.entries(document.classes ?? {}) as [string, { priority: number, mayWait: boolean }][]
+  const quick = classes.filter(([, one]) => !one.mayWait).map(([, one]) => one.priority)
+  const lowestQuick = Math.max(-1, ...quick)
+  const mistakes: Mistake[] = []
+  for (const [name, one] of classes) {
+    if (!one.mayWait || one.priority > lowestQuick) continue
+    mistakes.push({ key: `classes.${name}.priority`, line: null, found: String(one.priority), allowed: `a number over ${lowestQuick}, as the class may wait and others may not` })
+  }
+  return mistakes
+}
--- /dev/null
+++ b/src/coordination/keeper-state.ts
@@ -0,0 +1,65 @@
+/**
+ * All that keepers agree on: the configuration, the claims and the orders, as
+ * one state machine that a replicated log drives.
+ */
+import { ClaimTable } from './claims/claim-table.js'
+import type { ClaimBounds, ClaimTableState } from './claims/claim-table.js'
+import type { ClaimCommand, ClaimResult } from './claims/claim-types.js'
+import { ConfigLedger } from './ledger/config-ledger.js'
+import type { LedgerBounds, LedgerState } from './ledger/config-ledger.js'
+import type { LedgerCommand, LedgerResult } from './ledger/ledger-types.js'
+import { OrderBook } from './orders/order-book.js'
+import type { OrderBookState, OrderCommand, OrderResult } from './orders/order-book.js'
+
+/** Any command that keepers agree on. */
+export type KeeperCommand =
+  | { readonly part: 'claims', readonly command: ClaimCommand }
+  | { readonly part: 'config', readonly command: LedgerCommand }
+  | { readonly part: 'orders', readonly command: OrderCommand }
+
+/** Any answer. */
+export type KeeperResult = ClaimResult | LedgerResult | OrderResult
+
+/** The bounds of each part. */
+export interface KeeperBounds {
+  readonly claims: ClaimBounds
+  readonly config: LedgerBounds
+}
+
+/** Bounds that suit the sizes of today. */
+export const defaultBounds: KeeperBounds = {
+  claims: { keepMs: 24 * 3_600_000, answerBytes: 64 * 2 ** 20, oneAnswerBytes: 64 * 2 ** 10 },
+  config: { revisions: 1024, keepMs: 24 * 3_600_000, answers: 100_000 }
+}
+
+/** The whole state in a snapshot. */
+export interface KeeperSnapshot {
+  readonly claims: ClaimTableState
+  readonly config: LedgerState
+  readonly orders: OrderBookState
+}
+
+export class KeeperState {
+  readonly claims: ClaimTable
+  readonly config: ConfigLedger
+  readonly orders: OrderBook
+
+  constructor (bounds: KeeperBounds, snapshot: KeeperSnapshot | null) {
+    this.claims = new ClaimTable(bounds.claims, snapshot?.claims)
+    this.config = new ConfigLedger(bounds.config, snapshot?.config)
+    this.orders = new OrderBook(snapshot?.orders)
+  }
+
+  /** Carries out a committed command at its agreed time. */
+  apply (command: KeeperCommand, time: number): KeeperResult {
+    switch (command.part) {
+      case 'claims': return this.claims.apply(command.command, time)
+      case 'config': return this.config.apply(command.command, time)
+      case 'orders': return this.orders.apply(command.command, time)
+    }
+  }
+
+  save (): KeeperSnapshot {
+    return { claims: this.claims.save(), config: this.config.save(), orders: this.orders.save() }
+  }
+}
--- /dev/null
+++ b/src/coordination/ledger/document.ts
@@ -0,0 +1,42 @@
+import type { Change, Document } from './ledger-types.js'
+
+/** The document with the changes made; the given one stays as it is. */
+export function applyChanges (document: Document, changes: readonly Change[]): Document {
+  const sections: Record<string, Record<string, unknown>> = {}
+  for (const [section, items] of Object.entries(document)) sections[section] = { ...items }
+  for (const { section, name, after } of changes) {
+    const items = sections[section] ??= {}
+    if (after === null) delete items[name]
+    else items[name] = after
+  }
+  return sections
+}
+
+/** The changes that lead from one document to another, in order of name. */
+export function diffDocuments (from: Document, to: Document): Change[] {
+  const changes: Change[] = []
+  const sections = new Set([...Object.keys(from), ...Object.keys(to)])
+  for (const section of [...sections].sort()) {
+    const old = from[section] ?? {}
+    const wanted = to[section] ?? {}
+    const names = new Set([...Object.keys(old), ...Object.keys(wanted)])
+    for (const name of [...names].sort()) {
+      const before = old[name] ?? null
+      const after = wanted[name] ?? null
+      if (!isSame(before, after)) changes.push({ section, name, before, after })
+    }
+  }
+  return changes
+}
+
+function isSame (a: unknown, b: unknown): boolean {
+  return formatCanonical(a) === formatCanonical(b)
+}
+
+/** JSON with the keys of every object in order, for digests and comparison. */
+export function formatCanonical (value: unknown): string {
+  return JSON.stringify(value, (_key, inner: unknown) => {
+    if (inner === null || typeof inner !== 'object' || Array.isArray(inner)) return inner
+    return Object.fromEntries(Object.entries(inner).sort(([a], [b]) => (a < b ? -1 : 1)))
+  })
+}
--- /dev/null
+++ b/src/coordination/log/entry-list.ts
@@ -0,0 +1,78 @@
+import type { LogEntry, Members, Snapshot } from './log-types.js'
+
+const nobody: Members = { voters: [], learners: [] }
+
+/** The entries that a replica holds after its snapshot, with their terms and members. */
+export class EntryList {
+  #snapshot: Snapshot | null
+  #entries: LogEntry[]
+  #membersAt: { index: number, members: Members }[] = []
+
+  constructor (snapshot: Snapshot | null, entries: readonly LogEntry[]) {
+    this.#snapshot = snapshot
+    this.#entries = []
+    for (const entry of entries) this.#push(entry)
+  }
+
+  get snapshot (): Snapshot | null { return this.#snapshot }
+  get base (): number { return this.#snapshot?.index ?? 0 }
+  get lastIndex (): number { return this.base + this.#entries.length }
+  get lastTerm (): number { return this.termAt(this.lastIndex) ?? 0 }
+  get lastTime (): number { return this.#entries.at(-1)?.time ?? this.#snapshot?.time ?? 0 }
+
+  /** The members in force: the last that were appended, committed or not. */
+  get members (): Members {
+    return this.#membersAt.at(-1)?.members ?? this.#snapshot?.members ?? nobody
+  }
+
+  /** The index of the last change of members that the entries hold, or 0. */
+  get membersIndex (): number { return this.#membersAt.at(-1)?.index ?? 0 }
+
+  /** The members in force at `index`. */
+  membersUpTo (index: number): Members {
+    const known = this.#membersAt.findLast(one => one.index <= index)
+    return known?.members ?? this.#snapshot?.members ?? nobody
+  }
+
+  /** The term of an entry; undefined where it's not held. */
+  termAt (index: number): number | undefined {
+    if (index === 0) return 0
+    if (index === this.base) return this.#snapshot?.term
+    return this.#entries[index - this.base - 1]?.term
+  }
+
+  get (index: number): LogEntry | undefined {
+    return this.#entries[index - this.base - 1]
+  }
+
+  slice (from: number, most: number): LogEntry[] {
+    const start = from - this.base - 1
+    return this.#entries.slice(start, start + most)
+  }
+
+  /** Appends, dropping what stood at the same indexes before. */
+  append (entries: readonly LogEntry[]): void {
+    if (entries.length === 0) return
+    this.#truncate(entries[0].index)
+    for (const entry of entries) this.#push(entry)
+  }
+
+  /** Puts a snapshot in place of the entries up to it. */
+  compact (snapshot: Snapshot): void {
+    const keep = this.termAt(snapshot.index) === snapshot.term ? this.slice(snapshot.index + 1, Infinity) : []
+    this.#snapshot = snapshot
+    this.#entries = []
+    this.#membersAt = []
+    for (const entry of keep) this.#push(entry)
+  }
+
+  #push (entry: LogEntry): void {
+    this.#entries.push(entry)
+    if (entry.content.type === 'members') this.#membersAt.push({ index: entry.index, members: entry.content.members })
+  }
+
+  #truncate (from: number): void {
+    this.#entries.length = Math.max(0, from - this.base - 1)
+    while (this.membersIndex >= from) this.#membersAt.pop()
+  }
+}
--- /dev/null
+++ b/src/coordination/log/index.ts
@@ -0,0 +1,12 @@
+/** The replicated log. */
+export * from './log-types.js'
+export type { RaftMessage } from './raft-message.js'
+export type { RaftEffect, RaftEvent, RaftRole, ProposalFault } from './raft-event.js'
+export { EntryList } from './entry-list.js'
+export { RaftNode } from './raft-node.js'
+export type { RaftTiming } from './raft-node.js'
+export { LogStore } from './log-store.js'
+export { DamagedLogError, decodeRecords, encodeRecord } from './record-file.js'
+export type { LogRecord } from './record-file.js'
+export { Replica } from './replica.js'
+export type { ProposalEnd, ReplicaHost, ReplicaStore, ReplicatedMachine } from './replica.js'
--- /dev/null
+++ b/src/coordination/log/log-store.ts
@@ -0,0 +1,193 @@
+/**
+ * A replica's log on disk, under one data folder:
+ * `identity.json` (which replica this disk is), `snapshot` and `log.<n>`.
+ * A new file is written beside the old one, synced, and renamed over it.
+ */
+import { randomBytes } from 'node:crypto'
+import { open, readFile, readdir, rename, mkdir, rm } from 'node:fs/promises'
+import type { FileHandle } from 'node:fs/promises'
+import { join } from 'node:path'
+import { crc32 } from 'node:zlib'
+import { decode, encode } from 'cbor-x'
+import { EntryList } from './entry-list.js'
+import type { HardState, ReplicaId, Snapshot, StoredLog } from './log-types.js'
+import type { RaftEffect } from './raft-event.js'
+import { decodeRecords, encodeRecord } from './record-file.js'
+import type { LogRecord } from './record-file.js'
+
+type PersistEffect = Extract<RaftEffect, { type: 'persist' }>
+
+const identityFile = 'identity.json'
+const snapshotFile = 'snapshot'
+const noHard: HardState = { term: 0, vote: null }
+
+export class LogStore {
+  readonly folder: string
+  readonly id: ReplicaId
+  #list: EntryList
+  #hard: HardState
+  #file: FileHandle
+  #generation: number
+  #length: number
+  #syncs = 0
+
+  private constructor (folder: string, id: ReplicaId, list: EntryList, hard: HardState, file: FileHandle, generation: number, length: number) {
+    this.folder = folder
+    this.id = id
+    this.#list = list
+    this.#hard = hard
+    this.#file = file
+    this.#generation = generation
+    this.#length = length
+  }
+
+  /**
+   * Opens the folder, or makes it with a new identity for the keeper `name`.
+   * Throws `DamagedLogError` where acknowledged records can't be read.
+   */
+  static async open (folder: string, name: string): Promise<LogStore> {
+    await mkdir(folder, { recursive: true })
+    const id = await readIdentity(folder, name)
+    const snapshot = await readSnapshot(folder)
+    const generation = await findGeneration(folder)
+    const path = join(folder, `log.${generation}`)
+    const file = await open(path, 'a+')
+    const bytes = await readFile(path)
+    const { records, length } = decodeRecords(bytes)
+    if (length < bytes.length) {
+      await file.truncate(length)
+      await file.sync()
+    }
+    const { list, hard } = replay(snapshot, records)
+    await syncFolder(folder)
+    return new LogStore(folder, id, list, hard, file, generation, length)
+  }
+
+  /** Everything that is stored, for a replica that starts. */
+  get stored (): StoredLog {
+    return { hard: this.#hard, snapshot: this.#list.snapshot, entries: this.#list.slice(this.#list.base + 1, Infinity) }
+  }
+
+  get syncs (): number { return this.#syncs }
+  get bytes (): number { return this.#length }
+
+  /** Writes the effects in order and syncs once. Whoever calls waits for it. */
+  async persist (effects: readonly PersistEffect[]): Promise<void> {
+    const snapshot = effects.findLast(effect => effect.snapshot !== null)?.snapshot ?? null
+    const buffers = [encodeRecord({ type: 'mark', synced: this.#length })]
+    for (const effect of effects) this.#take(effect, buffers)
+    if (snapshot !== null) return await this.#rewrite(snapshot)
+    const bytes = Buffer.concat(buffers)
+    await this.#file.appendFile(bytes)
+    await this.#file.datasync()
+    this.#syncs += 1
+    this.#length += bytes.length
+  }
+
+  async close (): Promise<void> {
+    await this.#file.close()
+  }
+
+  #take (effect: PersistEffect, buffers: Buffer[]): void {
+    if (effect.hard !== null) {
+      this.#hard = effect.hard
+      buffers.push(encodeRecord({ type: 'hard', hard: effect.hard }))
+    }
+    this.#list.append(effect.entries)
+    for (const entry of effect.entries) buffers.push(encodeRecord({ type: 'entry', entry }))
+    if (effect.snapshot !== null) this.#list.compact(effect.snapshot)
+  }
+
+  // The snapshot is in place before the log that lacks its entries is.
+  async #rewrite (snapshot: Snapshot): Promise<void> {
+    await writeWhole(this.folder, snapshotFile, sealSnapshot(snapshot))
+    const records: LogRecord[] = [{ type: 'mark', synced: 0 }, { type: 'hard', hard: this.#hard }]
+    for (const entry of this.#list.slice(this.#list.base + 1, Infinity)) records.push({ type: 'entry', entry })
+    const bytes = Buffer.concat(records.map(encodeRecord))
+    const old = this.#generation
+    this.#generation += 1
+    await writeWhole(this.folder, `log.${this.#generation}`, bytes)
+    await this.#file.close()
+    this.#file = await open(join(this.folder, `log.${this.#generation}`), 'a+')
+    await rm(join(this.folder, `log.${old}`))
+    this.#length = bytes.length
+    this.#syncs += 1
+  }
+}
+
+function replay (snapshot: Snapshot | null, records: readonly LogRecord[]): { list: EntryList, hard: HardState } {
+  const list = new EntryList(snapshot, [])
+  let hard = noHard
+  for (const record of records) {
+    switch (record.type) {
+      case 'mark': break
+      case 'hard':
+        hard = record.hard
+        break
+      case 'entry':
+        // Entries of an older file that the snapshot holds already.
+        if (record.entry.index > list.base) list.append([record.entry])
+        break
+    }
+  }
+  return { list, hard }
+}
+
+async function readIdentity (folder: string, name: string): Promise<ReplicaId> {
+  const text = await readFile(join(folder, identityFile), 'utf8').catch(allowMissing)
+  if (text !== null) return (JSON.parse(text) as { replica: ReplicaId }).replica
+  const replica = `${name}#${randomBytes(6).toString('hex')}` as ReplicaId
+  await writeWhole(folder, identityFile, Buffer.from(JSON.stringify({ replica })))
+  return replica
+}
+
+async function readSnapshot (folder: string): Promise<Snapshot | null> {
+  const bytes = await readFile(join(folder, snapshotFile)).catch(allowMissing)
+  if (bytes === null) return null
+  const body = bytes.subarray(4)
+  if (crc32(body) !== bytes.readUInt32LE(0)) throw new Error(`damaged snapshot in ${folder}`)
+  return decode(body) as Snapshot
+}
+
+function sealSnapshot (snapshot: Snapshot): Buffer {
+  const body = encode(snapshot)
+  const header = Buffer.allocUnsafe(4)
+  header.writeUInt32LE(crc32(body), 0)
+  return Buffer.concat([header, body])
+}
+
+// The newest file wins: it was synced whole before its name was given.
+async function findGeneration (folder: string): Promise<number> {
+  const names = await readdir(folder)
+  let newest = 0
+  for (const name of names) {
+    const match = /^log\.(\d+)$/.exec(name)
+    if (match !== null) newest = Math.max(newest, Number(match[1]))
+  }
+  for (const name of names) {
+    const match = /^log\.(\d+)$/.exec(name)
+    if (match !== null && Number(match[1]) < newest) await rm(join(folder, name))
+  }
+  return newest
+}
+
+async function writeWhole (folder: string, name: string, bytes: Buffer): Promise<void> {
+  const path = join(folder, `${name}.new`)
+  const file = await open(path, 'w')
+  await file.writeFile(bytes)
+  await file.sync()
+  await file.close()
+  await rename(path, join(folder, name))
+  await syncFolder(folder)
+}
+
+async function syncFolder (folder: string): Promise<void> {
+  const handle = await open(folder, 'r')
+  await handle.sync()
+  await handle.close()
+}
+
+function allowMissing (error: NodeJS.ErrnoException): null {
+  if (error.code === 'ENOENT') return null
+  throw error
+}
--- /dev/null
+++ b/src/coordination/log/record-file.ts
@@ -0,0 +1,107 @@
+/**
+ * Checksummed records in one file, appended in batches and synced. Each batch
+ * begins with a mark of the length that was synced before it, so that a reader
+ * can tell a torn last batch from damage to what was acknowledged.
+ */
+import { crc32 } from 'node:zlib'
+import { decode, encode } from 'cbor-x'
+import type { LogEntry, HardState } from './log-types.js'
+
+/** What a record holds. */
+export type LogRecord =
+  | { readonly type: 'mark', readonly synced: number }
+  | { readonly type: 'hard', readonly hard: HardState }
+  | { readonly type: 'entry', readonly entry: LogEntry }
+
+const headerBytes = 8
+const largestRecord = 64 * 2 ** 20
+
+/** The file's contents as far as they can be trusted. */
+export interface ReadRecords {
+  readonly records: readonly LogRecord[]
+  /** Bytes that hold whole records; what follows is a torn tail to cut off. */
+  readonly length: number
+}
+
+/** Damage that can't be a torn last write. The replica must not vote on it. */
+export class DamagedLogError extends Error {
+  readonly offset: number
+
+  constructor (offset: number, found: string) {
+    super(`damaged record at byte ${offset}: ${found}`)
+    this.name = 'DamagedLogError'
+    this.offset = offset
+  }
+}
+
+/** Encodes one record with its length and checksum. */
+export function encodeRecord (record: LogRecord): Buffer {
+  const body = encode(record)
+  const header = Buffer.allocUnsafe(headerBytes)
+  header.writeUInt32LE(body.length, 0)
+  header.writeUInt32LE(crc32(body), 4)
+  return Buffer.concat([header, body])
+}
+
+/**
+ * Decodes the records of a file. A tail that was never acknowledged (cut short,
+ * or never written and so all zero) is left out. Any other record that fails
+ * its checksum throws `DamagedLogError`.
+ */
+export function decodeRecords (bytes: Buffer): ReadRecords {
+  const records: LogRecord[] = []
+  let at = 0
+  while (at < bytes.length) {
+    const record = readRecord(bytes, at)
+    if (record === 'short') break
+    if (record === 'bad') {
+      checkTorn(bytes, at)
+      break
+    }
+    records.push(record.value)
+    at = record.end
+  }
+  return { records, length: at }
+}
+
+type OneRecord = { readonly value: LogRecord, readonly end: number }
+
+function readRecord (bytes: Buffer, at: number): OneRecord | 'short' | 'bad' {
+  if (at + headerBytes > bytes.length) return 'short'
+  const length = bytes.readUInt32LE(at)
+  if (length === 0 || length > largestRecord) return 'bad'
+  const end = at + headerBytes + length
+  if (end > bytes.length) return findMarkAfter(bytes, at) ? 'bad' : 'short'
+  const body = bytes.subarray(at + headerBytes, end)
+  if (crc32(body) !== bytes.readUInt32LE(at + 4)) return 'bad'
+  return { value: decode(body) as LogRecord, end }
+}
+
+// A write that the disk never took leaves zeros to the end of the file.
+function checkTorn (bytes: Buffer, at: number): void {
+  const rest = bytes.subarray(at)
+  if (findMarkAfter(bytes, at)) throw new DamagedLogError(at, 'later batches follow it')
+  const length = rest.readUInt32LE(0)
+  const tail = length === 0 ? rest : rest.subarray(headerBytes)
+  if (length <= largestRecord && isZeroEnded(tail)) return
+  throw new DamagedLogError(at, 'checksum does not match')
+}
+
+function isZeroEnded (bytes: Buffer): boolean {
+  return bytes.length === 0 || bytes[bytes.length - 1] === 0
+}
+
+// Whether a later batch says that `at` had been synced before it.
+function findMarkAfter (bytes: Buffer, at: number): boolean {
+  for (let next = at + 1; next + headerBytes <= bytes.length; next++) {
+    const length = bytes.readUInt32LE(next)
+    if (length < 4 || length > 64) continue
+    const end = next + headerBytes + length
+    if (end > bytes.length) continue
+    const body = bytes.subarray(next + headerBytes, end)
+    if (crc32(body) !== bytes.readUInt32LE(next + 4)) continue
+    const record = decode(body) as LogRecord
+    if (record.type === 'mark' && record.synced > at) return true
+  }
+  return false
+}
--- /dev/null
+++ b/src/core/scheduler-event.ts
@@ -0,0 +1,33 @@
+import type { BoxId, EngineId, RequestId } from './ids.js'
+import type { Submission } from './submission.js'
+import type { SchedulerConfig } from './scheduler-config.js'
+
+/** How a stream at an engine ended. */
+export type StreamEnd = 'done' | 'cancelled' | 'engine-failed'
+
+/** An engine's own word on its load; old by a lag. */
+export interface LoadReport {
+  /** Streams in the running batch. */
+  readonly running: number
+  /** Streams that wait or are paused at the engine. */
+  readonly waiting: number
+  /** Share of the KV memory in use, 0 to 1. */
+  readonly kvUsed: number
+  /** Mean time of the last steps, ms. */
+  readonly stepMs: number
+  readonly leaving: boolean
+}
+
+/** What can happen to a scheduler. `at` is its clock in ms, never falling. */
+export type SchedulerEvent =
+  | { readonly type: 'submit', readonly at: number, readonly submission: Submission }
+  | { readonly type: 'adopt', readonly at: number, readonly submission: Submission, readonly engine: EngineId }
+  | { readonly type: 'cancel', readonly at: number, readonly request: RequestId, readonly attempt: number }
+  | { readonly type: 'firstToken', readonly at: number, readonly request: RequestId, readonly attempt: number }
+  | { readonly type: 'end', readonly at: number, readonly request: RequestId, readonly attempt: number, readonly how: StreamEnd, readonly tokens: number }
+  | { readonly type: 'report', readonly at: number, readonly engine: EngineId, readonly report: LoadReport }
+  | { readonly type: 'evicted', readonly at: number, readonly engine: EngineId, readonly prefixes: readonly string[] | 'unknown' }
+  | { readonly type: 'drain', readonly at: number, readonly engine: EngineId, readonly leaving: boolean }
+  | { readonly type: 'boxLost', readonly at: number, readonly box: BoxId }
+  | { readonly type: 'configure', readonly at: number, readonly config: SchedulerConfig }
+  | { readonly type: 'tick', readonly at: number }
--- /dev/null
+++ b/src/core/slow-engines.ts
@@ -0,0 +1,31 @@
+import type { EngineState } from './engine-state.js'
+
+const slowFactor = 2
+const recoveredFactor = 1.5
+
+/**
+ * Marks engines whose time per token is twice their peers' median, at most
+ * `share` of them. A marked one is unmarked when it is near the median again.
+ */
+export function findSlow (engines: readonly EngineState[], share: number): void {
+  const times: number[] = []
+  for (const engine of engines) {
+    const time = engine.health.tokenMs
+    if (time !== null) times.push(time)
+  }
+  if (times.length < 3) return
+  times.sort((a, b) => a - b)
+  const median = times[times.length >> 1]
+  let marked = engines.filter(engine => engine.health.slow).length
+  const limit = Math.floor(engines.length * share)
+  for (const { health } of engines) {
+    const time = health.tokenMs ?? median
+    if (health.slow && time < median * recoveredFactor) {
+      health.slow = false
+      marked -= 1
+    } else if (!health.slow && time > median * slowFactor && marked < limit) {
+      health.slow = true
+      marked += 1
+    }
+  }
+}
