--- /dev/null
+++ b/src/bin/entry.ts
@@ -0,0 +1,19 @@
+#!/usr/bin/env node
+/** `wrenlane-entry`: an entry box. */
+import { entryFields } from '../config/index.js'
+import type { EntrySettings } from '../config/index.js'
+import { Metrics, openStandardLog } from '../runtime/index.js'
+import { EntryBox } from '../tasks/index.js'
+import { createProgram, handleSignals, readSecret, readSettings, runProgram } from './program.js'
+
+createProgram('wrenlane-entry <settings>', 'Serves callers; settings is a TOML file.')
+  .action((path: string) => runProgram(async () => {
+    const settings = readSettings<EntrySettings>(path, entryFields)
+    const log = openStandardLog(settings.id)
+    const metrics = new Metrics(settings.statsd, settings.id)
+    const box = new EntryBox(settings, { log, metrics, secret: readSecret(settings.secretFile) })
+    await box.start()
+    log.info('ready', { url: `http://${settings.listen.host}:${box.port}` })
+    handleSignals(async () => await box.stop() === 0 ? 0 : 1, () => box.inFlight)
+  }))
+  .parse(process.argv)
--- /dev/null
+++ b/src/bin/local.ts
@@ -0,0 +1,169 @@
+#!/usr/bin/env node
+/** `wrenlane-local`: the whole path in one process, with stand-ins behind it. */
+import { mkdirSync, mkdtempSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import sade from 'sade'
+import type { EntrySettings, KeeperSettings, StandinEngineSettings } from '../config/index.js'
+import { EventLog, Metrics } from '../runtime/index.js'
+import { StandinEngine, StandinService } from '../standin/index.js'
+import { EntryBox, KeeperBox } from '../tasks/index.js'
+import { OperatorClient } from './operator-client.js'
+import { endWith, failureExit, handleSignals, readNamed, readVersion, runProgram, usageExit } from './program.js'
+
+interface Options {
+  readonly port: string | number
+  readonly data?: string
+  readonly config: string
+  readonly quiet?: boolean
+}
+
+const host = '127.0.0.1'
+const zones = ['zone-a', 'zone-b']
+const keeperIds = ['keeper-1', 'keeper-2', 'keeper-3']
+const engineCount = 6
+const secret = 'a secret of this laptop only'
+const sampleConfig = fileURLToPath(new URL('../../../config/local.toml', import.meta.url))
+const demoKeys = 'demo-campsites, demo-tyres'
+const readyMs = 15_000
+
+sade('wrenlane-local', true)
+  .version(readVersion())
+  .describe('Runs two entry boxes, three keepers, six stand-in engines and a plain service in one process.')
+  .option('-p, --port', 'Port of the first entry box; others follow it', 8080)
+  .option('-d, --data', 'Folder of the keepers; a new temporary one by default')
+  .option('-c, --config', 'TOML file with workspaces, classes and the pool', sampleConfig)
+  .option('--quiet', 'Print only what people need')
+  .action((options: Options) => runProgram(() => start(options)))
+  .parse(process.argv)
+
+async function start (options: Options): Promise<void> {
+  const port = Number(options.port)
+  if (!Number.isInteger(port) || port < 1 || port > 65_000) endWith(usageExit, `--port is a whole number from 1 to 65000, not ${String(options.port)}`)
+  const intent = readNamed(options.config)
+  const data = options.data ?? mkdtempSync(join(tmpdir(), 'wrenlane-'))
+  mkdirSync(data, { recursive: true })
+  const write = (line: string): void => { if (options.quiet !== true) process.stdout.write(line + '\n') }
+  const keepers = keeperIds.map((id, i) => ({ id, host, port: port + 11 + i }))
+  const entries = await startEntries(port, keepers, data, write)
+  const boxes = await startKeepers(keepers, data, write)
+  const engines = await startEngines(port)
+  const service = new StandinService({ id: 'bookings', host, port: port + 41, delayMs: 5 })
+  await service.listen()
+  await configure(keepers, intent, composeEndpoints(port))
+  await waitReady(entries)
+  const log = new EventLog('local', line => process.stdout.write(line + '\n'))
+  log.info('ready', { url: `http://${host}:${port}`, second: `http://${host}:${port + 1}`, keys: demoKeys, data })
+  handleSignals(async () => {
+    const cut = await Promise.all(entries.map(entry => entry.stop()))
+    await Promise.all(boxes.map(box => box.stop()))
+    for (const one of [...engines, service]) one.close()
+    return cut.every(count => count === 0) ? 0 : 1
+  }, () => entries.reduce((sum, entry) => sum + entry.inFlight, 0))
+}
+
+async function startEntries (port: number, keepers: KeeperSettings['keepers'], data: string, write: (line: string) => void): Promise<EntryBox[]> {
+  const members = zones.map((_, i) => ({ host, port: port + 21 + i }))
+  const boxes: EntryBox[] = []
+  for (const [i, zone] of zones.entries()) {
+    const settings: EntrySettings = {
+      id: `entry-${i + 1}`,
+      zone,
+      listen: { host, port: port + i },
+      control: members[i],
+      keepers,
+      members,
+      secretFile: '',
+      statsd: null,
+      cacheFile: join(data, `entry-${i + 1}.json`),
+      balancerLagMs: 200,
+      drainMs: 60_000,
+      maxConnections: 4096,
+      maxBodyBytes: 4 * 2 ** 20,
+      receiveMs: 10_000,
+      enginesPerShard: 32
+    }
+    const box = new EntryBox(settings, { log: new EventLog(settings.id, write), metrics: new Metrics(null, settings.id), secret })
+    await box.start()
+    boxes.push(box)
+  }
+  return boxes
+}
+
+async function startKeepers (keepers: KeeperSettings['keepers'], data: string, write: (line: string) => void): Promise<KeeperBox[]> {
+  const boxes = keepers.map(({ id, port }, i) => {
+    const settings: KeeperSettings = {
+      id,
+      zone: zones[i % zones.length],
+      control: { host, port },
+      keepers,
+      secretFile: '',
+      statsd: null,
+      data: join(data, id),
+      snapshotEvery: 20_000,
+      heartbeatMs: 100,
+      electionMs: 600
+    }
+    const noteFatal = (error: Error): void => endWith(failureExit, `the disk failed: ${error.message}`)
+    return new KeeperBox(settings, { log: new EventLog(id, write), metrics: new Metrics(null, id), secret, noteFatal })
+  })
+  for (const box of boxes) await box.start()
+  return boxes
+}
+
+async function startEngines (port: number): Promise<StandinEngine[]> {
+  const engines: StandinEngine[] = []
+  for (let i = 0; i < engineCount; i++) {
+    const settings: StandinEngineSettings = {
+      id: `engine-${i + 1}`,
+      host,
+      port: port + 31 + i,
+      models: ['steppe-small'],
+      batch: 9,
+      baseMs: 8,
+      streamMs: 1,
+      prefillMs: 40,
+      kvTokens: 60_000,
+      reportLagMs: 500,
+      checksFencing: i % 2 === 0
+    }
+    const engine = new StandinEngine(settings)
+    await engine.listen()
+    engines.push(engine)
+  }
+  return engines
+}
+
+// The ports follow --port, so engines and services are added to the file's intent.
+function composeEndpoints (port: number): string {
+  const lines: string[] = []
+  for (let i = 0; i < engineCount; i++) {
+    lines.push(`[engines.engine-${i + 1}]`, 'pool = "steppe"', `zone = "${zones[i % zones.length]}"`, `host = "${host}"`, `port = ${port + 31 + i}`, `checksFencing = ${i % 2 === 0}`, '')
+  }
+  lines.push('[services.bookings]', `endpoints = [{ host = "${host}", port = ${port + 41}, zone = "${zones[0]}" }]`, 'repeatable = false', 'repeatablePaths = ["/stock"]', '')
+  return lines.join('\n')
+}
+
+async function configure (keepers: KeeperSettings['keepers'], intent: string, endpoints: string): Promise<void> {
+  const client = new OperatorClient('local', keepers, secret)
+  for (const text of [intent, endpoints]) {
+    const reply = await client.call({ type: 'plan', id: client.identify(text), intent: text })
+    if (reply.type === 'mistakes') endWith(usageExit, reply.mistakes.join('\n'))
+    if (reply.type !== 'result' || reply.result.type !== 'planned') endWith(failureExit, `the configuration was not planned: ${JSON.stringify(reply)}`)
+    const { plan, changes } = reply.result
+    if (changes.length === 0) continue
+    const id = client.identify(`confirm ${plan}`)
+    const done = await client.call({ type: 'command', command: { part: 'config', command: { type: 'confirm', id, plan } } })
+    if (done.type !== 'result' || done.result.type !== 'accepted') endWith(failureExit, `the configuration was not accepted: ${JSON.stringify(done)}`)
+  }
+  client.close()
+}
+
+async function waitReady (entries: readonly EntryBox[]): Promise<void> {
+  const until = Date.now() + readyMs
+  while (!entries.every(entry => entry.composeStatus().ready && entry.configuration.engines.size > 0)) {
+    if (Date.now() > until) endWith(failureExit, 'the entry boxes did not become ready')
+    await new Promise(resolve => setTimeout(resolve, 20))
+  }
+}
--- /dev/null
+++ b/src/bin/operator-client.ts
@@ -0,0 +1,114 @@
+/** An operator's shell as a peer of the boxes. */
+import { createHash, randomUUID } from 'node:crypto'
+import { performance } from 'node:perf_hooks'
+import type { Address, KeeperAddress } from '../config/index.js'
+import type { CommandId } from '../coordination/index.js'
+import { LinkPool } from '../protocol/index.js'
+import type { BoxMessage, EntryCall, EntryReply, KeeperCall, KeeperReply } from '../protocol/index.js'
+import { HybridClock } from '../runtime/index.js'
+import { KeeperClient } from '../tasks/index.js'
+
+const callMs = 10_000
+const repairMs = 90_000
+const linkMs = 1500
+const pollMs = 10
+
+/** How a call failed, for people. */
+export class OperatorError extends Error {}
+
+export class OperatorClient {
+  readonly operator: string
+  #links: LinkPool<BoxMessage>
+  #client: KeeperClient
+  #keepers: readonly KeeperAddress[]
+  #entryCalls = new Map<number, (reply: EntryReply) => void>()
+  #directCalls = new Map<number, (reply: KeeperReply) => void>()
+  #counter = 1_000_000
+
+  constructor (operator: string, keepers: readonly KeeperAddress[], secret: string) {
+    this.operator = operator
+    this.#keepers = keepers
+    this.#links = new LinkPool<BoxMessage>({
+      id: `operator-${operator}`,
+      secret,
+      clock: new HybridClock(Date.now),
+      receive: (link, message) => this.#receive(link.peer, message),
+      noteOpen: () => {},
+      noteClosed: () => {},
+      noteFault: () => {}
+    })
+    this.#client = new KeeperClient(keepers, this.#links, () => performance.now())
+  }
+
+  /** A command's identity: the same number with the same body may be sent again safely. */
+  identify (body: string, number?: string): CommandId {
+    const digest = createHash('sha256').update(body).digest('base64url')
+    return { operator: this.operator, number: number ?? randomUUID(), digest }
+  }
+
+  /** Calls the leading keeper. Throws an `OperatorError` where none answers. */
+  async call (body: KeeperCall): Promise<KeeperReply> {
+    const end = await this.#client.call(body, body.type === 'repair' ? repairMs : callMs)
+    switch (end.type) {
+      case 'reply': return end.reply
+      case 'unsent': throw new OperatorError('no keeper can be reached; nothing was changed')
+      case 'unanswered': throw new OperatorError('no quorum of keepers answered; whether the command took effect is not known. Send it again with the same --number to find out')
+    }
+  }
+
+  /** Asks one keeper, whether it leads or not; null where it can't be reached. */
+  async ask (keeper: KeeperAddress, body: KeeperCall): Promise<KeeperReply | null> {
+    if (!await this.#connect(keeper)) return null
+    return await new Promise(resolve => {
+      const call = this.#next()
+      this.#directCalls.set(call, resolve)
+      setTimeout(() => resolve(null), linkMs)
+      this.#links.find(keeper.host, keeper.port)?.send({ type: 'call', call, body })
+    })
+  }
+
+  /** Asks an entry box; null where it can't be reached. */
+  async askEntry (address: Address, body: EntryCall): Promise<EntryReply | null> {
+    this.#links.dial(address.host, address.port)
+    if (!await this.#connect(address)) return null
+    return await new Promise(resolve => {
+      const call = this.#next()
+      this.#entryCalls.set(call, resolve)
+      setTimeout(() => resolve(null), linkMs)
+      this.#links.find(address.host, address.port)?.send({ type: 'entry-call', call, body })
+    })
+  }
+
+  get keepers (): readonly KeeperAddress[] { return this.#keepers }
+
+  close (): void {
+    this.#client.close()
+    this.#links.close()
+  }
+
+  #next (): number {
+    this.#counter += 1
+    return this.#counter
+  }
+
+  async #connect ({ host, port }: Address): Promise<boolean> {
+    const until = performance.now() + linkMs
+    while (this.#links.find(host, port) === undefined) {
+      if (performance.now() > until) return false
+      await new Promise(resolve => setTimeout(resolve, pollMs))
+    }
+    return true
+  }
+
+  #receive (from: string, message: BoxMessage): void {
+    if (message.type === 'reply') {
+      const direct = this.#directCalls.get(message.call)
+      if (direct === undefined) return this.#client.receive(from, message.call, message.body)
+      this.#directCalls.delete(message.call)
+      direct(message.body)
+    } else if (message.type === 'entry-reply') {
+      this.#entryCalls.get(message.call)?.(message.body)
+      this.#entryCalls.delete(message.call)
+    }
+  }
+}
--- /dev/null
+++ b/src/bin/standin.ts
@@ -0,0 +1,25 @@
+#!/usr/bin/env node
+/** `wrenlane-standin`: stand-in engines and services, for tests and measurements. */
+import { standinFields } from '../config/index.js'
+import type { StandinSettings } from '../config/index.js'
+import { openStandardLog } from '../runtime/index.js'
+import { StandinEngine, StandinService } from '../standin/index.js'
+import { createProgram, handleSignals, readSettings, runProgram } from './program.js'
+
+createProgram('wrenlane-standin <settings>', 'Stands in for engines and plain services; settings is a TOML file.')
+  .action((path: string) => runProgram(async () => {
+    const settings = readSettings<StandinSettings>(path, standinFields)
+    const log = openStandardLog('standin')
+    const engines = settings.engines.map(one => new StandinEngine(one))
+    const services = settings.services.map(one => new StandinService(one))
+    for (const one of [...engines, ...services]) {
+      await one.listen()
+      log.info('listening', { id: one.settings.id, port: one.port })
+    }
+    log.info('ready', { engines: engines.length, services: services.length })
+    handleSignals(async () => {
+      for (const one of [...engines, ...services]) one.close()
+      return 0
+    }, () => 0)
+  }))
+  .parse(process.argv)
--- /dev/null
+++ b/src/bin/timeline.ts
@@ -0,0 +1,43 @@
+/** Merges the event logs of all processes into one order. */
+
+/** One event's line, read. */
+export interface TimelineEvent {
+  readonly hlc: string
+  readonly fields: ReadonlyMap<string, string>
+  readonly line: string
+}
+
+const pair = /([A-Za-z0-9_.-]+)=("(?:[^"\\]|\\.)*"|\S*)/g
+
+/** Reads a line of key=value pairs; null where it is no event. */
+export function parseEvent (line: string): TimelineEvent | null {
+  const fields = new Map<string, string>()
+  for (const [, key, value] of line.matchAll(pair)) {
+    fields.set(key, value.startsWith('"') ? JSON.parse(value) as string : value)
+  }
+  const hlc = fields.get('hlc')
+  return hlc === undefined ? null : { hlc, fields, line }
+}
+
+/** All events in the order of their hybrid logical times, those of one request alone if asked. */
+export function mergeEvents (texts: readonly string[], request: string | null): TimelineEvent[] {
+  const events: TimelineEvent[] = []
+  for (const text of texts) {
+    for (const line of text.split('\n')) {
+      const event = parseEvent(line)
+      if (event !== null && concerns(event, request)) events.push(event)
+    }
+  }
+  return events.sort((a, b) => compareTimes(a.hlc, b.hlc))
+}
+
+function concerns (event: TimelineEvent, request: string | null): boolean {
+  if (request === null) return true
+  return event.fields.get('request') === request || event.fields.get('to') === request
+}
+
+function compareTimes (a: string, b: string): number {
+  const [ms, count] = a.split('.').map(Number)
+  const [otherMs, otherCount] = b.split('.').map(Number)
+  return ms - otherMs || count - otherCount
+}
--- /dev/null
+++ b/src/bin/wrenlane.ts
@@ -0,0 +1,230 @@
+#!/usr/bin/env node
+/** `wrenlane`: the operator's shell. */
+import { createHash, randomBytes } from 'node:crypto'
+import { userInfo } from 'node:os'
+import sade from 'sade'
+import { checkDocument, describeHost, describeName, describePort, describeText, entryFields, findKeyLines, findLine, formatMistake, intentFields, keeperFields, parseToml, standinFields } from '../config/index.js'
+import type { FieldTable, KeeperAddress, Mistake } from '../config/index.js'
+import { parse } from 'smol-toml'
+import { brandId } from '../core/index.js'
+import type { EngineId } from '../core/index.js'
+import type { Change, Document, LedgerResult } from '../coordination/index.js'
+import type { KeeperReply, KeeperStatus } from '../protocol/index.js'
+import { OperatorClient, OperatorError } from './operator-client.js'
+import { endWith, failureExit, readNamed, readSecret, readSettings, readVersion, usageExit } from './program.js'
+import { composeReport, formatReport } from './status-report.js'
+import { mergeEvents } from './timeline.js'
+
+interface Options {
+  readonly settings: string
+  readonly json?: boolean
+  readonly file?: string
+  readonly number?: string
+  readonly request?: string
+  readonly undo?: boolean
+  readonly entry?: string
+}
+
+interface OperatorSettings {
+  readonly operator: string
+  readonly keepers: readonly KeeperAddress[]
+  readonly secretFile: string
+}
+
+const operatorFields: FieldTable = {
+  operator: describeName('Name of the operator; empty for the name of the user.', 'operator'),
+  keepers: {
+    type: 'list',
+    least: 1,
+    about: 'The keepers.',
+    of: { type: 'table', about: 'A keeper.', fields: { id: describeName('Name of the keeper.'), host: describeHost('IP number.'), port: describePort('Port.') } }
+  },
+  secretFile: describeText('File with the secret that boxes and operators share.')
+}
+
+const kinds: readonly { readonly name: string, readonly mark: string, readonly fields: FieldTable }[] = [
+  { name: 'entry', mark: 'listen', fields: entryFields },
+  { name: 'keeper', mark: 'data', fields: keeperFields },
+  { name: 'operator', mark: 'keepers', fields: operatorFields }
+]
+
+const program = sade('wrenlane').version(readVersion())
+  .option('-s, --settings', 'TOML file that names the keepers and the secret', 'wrenlane.toml')
+  .option('--json', 'Answer in JSON')
+
+program.command('check <file>', 'Check a settings file or an intent; shows every mistake')
+  .action((path: string) => checkFile(path))
+
+program.command('plan', 'Answer an intent with a plan of what would change')
+  .option('-f, --file', 'TOML file with the intent')
+  .option('--number', 'Number of this command, to resend it safely')
+  .action((options: Options) => withOperator(options, client => plan(client, options)))
+
+program.command('confirm <plan>', 'Put a plan in force')
+  .option('--number', 'Number of this command, to resend it safely')
+  .action((number: string, options: Options) => withOperator(options, client => confirm(client, number, options)))
+
+program.command('status', 'Show boxes, zones, revisions in force, engines and queues')
+  .action((options: Options) => withOperator(options, client => showStatus(client, options)))
+
+program.command('drain <engine>', 'Give an engine no new work from now on, through a plan that is confirmed at once')
+  .option('--undo', 'Give it work again')
+  .action((engine: string, options: Options) => withOperator(options, client => drain(client, engine, options)))
+
+program.command('repair <keeper>', 'Let a keeper with another disk take the place of its old replica')
+  .action((keeper: string, options: Options) => withOperator(options, client => repair(client, keeper, options)))
+
+program.command('timeline <file>', 'Merge event logs into one order')
+  .option('--request', 'Follow one request')
+  .action((path: string, options: Options & { _: string[] }) => showTimeline([path, ...options._], options))
+
+program.command('key', 'Make a workspace key and its digest')
+  .action((options: Options) => makeKey(options))
+
+program.parse(process.argv)
+
+function show (options: Options, value: unknown, text: string): void {
+  process.stdout.write(`${options.json === true ? JSON.stringify(value) : text}\n`)
+}
+
+async function withOperator (options: Options, run: (client: OperatorClient) => Promise<void>): Promise<void> {
+  const settings = readSettings<OperatorSettings>(options.settings, operatorFields)
+  const operator = settings.operator === 'operator' ? userInfo().username : settings.operator
+  const client = new OperatorClient(operator, settings.keepers, readSecret(settings.secretFile))
+  try {
+    await run(client)
+    client.close()
+  } catch (error) {
+    if (!(error instanceof OperatorError)) throw error
+    endWith(failureExit, error.message)
+  }
+}
+
+function checkFile (path: string): void {
+  const text = readNamed(path)
+  const fields = guessFields(text)
+  const parsed = parseToml(text, fields)
+  const mistakes = parsed.ok ? checkWhole(text, parsed.value, fields) : parsed.mistakes
+  for (const mistake of mistakes) process.stdout.write(`${formatMistake(path, mistake)}\n`)
+  if (mistakes.length > 0) endWith(usageExit, `${path}: ${mistakes.length} mistake${mistakes.length === 1 ? '' : 's'}`)
+  process.stdout.write(`${path}: no mistakes\n`)
+}
+
+function guessFields (text: string): FieldTable {
+  let table: Record<string, unknown> = {}
+  try {
+    table = parse(text)
+  } catch {
+    return intentFields
+  }
+  for (const { mark, fields } of kinds) {
+    if (Object.hasOwn(table, mark)) return fields
+  }
+  return Array.isArray(table.engines) || Array.isArray(table.services) ? standinFields : intentFields
+}
+
+function checkWhole (text: string, value: Readonly<Record<string, unknown>>, fields: FieldTable): readonly Mistake[] {
+  if (fields !== intentFields) return []
+  const { remove: _, ...document } = value
+  const lines = findKeyLines(text)
+  return checkDocument(document as Document).map(mistake => ({ ...mistake, line: findLine(lines, mistake.key) }))
+}
+
+async function plan (client: OperatorClient, options: Options): Promise<void> {
+  if (options.file === undefined) endWith(usageExit, 'plan needs -f FILE, a TOML file with the intent')
+  const intent = readNamed(options.file)
+  const reply = await client.call({ type: 'plan', id: client.identify(intent, options.number), intent })
+  const result = expectResult(reply)
+  if (result.type !== 'planned') return endWithResult(options, result)
+  const text = result.changes.length === 0
+    ? 'nothing would change'
+    : `${result.changes.map(formatChange).join('\n')}\nplan ${result.plan} on revision ${result.base}; put it in force with: wrenlane confirm ${result.plan}`
+  show(options, result, text)
+}
+
+function formatChange (change: Change): string {
+  const name = `${change.section}.${change.name}`
+  if (change.before === null) return `added    ${name}  ${JSON.stringify(change.after)}`
+  if (change.after === null) return `removed  ${name}  was ${JSON.stringify(change.before)}`
+  const before = change.before as Record<string, unknown>
+  const after = change.after as Record<string, unknown>
+  const keys = Object.keys({ ...before, ...after }).filter(key => JSON.stringify(before[key]) !== JSON.stringify(after[key]))
+  return `changed  ${name}  ${keys.map(key => `${key}: ${JSON.stringify(before[key])} -> ${JSON.stringify(after[key])}`).join(', ')}`
+}
+
+async function confirm (client: OperatorClient, number: string, options: Options): Promise<void> {
+  if (!/^\d+$/.test(number)) endWith(usageExit, `a plan is a whole number, not ${JSON.stringify(number)}`)
+  const id = client.identify(`confirm ${number}`, options.number)
+  const reply = await client.call({ type: 'command', command: { part: 'config', command: { type: 'confirm', id, plan: Number(number) } } })
+  const result = expectResult(reply)
+  if (result.type !== 'accepted') return endWithResult(options, result)
+  show(options, result, `accepted as revision ${result.revision}; wrenlane status shows where it is in force`)
+}
+
+function expectResult (reply: KeeperReply): LedgerResult {
+  switch (reply.type) {
+    case 'result': return reply.result as LedgerResult
+    case 'mistakes':
+      for (const mistake of reply.mistakes) process.stderr.write(`${mistake}\n`)
+      return endWith(usageExit, `${reply.mistakes.length} mistakes in the intent`)
+    case 'fault': return endWith(failureExit, reply.text)
+    default: return endWith(failureExit, `unexpected answer ${reply.type}`)
+  }
+}
+
+function endWithResult (options: Options, result: LedgerResult): void {
+  if (options.json === true) process.stdout.write(`${JSON.stringify(result)}\n`)
+  endWith(failureExit, describeResult(result))
+}
+
+function describeResult (result: LedgerResult): string {
+  switch (result.type) {
+    case 'conflict': return `the plan was made on revision ${result.base}, but ${result.revision} is in force; since then:\n${result.since.map(formatChange).join('\n')}\nplan again`
+    case 'unknown-plan': return `there is no plan ${result.plan}`
+    case 'already-confirmed': return `plan ${result.plan} was confirmed before, as revision ${result.revision}`
+    case 'other-command': return 'this command number was used before with another command'
+    default: return result.type
+  }
+}
+
+async function showStatus (client: OperatorClient, options: Options): Promise<void> {
+  const statuses = await Promise.all(client.keepers.map(async keeper => {
+    const reply = await client.ask(keeper, { type: 'status' })
+    return reply?.type === 'status' ? reply.status : null
+  }))
+  if (statuses.every(status => status === null)) throw new OperatorError('no keeper can be reached')
+  const report = composeReport(client.keepers.map(keeper => keeper.id), statuses as (KeeperStatus | null)[])
+  show(options, report, formatReport(report))
+}
+
+async function drain (client: OperatorClient, engine: string, options: Options): Promise<void> {
+  const reply = await client.call({ type: 'document' })
+  if (reply.type !== 'document') return endWith(failureExit, `unexpected answer ${reply.type}`)
+  const found = reply.document.engines?.[brandId<EngineId>(engine)] as Record<string, unknown> | undefined
+  if (found === undefined) return endWith(usageExit, `no engine ${JSON.stringify(engine)} is configured`)
+  const leaving = options.undo !== true
+  const change: Change = { section: 'engines', name: engine, before: found, after: { ...found, leaving } }
+  const planId = client.identify(`drain ${engine} ${leaving} ${reply.revision}`)
+  const planned = expectResult(await client.call({ type: 'command', command: { part: 'config', command: { type: 'plan', id: planId, base: reply.revision, changes: [change] } } }))
+  if (planned.type !== 'planned') return endWithResult(options, planned)
+  await confirm(client, String(planned.plan), options)
+}
+
+async function repair (client: OperatorClient, keeper: string, options: Options): Promise<void> {
+  const reply = await client.call({ type: 'repair', replace: keeper, id: client.identify(`repair ${keeper}`) })
+  if (reply.type !== 'repaired') return endWith(failureExit, reply.type === 'fault' ? reply.text : `unexpected answer ${reply.type}`)
+  show(options, reply.members, `repaired; the voters are ${reply.members.voters.join(', ')}`)
+}
+
+function showTimeline (paths: readonly string[], options: Options): void {
+  const events = mergeEvents(paths.map(readNamed), options.request ?? null)
+  for (const event of events) {
+    process.stdout.write(`${options.json === true ? JSON.stringify(Object.fromEntries(event.fields)) : event.line}\n`)
+  }
+}
+
+function makeKey (options: Options): void {
+  const key = `wl-${randomBytes(24).toString('base64url')}`
+  const digest = createHash('sha256').update(key).digest('hex')
+  show(options, { key, digest }, `key     ${key}\ndigest  ${digest}`)
+}
--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -91,15 +91,23 @@
   return { ...defaultTuning, classes: [...configuration.classes.values()], engines }
 }
 
+// Sections without a change are the same objects from revision to revision, so
+// that a change costs what it touches, not the whole configuration.
+const sectionsRead = new WeakMap<object, Map<string, unknown>>()
+
 function readClasses (document: Document): Map<ClassName, RequestClass> {
   const classes = readSection<ClassName, RequestClass>(document, 'classes', 'name')
   return new Map([...classes].map(([name, one]) => [name, { ...one, wholeMs: one.wholeMs === 0 ? null : one.wholeMs }]))
 }
 
 function readSection<Name extends string, Item> (document: Document, section: string, idKey: string): Map<Name, Item> {
+  const found = document[section] ?? {}
+  const known = sectionsRead.get(found)
+  if (known !== undefined) return known as unknown as Map<Name, Item>
   const items = new Map<Name, Item>()
-  for (const [name, item] of Object.entries(document[section] ?? {})) {
+  for (const [name, item] of Object.entries(found)) {
     items.set(brandId<Name>(name), { [idKey]: name, ...(item as object) } as Item)
   }
+  sectionsRead.set(found, items)
   return items
 }
--- a/src/coordination/ledger/document.ts
+++ b/src/coordination/ledger/document.ts
@@ -1,15 +1,15 @@
 import type { Change, Document } from './ledger-types.js'
 
-/** The document with the changes made; the given one stays as it is. */
+/** The document with the changes made. The given one stays as it is, and sections without a change are shared. */
 export function applyChanges (document: Document, changes: readonly Change[]): Document {
-  const sections: Record<string, Record<string, unknown>> = {}
-  for (const [section, items] of Object.entries(document)) sections[section] = { ...items }
+  const sections: Record<string, Readonly<Record<string, unknown>>> = { ...document }
+  const touched: Record<string, Record<string, unknown>> = {}
   for (const { section, name, after } of changes) {
-    const items = sections[section] ??= {}
+    const items = touched[section] ??= { ...document[section] }
     if (after === null) delete items[name]
     else items[name] = after
   }
-  return sections
+  return Object.assign(sections, touched)
 }
 
 /** The changes that lead from one document to another, in order of name. */
--- a/src/coordination/log/raft-node.ts
+++ b/src/coordination/log/raft-node.ts
@@ -85,11 +85,13 @@
   /** True where the leader's last change of members is committed. */
   get isSettled (): boolean { return this.#log.membersIndex <= this.#commit }
 
-  /** Followers' synced index, on the leader; empty elsewhere. */
+  /** On the leader, the synced index of each replica that was heard from lately; empty elsewhere. */
   get matches (): ReadonlyMap<ReplicaId, number> {
     const matches = new Map<ReplicaId, number>()
     if (this.#role !== 'leader') return matches
-    for (const [id, progress] of this.#progress) matches.set(id, progress.match)
+    for (const [id, progress] of this.#progress) {
+      if (this.#now - progress.heardAt < 2 * this.#timing.electionMs) matches.set(id, progress.match)
+    }
     matches.set(this.id, this.#synced)
     return matches
   }
--- /dev/null
+++ b/src/coordination/members/membership.ts
@@ -0,0 +1,317 @@
+/**
+ * Who is there: SWIM (Das et al., 2002) with incarnations, indirect probes, and
+ * a local health that slows a box's own suspicions while it is itself slow
+ * (Lifeguard, Dadgar et al., 2017). Each box probes one other a period, so the
+ * traffic of a box doesn't grow with their number. Pure: datagrams and ticks
+ * in, datagrams and changes out.
+ */
+import { isNewer } from './member.js'
+import type { Member } from './member.js'
+import type { MemberAddress, MemberEffect, MemberEvent, MemberMessage } from './member-message.js'
+
+/** Times and counts of the protocol. */
+export interface MembershipTuning {
+  readonly periodMs: number
+  readonly ackMs: number
+  readonly suspectMs: number
+  /** How long a box that is gone is remembered, so that old news can't bring it back. */
+  readonly rememberMs: number
+  readonly helpers: number
+}
+
+/** Tuning that finds a dead box within about 3 s. */
+export const defaultMembershipTuning: MembershipTuning = {
+  periodMs: 400,
+  ackMs: 200,
+  suspectMs: 1600,
+  rememberMs: 600_000,
+  helpers: 3
+}
+
+const newsPerMessage = 8
+const membersPerState = 12
+const askEveryMs = 2000
+const worstHealth = 8
+
+interface Probe {
+  readonly target: string
+  readonly number: number
+  readonly sentAt: number
+  indirect: boolean
+}
+
+interface News {
+  readonly member: Member
+  left: number
+}
+
+interface Relay {
+  readonly to: MemberAddress
+  readonly number: number
+  readonly at: number
+}
+
+export class Membership {
+  #self: Member
+  #seeds: readonly MemberAddress[]
+  #tuning: MembershipTuning
+  #random: () => number
+  #members = new Map<string, Member>()
+  #suspectAt = new Map<string, number>()
+  #goneAt = new Map<string, number>()
+  #order: string[] = []
+  #probe: Probe | null = null
+  #relays = new Map<number, Relay>()
+  #news = new Map<string, News>()
+  #number = 0
+  #periodAt = 0
+  #askAt = 0
+  #health = 0
+  #now = 0
+  #effects: MemberEffect[] = []
+
+  constructor (self: Member, seeds: readonly MemberAddress[], tuning: MembershipTuning, random: () => number) {
+    this.#self = self
+    this.#seeds = seeds.filter(seed => seed.host !== self.host || seed.port !== self.port)
+    this.#tuning = tuning
+    this.#random = random
+  }
+
+  get self (): Member { return this.#self }
+
+  /** Every known box, this one first, those that are gone left out. */
+  get members (): Member[] {
+    const present = [...this.#members.values()].filter(member => member.state !== 'gone')
+    return [this.#self, ...present]
+  }
+
+  /** Takes one event and returns what is to be done. */
+  step (event: MemberEvent): MemberEffect[] {
+    this.#effects = []
+    this.#now = Math.max(this.#now, event.at)
+    switch (event.type) {
+      case 'tick':
+        this.#tick()
+        break
+      case 'receive':
+        this.#receive(event.message)
+        break
+      case 'leave':
+        this.#leave()
+        break
+    }
+    return this.#effects
+  }
+
+  #tick (): void {
+    this.#checkProbe()
+    this.#expire()
+    if (this.#now < this.#periodAt) return
+    this.#periodAt = this.#now + this.#tuning.periodMs
+    this.#failProbe()
+    this.#startProbe()
+  }
+
+  // Probing, in a random order that is drawn anew after each round.
+
+  #startProbe (): void {
+    const target = this.#nextTarget()
+    if (target === undefined) return this.#pingSeed()
+    this.#number += 1
+    this.#probe = { target: target.id, number: this.#number, sentAt: this.#now, indirect: false }
+    this.#sendPing(target, this.#number)
+  }
+
+  #nextTarget (): Member | undefined {
+    for (let tries = this.#members.size; tries >= 0; tries--) {
+      if (this.#order.length === 0) this.#order = this.#shuffle([...this.#members.keys()])
+      const member = this.#members.get(this.#order.pop() ?? '')
+      if (member !== undefined && member.state !== 'gone') return member
+    }
+    return undefined
+  }
+
+  #pingSeed (): void {
+    if (this.#seeds.length === 0) return
+    const seed = this.#seeds[Math.floor(this.#random() * this.#seeds.length)]
+    this.#number += 1
+    this.#sendPing(seed, this.#number)
+  }
+
+  #checkProbe (): void {
+    const probe = this.#probe
+    if (probe === null || probe.indirect || this.#now - probe.sentAt < this.#tuning.ackMs) return
+    probe.indirect = true
+    const others = this.members.filter(member => member.id !== this.#self.id && member.id !== probe.target && member.state === 'alive')
+    for (const helper of this.#shuffle(others).slice(0, this.#tuning.helpers)) {
+      this.#send(helper, { type: 'probe', from: this.#self, number: probe.number, target: probe.target, news: this.#takeNews() })
+    }
+  }
+
+  #failProbe (): void {
+    const probe = this.#probe
+    this.#probe = null
+    if (probe === null) return
+    this.#health = Math.min(worstHealth, this.#health + 1)
+    const member = this.#members.get(probe.target)
+    if (member === undefined || member.state === 'gone') return
+    if (member.state === 'leaving') this.#suspectAt.set(member.id, this.#suspectAt.get(member.id) ?? this.#now)
+    else if (member.state === 'alive') this.#learn({ ...member, state: 'suspect' })
+  }
+
+  #expire (): void {
+    const waitMs = this.#tuning.suspectMs * (1 + this.#health / worstHealth)
+    for (const [id, since] of this.#suspectAt) {
+      const member = this.#members.get(id)
+      if (this.#now - since < waitMs || member === undefined) continue
+      this.#learn({ ...member, state: 'gone' })
+    }
+    for (const [id, since] of this.#goneAt) {
+      if (this.#now - since < this.#tuning.rememberMs) continue
+      this.#goneAt.delete(id)
+      this.#members.delete(id)
+    }
+    for (const [number, relay] of this.#relays) {
+      if (this.#now - relay.at > this.#tuning.periodMs * 4) this.#relays.delete(number)
+    }
+  }
+
+  // Messages.
+
+  #receive (message: MemberMessage): void {
+    this.#learn(message.from)
+    if (message.type !== 'ask') for (const member of message.news) this.#learn(member)
+    switch (message.type) {
+      case 'ping':
+        this.#send(message.from, { type: 'ack', from: this.#self, number: message.number, news: this.#takeNews(), digest: this.#digest() })
+        return this.#compare(message.from, message.digest)
+      case 'ack':
+        this.#noteAck(message.number)
+        return this.#compare(message.from, message.digest)
+      case 'probe': return this.#relay(message)
+      case 'ask': return this.#tellAll(message.from)
+      case 'state':
+    }
+  }
+
+  #noteAck (number: number): void {
+    if (this.#probe?.number === number) {
+      this.#probe = null
+      this.#health = Math.max(0, this.#health - 1)
+    }
+    const relay = this.#relays.get(number)
+    if (relay === undefined) return
+    this.#relays.delete(number)
+    this.#send(relay.to, { type: 'ack', from: this.#self, number: relay.number, news: this.#takeNews(), digest: this.#digest() })
+  }
+
+  #relay (message: Extract<MemberMessage, { type: 'probe' }>): void {
+    const target = this.#members.get(message.target)
+    if (target === undefined) return
+    this.#number += 1
+    this.#relays.set(this.#number, { to: message.from, number: message.number, at: this.#now })
+    this.#sendPing(target, this.#number)
+  }
+
+  // Where the other knows something else, everything is asked for, now and then.
+  #compare (from: Member, digest: number): void {
+    if (digest === this.#digest() || this.#now < this.#askAt) return
+    this.#askAt = this.#now + askEveryMs
+    this.#send(from, { type: 'ask', from: this.#self })
+  }
+
+  #tellAll (to: Member): void {
+    const all = this.members
+    for (let i = 0; i < all.length; i += membersPerState) {
+      this.#send(to, { type: 'state', from: this.#self, news: all.slice(i, i + membersPerState) })
+    }
+  }
+
+  // Learning and spreading.
+
+  #learn (next: Member): void {
+    if (next.id === this.#self.id) return this.#learnOfSelf(next)
+    const known = this.#members.get(next.id)
+    if (known !== undefined && !isNewer(next, known)) return
+    if (known === undefined && next.state === 'gone') return
+    this.#members.set(next.id, next)
+    this.#noteState(next)
+    this.#spread(next)
+    const before = known?.incarnation === next.incarnation ? known.state : null
+    if (before !== next.state || known === undefined) this.#effects.push({ type: 'changed', member: next, before })
+  }
+
+  #noteState (member: Member): void {
+    this.#goneAt.delete(member.id)
+    if (member.state === 'gone') this.#goneAt.set(member.id, this.#now)
+    if (member.state === 'suspect') this.#suspectAt.set(member.id, this.#now)
+    else this.#suspectAt.delete(member.id)
+  }
+
+  #learnOfSelf (word: Member): void {
+    if (word.incarnation !== this.#self.incarnation || word.state === this.#self.state) return
+    if (this.#self.state === 'leaving' || word.version < this.#self.version) return
+    if (word.state !== 'suspect' && word.state !== 'gone') return
+    // "Gone" can't be refuted by a version; the box comes back as a new one.
+    const incarnation = word.state === 'gone' ? this.#self.incarnation + 1 : this.#self.incarnation
+    this.#self = { ...this.#self, incarnation, version: word.version + 1 }
+    this.#health = Math.min(worstHealth, this.#health + 1)
+    this.#spread(this.#self)
+  }
+
+  #leave (): void {
+    this.#self = { ...this.#self, state: 'leaving', version: this.#self.version + 1 }
+    this.#spread(this.#self)
+    for (const member of this.#shuffle([...this.#members.values()]).slice(0, newsPerMessage)) {
+      this.#number += 1
+      this.#sendPing(member, this.#number)
+    }
+  }
+
+  #spread (member: Member): void {
+    const times = 3 * Math.ceil(Math.log2(this.#members.size + 2))
+    this.#news.set(member.id, { member, left: times })
+  }
+
+  #takeNews (): Member[] {
+    const news: Member[] = []
+    for (const [id, item] of this.#news) {
+      if (news.length >= newsPerMessage) break
+      news.push(item.member)
+      item.left -= 1
+      this.#news.delete(id)
+      if (item.left > 0) this.#news.set(id, item)
+    }
+    return news
+  }
+
+  // A sum, so that it doesn't depend on the order of members.
+  #digest (): number {
+    let sum = 0
+    for (const member of this.members) sum = (sum + digestMember(member)) >>> 0
+    return sum
+  }
+
+  #sendPing (to: MemberAddress, number: number): void {
+    this.#send(to, { type: 'ping', from: this.#self, number, news: this.#takeNews(), digest: this.#digest() })
+  }
+
+  #send (to: MemberAddress, message: MemberMessage): void {
+    this.#effects.push({ type: 'send', to: { host: to.host, port: to.port }, message })
+  }
+
+  #shuffle<T> (items: T[]): T[] {
+    for (let i = items.length - 1; i > 0; i--) {
+      const j = Math.floor(this.#random() * (i + 1));
+      [items[i], items[j]] = [items[j], items[i]]
+    }
+    return items
+  }
+}
+
+function digestMember (member: Member): number {
+  const text = `${member.id} ${member.incarnation} ${member.version} ${member.state}`
+  let hash = 2166136261
+  for (let i = 0; i < text.length; i++) hash = Math.imul(hash ^ text.charCodeAt(i), 16777619)
+  return hash >>> 0
+}
--- /dev/null
+++ b/src/protocol/index.ts
@@ -0,0 +1,11 @@
+/** Wire formats: frames and links between boxes, server-sent events, chats. */
+export * from './box-message.js'
+export * from './status.js'
+export { Link, decodeValue, encodeValue } from './link.js'
+export type { LinkFault, LinkHost } from './link.js'
+export { LinkPool } from './link-pool.js'
+export type { LinkPoolHost } from './link-pool.js'
+export { FrameSeal, deriveKeys } from './frame-cipher.js'
+export { FrameSplitter, frameBytes } from './frame-splitter.js'
+export { SseSplitter, formatEventData, isDoneEvent, readEventData } from './sse.js'
+export * from './chat.js'
--- /dev/null
+++ b/src/protocol/link-pool.ts
@@ -0,0 +1,144 @@
+/** The links of one box: those it accepts and those it opens and keeps open. */
+import { createServer, connect } from 'node:net'
+import type { Server, Socket } from 'node:net'
+import type { HybridClock } from '../runtime/index.js'
+import { Link } from './link.js'
+import type { LinkFault } from './link.js'
+
+const firstRetryMs = 50
+const longestRetryMs = 2000
+const connectMs = 3000
+
+/** What a box does with its links. */
+export interface LinkPoolHost<Message> {
+  readonly id: string
+  readonly secret: string
+  readonly clock: HybridClock
+  receive (link: Link<Message>, message: Message): void
+  noteOpen (link: Link<Message>): void
+  noteClosed (link: Link<Message>): void
+  noteFault (fault: LinkFault, peer: string): void
+}
+
+interface Dialed<Message> {
+  readonly host: string
+  readonly port: number
+  link: Link<Message> | null
+  retryMs: number
+  timer: NodeJS.Timeout | null
+  wanted: boolean
+}
+
+export class LinkPool<Message> {
+  #host: LinkPoolHost<Message>
+  #server: Server | null = null
+  #sockets = new Set<Socket>()
+  #dialed = new Map<string, Dialed<Message>>()
+  #bytesIn = 0
+  #bytesOut = 0
+  #links = new Set<Link<Message>>()
+  #closed = false
+
+  constructor (host: LinkPoolHost<Message>) {
+    this.#host = {
+      id: host.id,
+      secret: host.secret,
+      clock: host.clock,
+      receive: (link, message) => host.receive(link, message),
+      noteOpen: link => host.noteOpen(link),
+      noteFault: (fault, peer) => host.noteFault(fault, peer),
+      noteClosed: link => {
+        this.#forget(link)
+        host.noteClosed(link)
+      }
+    }
+  }
+
+  /** Bytes over all links so far, in and out. */
+  get traffic (): { readonly bytesIn: number, readonly bytesOut: number } {
+    let { bytesIn, bytesOut } = { bytesIn: this.#bytesIn, bytesOut: this.#bytesOut }
+    for (const link of this.#links) {
+      bytesIn += link.bytesIn
+      bytesOut += link.bytesOut
+    }
+    return { bytesIn, bytesOut }
+  }
+
+  /** Starts to accept links; resolves with the port. */
+  listen (host: string, port: number): Promise<number> {
+    const server = createServer(socket => this.#accept(socket, 'listener'))
+    this.#server = server
+    return new Promise((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(port, host, () => {
+        const address = server.address()
+        resolve(typeof address === 'object' && address !== null ? address.port : port)
+      })
+    })
+  }
+
+  /** Opens a link and opens it again whenever it breaks, until `hangUp`. */
+  dial (host: string, port: number): void {
+    const key = `${host}:${port}`
+    if (this.#dialed.has(key) || this.#closed) return
+    const dialed: Dialed<Message> = { host, port, link: null, retryMs: firstRetryMs, timer: null, wanted: true }
+    this.#dialed.set(key, dialed)
+    this.#connect(dialed)
+  }
+
+  /** The link to an address that was dialed, where it is open. */
+  find (host: string, port: number): Link<Message> | undefined {
+    const link = this.#dialed.get(`${host}:${port}`)?.link
+    return link?.isOpen === true ? link : undefined
+  }
+
+  hangUp (host: string, port: number): void {
+    const key = `${host}:${port}`
+    const dialed = this.#dialed.get(key)
+    if (dialed === undefined) return
+    this.#dialed.delete(key)
+    dialed.wanted = false
+    if (dialed.timer !== null) clearTimeout(dialed.timer)
+    dialed.link?.close()
+  }
+
+  close (): void {
+    this.#closed = true
+    this.#server?.close()
+    for (const { host, port } of [...this.#dialed.values()]) this.hangUp(host, port)
+    for (const socket of this.#sockets) socket.destroy()
+  }
+
+  #connect (dialed: Dialed<Message>): void {
+    dialed.timer = null
+    const socket = connect({ host: dialed.host, port: dialed.port })
+    const timer = setTimeout(() => socket.destroy(), connectMs)
+    socket.once('connect', () => {
+      clearTimeout(timer)
+      dialed.retryMs = firstRetryMs
+      dialed.link = this.#accept(socket, 'caller')
+    })
+    socket.on('error', () => {})
+    socket.once('close', () => {
+      clearTimeout(timer)
+      dialed.link = null
+      if (!dialed.wanted || this.#closed) return
+      dialed.timer = setTimeout(() => this.#connect(dialed), dialed.retryMs)
+      dialed.retryMs = Math.min(longestRetryMs, dialed.retryMs * 2)
+    })
+  }
+
+  #accept (socket: Socket, side: 'caller' | 'listener'): Link<Message> {
+    this.#sockets.add(socket)
+    socket.once('close', () => this.#sockets.delete(socket))
+    const link = new Link<Message>(socket, side, this.#host)
+    this.#links.add(link)
+    return link
+  }
+
+  #forget (link: Link<Message>): void {
+    this.#links.delete(link)
+    this.#bytesIn += link.bytesIn
+    this.#bytesOut += link.bytesOut
+  }
+}
--- /dev/null
+++ b/src/standin/index.ts
@@ -0,0 +1,11 @@
+/** Stand-ins for engines and plain services. */
+export { EngineModel } from './engine-model.js'
+export type { EngineShape, StepResult, StreamRequest } from './engine-model.js'
+export { StandinEngine } from './standin-engine.js'
+export type { RanRecord } from './standin-engine.js'
+export { StandinService } from './standin-service.js'
+export type { ServedCall, ServiceFault } from './standin-service.js'
+export type { Fault } from './fault-plan.js'
+export { composeAnswer } from './answer-text.js'
+export { OrderDesk } from './order-desk.js'
+export { listenOn, readBody, sendJson } from './http-tools.js'
--- /dev/null
+++ b/src/tasks/keeper-box.ts
@@ -0,0 +1,394 @@
+/**
+ * A keeper: a replica of the log, the state that it drives, and the calls of
+ * boxes and operators. Until the keepers have formed a log, it waits for all of
+ * them; a keeper with an empty disk beside a formed log waits to be let in.
+ */
+import { performance } from 'node:perf_hooks'
+import type { KeeperSettings } from '../config/index.js'
+import { checkDocument, formatMistake, parseIntent, planIntent } from '../config/index.js'
+import { KeeperState, LogStore, Replica, applyChanges, defaultBounds } from '../coordination/index.js'
+import type { KeeperCommand, KeeperSnapshot, Members, ReplicaId, Snapshot } from '../coordination/index.js'
+import { LinkPool } from '../protocol/index.js'
+import type { BoxMessage, BoxStatus, KeeperCall, KeeperReply, KeeperStatus, Link } from '../protocol/index.js'
+import type { EventLog, Metrics } from '../runtime/index.js'
+
+interface Hello {
+  readonly replica: ReplicaId
+  readonly formed: Members | null
+}
+
+interface Watcher {
+  revision: number
+}
+
+const helloMs = 300
+const boxStatusKeptMs = 60_000
+const repairWaitMs = 30_000
+const pollMs = 20
+
+/** What a keeper is given beside its settings. */
+export interface KeeperSurroundings {
+  readonly log: EventLog
+  readonly metrics: Metrics
+  readonly secret: string
+  /** Called when the disk failed: the process should end with an error. */
+  readonly noteFatal: (error: Error) => void
+  /** What the text of an intent is given to parse; a seam for tests. */
+  readonly now?: () => number
+}
+
+export class KeeperBox {
+  #settings: KeeperSettings
+  #around: KeeperSurroundings
+  #links: LinkPool<BoxMessage>
+  #state = new KeeperState(defaultBounds, null)
+  #store: LogStore | null = null
+  #replica: Replica | null = null
+  #hellos = new Map<string, Hello>()
+  #watchers = new Map<Link<BoxMessage>, Watcher>()
+  #boxes = new Map<string, { status: BoxStatus, at: number }>()
+  #timer: NodeJS.Timeout | null = null
+  #forming = false
+  #repairing = false
+  port = 0
+
+  constructor (settings: KeeperSettings, around: KeeperSurroundings) {
+    this.#settings = settings
+    this.#around = around
+    this.#links = new LinkPool({
+      id: settings.id,
+      secret: around.secret,
+      clock: around.log.clock,
+      receive: (link, message) => this.#receive(link, message),
+      noteOpen: link => this.#sendHello(link),
+      noteClosed: link => this.#watchers.delete(link),
+      noteFault: (fault, peer) => this.#noteLinkFault(fault, peer)
+    })
+  }
+
+  get replica (): Replica | null { return this.#replica }
+  get state (): KeeperState { return this.#state }
+  get traffic (): { readonly bytesIn: number, readonly bytesOut: number } { return this.#links.traffic }
+  get store (): LogStore | null { return this.#store }
+
+  /** Opens the disk and begins to serve. Throws where the disk's log is damaged. */
+  async start (): Promise<void> {
+    this.#store = await LogStore.open(this.#settings.data, this.#settings.id)
+    if (this.#isFormed) this.#startReplica()
+    this.port = await this.#links.listen(this.#settings.control.host, this.#settings.control.port)
+    for (const keeper of this.#others()) this.#links.dial(keeper.host, keeper.port)
+    this.#timer = setInterval(() => this.#tick(), helloMs)
+    this.#tick()
+    this.#around.log.info('keeper-started', { replica: this.#store.id, formed: this.#isFormed })
+  }
+
+  /** Hands leadership over, then ends. */
+  async stop (): Promise<void> {
+    if (this.#replica?.isLeader === true) {
+      this.#replica.transfer()
+      await this.#waitUntil(() => this.#replica?.isLeader !== true, 1000)
+    }
+    this.kill()
+    await this.#store?.close().catch(() => {})
+    this.#around.log.info('keeper-stopped')
+  }
+
+  /** Ends at once, as a crash does. */
+  kill (): void {
+    if (this.#timer !== null) clearInterval(this.#timer)
+    this.#replica?.stop()
+    this.#links.close()
+  }
+
+  get #isFormed (): boolean {
+    return this.#store !== null && this.#store.stored.snapshot !== null
+  }
+
+  #others () {
+    return this.#settings.keepers.filter(keeper => keeper.id !== this.#settings.id)
+  }
+
+  // Forming the log for the first time.
+
+  #tick (): void {
+    for (const { host, port } of this.#others()) {
+      const link = this.#links.find(host, port)
+      if (link !== undefined) this.#sendHello(link)
+    }
+    void this.#formIfAlone()
+    this.#dropOldBoxes()
+  }
+
+  #sendHello (link: Link<BoxMessage>): void {
+    const store = this.#store
+    if (store === null || !this.#settings.keepers.some(keeper => keeper.id === link.peer)) return
+    const formed = this.#replica !== null && this.#replica.members.voters.length > 0 ? this.#replica.members : null
+    link.send({ type: 'keeper-hello', name: this.#settings.id, replica: store.id, formed })
+  }
+
+  #noteHello (name: string, hello: Hello): void {
+    this.#hellos.set(name, hello)
+    // Beside a formed log, an empty disk waits as a replica without a vote.
+    if (hello.formed !== null && this.#replica === null && !this.#forming) this.#startReplica()
+  }
+
+  async #formIfAlone (): Promise<void> {
+    const store = this.#store
+    if (store === null || this.#replica !== null || this.#forming) return
+    const names = this.#settings.keepers.map(keeper => keeper.id).sort()
+    if (names[0] !== this.#settings.id) return
+    const hellos = this.#others().map(keeper => this.#hellos.get(keeper.id))
+    const voters = [store.id]
+    for (const hello of hellos) {
+      if (hello === undefined || hello.formed !== null) return
+      voters.push(hello.replica)
+    }
+    await this.#form({ voters, learners: [] })
+    for (const { host, port } of this.#others()) {
+      this.#links.find(host, port)?.send({ type: 'form', members: { voters, learners: [] } })
+    }
+  }
+
+  async #form (members: Members): Promise<void> {
+    const store = this.#store
+    if (store === null || this.#replica !== null || this.#forming || !members.voters.includes(store.id)) return
+    this.#forming = true
+    const snapshot: Snapshot = { index: 1, term: 1, time: 0, members, state: null }
+    await store.persist([{ type: 'persist', hard: { term: 1, vote: null }, entries: [], snapshot }])
+    this.#forming = false
+    this.#around.log.info('log-formed', { voters: members.voters.join(',') })
+    this.#startReplica()
+  }
+
+  #startReplica (): void {
+    const store = this.#store
+    if (store === null || this.#replica !== null) return
+    const { log, noteFatal } = this.#around
+    this.#replica = new Replica(store, {
+      machine: {
+        apply: (command, time) => this.#state.apply(command as KeeperCommand, time),
+        save: () => this.#state.save(),
+        restore: state => { this.#state = new KeeperState(defaultBounds, state as KeeperSnapshot | null) }
+      },
+      timing: { heartbeatMs: this.#settings.heartbeatMs, electionMs: this.#settings.electionMs },
+      snapshotEvery: this.#settings.snapshotEvery,
+      send: (to, message) => this.#sendRaft(to, message),
+      now: this.#around.now ?? (() => performance.now()),
+      wall: Date.now,
+      random: Math.random,
+      noteRole: (role, term, leader) => log.info('role', { role, term, leader }),
+      noteViolation: (rule, detail) => this.#noteViolation(rule, detail),
+      noteApplied: () => this.#pushRevisions(),
+      noteDiskFault: error => {
+        log.error('disk-failed', { error: error.message })
+        noteFatal(error)
+      }
+    })
+  }
+
+  #sendRaft (to: ReplicaId, message: Extract<BoxMessage, { type: 'raft' }>['message']): void {
+    const name = to.slice(0, to.lastIndexOf('#'))
+    const keeper = this.#settings.keepers.find(one => one.id === name)
+    const from = this.#store?.id
+    if (keeper === undefined || from === undefined) return
+    this.#links.find(keeper.host, keeper.port)?.send({ type: 'raft', from, to, message })
+  }
+
+  // Messages.
+
+  #receive (link: Link<BoxMessage>, message: BoxMessage): void {
+    switch (message.type) {
+      case 'raft':
+        if (message.to === this.#store?.id && this.#isKeeper(link.peer)) this.#replica?.receive(message.from, message.message)
+        return
+      case 'keeper-hello':
+        if (message.name === link.peer && this.#isKeeper(link.peer)) this.#noteHello(message.name, message)
+        return
+      case 'form':
+        if (this.#isKeeper(link.peer)) void this.#form(message.members)
+        return
+      case 'call': return void this.#answer(link, message.call, message.body)
+      case 'watch': return this.#watch(link, message.revision, message.status)
+      default: this.#noteViolation('known-messages', message.type)
+    }
+  }
+
+  #isKeeper (name: string): boolean {
+    return this.#settings.keepers.some(keeper => keeper.id === name)
+  }
+
+  async #answer (link: Link<BoxMessage>, call: number, body: KeeperCall): Promise<void> {
+    let reply: KeeperReply
+    try {
+      reply = await this.#carryOut(body)
+    } catch (error) {
+      reply = { type: 'fault', text: (error as Error).message }
+    }
+    link.send({ type: 'reply', call, body: reply })
+  }
+
+  async #carryOut (body: KeeperCall): Promise<KeeperReply> {
+    switch (body.type) {
+      case 'command': return await this.#propose(body.command)
+      case 'plan': return await this.#plan(body)
+      case 'repair': return await this.#repair(body.replace)
+      case 'document': return await this.#readDocument()
+      case 'status': return { type: 'status', status: this.#composeStatus() }
+    }
+  }
+
+  #redirect (): KeeperReply {
+    const leader = this.#replica?.leader ?? null
+    const name = leader === null ? null : leader.slice(0, leader.lastIndexOf('#'))
+    return { type: 'redirect', leader: name === this.#settings.id ? null : name }
+  }
+
+  async #propose (command: KeeperCommand): Promise<KeeperReply> {
+    if (this.#replica?.isLeader !== true) return this.#redirect()
+    const end = await this.#replica.propose(command)
+    switch (end.type) {
+      case 'applied': return { type: 'result', result: end.result as Extract<KeeperReply, { type: 'result' }>['result'] }
+      case 'rejected': return this.#redirect()
+      case 'lost': return { type: 'lost' }
+    }
+  }
+
+  async #plan (body: Extract<KeeperCall, { type: 'plan' }>): Promise<KeeperReply> {
+    const parsed = parseIntent(body.intent)
+    if (!parsed.ok) return { type: 'mistakes', mistakes: parsed.mistakes.map(one => formatMistake('intent', one)) }
+    if (this.#replica?.isLeader !== true || !await this.#replica.read()) return this.#redirect()
+    const { document, revision } = this.#state.config
+    const changes = planIntent(parsed.value, document)
+    const mistakes = checkDocument(applyChanges(document, changes))
+    if (mistakes.length > 0) return { type: 'mistakes', mistakes: mistakes.map(one => formatMistake('intent', one)) }
+    return await this.#propose({ part: 'config', command: { type: 'plan', id: body.id, base: revision, changes } })
+  }
+
+  async #readDocument (): Promise<KeeperReply> {
+    if (this.#replica?.isLeader !== true || !await this.#replica.read()) return this.#redirect()
+    const { document, revision } = this.#state.config
+    return { type: 'document', document, revision }
+  }
+
+  // Repair: let a keeper with another disk in, and its old replica out.
+
+  async #repair (name: string): Promise<KeeperReply> {
+    const replica = this.#replica
+    if (replica?.isLeader !== true) return this.#redirect()
+    const fresh = this.#hellos.get(name)?.replica
+    const old = replica.members.voters.find(id => id.startsWith(`${name}#`))
+    if (fresh === undefined) return { type: 'fault', text: `keeper ${name} has not been heard from` }
+    if (fresh === old) return { type: 'fault', text: `keeper ${name} is a member with the disk that it has` }
+    if (this.#repairing) return { type: 'fault', text: 'another repair is under way' }
+    this.#repairing = true
+    try {
+      await this.#replaceReplica(replica, fresh, old)
+    } finally {
+      this.#repairing = false
+    }
+    return { type: 'repaired', members: replica.members }
+  }
+
+  async #replaceReplica (replica: Replica, fresh: ReplicaId, old: ReplicaId | undefined): Promise<void> {
+    const { voters } = replica.members
+    await this.#change(replica, { voters, learners: [fresh] })
+    const target = replica.node.commitIndex
+    const caughtUp = (): boolean => (replica.node.matches.get(fresh) ?? 0) >= target
+    if (!await this.#waitUntil(caughtUp, repairWaitMs)) throw new Error('the new replica did not catch up in time; try again')
+    await this.#change(replica, { voters: [...voters, fresh], learners: [] })
+    const kept = [...voters, fresh].filter(id => id !== old)
+    if (old !== undefined) await this.#change(replica, { voters: kept, learners: [] })
+    this.#around.log.info('repaired', { voters: kept.join(',') })
+  }
+
+  async #change (replica: Replica, members: Members): Promise<void> {
+    await this.#waitUntil(() => replica.node.isSettled, repairWaitMs)
+    const end = await replica.changeMembers(members)
+    if (end.type === 'applied') return
+    throw new Error(`members not changed: ${end.type === 'rejected' ? end.fault : 'leadership was lost'}; try again`)
+  }
+
+  async #waitUntil (test: () => boolean, limitMs: number): Promise<boolean> {
+    const until = performance.now() + limitMs
+    while (!test()) {
+      if (performance.now() > until) return false
+      await new Promise(resolve => setTimeout(resolve, pollMs))
+    }
+    return true
+  }
+
+  // Spreading the configuration.
+
+  #watch (link: Link<BoxMessage>, revision: number, status: BoxStatus | null): void {
+    this.#watchers.set(link, { revision })
+    if (status !== null) this.#boxes.set(status.id, { status, at: performance.now() })
+    this.#push(link, revision)
+  }
+
+  #pushRevisions (): void {
+    for (const [link, watcher] of this.#watchers) {
+      if (watcher.revision >= this.#state.config.revision) continue
+      this.#push(link, watcher.revision)
+      watcher.revision = this.#state.config.revision
+    }
+  }
+
+  #push (link: Link<BoxMessage>, from: number): void {
+    const { config } = this.#state
+    if (from >= config.revision) return
+    const since = config.findSince(from)
+    if (since !== null) link.send({ type: 'revisions', revisions: since })
+    else link.send({ type: 'whole', document: config.document, revision: config.revision })
+  }
+
+  #dropOldBoxes (): void {
+    const now = performance.now()
+    for (const [id, { at }] of this.#boxes) {
+      if (now - at > boxStatusKeptMs) this.#boxes.delete(id)
+    }
+  }
+
+  // What operators see.
+
+  #composeStatus (): KeeperStatus {
+    const replica = this.#replica
+    const members = replica?.members ?? { voters: [], learners: [] }
+    const matches = replica?.node.matches ?? new Map<ReplicaId, number>()
+    const waiting = [...this.#hellos.values()].map(hello => hello.replica).filter(id => !members.voters.includes(id))
+    return {
+      id: this.#settings.id,
+      zone: this.#settings.zone,
+      replica: this.#store?.id ?? '' as ReplicaId,
+      role: replica?.node.role ?? 'unformed',
+      term: replica?.node.term ?? 0,
+      leader: replica?.leader ?? null,
+      members,
+      commit: replica?.node.commitIndex ?? 0,
+      matches: Object.fromEntries(matches),
+      revision: this.#state.config.revision,
+      claims: this.#state.claims.size,
+      spare: countSpare(members, matches, replica?.node.commitIndex ?? 0),
+      waiting: members.voters.length > 0 ? waiting : [],
+      boxes: [...this.#boxes.values()].map(one => one.status)
+    }
+  }
+
+  #noteViolation (rule: string, detail: string): void {
+    this.#around.metrics.count('violation', { rule })
+    this.#around.log.error('violation', { rule, detail })
+  }
+
+  #noteLinkFault (fault: string, peer: string): void {
+    this.#around.metrics.count('link-fault', { fault })
+    this.#around.log.warn('link-fault', { fault, peer })
+  }
+}
+
+const nearEntries = 1000
+
+// Voters that have synced nearly everything, beyond a quorum.
+function countSpare (members: Members, matches: ReadonlyMap<ReplicaId, number>, commit: number): number {
+  const near = members.voters.filter(id => (matches.get(id) ?? 0) + nearEntries >= commit && matches.has(id))
+  const quorum = (members.voters.length >> 1) + 1
+  return matches.size === 0 ? 0 : near.length - quorum
+}
