Measure the decisions in virtual time beside naive policies

Cause: no figure said whether the core decides well. Change: npm run measure drives the real Placer and Scheduler against engine models. It showed two faults, mended here: a burst of one class was paid by another class of the same priority (they now take turns, so each is refused for its own excess), and first-token lead was guessed (now learned: mean and two deviations). Resuming a begun answer no longer asks the retry budget.

--- /dev/null
+++ b/src/bin/measure.ts
@@ -0,0 +1,63 @@
+#!/usr/bin/env node
+/** `npm run measure`: the decision core in virtual time beside naive policies. */
+import sade from 'sade'
+import { findScenario, policies, runExperiment, scenarios, sharings, userProfiles } from '../measure/index.js'
+import type { Row } from '../measure/index.js'
+import { endWith, readVersion, usageExit } from './program.js'
+
+interface Options {
+  readonly json?: boolean
+  readonly user?: string
+  readonly scenario?: string
+  readonly policy?: string
+  readonly seed?: string | number
+}
+
+const defaultSeeds = [1, 2, 3, 4, 5]
+const columns = ['user', 'scenario', 'policy', 'seed', 'class', 'offered', 'finished', 'attainment', 'goodput', 'wasted', 'worstWaitMs', 'shed', 'left', 'failed', 'preempted', 'violations', 'unfinished'] as const
+const widths = [10, 16, 15, 5, 16, 8, 9, 11, 9, 8, 12, 8, 7, 7, 10, 11, 10]
+
+sade('measure', true)
+  .version(readVersion())
+  .describe('Runs the decisions in virtual time. Lists are separated by commas; what is left out means all.')
+  .option('--json', 'One JSON object a row')
+  .option('--user', `One or more of ${userProfiles.map(user => user.name).join(', ')}`)
+  .option('--scenario', `One or more of ${scenarios.map(one => one.name).join(', ')}, long-burst`)
+  .option('--policy', `One or more of ${[...Object.keys(policies), ...Object.keys(sharings)].join(', ')}; "sharing" for all ways of sharing`)
+  .option('--seed', 'Seeds, whole numbers', defaultSeeds.join(','))
+  .action((options: Options) => measure(options))
+  .parse(process.argv)
+
+function measure (options: Options): void {
+  const seeds = String(options.seed).split(',').map(Number)
+  if (!seeds.every(seed => Number.isInteger(seed) && seed >= 0)) endWith(usageExit, `--seed takes whole numbers from 0, not ${String(options.seed)}`)
+  const known = [...Object.keys(policies), ...Object.keys(sharings)]
+  const chosen = options.policy === 'sharing' ? Object.keys(sharings) : splitList(options.policy) ?? Object.keys(policies)
+  expectKnown('--policy', chosen, name => known.includes(name))
+  const users = splitList(options.user)
+  expectKnown('--user', users ?? [], name => userProfiles.some(user => user.name === name))
+  const names = splitList(options.scenario)
+  expectKnown('--scenario', names ?? [], name => findScenario(name) !== undefined)
+  if (options.json !== true) process.stdout.write(formatHeader())
+  runExperiment({ users, scenarios: names, policies: chosen, seeds }, row => {
+    process.stdout.write(options.json === true ? `${JSON.stringify(row)}\n` : formatRow(row))
+  })
+}
+
+function splitList (text: string | undefined): string[] | undefined {
+  return text?.split(',')
+}
+
+function expectKnown (option: string, names: readonly string[], isKnown: (name: string) => boolean): void {
+  for (const name of names) {
+    if (!isKnown(name)) endWith(usageExit, `${option} does not know ${JSON.stringify(name)}; see --help`)
+  }
+}
+
+function formatHeader (): string {
+  return `${columns.map((name, i) => name.padEnd(widths[i])).join(' ')}\n`
+}
+
+function formatRow (row: Row): string {
+  return `${columns.map((name, i) => String(row[name]).padEnd(widths[i])).join(' ')}\n`
+}
--- a/src/core/class-queue.ts
+++ b/src/core/class-queue.ts
@@ -22,6 +22,8 @@
  */
 export class ClassQueue {
   readonly class: RequestClass
+  /** Tokens of service that the class received, for fairness among classes of one priority. */
+  served = 0
   #lanes = new Map<WorkspaceName, Lane>()
   #size = 0
   #floor = 0
@@ -79,6 +81,12 @@
     return before
   }
 
+  /** The lanes' counters go on from those of the queue that this one replaces. */
+  inherit (old: ClassQueue): void {
+    this.served = old.served
+    this.#floor = old.#floor
+  }
+
   /** Every request that `test` takes, in no special order. */
   collect (test: (entry: Waiting) => boolean): Waiting[] {
     const found: Waiting[] = []
--- a/src/tasks/placer.ts
+++ b/src/core/placer.ts
@@ -1,11 +1,17 @@
 /**
- * The task that places this box's requests: asks shards, follows refusals to
- * other shards, and tells owners how streams go. It owns every request of the
- * box from submission to end, so that a new owner of a shard can be told.
+ * A box's side of placing its requests: asks shards, follows refusals to other
+ * shards, and tells owners how streams go. It holds every request of the box
+ * from submission to end, so that a new owner of a shard can be told. Pure but
+ * for what its host does.
  */
-import { RoutePlan } from '../core/index.js'
-import type { BoxId, EngineId, RefusalReason, RequestId, ShardBelief, ShardId, ShardLoad, StreamEnd, Submission, ZoneName } from '../core/index.js'
-import type { ShardAnswer, ShardWord } from '../protocol/index.js'
+import type { BoxId, EngineId, RequestId, ShardId, ZoneName } from './ids.js'
+import { RoutePlan } from './route-plan.js'
+import type { ShardBelief } from './route-plan.js'
+import type { RefusalReason } from './scheduler-action.js'
+import type { StreamEnd } from './scheduler-event.js'
+import type { ShardAnswer, ShardWord } from './shard-word.js'
+import type { ShardLoad } from './shard-load.js'
+import type { Submission } from './submission.js'
 
 /** Where a request was placed, or why it was not. */
 export type Placement =
@@ -33,7 +39,6 @@
 
 interface Placed {
   submission: Submission
-  readonly mayWait: boolean
   readonly plan: RoutePlan
   shard: ShardId | null
   owner: BoxId | null
@@ -61,14 +66,12 @@
 
   get inFlight (): number { return this.#requests.size }
 
-  /** Asks for a place. `mayWait` is the class's. */
-  place (submission: Submission, mayWait: boolean): Promise<Placement> {
+  /** Asks for a place; `resolve` is called once. `mayWait` is the class's. */
+  place (submission: Submission, mayWait: boolean, resolve: (placement: Placement) => void): void {
     const plan = new RoutePlan(submission.request, mayWait, this.#host.zone, () => this.#host.random())
-    return new Promise(resolve => {
-      const placed: Placed = { submission, mayWait, plan, shard: null, owner: null, engine: null, resolve }
-      this.#requests.set(submission.request, placed)
-      this.#ask(placed)
-    })
+    const placed: Placed = { submission, plan, shard: null, owner: null, engine: null, resolve }
+    this.#requests.set(submission.request, placed)
+    this.#ask(placed)
   }
 
   noteFirstToken (request: RequestId): void {
--- a/src/core/retry-budget.ts
+++ b/src/core/retry-budget.ts
@@ -1,8 +1,9 @@
 /**
  * Bounds retries to a share of what succeeds, so that a pool that is half dead
- * is not flooded by them.
+ * is not flooded by them. An answer that has begun is resumed without asking
+ * the budget: its work is done already, and each request has few attempts.
  */
-const largest = 20
+const largest = 50
 const perSuccess = 0.1
 const perTry = 1
 
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -21,6 +21,7 @@
 import { ClassQueue } from './class-queue.js'
 import type { Waiting } from './class-queue.js'
 import { EngineState } from './engine-state.js'
+import { LeadTime } from './lead-time.js'
 import { LengthEstimate } from './length-estimate.js'
 import { ServiceRate } from './service-rate.js'
 import { findSlow } from './slow-engines.js'
@@ -51,6 +52,7 @@
   #quickRate = new ServiceRate()
   #patientRate = new ServiceRate()
   #lengths = new LengthEstimate()
+  #leads = new Map<ClassName, LeadTime>()
   #slowCheckAt = 0
   #actions: SchedulerAction[] = []
   #now = 0
@@ -158,15 +160,16 @@
     }
     const ahead = this.#countAhead(submission, wanted)
     const waitMs = this.#quickRate.predictWait(ahead, places) * this.#config.waitMargin
-    const lead = this.#estimateFirstToken(submission)
-    return this.#now + waitMs + lead > submission.deadline ? 'overloaded' : undefined
+    return this.#now + waitMs + this.#openLead(wanted.name).safeMs > submission.deadline ? 'overloaded' : undefined
   }
 
+  // Classes of one priority take turns, so each is refused for its own excess.
   #countAhead (submission: Submission, wanted: RequestClass): number {
-    let ahead = 0
+    const own = this.#openQueue(wanted).countBefore(submission.workspace)
+    let ahead = own
     for (const queue of this.#queues) {
-      if (queue.class.mayWait || queue.class.priority > wanted.priority) continue
-      ahead += queue.class === wanted ? queue.countBefore(submission.workspace) : queue.size
+      if (queue.class === wanted || queue.class.mayWait || queue.class.priority > wanted.priority) continue
+      ahead += queue.class.priority < wanted.priority ? queue.size : Math.min(queue.size, own + 1)
     }
     return ahead
   }
@@ -180,9 +183,12 @@
     return places
   }
 
-  #estimateFirstToken (submission: Submission): number {
-    const mean = this.#list[0]?.spec.prefillMs ?? 0
-    return submission.promptTokens * mean / 1000
+  #openLead (name: ClassName): LeadTime {
+    const known = this.#leads.get(name)
+    if (known !== undefined) return known
+    const made = new LeadTime()
+    this.#leads.set(name, made)
+    return made
   }
 
   #canServe (engine: EngineState, submission: Submission, mayWait: boolean): boolean {
@@ -258,21 +264,47 @@
     engine.prefixes.add(submission.prefix)
     this.#placed.set(submission.request, { engine, submission })
     const service = submission.promptTokens * promptWeight + estimatedTokens
-    this.#openQueue(wanted).charge(submission.workspace, service)
+    const queue = this.#openQueue(wanted)
+    queue.charge(submission.workspace, service)
+    queue.served += service
   }
 
   #enqueue (submission: Submission, wanted: RequestClass): void {
-    this.#openQueue(wanted).push(submission, this.#now)
+    const queue = this.#openQueue(wanted)
+    if (queue.size === 0) queue.served = Math.max(queue.served, this.#findLeastServed(wanted.priority))
+    queue.push(submission, this.#now)
     this.#waiting.set(submission.request, submission)
   }
 
+  // A class that comes back after idling is not owed for the idle time.
+  #findLeastServed (priority: number): number {
+    let least = Infinity
+    for (const queue of this.#queues) {
+      if (queue.size > 0 && queue.class.priority === priority) least = Math.min(least, queue.served)
+    }
+    return least === Infinity ? 0 : least
+  }
+
   /** Gives free places to waiting requests, highest class first. */
   #dispatch (): void {
-    for (const queue of this.#queues) {
-      while (queue.size > 0 && this.#dispatchOne(queue));
+    for (let from = 0; from < this.#queues.length;) {
+      let until = from + 1
+      while (until < this.#queues.length && this.#queues[until].class.priority === this.#queues[from].class.priority) until += 1
+      const peers = this.#queues.slice(from, until)
+      while (this.#dispatchOneOf(peers));
+      from = until
     }
   }
 
+  // Among classes of one priority, the least served goes first.
+  #dispatchOneOf (peers: ClassQueue[]): boolean {
+    if (peers.length > 1) peers.sort((a, b) => a.served - b.served)
+    for (const queue of peers) {
+      if (queue.size > 0 && this.#dispatchOne(queue)) return true
+    }
+    return false
+  }
+
   #dispatchOne (queue: ClassQueue): boolean {
     let engine: EngineState | undefined
     const next = queue.findNext(submission => {
@@ -354,6 +386,8 @@
     const placed = this.#placed.get(request)
     if (placed === undefined || placed.submission.attempt !== attempt) return
     placed.engine.health.addSuccess()
+    const stream = placed.engine.streams.get(request)
+    if (stream !== undefined) this.#openLead(stream.class).add(this.#now - stream.grantedAt)
   }
 
   #end (request: RequestId, attempt: number, how: StreamEnd, tokens: number): void {
@@ -427,7 +461,7 @@
   #isLate (entry: Waiting, of: RequestClass): boolean {
     if (entry.submission.resumed) return false
     if (of.mayWait) return this.#now - entry.since > of.maxWaitMs
-    return this.#now + this.#estimateFirstToken(entry.submission) > entry.submission.deadline
+    return this.#now + this.#openLead(of.name).safeMs > entry.submission.deadline
   }
 
   #configure (config: SchedulerConfig): void {
@@ -453,6 +487,7 @@
         queue.push(entry.submission, entry.since)
       }
     }
+    this.#findQueue(old.class.name)?.inherit(old)
   }
 
   #syncEngines (specs: readonly EngineSpec[]): void {
--- /dev/null
+++ b/src/core/shard-word.ts
@@ -0,0 +1,16 @@
+import type { EngineId, RequestId } from './ids.js'
+import type { SchedulerAction } from './scheduler-action.js'
+import type { StreamEnd } from './scheduler-event.js'
+import type { Submission } from './submission.js'
+
+/** Word from a box to the scheduler of a shard. */
+export type ShardWord =
+  | { readonly type: 'submit', readonly submission: Submission, readonly leftMs: number }
+  | { readonly type: 'adopt', readonly submission: Submission, readonly engine: EngineId }
+  | { readonly type: 'cancel', readonly request: RequestId, readonly attempt: number }
+  | { readonly type: 'firstToken', readonly request: RequestId, readonly attempt: number }
+  | { readonly type: 'end', readonly request: RequestId, readonly attempt: number, readonly how: StreamEnd, readonly tokens: number }
+  | { readonly type: 'drain', readonly engine: EngineId, readonly leaving: boolean }
+
+/** A scheduler's answer to a box: a grant or a refusal. */
+export type ShardAnswer = Extract<SchedulerAction, { type: 'grant' | 'refuse' }>
--- /dev/null
+++ b/src/measure/experiment.ts
@@ -0,0 +1,114 @@
+/** Runs of every user, scenario, policy and seed that is asked for, as rows. */
+import { createFifo, createLeastReported, createPowerOfTwo, createRandomChoice, createRoundRobin } from './direct-policies.js'
+import type { PolicyMaker } from './policy.js'
+import { longBurst, scenarios } from './scenario.js'
+import type { Scenario } from './scenario.js'
+import { createShardPolicy } from './shard-policy.js'
+import { Simulation } from './simulation.js'
+import { userProfiles } from './user-profile.js'
+import type { UserProfile } from './user-profile.js'
+
+/** One row of results. */
+export interface Row {
+  readonly user: string
+  readonly scenario: string
+  readonly policy: string
+  readonly seed: number
+  readonly class: string
+  readonly offered: number
+  readonly finished: number
+  /** Share of the offered that met its targets. */
+  readonly attainment: number
+  /** Requests finished within target, a second. */
+  readonly goodput: number
+  /** Share of all engine effort of the run that this class wasted. */
+  readonly wasted: number
+  readonly worstWaitMs: number
+  readonly shed: number
+  readonly left: number
+  readonly failed: number
+  /** Streams paused in the whole run. */
+  readonly preempted: number
+  readonly violations: number
+  readonly unfinished: number
+}
+
+const perShard = 32
+
+/** The product's policy is `wrenlane`; the others are to compare with. */
+export const policies: Readonly<Record<string, PolicyMaker>> = {
+  wrenlane: createShardPolicy({ way: 'owned', perShard, floorPlaces: null }),
+  'round-robin': createRoundRobin,
+  random: createRandomChoice,
+  'least-reported': createLeastReported,
+  fifo: createFifo
+}
+
+/** Ways for several boxes to share a pool, weighed against each other. */
+export const sharings: Readonly<Record<string, PolicyMaker>> = {
+  'owned-32': createShardPolicy({ way: 'owned', perShard: 32, floorPlaces: null }),
+  'owned-8': createShardPolicy({ way: 'owned', perShard: 8, floorPlaces: null }),
+  alone: createShardPolicy({ way: 'alone', perShard, floorPlaces: null }),
+  credits: createShardPolicy({ way: 'credits', perShard, floorPlaces: null }),
+  'power-of-two': createPowerOfTwo,
+  'no-floor': createShardPolicy({ way: 'owned', perShard, floorPlaces: 0 })
+}
+
+/** What to run; a list left out means all. */
+export interface ExperimentChoice {
+  readonly users?: readonly string[]
+  readonly scenarios?: readonly string[]
+  readonly policies: readonly string[]
+  readonly seeds: readonly number[]
+}
+
+/** Finds a scenario by name; undefined for none. */
+export function findScenario (name: string): Scenario | undefined {
+  return [...scenarios, longBurst].find(one => one.name === name)
+}
+
+/** Runs one combination. */
+export function runOnce (user: UserProfile, scenario: Scenario, policy: string, seed: number): Row[] {
+  const make = policies[policy] ?? sharings[policy]
+  const notes = new Simulation(user, scenario, make, seed).run()
+  const { figures } = notes.tally
+  const effort = figures.reduce((sum, one) => sum + one.effort, 0)
+  return figures.map(one => ({
+    user: user.name,
+    scenario: scenario.name,
+    policy,
+    seed,
+    class: one.class,
+    offered: one.offered,
+    finished: one.finished,
+    attainment: round(one.met / Math.max(1, one.offered)),
+    goodput: round(one.met * 1000 / scenario.durationMs),
+    wasted: round(one.wasted / Math.max(1, effort)),
+    worstWaitMs: Math.round(one.worstWaitMs),
+    shed: one.refused,
+    left: one.left,
+    failed: one.failed,
+    preempted: notes.paused,
+    violations: notes.violations.length,
+    unfinished: notes.unfinished
+  }))
+}
+
+/** Runs everything chosen, giving each row as it comes. */
+export function runExperiment (choice: ExperimentChoice, take: (row: Row) => void): void {
+  const names = choice.scenarios ?? scenarios.map(one => one.name)
+  for (const user of userProfiles) {
+    if (choice.users !== undefined && !choice.users.includes(user.name)) continue
+    for (const name of names) {
+      const scenario = findScenario(name)
+      if (scenario === undefined) continue
+      for (const seed of choice.seeds) {
+        for (const policy of choice.policies) runOnce(user, scenario, policy, seed).forEach(take)
+      }
+    }
+  }
+}
+
+function round (value: number): number {
+  return Math.round(value * 10_000) / 10_000
+}
--- /dev/null
+++ b/src/measure/sim-engine.ts
@@ -0,0 +1,96 @@
+import type { EngineId, LoadReport, ZoneName } from '../core/index.js'
+import { EngineModel } from '../standin/index.js'
+import type { EngineShape } from '../standin/index.js'
+import type { EventQueue } from './event-queue.js'
+import type { SimRequest } from './sim-request.js'
+
+/** What a run learns from an engine. */
+export interface SimEngineHost {
+  noteToken (request: SimRequest): void
+  noteFinished (request: SimRequest, engine: EngineId): void
+  noteFailed (request: SimRequest, engine: EngineId): void
+}
+
+const promptWeight = 0.015
+const refuseMs = 1
+
+/** An engine in virtual time. */
+export class SimEngine {
+  readonly id: EngineId
+  readonly zone: ZoneName
+  #model: EngineModel
+  #queue: EventQueue
+  #host: SimEngineHost
+  #streams = new Map<string, SimRequest>()
+  #isStepping = false
+  #isDown = false
+  #lastStepMs = 0
+
+  constructor (id: EngineId, zone: ZoneName, shape: EngineShape, queue: EventQueue, host: SimEngineHost) {
+    this.id = id
+    this.zone = zone
+    this.#model = new EngineModel(shape)
+    this.#queue = queue
+    this.#host = host
+  }
+
+  set slowFactor (factor: number) { this.#model.slowFactor = factor }
+  get slowFactor (): number { return this.#model.slowFactor }
+
+  /** Takes a request, or fails it where the engine is down. */
+  add (request: SimRequest, priority: number): void {
+    if (this.#isDown) return this.#queue.after(refuseMs, () => this.#host.noteFailed(request, this.id))
+    this.#streams.set(request.id, request)
+    request.effort += request.promptTokens * promptWeight
+    this.#model.add({ id: request.id, priority, promptTokens: request.promptTokens + request.given, prefix: request.prefix, tokens: request.tokens - request.given })
+    this.#wake()
+  }
+
+  cancel (request: SimRequest): void {
+    this.#streams.delete(request.id)
+    this.#model.remove(request.id)
+  }
+
+  /** Ends every stream; the engine takes nothing until it's back up. */
+  crash (): void {
+    this.#isDown = true
+    const lost = [...this.#streams.values()]
+    for (const request of lost) this.cancel(request)
+    for (const request of lost) this.#host.noteFailed(request, this.id)
+  }
+
+  recover (): void {
+    this.#isDown = false
+  }
+
+  report (): LoadReport {
+    return { running: this.#model.running, waiting: this.#model.waiting, kvUsed: this.#model.kvUsed, stepMs: this.#lastStepMs, leaving: false }
+  }
+
+  #wake (): void {
+    if (this.#isStepping || this.#model.isIdle || this.#isDown) return
+    this.#isStepping = true
+    const { ms, tokens, finished } = this.#model.step()
+    this.#lastStepMs = ms
+    this.#queue.after(ms, () => {
+      this.#isStepping = false
+      for (const id of tokens) this.#give(id)
+      for (const id of finished) this.#finish(id)
+      this.#wake()
+    })
+  }
+
+  #give (id: string): void {
+    const request = this.#streams.get(id)
+    if (request === undefined) return
+    request.effort += 1
+    this.#host.noteToken(request)
+  }
+
+  #finish (id: string): void {
+    const request = this.#streams.get(id)
+    if (request === undefined) return
+    this.#streams.delete(id)
+    this.#host.noteFinished(request, this.id)
+  }
+}
--- /dev/null
+++ b/src/measure/simulation.ts
@@ -0,0 +1,288 @@
+/** One run in virtual time: arrivals, engines, faults, and a policy that decides. */
+import { brandId } from '../core/index.js'
+import type { BoxId, EngineId, RequestId, WorkspaceName, ZoneName } from '../core/index.js'
+import { createRandom } from '../runtime/index.js'
+import { EventQueue } from './event-queue.js'
+import type { Policy, PolicyHost, PolicyMaker } from './policy.js'
+import { computeBurstFactor } from './scenario.js'
+import type { Scenario } from './scenario.js'
+import { SimEngine } from './sim-engine.js'
+import type { SimEnd, SimRequest } from './sim-request.js'
+import { Tally } from './tally.js'
+import type { ClassTraffic, UserProfile } from './user-profile.js'
+
+const engineDelayMs = 0.5
+const callerDelayMs = 1
+const tickMs = 15
+const reportEveryMs = 1000
+const settleMs = 600_000
+
+/** What went on beside the classes' figures. */
+export interface RunNotes {
+  readonly tally: Tally
+  readonly paused: number
+  readonly violations: readonly string[]
+  /** Requests that were accepted and had not ended when the run was over. */
+  readonly unfinished: number
+}
+
+export class Simulation {
+  #queue = new EventQueue()
+  #user: UserProfile
+  #scenario: Scenario
+  #random: () => number
+  #policyRandom: () => number
+  #engines: SimEngine[] = []
+  #boxes: { id: BoxId, zone: number }[] = []
+  #zones = new Map<EngineId, number>()
+  #boxZones = new Map<BoxId, number>()
+  #policy: Policy
+  #tally: Tally
+  #open = new Set<SimRequest>()
+  #counter = 0
+  #paused = 0
+  #violations: string[] = []
+  #lostBox: BoxId | null = null
+
+  constructor (user: UserProfile, scenario: Scenario, make: PolicyMaker, seed: number) {
+    this.#user = user
+    this.#scenario = scenario
+    this.#random = createRandom(seed)
+    this.#policyRandom = createRandom(seed + 1_000_003)
+    this.#tally = new Tally(user)
+    this.#createEngines()
+    this.#createBoxes()
+    this.#policy = make(this.#createHost())
+  }
+
+  /** Runs the scenario to its end, and then until what was accepted has ended. */
+  run (): RunNotes {
+    for (const traffic of this.#user.traffic) this.#scheduleArrival(traffic)
+    this.#scheduleFaults()
+    this.#repeat(tickMs, () => this.#policy.tick())
+    this.#repeat(reportEveryMs, () => this.#report())
+    this.#queue.runUntil(this.#scenario.durationMs)
+    const until = this.#scenario.durationMs + settleMs
+    while (this.#open.size > 0 && this.#queue.now < until) this.#queue.runUntil(this.#queue.now + 1000)
+    return { tally: this.#tally, paused: this.#paused, violations: this.#violations, unfinished: this.#open.size }
+  }
+
+  #createEngines (): void {
+    for (let i = 0; i < this.#user.engines; i++) {
+      const zone = i % this.#user.zones
+      const id = brandId<EngineId>(`engine-${i}`)
+      this.#zones.set(id, zone)
+      this.#engines.push(new SimEngine(id, brandId<ZoneName>(`zone-${zone}`), this.#user.shape, this.#queue, {
+        noteToken: request => this.#noteToken(request),
+        noteFinished: request => this.#noteFinished(request),
+        noteFailed: (request, engine) => this.#noteFailed(request, engine)
+      }))
+    }
+  }
+
+  #createBoxes (): void {
+    for (let i = 0; i < this.#user.boxes; i++) {
+      const box = { id: brandId<BoxId>(`box-${i}`), zone: i % this.#user.zones }
+      this.#boxes.push(box)
+      this.#boxZones.set(box.id, box.zone)
+    }
+  }
+
+  #createHost (): PolicyHost {
+    return {
+      user: this.#user,
+      scenario: this.#scenario,
+      engines: this.#engines,
+      boxes: this.#boxes,
+      now: () => this.#queue.now,
+      after: (delayMs, run) => this.#queue.after(delayMs, run),
+      random: this.#policyRandom,
+      canReach: (box, zone) => this.#canReach(box, zone),
+      zoneOf: engine => this.#zones.get(engine) ?? 0,
+      send: (request, engine, priority) => this.#send(request, engine, priority),
+      refuse: request => this.#end(request, 'refused'),
+      notePaused: () => { this.#paused += 1 },
+      noteViolation: (rule, detail) => { this.#violations.push(`${rule}: ${detail}`) }
+    }
+  }
+
+  #canReach (box: BoxId, zone: number): boolean {
+    const { cut } = this.#scenario
+    const { now } = this.#queue
+    if (cut === null || now < cut.fromMs || now >= cut.untilMs) return true
+    return (this.#boxZones.get(box) === cut.zone) === (zone === cut.zone)
+  }
+
+  #repeat (everyMs: number, run: () => void): void {
+    this.#queue.after(everyMs, () => {
+      run()
+      this.#repeat(everyMs, run)
+    })
+  }
+
+  // Arrivals: a Poisson process for each class, its rate raised in a burst.
+
+  #scheduleArrival (traffic: ClassTraffic): void {
+    const waitMs = -Math.log(1 - this.#random()) * 1000 / this.#findRate(traffic)
+    const next = this.#cutAtChange(waitMs)
+    if (this.#queue.now + next.waitMs >= this.#scenario.durationMs) return
+    this.#queue.after(next.waitMs, () => {
+      if (next.arrives) this.#arrive(traffic)
+      this.#scheduleArrival(traffic)
+    })
+  }
+
+  // A wait that reaches past a change of rate is drawn anew from there.
+  #cutAtChange (waitMs: number): { readonly waitMs: number, readonly arrives: boolean } {
+    const { burst } = this.#scenario
+    const { now } = this.#queue
+    for (const change of burst === null ? [] : [burst.fromMs, burst.untilMs]) {
+      if (now < change && now + waitMs >= change) return { waitMs: change - now, arrives: false }
+    }
+    return { waitMs, arrives: true }
+  }
+
+  #findRate (traffic: ClassTraffic): number {
+    const { burst } = this.#scenario
+    const { now } = this.#queue
+    if (burst === null || traffic.class.name !== this.#user.burst || now < burst.fromMs || now >= burst.untilMs) return traffic.rate
+    return traffic.rate * computeBurstFactor(this.#user, burst.times)
+  }
+
+  #arrive (traffic: ClassTraffic): void {
+    this.#counter += 1
+    const box = this.#boxes[Math.floor(this.#random() * this.#boxes.length)]
+    const workspace = this.#drawWorkspace()
+    const tokens = Math.max(1, Math.round(traffic.tokens * Math.exp(traffic.spread * this.#drawNormal())))
+    const request: SimRequest = {
+      id: brandId<RequestId>(`r${this.#counter}`),
+      traffic,
+      class: traffic.class,
+      workspace: brandId<WorkspaceName>(workspace),
+      box: box.id,
+      promptTokens: traffic.promptTokens,
+      tokens,
+      prefix: `${workspace}/${traffic.class.name}/${Math.floor(this.#random() * 4)}`,
+      arrivedAt: this.#queue.now,
+      engine: null,
+      given: 0,
+      firstAt: null,
+      lastAt: 0,
+      lateGaps: 0,
+      effort: 0,
+      lost: 0,
+      attempts: 0,
+      end: null
+    }
+    if (box.id === this.#lostBox) return this.#end(request, 'failed')
+    this.#open.add(request)
+    this.#queue.after(traffic.patienceMs, () => this.#loseCaller(request))
+    this.#policy.arrive(request)
+  }
+
+  #drawWorkspace (): string {
+    const isLarge = this.#random() < this.#scenario.largeShare
+    const number = isLarge ? Math.floor(this.#random() * 2) : 2 + Math.floor(this.#random() * (this.#user.workspaces - 2))
+    return `workspace-${number}`
+  }
+
+  #drawNormal (): number {
+    return Math.sqrt(-2 * Math.log(1 - this.#random())) * Math.cos(2 * Math.PI * this.#random())
+  }
+
+  // A request's way.
+
+  #send (request: SimRequest, engine: EngineId, priority: number): void {
+    request.engine = engine
+    request.attempts += 1
+    const { attempts } = request
+    this.#queue.after(engineDelayMs, () => {
+      if (request.end !== null || request.attempts !== attempts) return
+      const zone = this.#zones.get(engine) ?? 0
+      if (!this.#canReach(request.box, zone)) return this.#noteFailed(request, engine)
+      this.#findEngine(engine).add(request, priority)
+    })
+  }
+
+  #findEngine (id: EngineId): SimEngine {
+    return this.#engines[Number(id.slice('engine-'.length))]
+  }
+
+  #noteToken (request: SimRequest): void {
+    const now = this.#queue.now + engineDelayMs + callerDelayMs
+    request.given += 1
+    if (request.firstAt === null) {
+      request.firstAt = now
+      this.#policy.noteFirstToken(request)
+    } else if (now - request.lastAt > request.class.betweenTokenMs) {
+      request.lateGaps += 1
+    }
+    request.lastAt = now
+  }
+
+  #noteFinished (request: SimRequest): void {
+    this.#policy.noteFinished(request)
+    this.#end(request, 'finished')
+  }
+
+  #noteFailed (request: SimRequest, engine: EngineId): void {
+    if (request.end !== null) return
+    if (!this.#policy.noteFailed(request, engine)) this.#end(request, 'failed')
+  }
+
+  #loseCaller (request: SimRequest): void {
+    if (request.end !== null || request.firstAt !== null) return
+    if (request.engine !== null) this.#findEngine(request.engine).cancel(request)
+    this.#end(request, 'left')
+    this.#policy.noteLeft(request)
+  }
+
+  #end (request: SimRequest, end: SimEnd): void {
+    if (request.end !== null) return
+    request.end = end
+    this.#open.delete(request)
+    this.#tally.add(request, this.#queue.now)
+  }
+
+  // Faults.
+
+  #scheduleFaults (): void {
+    const { slow, crashes, dead, boxLost } = this.#scenario
+    if (slow !== null) this.#queue.after(slow.fromMs, () => this.#pick(slow.share).forEach(engine => { engine.slowFactor = slow.factor }))
+    if (dead !== null) this.#queue.after(dead.fromMs, () => this.#pick(dead.share).forEach(engine => engine.crash()))
+    if (crashes !== null) this.#repeatCrashes(crashes)
+    if (boxLost !== null) this.#queue.after(boxLost.atMs, () => this.#loseBox(this.#boxes[boxLost.box].id))
+  }
+
+  #repeatCrashes (crashes: NonNullable<Scenario['crashes']>): void {
+    this.#queue.after(crashes.everyMs, () => {
+      if (this.#queue.now >= this.#scenario.durationMs) return
+      for (const engine of this.#pick(crashes.share)) {
+        engine.crash()
+        this.#queue.after(crashes.downMs, () => engine.recover())
+      }
+      this.#repeatCrashes(crashes)
+    })
+  }
+
+  #pick (share: number): SimEngine[] {
+    return this.#engines.filter(() => this.#random() < share)
+  }
+
+  #loseBox (box: BoxId): void {
+    this.#lostBox = box
+    for (const request of [...this.#open]) {
+      if (request.box !== box) continue
+      if (request.engine !== null) this.#findEngine(request.engine).cancel(request)
+      this.#end(request, 'failed')
+    }
+    this.#policy.noteBoxLost(box)
+  }
+
+  #report (): void {
+    for (const engine of this.#engines) {
+      const report = engine.report()
+      this.#queue.after(this.#scenario.reportLagMs, () => this.#policy.report(engine.id, report))
+    }
+  }
+}
--- a/src/protocol/box-message.ts
+++ b/src/protocol/box-message.ts
@@ -1,6 +1,6 @@
 /** Everything that boxes and operators' shells say to each other over links. */
 import type { Change, CommandId, Document, KeeperCommand, KeeperResult, Members, RaftMessage, ReplicaId, Revision } from '../coordination/index.js'
-import type { EngineId, RequestId, SchedulerAction, ShardId, ShardLoad, StreamEnd, Submission, WorkspaceName } from '../core/index.js'
+import type { EngineId, RequestId, ShardAnswer, ShardId, ShardLoad, ShardWord, WorkspaceName } from '../core/index.js'
 import type { BoxStatus, KeeperStatus } from './status.js'
 
 /** What a keeper is asked. */
@@ -35,18 +35,6 @@
   | { readonly type: 'status', readonly status: BoxStatus }
   | { readonly type: 'done' }
 
-/** Word from a box to the scheduler of a shard. */
-export type ShardWord =
-  | { readonly type: 'submit', readonly submission: Submission, readonly leftMs: number }
-  | { readonly type: 'adopt', readonly submission: Submission, readonly engine: EngineId }
-  | { readonly type: 'cancel', readonly request: RequestId, readonly attempt: number }
-  | { readonly type: 'firstToken', readonly request: RequestId, readonly attempt: number }
-  | { readonly type: 'end', readonly request: RequestId, readonly attempt: number, readonly how: StreamEnd, readonly tokens: number }
-  | { readonly type: 'drain', readonly engine: EngineId, readonly leaving: boolean }
-
-/** A grant or a refusal. */
-export type ShardAnswer = Extract<SchedulerAction, { type: 'grant' | 'refuse' }>
-
 /** One message on a link. */
 export type BoxMessage =
   | { readonly type: 'raft', readonly from: ReplicaId, readonly to: ReplicaId, readonly message: RaftMessage }
--- a/src/tasks/chat-exchange.ts
+++ b/src/tasks/chat-exchange.ts
@@ -3,7 +3,7 @@
  * resumed where an engine fails; cancelled where the caller leaves.
  */
 import type { Agent, ServerResponse } from 'node:http'
-import type { ErrorKind, RequestClass, RequestId, StreamEnd, Submission } from '../core/index.js'
+import type { ErrorKind, Placement, RequestClass, RequestId, StreamEnd, Submission } from '../core/index.js'
 import { brandId } from '../core/index.js'
 import type { BoxId, EngineId, ModelName } from '../core/index.js'
 import type { EngineEntry, Workspace } from '../config/index.js'
@@ -14,7 +14,6 @@
 import { EngineStream } from './engine-stream.js'
 import type { EngineFailure } from './engine-stream.js'
 import { Fault } from './fault.js'
-import type { Placement } from './placer.js'
 
 /** What an exchange needs of its box. */
 export interface ChatHost {
@@ -236,7 +235,7 @@
 
   #mayTryAgain (engine: EngineEntry | null): boolean {
     if (this.#attempts >= mostAttempts) return false
-    if (this.#isResuming && (engine === null || !this.#host.canResume(engine) || !isTextOnly(this.#order.chat))) return false
+    if (this.#isResuming) return engine !== null && this.#host.canResume(engine) && isTextOnly(this.#order.chat)
     return this.#host.takeRetry(this.#order.class.name)
   }
 
--- a/src/tasks/entry-box.ts
+++ b/src/tasks/entry-box.ts
@@ -8,10 +8,10 @@
 import type { Configuration, EngineEntry, EntrySettings, Service, ServiceEndpoint } from '../config/index.js'
 import { readSchedulerConfig } from '../config/index.js'
 import type { ClaimCommand, Member } from '../coordination/index.js'
-import { RetryBudget, brandId, chooseSubset, findOwner, partEngines } from '../core/index.js'
-import type { BoxId, EngineId, RequestId, Shard, ShardBox, ShardId, ZoneName } from '../core/index.js'
+import { Placer, RetryBudget, brandId, chooseSubset, findOwner, partEngines } from '../core/index.js'
+import type { BoxId, EngineId, RequestId, Shard, ShardAnswer, ShardBox, ShardId, ShardWord, ZoneName } from '../core/index.js'
 import { LinkPool } from '../protocol/index.js'
-import type { BoxMessage, BoxStatus, EngineStatus, EntryCall, EntryReply, Link, ShardAnswer, ShardWord } from '../protocol/index.js'
+import type { BoxMessage, BoxStatus, EngineStatus, EntryCall, EntryReply, Link } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import { CallerServer } from './caller-server.js'
 import { ChatExchange } from './chat-exchange.js'
@@ -22,7 +22,6 @@
 import { KeeperClient } from './keeper-client.js'
 import { Limits } from './limits.js'
 import { MemberTask } from './member-task.js'
-import { Placer } from './placer.js'
 import { ServiceExchange } from './service-exchange.js'
 import type { ClaimEnd, ServiceHost, ServiceOrder, ServiceSummary } from './service-exchange.js'
 import { ShardOwner } from './shard-owner.js'
@@ -246,7 +245,7 @@
       now: () => performance.now(),
       findEngine: id => this.configuration.engines.get(id),
       canResume: engine => this.configuration.pools.get(engine.pool)?.protocol === 'wrenlane',
-      place: (submission, mayWait) => this.#placer.place(submission, mayWait),
+      place: (submission, mayWait) => new Promise(resolve => this.#placer.place(submission, mayWait, resolve)),
       noteFirstToken: request => this.#placer.noteFirstToken(request),
       end: (request, how, tokens) => this.#placer.end(request, how, tokens),
       cancel: request => this.#placer.cancel(request),
--- a/src/tasks/shard-owner.ts
+++ b/src/tasks/shard-owner.ts
@@ -3,8 +3,7 @@
  * of boxes comes in, grants and refusals go out.
  */
 import { Scheduler } from '../core/index.js'
-import type { BoxId, EngineId, Shard, ShardId, ShardLoad, SchedulerAction, SchedulerConfig, SchedulerEvent } from '../core/index.js'
-import type { ShardAnswer, ShardWord } from '../protocol/index.js'
+import type { BoxId, EngineId, Shard, ShardAnswer, ShardId, ShardLoad, ShardWord, SchedulerAction, SchedulerConfig, SchedulerEvent } from '../core/index.js'
 import { Inbox } from '../runtime/index.js'
 
 /** What the owner needs of the box. */
