--- a/src/coordination/log/entry-list.ts
+++ b/src/coordination/log/entry-list.ts
@@ -45,14 +45,17 @@
     return this.#entries[index - this.base - 1]
   }
 
+  /** At most `most` entries from `from` on. Throws RangeError where the snapshot holds `from`. */
   slice (from: number, most: number): LogEntry[] {
+    if (from <= this.base) throw new RangeError(`entry ${from} is in the snapshot at ${this.base}`)
     const start = from - this.base - 1
     return this.#entries.slice(start, start + most)
   }
 
-  /** Appends, dropping what stood at the same indexes before. */
+  /** Appends, dropping what stood at the same indexes before. Throws RangeError on a gap. */
   append (entries: readonly LogEntry[]): void {
     if (entries.length === 0) return
+    if (entries[0].index > this.lastIndex + 1) throw new RangeError(`entry ${entries[0].index} after ${this.lastIndex}`)
     this.#truncate(entries[0].index)
     for (const entry of entries) this.#push(entry)
   }
--- a/src/coordination/log/raft-node.ts
+++ b/src/coordination/log/raft-node.ts
@@ -280,9 +280,9 @@
 
   #replicate (to: ReplicaId, heartbeat: boolean): void {
     const progress = this.#progressOf(to)
-    if (progress.next <= this.#log.base) return this.#sendSnapshot(to, progress, heartbeat)
     const lost = progress.next > progress.match + 1 && this.#now - progress.sentAt > resendMs
     if (heartbeat && lost) progress.next = progress.match + 1
+    if (progress.next <= this.#log.base) return this.#sendSnapshot(to, progress, heartbeat)
     const room = progress.match + pipelinedEntries - progress.next + 1
     const entries = this.#log.slice(progress.next, Math.max(0, Math.min(entriesPerMessage, room)))
     if (entries.length === 0 && !heartbeat) return
--- /dev/null
+++ b/src/proof/index.ts
@@ -0,0 +1,3 @@
+/** Randomised histories with invariants, for tests and long runs. */
+export { RaftHistory } from './raft-history.js'
+export type { HistoryReport } from './raft-history.js'
--- /dev/null
+++ b/src/proof/raft-history.ts
@@ -0,0 +1,410 @@
+/**
+ * Randomised histories of a replicated log: several pure replicas over fakes of
+ * disk and wire. Messages are lost, delayed, reordered and doubled; links are
+ * cut one way or both; replicas crash at any write, pause, and lose their disks.
+ * What must hold is checked at every step.
+ */
+import { RaftNode } from '../coordination/index.js'
+import type { LogEntry, Members, RaftEffect, RaftEvent, RaftMessage, ReplicaId, Snapshot, StoredLog } from '../coordination/index.js'
+import { EntryList } from '../coordination/log/entry-list.js'
+import { createRandom } from '../runtime/index.js'
+
+type PersistEffect = Extract<RaftEffect, { type: 'persist' }>
+type SendEffect = Extract<RaftEffect, { type: 'send' }>
+
+interface Packet {
+  readonly from: ReplicaId
+  readonly to: ReplicaId
+  readonly message: RaftMessage
+}
+
+/** A disk that keeps only what was synced. */
+class FakeDisk {
+  #stored: StoredLog
+
+  constructor (stored: StoredLog) {
+    this.#stored = stored
+  }
+
+  get stored (): StoredLog { return this.#stored }
+
+  write (effects: readonly PersistEffect[]): void {
+    for (const effect of effects) this.#writeOne(effect)
+  }
+
+  #writeOne (effect: PersistEffect): void {
+    const list = new EntryList(this.#stored.snapshot, this.#stored.entries)
+    list.append(effect.entries)
+    if (effect.snapshot !== null) list.compact(effect.snapshot)
+    this.#stored = {
+      hard: effect.hard ?? this.#stored.hard,
+      snapshot: list.snapshot,
+      entries: list.slice(list.base + 1, Infinity)
+    }
+  }
+}
+
+/** One replica with its disk, and what it has not synced yet. */
+interface Peer {
+  readonly id: ReplicaId
+  readonly disk: FakeDisk
+  node: RaftNode | null
+  unsynced: PersistEffect[]
+  late: SendEffect[]
+  /** What the state machine holds: the values applied, in order. */
+  applied: string[]
+  appliedIndex: number
+  paused: boolean
+  /** This replica's clock, which drifts and stands still in a pause. */
+  clock: number
+}
+
+/** What a history found. */
+export interface HistoryReport {
+  readonly violations: readonly string[]
+  readonly acknowledged: number
+  readonly elections: number
+  readonly crashes: number
+  readonly disksLost: number
+  readonly repaired: number
+  readonly steps: number
+}
+
+const timing = { heartbeatMs: 50, electionMs: 300 }
+const emptyDisk: StoredLog = { hard: { term: 0, vote: null }, snapshot: null, entries: [] }
+const mostPackets = 400
+const compactEvery = 12
+
+export class RaftHistory {
+  #random: () => number
+  #peers = new Map<ReplicaId, Peer>()
+  #wire: Packet[] = []
+  #cut = new Set<string>()
+  #leaders = new Map<number, ReplicaId>()
+  /** What was applied at each index by whoever came first. */
+  #agreed = new Map<number, string>()
+  #proposals = new Map<number, string>()
+  #placed = new Map<string, number>()
+  #acknowledged = new Map<string, number>()
+  #reads = new Map<number, number>()
+  #violations: string[] = []
+  #counter = 0
+  #elections = 0
+  #crashes = 0
+  #disksLost = 0
+  #repaired = 0
+  #steps = 0
+  #lostVoter: ReplicaId | null = null
+
+  constructor (seed: number, size: number) {
+    this.#random = createRandom(seed)
+    const ids = Array.from({ length: size }, (_, i) => `k${i}#0` as ReplicaId)
+    const snapshot: Snapshot = { index: 1, term: 1, time: 0, members: { voters: ids, learners: [] }, state: [] }
+    for (const id of ids) this.#addPeer(id, { hard: { term: 1, vote: null }, snapshot, entries: [] })
+  }
+
+  /** Does `steps` random things, then heals everything and checks what became of it. */
+  run (steps: number): HistoryReport {
+    for (let i = 0; i < steps; i++) this.#doOne()
+    this.#heal()
+    return {
+      violations: this.#violations,
+      acknowledged: this.#acknowledged.size,
+      elections: this.#elections,
+      crashes: this.#crashes,
+      disksLost: this.#disksLost,
+      repaired: this.#repaired,
+      steps: this.#steps
+    }
+  }
+
+  #addPeer (id: ReplicaId, stored: StoredLog): Peer {
+    const peer: Peer = { id, disk: new FakeDisk(stored), node: null, unsynced: [], late: [], applied: [], appliedIndex: 0, paused: false, clock: this.#random() * 1000 }
+    this.#peers.set(id, peer)
+    this.#start(peer)
+    return peer
+  }
+
+  #start (peer: Peer): void {
+    const { stored } = peer.disk
+    peer.node = new RaftNode(peer.id, stored, timing, this.#random, peer.clock)
+    peer.applied = [...(stored.snapshot?.state as string[] | null ?? [])]
+    peer.appliedIndex = stored.snapshot?.index ?? 0
+    peer.unsynced = []
+    peer.late = []
+  }
+
+  #doOne (): void {
+    const dice = this.#random()
+    if (dice < 0.44) return this.#deliver()
+    if (dice < 0.6) return this.#passTime(this.#pickPeer(), 10 + this.#random() * 80)
+    if (dice < 0.84) return this.#sync(this.#pickPeer())
+    if (dice < 0.91) return this.#propose(this.#pickPeer())
+    if (dice < 0.93) return this.#startRead(this.#pickPeer())
+    if (dice < 0.937) return this.#toggleCut()
+    if (dice < 0.945) return this.#crash(this.#pickPeer())
+    if (dice < 0.95) return this.#togglePause(this.#pickPeer())
+    if (dice < 0.955) return this.#step(this.#pickPeer(), { type: 'transfer', at: 0 })
+    this.#workOnDisks()
+  }
+
+  #pickPeer (): Peer {
+    const peers = [...this.#peers.values()]
+    return peers[Math.floor(this.#random() * peers.length)]
+  }
+
+  // The wire.
+
+  #deliver (): void {
+    if (this.#wire.length === 0) return
+    const at = Math.floor(this.#random() * Math.min(8, this.#wire.length))
+    const packet = this.#wire[at]
+    const isDoubled = this.#random() < 0.03
+    if (!isDoubled) this.#wire.splice(at, 1)
+    if (this.#random() < 0.04) return
+    this.#receive(packet)
+  }
+
+  #receive (packet: Packet): void {
+    const peer = this.#peers.get(packet.to)
+    if (peer === undefined || peer.paused || this.#cut.has(`${packet.from}>${packet.to}`)) return
+    this.#step(peer, { type: 'receive', at: 0, from: packet.from, message: packet.message })
+  }
+
+  #send (from: ReplicaId, effect: SendEffect): void {
+    if (this.#wire.length < mostPackets) this.#wire.push({ from, to: effect.to, message: effect.message })
+  }
+
+  #toggleCut (): void {
+    if (this.#cut.size > 0) {
+      this.#cut.clear()
+      return
+    }
+    const one = this.#pickPeer()
+    const bothWays = this.#random() < 0.6
+    for (const other of this.#peers.keys()) {
+      if (other === one.id) continue
+      this.#cut.add(`${one.id}>${other}`)
+      if (bothWays) this.#cut.add(`${other}>${one.id}`)
+    }
+  }
+
+  // Replicas.
+
+  #passTime (peer: Peer, ms: number): void {
+    if (peer.paused) return
+    peer.clock += ms
+    this.#step(peer, { type: 'tick', at: 0 })
+  }
+
+  // At most one replica is paused, and for a while only.
+  #togglePause (peer: Peer): void {
+    const paused = [...this.#peers.values()].find(one => one.paused)
+    if (paused !== undefined) paused.paused = false
+    else peer.paused = true
+  }
+
+  #crash (peer: Peer): void {
+    this.#crashes += 1
+    // Of what was not synced, the disk may have taken any beginning.
+    const kept = Math.floor(this.#random() * (peer.unsynced.length + 1))
+    peer.disk.write(peer.unsynced.slice(0, kept))
+    peer.paused = false
+    this.#start(peer)
+  }
+
+  #step (peer: Peer, event: RaftEvent): void {
+    const { node } = peer
+    if (node === null || peer.paused) return
+    this.#steps += 1
+    for (const effect of node.step({ ...event, at: peer.clock })) this.#perform(peer, effect)
+  }
+
+  #perform (peer: Peer, effect: RaftEffect): void {
+    switch (effect.type) {
+      case 'persist': return void peer.unsynced.push(effect)
+      case 'send':
+        if (effect.early) this.#send(peer.id, effect)
+        else peer.late.push(effect)
+        return
+      case 'apply': return this.#apply(peer, effect.entry)
+      case 'restore': return this.#restore(peer, effect.snapshot)
+      case 'accepted': return this.#noteAccepted(effect.proposal, effect.index, effect.term)
+      case 'rejected': return
+      case 'readReady': return this.#checkRead(effect.read, effect.index)
+      case 'readFailed': return void this.#reads.delete(effect.read)
+      case 'role': return this.#noteRole(peer, effect.role, effect.term)
+      case 'violation': return this.#violate(`${effect.rule}: ${effect.detail}`)
+    }
+  }
+
+  #sync (peer: Peer): void {
+    const { node } = peer
+    if (node === null || peer.paused || (peer.unsynced.length === 0 && peer.late.length === 0)) return
+    peer.disk.write(peer.unsynced)
+    const { late } = peer
+    const { lastIndex, lastTerm } = node
+    peer.unsynced = []
+    peer.late = []
+    for (const effect of late) this.#send(peer.id, effect)
+    this.#step(peer, { type: 'synced', at: 0, index: lastIndex, term: lastTerm })
+  }
+
+  #noteRole (peer: Peer, role: string, term: number): void {
+    if (role !== 'leader') return
+    this.#elections += 1
+    const other = this.#leaders.get(term)
+    if (other !== undefined && other !== peer.id) this.#violate(`election-safety: ${other} and ${peer.id} lead term ${term}`)
+    this.#leaders.set(term, peer.id)
+  }
+
+  // The state machine: a list of values.
+
+  #apply (peer: Peer, entry: LogEntry): void {
+    if (entry.index !== peer.appliedIndex + 1) this.#violate(`order: ${peer.id} applies ${entry.index} after ${peer.appliedIndex}`)
+    peer.appliedIndex = entry.index
+    const value = entry.content.type === 'command' ? String(entry.content.command) : entry.content.type
+    const mark = `${entry.term}:${value}`
+    const agreed = this.#agreed.get(entry.index)
+    if (agreed !== undefined && agreed !== mark) this.#violate(`agreement: index ${entry.index} is ${agreed} and ${mark}`)
+    this.#agreed.set(entry.index, mark)
+    if (entry.content.type === 'command') {
+      peer.applied.push(value)
+      if (peer.node?.role === 'leader' && this.#placed.has(`${entry.index}:${entry.term}`)) this.#acknowledged.set(value, entry.index)
+    }
+    if (peer.node !== null && peer.node.compactable >= compactEvery && this.#random() < 0.3) this.#compact(peer)
+  }
+
+  #compact (peer: Peer): void {
+    this.#step(peer, { type: 'compact', at: 0, index: peer.appliedIndex, state: [...peer.applied] })
+  }
+
+  #restore (peer: Peer, snapshot: Snapshot): void {
+    if (snapshot.index < peer.appliedIndex) this.#violate(`order: ${peer.id} goes back to ${snapshot.index}`)
+    peer.applied = [...snapshot.state as string[]]
+    peer.appliedIndex = snapshot.index
+  }
+
+  #propose (peer: Peer): void {
+    this.#counter += 1
+    const value = `v${this.#counter}`
+    this.#proposals.set(this.#counter, value)
+    this.#step(peer, { type: 'propose', at: 0, wall: this.#steps, proposal: this.#counter, command: value })
+  }
+
+  #noteAccepted (proposal: number, index: number, term: number): void {
+    this.#placed.set(`${index}:${term}`, proposal)
+  }
+
+  #startRead (peer: Peer): void {
+    this.#counter += 1
+    this.#reads.set(this.#counter, Math.max(0, ...this.#acknowledged.values()))
+    this.#step(peer, { type: 'read', at: 0, read: this.#counter })
+  }
+
+  // A read must see everything that was acknowledged before it began.
+  #checkRead (read: number, index: number): void {
+    const least = this.#reads.get(read)
+    this.#reads.delete(read)
+    if (least !== undefined && index < least) this.#violate(`read: index ${index}, but ${least} was acknowledged before`)
+  }
+
+  // Disks: one is lost, the replica of a new disk is let in, the old one put out.
+
+  #workOnDisks (): void {
+    if (this.#lostVoter === null) this.#loseDisk()
+    else this.#repair(this.#lostVoter)
+  }
+
+  #loseDisk (): void {
+    const peer = this.#pickPeer()
+    if (this.#peers.size < 3) return
+    this.#disksLost += 1
+    this.#peers.delete(peer.id)
+    this.#lostVoter = peer.id
+    const [name, generation] = peer.id.split('#')
+    this.#addPeer(`${name}#${Number(generation) + 1}` as ReplicaId, emptyDisk)
+  }
+
+  #repair (old: ReplicaId): void {
+    const leader = this.#findLeader()
+    if (leader?.node == null) return
+    const { members } = leader.node
+    const [name] = old.split('#')
+    const fresh = [...this.#peers.keys()].find(id => id.startsWith(`${name}#`))
+    if (fresh === undefined) return
+    const next = this.#nextMembers(members, old, fresh)
+    if (next === null) {
+      // Only a committed change has restored the redundancy.
+      if (!leader.node.isSettled) return
+      this.#lostVoter = null
+      this.#repaired += 1
+      return
+    }
+    this.#counter += 1
+    this.#step(leader, { type: 'changeMembers', at: 0, wall: this.#steps, proposal: this.#counter, members: next })
+  }
+
+  #nextMembers (members: Members, old: ReplicaId, fresh: ReplicaId): Members | null {
+    const { voters, learners } = members
+    if (!voters.includes(fresh)) {
+      if (!learners.includes(fresh)) return { voters, learners: [fresh] }
+      return { voters: [...voters, fresh], learners: [] }
+    }
+    return voters.includes(old) ? { voters: voters.filter(id => id !== old), learners: [] } : null
+  }
+
+  #findLeader (): Peer | undefined {
+    return [...this.#peers.values()].filter(peer => peer.node?.role === 'leader').sort((a, b) => (b.node?.term ?? 0) - (a.node?.term ?? 0))[0]
+  }
+
+  // The end: all is well again, and everything that was acknowledged is there.
+
+  #heal (): void {
+    this.#cut.clear()
+    this.#wire = []
+    for (const peer of this.#peers.values()) peer.paused = false
+    for (let round = 0; round < 400; round++) {
+      for (const peer of this.#peers.values()) this.#passTime(peer, 10)
+      for (const peer of this.#peers.values()) this.#sync(peer)
+      const wire = this.#wire
+      this.#wire = []
+      for (const packet of wire) this.#receive(packet)
+      if (round % 20 === 10) this.#proposeAtLeader()
+    }
+    this.#checkEnd()
+  }
+
+  #proposeAtLeader (): void {
+    const leader = this.#findLeader()
+    if (leader !== undefined) this.#propose(leader)
+  }
+
+  #checkEnd (): void {
+    const leader = this.#findLeader()
+    if (leader === undefined) return this.#violate('progress: no leader after healing')
+    const { members } = leader.node as RaftNode
+    const reachable = members.voters.filter(id => this.#peers.has(id))
+    if (reachable.length * 2 <= members.voters.length) return
+    for (const [value, index] of this.#acknowledged) {
+      if (!leader.applied.includes(value)) this.#violate(`lost: ${value} at ${index} was acknowledged, and ${leader.id} lacks it`)
+    }
+    const unique = new Set(leader.applied)
+    if (unique.size !== leader.applied.length) this.#violate('twice: a value was applied twice')
+    for (const id of reachable) this.#checkSame(leader, this.#peers.get(id))
+  }
+
+  #checkSame (leader: Peer, peer: Peer | undefined): void {
+    if (peer === undefined) return
+    const behind = leader.appliedIndex - peer.appliedIndex
+    if (behind > 20) this.#violate(`progress: ${peer.id} is ${behind} entries behind after healing`)
+    const common = Math.min(leader.applied.length, peer.applied.length)
+    for (let i = 0; i < common; i++) {
+      if (leader.applied[i] !== peer.applied[i]) return this.#violate(`agreement: value ${i} differs at ${peer.id}`)
+    }
+  }
+
+  #violate (text: string): void {
+    if (this.#violations.length < 20) this.#violations.push(text)
+  }
+}
--- /dev/null
+++ b/test/raft-history.test.ts
@@ -0,0 +1,24 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { RaftHistory } from '../src/proof/index.js'
+
+const cases = [
+  { name: '800 histories of three keepers', from: 1, count: 800, size: 3, steps: 400 },
+  { name: '200 histories of five keepers', from: 5001, count: 200, size: 5, steps: 600 }
+]
+
+for (const { name, from, count, size, steps } of cases) {
+  test(`the log keeps its promises in ${name}`, () => {
+    let acknowledged = 0
+    let disksLost = 0
+    for (let seed = from; seed < from + count; seed++) {
+      const report = new RaftHistory(seed, size).run(steps)
+      assert.deepEqual(report.violations, [], `seed ${seed}`)
+      acknowledged += report.acknowledged
+      disksLost += report.disksLost
+    }
+    // A run in which nothing was accepted or lost would prove nothing.
+    assert.ok(acknowledged > count * 5, `only ${acknowledged} acknowledged`)
+    assert.ok(disksLost > count / 20, `only ${disksLost} disks lost`)
+  })
+}
