Test the callers', engines', claims', operators' and stopping paths under faults

Cause: the path was seen by hand only. Change: tests over real sockets and disks in one process. They found one fault: a begun answer whose every engine had failed waited in the queue for ever; it is now told that no engine is left, and no resumed request waits over 30 s.

--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -33,6 +33,7 @@
 const streamPenaltyMs = 1
 const silentPenaltyMs = 200
 const guessShare = 0.5
+const resumedWaitMs = 30_000
 const promptWeight = 0.25
 
 interface Placed {
@@ -151,9 +152,9 @@
   }
 
   #findRefusal (submission: Submission, wanted: RequestClass): RefusalReason | undefined {
-    if (submission.resumed) return undefined
     const places = this.#countPlaces(submission, wanted.mayWait)
     if (places === 0) return 'no-engine'
+    if (submission.resumed) return undefined
     if (wanted.mayWait) {
       const limit = this.#config.queuePerEngine * this.#list.length
       return this.#openQueue(wanted).size >= limit ? 'queue-full' : undefined
@@ -459,7 +460,7 @@
   }
 
   #isLate (entry: Waiting, of: RequestClass): boolean {
-    if (entry.submission.resumed) return false
+    if (entry.submission.resumed) return this.#now - entry.since > resumedWaitMs
     if (of.mayWait) return this.#now - entry.since > of.maxWaitMs
     return this.#now + this.#openLead(of.name).safeMs > entry.submission.deadline
   }
--- /dev/null
+++ b/test/support/deployment.ts
@@ -0,0 +1,258 @@
+/** A small deployment in the test's process: real sockets and disks, stand-ins behind. */
+import { createHash } from 'node:crypto'
+import { mkdtempSync, rmSync } from 'node:fs'
+import { Agent, request as httpRequest } from 'node:http'
+import type { IncomingHttpHeaders } from 'node:http'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import type { EntrySettings, KeeperSettings, StandinEngineSettings } from '../../src/config/index.js'
+import { EventLog, Metrics } from '../../src/runtime/index.js'
+import { StandinEngine, StandinService } from '../../src/standin/index.js'
+import { EntryBox, KeeperBox } from '../../src/tasks/index.js'
+import { OperatorClient } from '../../src/bin/operator-client.js'
+
+export const host = '127.0.0.1'
+export const secret = 'a secret for tests only'
+export const key = 'test-key'
+const waitMs = 30_000
+
+/** What a deployment is made of. */
+export interface Shape {
+  /** First port; each test file has a hundred of its own. */
+  readonly port: number
+  readonly keepers?: number
+  readonly entries?: number
+  readonly zones?: number
+  readonly engines?: number
+  readonly places?: number
+  readonly engine?: Partial<StandinEngineSettings>
+  readonly entry?: Partial<EntrySettings>
+  readonly keeper?: Partial<KeeperSettings>
+  /** More of the intent. */
+  readonly intent?: string
+}
+
+/** A caller's answer, whole. */
+export interface Answer {
+  readonly status: number
+  readonly headers: IncomingHttpHeaders
+  readonly body: string
+}
+
+const classes = `
+[classes.quick]
+priority = 0
+firstTokenMs = 5000
+betweenTokenMs = 1000
+[classes.draft]
+priority = 4
+firstTokenMs = 60000
+mayWait = true
+[workspaces.camp]
+keys = ["${digest(key)}"]
+defaultClass = "quick"
+`
+
+export function digest (text: string): string {
+  return createHash('sha256').update(text).digest('hex')
+}
+
+/** Waits until something holds. The limit only ends a test that would hang. */
+export async function until (test: () => boolean | Promise<boolean>, what: string): Promise<void> {
+  const end = Date.now() + waitMs
+  while (!await test()) {
+    if (Date.now() > end) throw new Error(`never came about: ${what}`)
+    await new Promise(resolve => setTimeout(resolve, 10))
+  }
+}
+
+export class Deployment {
+  readonly shape: Shape
+  readonly folder = mkdtempSync(join(tmpdir(), 'wrenlane-test-'))
+  readonly lines: string[] = []
+  readonly keepers: KeeperBox[] = []
+  readonly entries: EntryBox[] = []
+  readonly engines: StandinEngine[] = []
+  readonly fatal: Error[] = []
+  service = new StandinService({ id: 'bookings', host, port: 0, delayMs: 1 })
+
+  private constructor (shape: Shape) {
+    this.shape = shape
+  }
+
+  /** Starts everything and waits until it serves. */
+  static async start (shape: Shape): Promise<Deployment> {
+    const deployment = new Deployment(shape)
+    await deployment.#startStandins()
+    for (let i = 0; i < deployment.keeperAddresses.length; i++) await deployment.startKeeper(i)
+    for (let i = 0; i < (shape.entries ?? 1); i++) await deployment.startEntry(i)
+    await deployment.configure(deployment.intent)
+    await until(() => deployment.entries.every(entry => entry.composeStatus().ready), 'entries ready')
+    return deployment
+  }
+
+  get keeperAddresses () {
+    return Array.from({ length: this.shape.keepers ?? 3 }, (_, i) => ({ id: `keeper-${i + 1}`, host, port: this.shape.port + 10 + i }))
+  }
+
+  get url (): string { return `http://${host}:${this.entries[0].port}` }
+
+  get intent (): string {
+    const lines = [classes, '[pools.small]', 'models = ["m"]', `places = ${this.shape.places ?? 8}`, 'floorPlaces = 1']
+    this.engines.forEach((engine, i) => {
+      lines.push(`[engines.engine-${i}]`, 'pool = "small"', `zone = "${this.#zone(i)}"`, `host = "${host}"`, `port = ${engine.port}`)
+    })
+    lines.push('[services.bookings]', `endpoints = [{ host = "${host}", port = ${this.service.port}, zone = "zone-0" }]`, 'repeatablePaths = ["/stock"]', 'timeoutMs = 3000')
+    return `${lines.join('\n')}\n${this.shape.intent ?? ''}`
+  }
+
+  async startKeeper (i: number): Promise<KeeperBox> {
+    const { id, port } = this.keeperAddresses[i]
+    const settings: KeeperSettings = {
+      id,
+      zone: this.#zone(i),
+      control: { host, port },
+      keepers: this.keeperAddresses,
+      secretFile: '',
+      statsd: null,
+      data: join(this.folder, id),
+      snapshotEvery: 5000,
+      heartbeatMs: 40,
+      electionMs: 250,
+      ...this.shape.keeper
+    }
+    const keeper = new KeeperBox(settings, { log: this.#log(id), metrics: new Metrics(null, id), secret, noteFatal: error => this.fatal.push(error) })
+    await keeper.start()
+    this.keepers[i] = keeper
+    return keeper
+  }
+
+  async startEntry (i: number): Promise<EntryBox> {
+    const id = `entry-${i + 1}`
+    const members = Array.from({ length: this.shape.entries ?? 1 }, (_, j) => ({ host, port: this.shape.port + 30 + j }))
+    const settings: EntrySettings = {
+      id,
+      zone: this.#zone(i),
+      listen: { host, port: 0 },
+      control: members[i],
+      keepers: this.keeperAddresses,
+      members,
+      secretFile: '',
+      statsd: null,
+      cacheFile: '',
+      balancerLagMs: 50,
+      drainMs: 30_000,
+      maxConnections: 4096,
+      maxBodyBytes: 2 ** 20,
+      receiveMs: 5000,
+      enginesPerShard: 32,
+      ...this.shape.entry
+    }
+    const entry = new EntryBox(settings, { log: this.#log(id), metrics: new Metrics(null, id), secret })
+    await entry.start()
+    this.entries[i] = entry
+    return entry
+  }
+
+  createOperator (name = 'tester'): OperatorClient {
+    return new OperatorClient(name, this.keeperAddresses, secret)
+  }
+
+  /** Plans an intent, confirms it, and returns the revision. */
+  async configure (intent: string): Promise<number> {
+    const operator = this.createOperator()
+    try {
+      const planned = await operator.call({ type: 'plan', id: operator.identify(intent), intent })
+      if (planned.type !== 'result' || planned.result.type !== 'planned') throw new Error(JSON.stringify(planned))
+      const { plan } = planned.result
+      const done = await operator.call({ type: 'command', command: { part: 'config', command: { type: 'confirm', id: operator.identify(`confirm ${plan}`), plan } } })
+      if (done.type !== 'result' || done.result.type !== 'accepted') throw new Error(JSON.stringify(done))
+      return done.result.revision
+    } finally {
+      operator.close()
+    }
+  }
+
+  get leader (): KeeperBox | undefined { return this.keepers.find(keeper => keeper.replica?.isLeader === true) }
+
+  /** Ends everything at once. */
+  async stop (): Promise<void> {
+    for (const one of this.entries) one.kill()
+    for (const one of this.keepers) one.kill()
+    for (const one of this.engines) one.close()
+    this.service.close()
+    await new Promise(resolve => setTimeout(resolve, 50))
+    rmSync(this.folder, { recursive: true, force: true })
+  }
+
+  async #startStandins (): Promise<void> {
+    await this.service.listen()
+    for (let i = 0; i < (this.shape.engines ?? 2); i++) {
+      const engine = new StandinEngine({
+        id: `engine-${i}`,
+        host,
+        port: 0,
+        models: ['m'],
+        batch: 9,
+        baseMs: 1,
+        streamMs: 0.1,
+        prefillMs: 5,
+        kvTokens: 100_000,
+        reportLagMs: 100,
+        checksFencing: true,
+        ...this.shape.engine
+      })
+      await engine.listen()
+      this.engines.push(engine)
+    }
+  }
+
+  #zone (i: number): string { return `zone-${i % (this.shape.zones ?? 1)}` }
+
+  #log (id: string): EventLog { return new EventLog(id, line => { this.lines.push(line) }) }
+}
+
+const agent = new Agent({ keepAlive: true, maxSockets: 4096 })
+
+/** Sends one request and reads the whole answer. */
+export function send (url: string, path: string, body: string | Buffer | null, headers: Record<string, string> = {}): Promise<Answer> {
+  return new Promise((resolve, reject) => {
+    const request = httpRequest(`${url}${path}`, {
+      method: body === null ? 'GET' : 'POST',
+      agent,
+      headers: { authorization: `Bearer ${key}`, ...headers }
+    }, response => {
+      const chunks: Buffer[] = []
+      response.on('data', (chunk: Buffer) => chunks.push(chunk))
+      response.on('end', () => resolve({ status: response.statusCode ?? 0, headers: response.headers, body: Buffer.concat(chunks).toString() }))
+      response.on('error', reject)
+    })
+    request.on('error', reject)
+    request.end(body ?? undefined)
+  })
+}
+
+/** Asks a chat. */
+export function chat (url: string, more: Record<string, unknown> = {}, headers: Record<string, string> = {}): Promise<Answer> {
+  const body = { model: 'm', messages: [{ role: 'user', content: 'where is the pitch?' }], max_tokens: 10, ...more }
+  return send(url, '/v1/chat/completions', JSON.stringify(body), { 'content-type': 'application/json', ...headers })
+}
+
+/** The text of a streamed answer, and whether it ended as a whole one. */
+export function readStream (body: string): { readonly text: string, readonly done: boolean, readonly error: string | null } {
+  let text = ''
+  let done = false
+  let error = null
+  for (const event of body.split('\n\n')) {
+    if (!event.startsWith('data: ')) continue
+    const data = event.slice(6)
+    if (data === '[DONE]') {
+      done = true
+      continue
+    }
+    const chunk = JSON.parse(data) as { error?: { code: string }, choices?: { delta: { content?: string } }[] }
+    if (chunk.error !== undefined) error = chunk.error.code
+    text += chunk.choices?.[0]?.delta.content ?? ''
+  }
+  return { text, done, error }
+}
