Hold 200 streams in flight for long enough in the stop test

Cause: the runtime accepts one connection for each turn of its loop, so in one process with the stand-ins 200 connections take over a second to arrive, and answers of 40 tokens had ended by then (at most 76 in flight at once). Ruled out: the scheduler (its queue was empty) and the processor (31% idle). Then the balancer's lag of the test, 50 ms, had passed before the test's own late calls arrived, and an entry box that was ended twice threw. Change: answers of 250 tokens and a lag of 1.5 s, the assertions as they were; ending a box twice is harmless.

--- a/src/tasks/entry-box.ts
+++ b/src/tasks/entry-box.ts
@@ -68,6 +68,7 @@
   #attempts = 0
   #services = 0
   #leaving = false
+  #killed = false
   #violations = 0
   port = 0
   controlPort = 0
@@ -160,6 +161,8 @@
 
   /** Ends at once; what was in flight is cut. */
   kill (): void {
+    if (this.#killed) return
+    this.#killed = true
     for (const timer of this.#timers) clearInterval(timer)
     this.#server.cut()
     this.#watch.close()
--- a/test/planned-stop.test.ts
+++ b/test/planned-stop.test.ts
@@ -4,10 +4,10 @@
 import { Deployment, chat, host, readStream, send, until } from './support/deployment.js'
 
 test('a planned stop with 200 streams in flight cuts none', async () => {
-  const place = await Deployment.start({ port: 21_300, entries: 2, engines: 4, places: 59, engine: { batch: 60, baseMs: 10 } })
+  const place = await Deployment.start({ port: 21_300, entries: 2, engines: 4, places: 59, entry: { balancerLagMs: 1500 }, engine: { batch: 60, baseMs: 10 } })
   try {
     const contents = Array.from({ length: 200 }, (_, i) => `question ${i}`)
-    const answers = contents.map(content => chat(place.url, { stream: true, max_tokens: 40, messages: [{ role: 'user', content }] }))
+    const answers = contents.map(content => chat(place.url, { stream: true, max_tokens: 250, messages: [{ role: 'user', content }] }))
     await until(() => place.entries[0].inFlight === 200, '200 in flight')
     const stopped = place.entries[0].stop()
     const ready = await send(place.url, '/readyz', null)
@@ -16,7 +16,7 @@
     assert.equal((await chat(place.url)).status, 200)
     const done = await Promise.all(answers)
     for (const [i, answer] of done.entries()) {
-      const text = composeAnswer({ model: 'm', messages: [{ role: 'user', content: contents[i] }], max_tokens: 40 }).words.join('')
+      const text = composeAnswer({ model: 'm', messages: [{ role: 'user', content: contents[i] }], max_tokens: 250 }).words.join('')
       assert.deepEqual(readStream(answer.body), { text, done: true, error: null })
     }
     assert.equal(await stopped, 0)
