--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,34 @@
+#!/usr/bin/env bash
+# What the entry box adds to a request, and what one entry process carries.
+# Prints one JSON object for each run. Figures are of this machine, now.
+set -eu
+cd "$(dirname "$0")/.."
+. scripts/processes.sh
+trap stop_all EXIT
+seconds=${1:-6}
+port=23000
+start_deployment $port 3 1 2 4 4 400
+entry="http://127.0.0.1:$((port + 1))"
+engines="http://127.0.0.1:$((port + 101)),http://127.0.0.1:$((port + 201)),http://127.0.0.1:$((port + 301)),http://127.0.0.1:$((port + 401))"
+load () { node dist/src/bin/load.js --seconds "$seconds" "$@"; }
+cpu () { awk '{ printf "%.2f", ($14 + $15) / 100 }' "/proc/$(cat "$WORK/entry-1.pid")/stat"; }
+memory () { awk '/VmRSS/ { printf "%d", $2 / 1024 }' "/proc/$(cat "$WORK/entry-1.pid")/status"; }
+
+node dist/src/bin/load.js --name warm-up --url "$entry" --callers 50 --seconds 2 >/dev/null
+load --name direct-50 --url "$engines" --callers 50 --tokens 30
+load --name entry-50 --url "$entry" --callers 50 --tokens 30
+load --name direct-50-again --url "$engines" --callers 50 --tokens 30
+load --name entry-50-again --url "$entry" --callers 50 --tokens 30
+before=$(cpu)
+load --name short-a --url "$entry" --callers 60 --tokens 1 &
+load --name short-b --url "$entry" --callers 60 --tokens 1
+wait %% 2>/dev/null || true
+after=$(cpu)
+echo "{\"name\":\"short-cpu\",\"entryCpuSeconds\":$(awk "BEGIN { print $after - $before }"),\"residentMB\":$(memory)}"
+before=$(cpu)
+jobs=()
+for n in a b c; do load --name "tokens-$n" --url "$entry" --callers 200 --tokens 200 & jobs+=($!); done
+wait "${jobs[@]}"
+after=$(cpu)
+echo "{\"name\":\"tokens-cpu\",\"entryCpuSeconds\":$(awk "BEGIN { print $after - $before }"),\"residentMB\":$(memory)}"
+load --name claims --url "$entry" --callers 200 --service /v1/services/bookings/confirm
--- /dev/null
+++ b/src/bin/load-run.ts
@@ -0,0 +1,115 @@
+import { Agent, request as httpRequest } from 'node:http'
+import { performance } from 'node:perf_hooks'
+import hdr from 'hdr-histogram-js'
+
+const microsecond = 1000
+
+/** The options of a run, as the command line gives them. */
+export interface LoadOptions {
+  readonly url: string
+  readonly key: string
+  readonly callers: string | number
+  readonly seconds: string | number
+  readonly tokens: string | number
+  readonly model: string
+  readonly name: string
+  readonly service?: string
+}
+
+/** One run: asks, and keeps count of what comes back. */
+export class Load {
+  #options: LoadOptions
+  #urls: readonly string[]
+  #agent = new Agent({ keepAlive: true, maxSockets: 8192 })
+  #body: string
+  #first = hdr.build()
+  #whole = hdr.build()
+  #answered = 0
+  #refused = 0
+  #failed = 0
+  #tokens = 0
+  #turn = 0
+
+  constructor (options: LoadOptions, urls: readonly string[], tokens: number) {
+    this.#options = options
+    this.#urls = urls
+    this.#body = JSON.stringify({ model: options.model, messages: [{ role: 'user', content: 'how many nights?' }], max_tokens: tokens, stream: true })
+  }
+
+  /** Asks once and reads the whole answer. */
+  ask (): Promise<void> {
+    this.#turn += 1
+    const url = this.#urls[this.#turn % this.#urls.length]
+    const began = performance.now()
+    return new Promise(resolve => {
+      const request = httpRequest(`${url}${this.#path}`, { method: 'POST', agent: this.#agent, headers: this.#headers }, response => {
+        let isFirst = true
+        let last: Buffer | null = null
+        response.on('data', (chunk: Buffer) => {
+          if (isFirst) this.#first.recordValue((performance.now() - began) * microsecond)
+          isFirst = false
+          last = chunk
+          this.#tokens += countTokens(chunk)
+        })
+        response.on('end', () => {
+          this.#note(response.statusCode ?? 0, last, performance.now() - began)
+          resolve()
+        })
+        response.on('error', () => {
+          this.#failed += 1
+          resolve()
+        })
+      })
+      request.on('error', () => {
+        this.#failed += 1
+        resolve()
+      })
+      request.end(this.#options.service === undefined ? this.#body : '{"pitch":7}')
+    })
+  }
+
+  summarise (ms: number, callers: number) {
+    const seconds = ms / 1000
+    return {
+      name: this.#options.name,
+      callers,
+      answered: this.#answered,
+      refused: this.#refused,
+      failed: this.#failed,
+      requestsPerSecond: Math.round(this.#answered / seconds),
+      tokensPerSecond: Math.round(this.#tokens / seconds),
+      firstMs: quantiles(this.#first),
+      wholeMs: quantiles(this.#whole)
+    }
+  }
+
+  get #path (): string { return this.#options.service ?? '/v1/chat/completions' }
+
+  get #headers (): Record<string, string> {
+    const headers: Record<string, string> = { authorization: `Bearer ${this.#options.key}`, 'content-type': 'application/json' }
+    if (this.#options.service !== undefined) headers['idempotency-key'] = `${process.pid}-${this.#options.name}-${this.#turn}`
+    return headers
+  }
+
+  #note (status: number, last: Buffer | null, ms: number): void {
+    const isWhole = this.#options.service !== undefined || last?.includes('[DONE]') === true
+    if (status === 429 || status === 503) this.#refused += 1
+    else if (status !== 200 || !isWhole) this.#failed += 1
+    else {
+      this.#answered += 1
+      this.#whole.recordValue(ms * microsecond)
+    }
+  }
+}
+
+// Every event with text has this; the last one, which ends the answer, has not.
+function countTokens (chunk: Buffer): number {
+  let count = 0
+  for (let at = chunk.indexOf('"content"'); at >= 0; at = chunk.indexOf('"content"', at + 9)) count += 1
+  return count
+}
+
+function quantiles (histogram: hdr.Histogram): { p50: number, p99: number } {
+  const read = (share: number): number => Math.round(histogram.getValueAtPercentile(share)) / microsecond
+  return { p50: read(50), p99: read(99) }
+}
