--- a/src/coordination/members/membership.ts
+++ b/src/coordination/members/membership.ts
@@ -19,11 +19,11 @@
   readonly helpers: number
 }
 
-/** Tuning that finds a dead box within about 3 s. */
+/** Tuning that finds a dead box within 3 to 5 s. */
 export const defaultMembershipTuning: MembershipTuning = {
-  periodMs: 400,
-  ackMs: 200,
-  suspectMs: 1600,
+  periodMs: 500,
+  ackMs: 150,
+  suspectMs: 2000,
   rememberMs: 600_000,
   helpers: 3
 }
@@ -31,6 +31,7 @@
 const newsPerMessage = 8
 const membersPerState = 12
 const askEveryMs = 2000
+const reviveEveryMs = 4000
 const worstHealth = 8
 
 interface Probe {
@@ -66,6 +67,7 @@
   #number = 0
   #periodAt = 0
   #askAt = 0
+  #reviveAt = 0
   #health = 0
   #now = 0
   #effects: MemberEffect[] = []
@@ -110,6 +112,7 @@
     this.#periodAt = this.#now + this.#tuning.periodMs
     this.#failProbe()
     this.#startProbe()
+    this.#tryGone()
   }
 
   // Probing, in a random order that is drawn anew after each round.
@@ -138,6 +141,19 @@
     this.#sendPing(seed, this.#number)
   }
 
+  // After a cut both sides think the other gone: now and then one of them is
+  // asked, and a box that hears that it is thought gone comes back as a new one.
+  #tryGone (): void {
+    if (this.#now < this.#reviveAt || this.#goneAt.size === 0) return
+    this.#reviveAt = this.#now + reviveEveryMs
+    const gone = [...this.#goneAt.keys()]
+    const member = this.#members.get(gone[Math.floor(this.#random() * gone.length)])
+    if (member === undefined) return
+    this.#number += 1
+    this.#spread(member)
+    this.#sendPing(member, this.#number)
+  }
+
   #checkProbe (): void {
     const probe = this.#probe
     if (probe === null || probe.indirect || this.#now - probe.sentAt < this.#tuning.ackMs) return
@@ -183,10 +199,12 @@
     if (message.type !== 'ask') for (const member of message.news) this.#learn(member)
     switch (message.type) {
       case 'ping':
+        this.#tellIfDoubted(message.from)
         this.#send(message.from, { type: 'ack', from: this.#self, number: message.number, news: this.#takeNews(), digest: this.#digest() })
         return this.#compare(message.from, message.digest)
       case 'ack':
         this.#noteAck(message.number)
+        this.#tellIfDoubted(message.from)
         return this.#compare(message.from, message.digest)
       case 'probe': return this.#relay(message)
       case 'ask': return this.#tellAll(message.from)
@@ -194,6 +212,14 @@
     }
   }
 
+  // A box that is heard from while it is doubted is told so, and can refute it.
+  #tellIfDoubted (from: Member): void {
+    const known = this.#members.get(from.id)
+    if (known === undefined || known.incarnation !== from.incarnation) return
+    if (known.state !== 'suspect' && known.state !== 'gone') return
+    this.#send(from, { type: 'state', from: this.#self, news: [known] })
+  }
+
   #noteAck (number: number): void {
     if (this.#probe?.number === number) {
       this.#probe = null
@@ -250,11 +276,13 @@
 
   #learnOfSelf (word: Member): void {
     if (word.incarnation !== this.#self.incarnation || word.state === this.#self.state) return
-    if (this.#self.state === 'leaving' || word.version < this.#self.version) return
+    if (this.#self.state === 'leaving') return
     if (word.state !== 'suspect' && word.state !== 'gone') return
+    // An older suspicion is refuted already; "gone" holds whatever the version.
+    if (word.state === 'suspect' && word.version < this.#self.version) return
     // "Gone" can't be refuted by a version; the box comes back as a new one.
     const incarnation = word.state === 'gone' ? this.#self.incarnation + 1 : this.#self.incarnation
-    this.#self = { ...this.#self, incarnation, version: word.version + 1 }
+    this.#self = { ...this.#self, incarnation, version: Math.max(this.#self.version, word.version) + 1 }
     this.#health = Math.min(worstHealth, this.#health + 1)
     this.#spread(this.#self)
   }
@@ -275,7 +303,7 @@
 
   #takeNews (): Member[] {
     const news: Member[] = []
-    for (const [id, item] of this.#news) {
+    for (const [id, item] of [...this.#news]) {
       if (news.length >= newsPerMessage) break
       news.push(item.member)
       item.left -= 1
--- a/src/core/class-queue.ts
+++ b/src/core/class-queue.ts
@@ -12,6 +12,8 @@
 interface Lane {
   readonly workspace: WorkspaceName
   readonly waiting: Waiting[]
+  /** The counter when the lane was opened: service before that was never charged to it. */
+  readonly base: number
   served: number
 }
 
@@ -65,10 +67,10 @@
     return taken
   }
 
-  /** Charges a workspace for `tokens` of service. */
+  /** Charges a waiting workspace for `tokens` of service; fewer than 0 correct an estimate. */
   charge (workspace: WorkspaceName, tokens: number): void {
     const lane = this.#lanes.get(workspace)
-    if (lane !== undefined) lane.served += tokens
+    if (lane !== undefined) lane.served = Math.max(lane.base, lane.served + tokens)
   }
 
   /** How many would be served before a new request of this workspace. */
@@ -101,7 +103,8 @@
   #open (workspace: WorkspaceName): Lane {
     const found = this.#lanes.get(workspace)
     if (found !== undefined) return found
-    const lane = { workspace, waiting: [], served: this.#findLeastServed() }
+    const base = this.#findLeastServed()
+    const lane = { workspace, waiting: [], base, served: base }
     this.#lanes.set(workspace, lane)
     return lane
   }
--- /dev/null
+++ b/test/scheduler.test.ts
@@ -0,0 +1,242 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { Scheduler, brandId, defaultTuning } from '../src/core/index.js'
+import type { BoxId, ClassName, EngineId, EngineSpec, ModelName, RequestClass, RequestId, SchedulerAction, SchedulerEvent, Submission, WorkspaceName } from '../src/core/index.js'
+import { SchedulerHistory } from '../src/proof/index.js'
+
+const model = brandId<ModelName>('m')
+const quick: RequestClass = { name: brandId<ClassName>('quick'), priority: 0, firstTokenMs: 400, betweenTokenMs: 80, wholeMs: null, mayWait: false, maxWaitMs: 1000 }
+const lookup: RequestClass = { ...quick, name: brandId<ClassName>('lookup') }
+const draft: RequestClass = { ...quick, name: brandId<ClassName>('draft'), priority: 4, mayWait: true, firstTokenMs: 10_000, maxWaitMs: 60_000 }
+
+function build (engines = 1, places = 2, floorPlaces = 1): Scheduler {
+  const specs: EngineSpec[] = Array.from({ length: engines }, (_, i) => ({ id: brandId<EngineId>(`e${i}`), models: [model], places, floorPlaces, prefillMs: 50 }))
+  return new Scheduler({ ...defaultTuning, classes: [quick, lookup, draft], engines: specs }, () => 0.5)
+}
+
+function submit (request: string, of: RequestClass, at = 0, more: Partial<Submission> = {}): SchedulerEvent {
+  return {
+    type: 'submit',
+    at,
+    submission: { request: brandId<RequestId>(request), attempt: 1, box: brandId<BoxId>('b'), class: of.name, workspace: brandId<WorkspaceName>('w'), model, promptTokens: 100, prefix: null, deadline: at + of.firstTokenMs, exclude: [], resumed: false, ...more }
+  }
+}
+
+function end (request: string, at: number, how: 'done' | 'engine-failed' | 'engine-unreachable' = 'done'): SchedulerEvent {
+  return { type: 'end', at, request: brandId<RequestId>(request), attempt: 1, how, tokens: 20 }
+}
+
+function tell (actions: readonly SchedulerAction[]): string[] {
+  return actions.map(tellOne)
+}
+
+function tellOne (action: SchedulerAction): string {
+  switch (action.type) {
+    case 'grant': return `grant ${action.request} ${action.engine}`
+    case 'refuse': return `refuse ${action.request} ${action.reason}`
+    case 'yield': return `yield ${action.request} to ${action.to}`
+    case 'violation': return `violation ${action.rule}`
+  }
+}
+
+/** Steps in order, each with what it must lead to. */
+interface Case {
+  readonly name: string
+  readonly engines?: number
+  readonly steps: readonly (readonly [SchedulerEvent, readonly string[]])[]
+}
+
+const id = (name: string): EngineId => brandId<EngineId>(name)
+
+const cases: readonly Case[] = [
+  {
+    name: 'a quick request pauses a draft, never the other way round',
+    steps: [
+      [submit('d1', draft), ['grant d1 e0']],
+      [submit('d2', draft), ['grant d2 e0']],
+      [submit('d3', draft), ['grant d3 e0']],
+      [submit('q1', quick), ['yield d3 to q1', 'grant q1 e0']],
+      [submit('q2', quick), ['yield d3 to q2', 'grant q2 e0']],
+      [submit('d4', draft), []]
+    ]
+  },
+  {
+    name: 'quick requests never take the floor place, and are refused only for their own excess',
+    steps: [
+      [submit('q1', quick), ['grant q1 e0']],
+      [submit('q2', quick), ['grant q2 e0']],
+      [submit('q3', quick), ['refuse q3 overloaded']],
+      [submit('d1', draft), ['grant d1 e0']],
+      [submit('q4', quick), ['refuse q4 overloaded']]
+    ]
+  },
+  {
+    name: 'a place that frees goes to the quick request that waits, not to an older draft',
+    steps: [
+      [submit('q1', quick), ['grant q1 e0']],
+      [submit('q2', quick), ['grant q2 e0']],
+      [submit('d1', draft), ['grant d1 e0']],
+      [submit('d2', draft), []],
+      [submit('q3', quick, 0, { deadline: 5000 }), []],
+      [end('q1', 100), ['grant q3 e0']],
+      [end('q2', 200), ['grant d2 e0']]
+    ]
+  },
+  {
+    name: 'a waiting request is given up on at once when its target cannot be met',
+    steps: [
+      [submit('q1', quick), ['grant q1 e0']],
+      [submit('q2', quick), ['grant q2 e0']],
+      [submit('q3', quick, 0, { deadline: 1500 }), []],
+      [{ type: 'tick', at: 1000 }, []],
+      [{ type: 'tick', at: 1460 }, ['refuse q3 late']]
+    ]
+  },
+  {
+    name: 'word of an older attempt changes nothing',
+    steps: [
+      [submit('q1', quick, 0, { attempt: 7 }), ['grant q1 e0']],
+      [end('q1', 10), []],
+      [submit('q2', quick), ['grant q2 e0']],
+      [submit('q3', quick, 10), ['refuse q3 overloaded']]
+    ]
+  },
+  {
+    name: 'a leaving engine gets no new work',
+    engines: 2,
+    steps: [
+      [{ type: 'drain', at: 0, engine: id('e0'), leaving: true }, []],
+      [submit('q1', quick), ['grant q1 e1']],
+      [submit('q2', quick), ['grant q2 e1']],
+      [submit('q3', quick), ['refuse q3 overloaded']],
+      [{ type: 'drain', at: 1, engine: id('e0'), leaving: false }, []],
+      [submit('q4', quick, 2), ['grant q4 e0']]
+    ]
+  },
+  {
+    name: 'an engine that refuses connections is out at once, and probed after its back-off',
+    steps: [
+      [submit('q1', quick), ['grant q1 e0']],
+      [end('q1', 10, 'engine-unreachable'), []],
+      [submit('q2', quick, 20), ['refuse q2 no-engine']],
+      [{ type: 'tick', at: 1100 }, []],
+      [submit('q3', quick, 1101), ['grant q3 e0']],
+      [submit('q4', quick, 1102), ['refuse q4 no-engine']],
+      [{ type: 'firstToken', at: 1120, request: brandId<RequestId>('q3'), attempt: 1 }, []],
+      [submit('q5', quick, 1130), ['grant q5 e0']]
+    ]
+  },
+  {
+    name: 'an engine that failed a request is not asked for it again',
+    engines: 2,
+    steps: [
+      [submit('q1', quick, 0, { exclude: [id('e0')] }), ['grant q1 e1']],
+      [submit('q2', quick, 0, { exclude: [id('e0'), id('e1')] }), ['refuse q2 no-engine']]
+    ]
+  },
+  {
+    name: 'the requests of a box that is lost free their places',
+    steps: [
+      [submit('q1', quick), ['grant q1 e0']],
+      [submit('q2', quick), ['grant q2 e0']],
+      [submit('q3', quick, 0, { box: brandId<BoxId>('other'), deadline: 9000 }), []],
+      [{ type: 'boxLost', at: 10, box: brandId<BoxId>('b') }, ['grant q3 e0']]
+    ]
+  },
+  {
+    name: 'a stream that a new owner is told of takes its place',
+    steps: [
+      [{ ...(submit('q1', quick) as Extract<SchedulerEvent, { type: 'submit' }>), type: 'adopt', engine: id('e0') }, []],
+      [submit('q2', quick), ['grant q2 e0']],
+      [submit('q3', quick), ['refuse q3 overloaded']]
+    ]
+  },
+  {
+    name: 'a draft whose queue is full is told so',
+    steps: [
+      [submit('d0', draft), ['grant d0 e0']],
+      [submit('d1', draft), ['grant d1 e0']],
+      [submit('d2', draft), ['grant d2 e0']],
+      ...Array.from({ length: defaultTuning.queuePerEngine }, (_, i) => [submit(`w${i}`, draft), []] as const),
+      [submit('last', draft), ['refuse last queue-full']]
+    ]
+  }
+]
+
+for (const { name, engines, steps } of cases) {
+  test(name, () => {
+    const scheduler = build(engines)
+    for (const [event, expected] of steps) assert.deepEqual(tell(scheduler.step(event)), expected, JSON.stringify(event))
+  })
+}
+
+test('classes of one priority take turns, whatever the burst of one of them', () => {
+  const scheduler = build(1, 2, 0)
+  scheduler.step(submit('a', quick))
+  scheduler.step(submit('b', quick))
+  for (let i = 0; i < 5; i++) scheduler.step(submit(`q${i}`, quick, 0, { deadline: 1e9 }))
+  for (let i = 0; i < 2; i++) scheduler.step(submit(`l${i}`, lookup, 0, { deadline: 1e9 }))
+  const order: string[] = []
+  const running = ['a', 'b']
+  for (let at = 1; order.length < 4; at++) {
+    const granted = scheduler.step(end(running.shift() as string, at)).find(action => action.type === 'grant')
+    if (granted?.type !== 'grant') continue
+    order.push(granted.request)
+    running.push(granted.request)
+  }
+  assert.equal(order.filter(request => request.startsWith('l')).length, 2)
+})
+
+test('workspaces of one class take turns, whatever the burst of one of them', () => {
+  const scheduler = build(1, 1, 0)
+  scheduler.step(submit('a', quick))
+  for (let i = 0; i < 6; i++) scheduler.step(submit(`big${i}`, quick, 0, { deadline: 1e9 }))
+  scheduler.step(submit('small', quick, 0, { deadline: 1e9, workspace: brandId<WorkspaceName>('small') }))
+  const first = tell(scheduler.step(end('a', 1)))
+  const request = first[0].split(' ')[1]
+  const second = tell(scheduler.step(end(request, 2)))
+  assert.ok([...first, ...second].some(line => line.includes('small')), `${first} ${second}`)
+})
+
+test('an engine that is slow by its peers is kept for requests that may wait', () => {
+  const scheduler = build(4, 2, 1)
+  const report = (engine: string, stepMs: number, at: number): SchedulerEvent => ({ type: 'report', at, engine: id(engine), report: { running: 1, waiting: 0, kvUsed: 0, stepMs, leaving: false } })
+  for (let at = 0; at < 20; at++) {
+    for (const engine of ['e0', 'e1', 'e2', 'e3']) scheduler.step(report(engine, engine === 'e3' ? 150 : 30, at))
+  }
+  scheduler.step({ type: 'tick', at: 2000 })
+  const grants = Array.from({ length: 7 }, (_, i) => tell(scheduler.step(submit(`q${i}`, quick, 2000)))).flat()
+  assert.ok(grants.slice(0, 6).every(line => line.startsWith('grant') && !line.endsWith('e3')), grants.join(' '))
+  assert.ok(!grants[6]?.startsWith('grant'))
+})
+
+test('a cached prefix draws a request only while it saves more than it costs', () => {
+  const scheduler = build(2, 8, 0)
+  const long = { promptTokens: 2000, prefix: 'p' }
+  assert.deepEqual(tell(scheduler.step(submit('a', quick, 0, long))), ['grant a e0'])
+  assert.deepEqual(tell(scheduler.step(submit('b', quick, 0, { promptTokens: 10 }))), ['grant b e1'])
+  assert.deepEqual(tell(scheduler.step(submit('c', quick, 0, long))), ['grant c e0'])
+  scheduler.step({ type: 'evicted', at: 1, engine: id('e0'), prefixes: ['p'] })
+  assert.deepEqual(tell(scheduler.step(submit('d', quick, 1, long))), ['grant d e1'])
+})
+
+const histories = [
+  { name: 'one engine', engines: 1, from: 1, count: 150, steps: 400 },
+  { name: 'four engines', engines: 4, from: 1001, count: 150, steps: 600 }
+]
+
+for (const { name, engines, from, count, steps } of histories) {
+  test(`the precedence rule holds in ${count} random histories of ${name}, and accepted drafts finish`, () => {
+    let refused = 0
+    let yielded = 0
+    let patient = 0
+    for (let seed = from; seed < from + count; seed++) {
+      const report = new SchedulerHistory(seed, engines).run(steps)
+      assert.deepEqual(report.violations, [], `seed ${seed}`)
+      refused += report.refused
+      yielded += report.yielded
+      patient += report.patientFinished
+    }
+    assert.ok(refused > count && yielded > count && patient > count, `${refused} refused, ${yielded} yielded, ${patient} patient`)
+  })
+}
