Work out the size to design for from measured slopes; mend what did not hold there

Cause: at 600 nodes the membership digest was summed over all members at each message, news from whole-state answers was told on as if new (600 boxes that join at once had not settled after 240 s), two in five requests were placed by another box, and a word of loads went to every link four times a second. Change: the digest is kept up to date; such news is told once; owners are assigned evenly within a zone and a box prefers its own shard; keys of frequent words cross as numbers; each link is told less often the more there are; a box uses 6 near and 3 far shards.

--- /dev/null
+++ b/scripts/capacity.sh
@@ -0,0 +1,51 @@
+#!/usr/bin/env bash
+# Measures slopes and writes the tables of docs/CAPACITY.md. Arguments go to the tool.
+set -eu
+cd "$(dirname "$0")/.."
+if [ $# -gt 0 ]; then exec node --expose-gc dist/src/bin/capacity.js "$@"; fi
+. scripts/processes.sh
+trap stop_all EXIT
+samples=$(mktemp)
+port=24000
+seconds=4
+entry="http://127.0.0.1:$((port + 1))"
+cpu () { awk '{ print ($14 + $15) / 100 }' "/proc/$(cat "$WORK/entry-1.pid")/stat"; }
+memory () { awk '/VmRSS/ { print $2 / 1024 }' "/proc/$(cat "$WORK/entry-1.pid")/status"; }
+field () { sed -n "s/.*\"$1\":\([0-9]*\).*/\1/p"; }
+
+sample () { # KIND FIELD LOAD_ARGUMENTS...
+  local kind=$1 name=$2 before after x
+  shift 2
+  before=$(cpu)
+  x=$(node dist/src/bin/load.js --url "$entry" --seconds $seconds "$@" | field "$name")
+  after=$(cpu)
+  echo "{\"kind\":\"$kind\",\"x\":$x,\"y\":$(awk "BEGIN { print ($after - $before) / $seconds }")}" >>"$samples"
+}
+
+idle () { # ENGINES
+  local before after
+  sleep 2
+  before=$(cpu); sleep 8; after=$(cpu)
+  echo "{\"kind\":\"idle-engines\",\"x\":$1,\"y\":$(awk "BEGIN { print ($after - $before) / 8 }")}" >>"$samples"
+}
+
+for engines in 5 10 20 40; do
+  start_deployment $port 1 1 "$engines" 1
+  idle "$engines"
+  stop_all; WORK=$(mktemp -d)
+done
+start_deployment $port 3 1 2 4 10 400
+sample requests requestsPerSecond --callers 5 --tokens 1 >/dev/null
+: "warm: the first sample is thrown away"; sed -i '/"requests"/d' "$samples"
+for callers in 4 8 16 32; do sample requests requestsPerSecond --callers "$callers" --tokens 1; done
+for callers in 10 20 40 80; do sample tokens tokensPerSecond --callers "$callers" --tokens 200; done
+for callers in 100 200 400 800; do
+  node dist/src/bin/load.js --url "$entry" --seconds 3 --callers "$callers" --tokens 100 >/dev/null &
+  load=$!
+  sleep 2.5
+  echo "{\"kind\":\"streams\",\"x\":$callers,\"y\":$(memory)}" >>"$samples"
+  wait $load
+done
+stop_all
+cat "$samples"
+node --expose-gc dist/src/bin/capacity.js --entry "$samples" --write docs/CAPACITY.md --commit "$(git rev-parse --short HEAD)"
--- /dev/null
+++ b/src/bin/capacity.ts
@@ -0,0 +1,108 @@
+#!/usr/bin/env node
+/** Measures slopes, and writes them into docs/CAPACITY.md with what they come to. */
+import { readFileSync, writeFileSync } from 'node:fs'
+import { cpus, totalmem } from 'node:os'
+import sade from 'sade'
+import { fitSamples, formatDataPath, formatFailures, formatKeepers, formatNodeBytes, formatNodeCore, formatNodeMemory, formatSlopes, measureChangeBytes, measureChangeMemory, measureChangeTime, measureClaimMemory, measureClaimTime, measureConfigMemory, measureDecision, measureEngineMemory, measureLoads, measureLogBytes, measureMembers, measureParting, measureRemoteRequest, measureRequestMemory, measureRestart, measureSnapshot, measureSyncs, readSamples, target } from '../capacity/index.js'
+import type { Measured, Slope } from '../capacity/index.js'
+import { measureRemoteShare } from '../measure/index.js'
+import { endWith, readVersion, usageExit } from './program.js'
+
+interface Options {
+  readonly part?: string
+  readonly sizes?: string
+  readonly entry?: string
+  readonly write?: string
+  readonly commit: string
+}
+
+/** Every part with the sizes at which it is measured. */
+const parts: Readonly<Record<string, { readonly sizes: readonly number[], readonly measure: (sizes: readonly number[]) => readonly Slope[] | Promise<readonly Slope[]> }>> = {
+  decision: { sizes: [32, 65, 250, 1000, 2000], measure: sizes => [measureDecision(sizes)] },
+  parting: { sizes: [1500, 3000, 6000, 12_000], measure: sizes => [measureParting(sizes)] },
+  members: { sizes: [10, 30, 100, 300, 600], measure: sizes => measureMembers(sizes) },
+  loads: { sizes: [0, 16, 32, 64], measure: sizes => [measureLoads(sizes)] },
+  changes: { sizes: [600, 1200, 2400, 4800], measure: sizes => [measureChangeTime(sizes), measureConfigMemory(sizes)] },
+  engines: { sizes: [32, 65, 250, 1000], measure: sizes => [measureEngineMemory(sizes)] },
+  requests: { sizes: [250, 500, 1000, 2000], measure: sizes => [measureRequestMemory(sizes)] },
+  claims: { sizes: [5000, 10_000, 20_000, 40_000], measure: sizes => [measureClaimMemory(sizes), measureClaimTime(sizes)] },
+  ledger: { sizes: [3000, 7000, 15_000, 29_000], measure: sizes => [measureChangeMemory(sizes)] },
+  restart: { sizes: [10_000, 25_000, 50_000, 100_000], measure: async sizes => [await measureRestart(sizes)] }
+}
+
+sade('capacity', true)
+  .version(readVersion())
+  .describe('Measures slopes and works out the size to design for.')
+  .option('--part', `One or more of ${Object.keys(parts).join(', ')}, separated by commas; all by default`)
+  .option('--sizes', 'Sizes to measure at, separated by commas, with one part')
+  .option('--entry', 'File of samples of an entry process, as scripts/capacity.sh writes it')
+  .option('--write', 'Markdown file whose tables are written anew')
+  .option('--commit', 'Commit that the tables name', 'unknown')
+  .action((options: Options) => run(options))
+  .parse(process.argv)
+
+async function run (options: Options): Promise<void> {
+  const names = options.part === undefined ? Object.keys(parts) : String(options.part).split(',')
+  for (const name of names) {
+    if (!Object.hasOwn(parts, name)) endWith(usageExit, `--part does not know ${JSON.stringify(name)}; it knows ${Object.keys(parts).join(', ')}`)
+  }
+  const sizes = readSizes(options)
+  const slopes = new Map<string, Slope>()
+  for (const name of names) {
+    for (const slope of await parts[name].measure(sizes ?? parts[name].sizes)) {
+      slopes.set(slope.name, slope)
+      process.stdout.write(`${JSON.stringify(slope)}\n`)
+    }
+  }
+  if (options.entry !== undefined) for (const slope of fitSamples(readSamples(options.entry))) slopes.set(slope.name, slope)
+  if (options.write !== undefined) await writeTables(options.write, slopes, options.commit)
+}
+
+function readSizes (options: Options): number[] | null {
+  if (options.sizes === undefined) return null
+  if (options.part === undefined || options.part.includes(',')) endWith(usageExit, '--sizes goes with one --part')
+  const sizes = String(options.sizes).split(',').map(Number)
+  if (sizes.length < 2 || !sizes.every(size => Number.isInteger(size) && size > 0)) {
+    endWith(usageExit, `--sizes takes two or more whole numbers over 0, not ${String(options.sizes)}`)
+  }
+  return sizes
+}
+
+async function writeTables (path: string, slopes: ReadonlyMap<string, Slope>, commit: string): Promise<void> {
+  const log = measureLogBytes()
+  const measured: Measured = {
+    slopes,
+    singles: {
+      remoteRequestBytes: measureRemoteRequest(),
+      remoteShare: measureRemoteShare(),
+      changeBytes: measureChangeBytes(),
+      logChangeBytes: log.change,
+      logClaimBytes: log.claim,
+      syncsPerSecond: await measureSyncs(),
+      snapshot: await measureSnapshot(target.changesPerDay)
+    },
+    machine: `${cpus().length} cores (${cpus()[0].model.trim()}), ${Math.round(totalmem() / 2 ** 30)} GiB, Node ${process.version}`,
+    date: new Date().toISOString().slice(0, 10),
+    commit
+  }
+  const tables: Readonly<Record<string, (measured: Measured) => string>> = {
+    slopes: formatSlopes,
+    bytes: formatNodeBytes,
+    core: formatNodeCore,
+    memory: formatNodeMemory,
+    data: formatDataPath,
+    keepers: formatKeepers,
+    failures: formatFailures
+  }
+  let text = readFileSync(path, 'utf8')
+  for (const [name, format] of Object.entries(tables)) text = replaceTable(text, name, format(measured))
+  writeFileSync(path, text)
+}
+
+function replaceTable (text: string, name: string, table: string): string {
+  const [begin, end] = [`<!-- begin:${name} -->`, `<!-- end:${name} -->`]
+  const from = text.indexOf(begin)
+  const to = text.indexOf(end)
+  if (from < 0 || to < from) endWith(usageExit, `the page has no place for table ${name}`)
+  return `${text.slice(0, from + begin.length)}\n\n${table}\n\n${text.slice(to)}`
+}
--- /dev/null
+++ b/src/capacity/entry-samples.ts
@@ -0,0 +1,34 @@
+import { readFileSync } from 'node:fs'
+import { fitLine } from './fit.js'
+import type { Slope } from './slope.js'
+
+/** One measured load of an entry process, as scripts/capacity.sh writes it. */
+export interface EntrySample {
+  readonly kind: 'requests' | 'tokens' | 'streams' | 'idle-engines'
+  /** Requests or tokens a second, open streams, or engines known. */
+  readonly x: number
+  /** Core seconds a second, or resident MB. */
+  readonly y: number
+}
+
+/** Reads samples, a JSON object a line. */
+export function readSamples (path: string): EntrySample[] {
+  return readFileSync(path, 'utf8').split('\n').filter(line => line !== '').map(line => JSON.parse(line) as EntrySample)
+}
+
+const names: Readonly<Record<EntrySample['kind'], { readonly name: string, readonly by: string, readonly unit: string }>> = {
+  requests: { name: 'entry-requests', by: 'short requests/s', unit: 'cores' },
+  tokens: { name: 'entry-tokens', by: 'tokens/s', unit: 'cores' },
+  streams: { name: 'entry-streams', by: 'open streams', unit: 'MB resident' },
+  'idle-engines': { name: 'entry-idle', by: 'engines scheduled, no callers', unit: 'cores' }
+}
+
+/** The slopes of an entry process. */
+export function fitSamples (samples: readonly EntrySample[]): Slope[] {
+  const slopes: Slope[] = []
+  for (const [kind, { name, by, unit }] of Object.entries(names)) {
+    const points = samples.filter(sample => sample.kind === kind).map(({ x, y }) => ({ x, y }))
+    if (points.length >= 2) slopes.push({ name, by, unit, points, fit: fitLine(points) })
+  }
+  return slopes
+}
--- /dev/null
+++ b/src/capacity/measure-keeper.ts
@@ -0,0 +1,147 @@
+/** Slopes of a keeper: disk, memory, time of a command, time of a restart. */
+import { mkdtempSync, rmSync, statSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { performance } from 'node:perf_hooks'
+import { KeeperState, LogStore, defaultBounds, encodeRecord } from '../coordination/index.js'
+import type { KeeperCommand, KeeperSnapshot, LogEntry } from '../coordination/index.js'
+import { fitLine } from './fit.js'
+import { measureSlope } from './slope.js'
+import type { Slope } from './slope.js'
+import { timeEach, weigh } from './timing.js'
+
+const answerBytes = 200
+
+function claimCommands (i: number): KeeperCommand[] {
+  const key = { workspace: `workspace-${i % 4800}`, service: 'bookings', key: `6f1c2a-${i}` }
+  const attempt = `entry-12/1796213637769/${i}`
+  const body = Buffer.alloc(answerBytes, 65)
+  return [
+    { part: 'claims', command: { type: 'claim', key, digest: 'x'.repeat(43), attempt, ttlMs: 40_000 } },
+    { part: 'claims', command: { type: 'settle', key, attempt, answer: { status: 200, contentType: 'application/json', body } } }
+  ]
+}
+
+function changeCommands (i: number): KeeperCommand[] {
+  const item = (n: number): unknown => ({ keys: ['a'.repeat(64)], defaultClass: 'pitch-question', requestsPerSecond: n, tokensPerMinute: 100_000, streams: 20 })
+  const changes = [{ section: 'workspaces', name: `workspace-${i % 4800}`, before: item(i), after: item(i + 1) }]
+  const id = (kind: string) => ({ operator: 'ana', number: `${kind}-${i}`, digest: 'x'.repeat(43) })
+  return [
+    { part: 'config', command: { type: 'plan', id: id('p'), base: i, changes } },
+    { part: 'config', command: { type: 'confirm', id: id('c'), plan: i + 1 } }
+  ]
+}
+
+function build (count: number, compose: (i: number) => KeeperCommand[]): KeeperState {
+  const state = new KeeperState(defaultBounds, null)
+  for (let i = 0; i < count; i++) for (const command of compose(i)) state.apply(command, i)
+  return state
+}
+
+/** Memory of claims that are kept, bytes. */
+export function measureClaimMemory (sizes: readonly number[]): Slope {
+  return measureSlope('claim-memory', 'claims kept', 'bytes', sizes, count => weigh(() => build(count, claimCommands)))
+}
+
+/** Memory of changes that were made, bytes. */
+export function measureChangeMemory (sizes: readonly number[]): Slope {
+  return measureSlope('change-memory', 'changes in a day', 'bytes', sizes, count => weigh(() => build(count, changeCommands)))
+}
+
+/** Time of a claim and its settling in the state machine, by claims kept, µs. */
+export function measureClaimTime (sizes: readonly number[]): Slope {
+  return measureSlope('claim-time', 'claims kept', 'µs a claim', sizes, count => {
+    const state = build(count, claimCommands)
+    let next = count
+    return timeEach(2000, () => {
+      for (let i = 0; i < 2000; i++) {
+        next += 1
+        for (const command of claimCommands(next)) state.apply(command, next)
+      }
+    })
+  })
+}
+
+/** Bytes of log for one change of configuration, planned and confirmed; and for one claim, settled. */
+export function measureLogBytes (): { readonly change: number, readonly claim: number } {
+  const measure = (commands: readonly KeeperCommand[]): number => commands.reduce((sum, command) => {
+    const entry: LogEntry = { index: 100_000, term: 12, time: 1_796_213_637_769, content: { type: 'command', command } }
+    return sum + encodeRecord({ type: 'entry', entry }).length
+  }, 0)
+  return { change: measure(changeCommands(1)), claim: measure(claimCommands(1)) }
+}
+
+/** Time from an open disk to a state that is up to date, by changes since the last snapshot, ms. */
+export async function measureRestart (sizes: readonly number[]): Promise<Slope> {
+  const points = []
+  for (const count of sizes) points.push({ x: count, y: await timeRestart(count) })
+  return { name: 'restart', by: 'changes since the last snapshot', unit: 'ms', points, fit: fitLine(points) }
+}
+
+async function timeRestart (changes: number): Promise<number> {
+  const folder = mkdtempSync(join(tmpdir(), 'wrenlane-capacity-'))
+  try {
+    const store = await LogStore.open(folder, 'k')
+    const entries: LogEntry[] = []
+    for (let i = 0; i < changes; i++) {
+      for (const command of changeCommands(i)) entries.push({ index: entries.length + 1, term: 1, time: i, content: { type: 'command', command } })
+    }
+    await store.persist([{ type: 'persist', hard: { term: 1, vote: null }, entries, snapshot: null }])
+    await store.close()
+    return await timeOpen(folder)
+  } finally {
+    rmSync(folder, { recursive: true, force: true })
+  }
+}
+
+async function timeOpen (folder: string): Promise<number> {
+  const began = performance.now()
+  const store = await LogStore.open(folder, 'k')
+  const state = new KeeperState(defaultBounds, null)
+  for (const entry of store.stored.entries) {
+    if (entry.content.type === 'command') state.apply(entry.content.command as KeeperCommand, entry.time)
+  }
+  const ms = performance.now() - began
+  await store.close()
+  return ms
+}
+
+/** Time and size of a snapshot by changes of a day, ms and bytes; and of a start from it, ms. */
+export async function measureSnapshot (changes: number): Promise<{ readonly writeMs: number, readonly bytes: number, readonly readMs: number }> {
+  const folder = mkdtempSync(join(tmpdir(), 'wrenlane-capacity-'))
+  try {
+    const state = build(changes, changeCommands)
+    const store = await LogStore.open(folder, 'k')
+    const began = performance.now()
+    await store.persist([{ type: 'persist', hard: null, entries: [], snapshot: { index: changes, term: 1, time: 0, members: { voters: [store.id], learners: [] }, state: state.save() } }])
+    const writeMs = performance.now() - began
+    await store.close()
+    const bytes = statSync(join(folder, 'snapshot')).size
+    const opened = performance.now()
+    const again = await LogStore.open(folder, 'k')
+    const restored = new KeeperState(defaultBounds, again.stored.snapshot?.state as KeeperSnapshot)
+    const readMs = performance.now() - opened
+    await again.close()
+    if (restored.config.revision !== changes) throw new Error('the snapshot did not give back every change')
+    return { writeMs, bytes, readMs }
+  } finally {
+    rmSync(folder, { recursive: true, force: true })
+  }
+}
+
+/** Syncs a second of this disk, each of one small batch. */
+export async function measureSyncs (): Promise<number> {
+  const folder = mkdtempSync(join(tmpdir(), 'wrenlane-capacity-'))
+  try {
+    const store = await LogStore.open(folder, 'k')
+    const began = performance.now()
+    const count = 200
+    for (let i = 1; i <= count; i++) {
+      await store.persist([{ type: 'persist', hard: null, entries: [{ index: i, term: 1, time: 0, content: { type: 'noop' } }], snapshot: null }])
+    }
+    await store.close()
+    return count * 1000 / (performance.now() - began)
+  } finally {
+    rmSync(folder, { recursive: true, force: true })
+  }
+}
--- /dev/null
+++ b/src/capacity/target.ts
@@ -0,0 +1,22 @@
+/** The size to design for, as the users' letter states it. */
+export const target = {
+  nodes: 600,
+  runners: 12_000,
+  accelerators: 24_000,
+  requestsPerSecond: 14_000,
+  tokensPerSecond: 4_900_000,
+  workspaces: 4800,
+  models: 19,
+  regions: 4,
+  zones: 15,
+  changesPerDay: 29_000,
+  failuresPerDay: 110,
+  restartsPerDay: 690,
+  boundCorePercent: 2.7,
+  boundMegabytes: 256,
+  boundBytesPerSecond: 11_000,
+  boundControlBoxes: 38
+} as const
+
+/** Seconds of a day. */
+export const daySeconds = 86_400
--- a/src/coordination/members/membership.ts
+++ b/src/coordination/members/membership.ts
@@ -31,6 +31,8 @@
 const newsPerMessage = 8
 const membersPerState = 12
 const askEveryMs = 2000
+// Others ask for the whole state too, so what came with it is hardly news.
+const timesAfterState = 1
 const reviveEveryMs = 4000
 const worstHealth = 8
 
@@ -69,6 +71,7 @@
   #askAt = 0
   #reviveAt = 0
   #health = 0
+  #sum = 0
   #now = 0
   #effects: MemberEffect[] = []
 
@@ -158,12 +161,16 @@
     const probe = this.#probe
     if (probe === null || probe.indirect || this.#now - probe.sentAt < this.#tuning.ackMs) return
     probe.indirect = true
-    const others = this.members.filter(member => member.id !== this.#self.id && member.id !== probe.target && member.state === 'alive')
-    for (const helper of this.#shuffle(others).slice(0, this.#tuning.helpers)) {
+    for (const helper of this.#drawHelpers(probe.target)) {
       this.#send(helper, { type: 'probe', from: this.#self, number: probe.number, target: probe.target, news: this.#takeNews() })
     }
   }
 
+  #drawHelpers (target: string): Member[] {
+    const others = [...this.#members.values()].filter(member => member.id !== target && member.state === 'alive')
+    return this.#shuffle(others).slice(0, this.#tuning.helpers)
+  }
+
   #failProbe (): void {
     const probe = this.#probe
     this.#probe = null
@@ -196,7 +203,8 @@
 
   #receive (message: MemberMessage): void {
     this.#learn(message.from)
-    if (message.type !== 'ask') for (const member of message.news) this.#learn(member)
+    const times = message.type === 'state' ? timesAfterState : this.#spreadTimes
+    if (message.type !== 'ask') for (const member of message.news) this.#learn(member, times)
     switch (message.type) {
       case 'ping':
         this.#tellIfDoubted(message.from)
@@ -255,14 +263,16 @@
 
   // Learning and spreading.
 
-  #learn (next: Member): void {
+  #learn (next: Member, times = this.#spreadTimes): void {
     if (next.id === this.#self.id) return this.#learnOfSelf(next)
     const known = this.#members.get(next.id)
     if (known !== undefined && !isNewer(next, known)) return
     if (known === undefined && next.state === 'gone') return
+    this.#addToSum(known, -1)
+    this.#addToSum(next, 1)
     this.#members.set(next.id, next)
     this.#noteState(next)
-    this.#spread(next)
+    this.#spread(next, times)
     const before = known?.incarnation === next.incarnation ? known.state : null
     if (before !== next.state || known === undefined) this.#effects.push({ type: 'changed', member: next, before })
   }
@@ -296,8 +306,9 @@
     }
   }
 
-  #spread (member: Member): void {
-    const times = 3 * Math.ceil(Math.log2(this.#members.size + 2))
+  get #spreadTimes (): number { return 3 * Math.ceil(Math.log2(this.#members.size + 2)) }
+
+  #spread (member: Member, times = this.#spreadTimes): void {
     this.#news.set(member.id, { member, left: times })
   }
 
@@ -313,11 +324,15 @@
     return news
   }
 
-  // A sum, so that it doesn't depend on the order of members.
+  // A sum over the present members, kept up to date: it doesn't depend on their
+  // order, and its cost doesn't grow with their number.
   #digest (): number {
-    let sum = 0
-    for (const member of this.members) sum = (sum + digestMember(member)) >>> 0
-    return sum
+    return (this.#sum + digestMember(this.#self)) >>> 0
+  }
+
+  #addToSum (member: Member | undefined, sign: 1 | -1): void {
+    if (member === undefined || member.state === 'gone') return
+    this.#sum = (this.#sum + sign * digestMember(member)) >>> 0
   }
 
   #sendPing (to: MemberAddress, number: number): void {
--- a/src/core/placer.ts
+++ b/src/core/placer.ts
@@ -28,6 +28,7 @@
 
 /** What the placer needs of the box. */
 export interface PlacerHost {
+  readonly box: BoxId
   readonly zone: ZoneName
   now (): number
   random (): number
@@ -228,7 +229,7 @@
 
   #believe (shard: PlacerShard): ShardBelief {
     const belief = this.#beliefs.get(shard.id)
-    return { id: shard.id, zone: shard.zone, load: belief?.load ?? null, sentSince: belief?.sentSince ?? 0, isReachable: this.#isReachable(shard) }
+    return { id: shard.id, zone: shard.zone, load: belief?.load ?? null, sentSince: belief?.sentSince ?? 0, isReachable: this.#isReachable(shard), isOwn: shard.owner === this.#host.box }
   }
 
   #isReachable (shard: PlacerShard): boolean {
--- a/src/core/route-plan.ts
+++ b/src/core/route-plan.ts
@@ -17,6 +17,8 @@
   readonly sentSince: number
   /** False where its owner can't be reached. */
   readonly isReachable: boolean
+  /** True where this box owns it: a request placed there crosses no wire. */
+  readonly isOwn: boolean
 }
 
 /** What to do next with a request. */
@@ -24,7 +26,8 @@
   | { readonly type: 'ask', readonly shard: ShardId }
   | { readonly type: 'refuse', readonly reason: RefusalReason, readonly retryAfterMs: number }
 
-const farPenalty = 0.05
+const farPenalty = 0.15
+const nearPenalty = 0.1
 const noiseShare = 0.02
 const mostAsked = 6
 const mostAskedPatient = 3
@@ -99,9 +102,9 @@
     return best
   }
 
-  // Work ahead for each place; near shards first, equal ones by lot.
+  // Work ahead for each place; own and near shards first, equal ones by lot.
   #score (shard: ShardBelief): number {
-    const far = shard.zone === this.#zone ? 0 : farPenalty
+    const far = shard.isOwn ? 0 : shard.zone === this.#zone ? nearPenalty : farPenalty
     const noise = this.#random() * noiseShare
     const { load } = shard
     if (load === null) return 0.5 + far + noise
--- a/src/core/shard-map.ts
+++ b/src/core/shard-map.ts
@@ -58,14 +58,32 @@
 }
 
 /**
- * The box that schedules a shard: one of its zone where any is left, else any.
- * Boxes whose views differ can both own it for a moment; the engine's own batch
- * limit and priorities hold meanwhile.
+ * The box that schedules each shard: one of its zone where any is left, else
+ * any; the highest hash wins, and no box of a zone owns many more than another.
+ * Boxes whose views differ can both own a shard for a moment; the engine's own
+ * batch limit and priorities hold meanwhile.
  */
-export function findOwner (shard: { readonly id: ShardId, readonly zone: ZoneName }, boxes: readonly ShardBox[]): BoxId | undefined {
-  const near = boxes.filter(box => box.zone === shard.zone)
-  const candidates = near.length > 0 ? near : boxes
-  return chooseByHash(shard.id, candidates.map(box => box.id))
+export function assignOwners (shards: readonly Shard[], boxes: readonly ShardBox[]): Map<ShardId, BoxId> {
+  const owners = new Map<ShardId, BoxId>()
+  for (const zone of new Set(shards.map(shard => shard.zone))) {
+    const near = boxes.filter(box => box.zone === zone).map(box => box.id)
+    const candidates = near.length > 0 ? near : boxes.map(box => box.id)
+    assignZone(shards.filter(shard => shard.zone === zone), candidates, owners)
+  }
+  return owners
+}
+
+function assignZone (shards: readonly Shard[], boxes: readonly BoxId[], owners: Map<ShardId, BoxId>): void {
+  if (boxes.length === 0) return
+  const most = Math.ceil(shards.length / boxes.length)
+  const owned = new Map<BoxId, number>()
+  for (const shard of [...shards].sort((a, b) => (a.id < b.id ? -1 : 1))) {
+    const free = boxes.filter(box => (owned.get(box) ?? 0) < most)
+    const owner = chooseByHash(shard.id, free)
+    if (owner === undefined) continue
+    owned.set(owner, (owned.get(owner) ?? 0) + 1)
+    owners.set(shard.id, owner)
+  }
 }
 
 /** How many shards a box uses. */
@@ -76,7 +94,7 @@
 }
 
 /** Bounds that keep a box's traffic the same at any number of shards. */
-export const defaultSubset: SubsetSize = { near: 12, farZones: 4, perFarZone: 2 }
+export const defaultSubset: SubsetSize = { near: 6, farZones: 3, perFarZone: 1 }
 
 /** The shards that a box uses: some of its own zone, a few of some others. */
 export function chooseSubset (box: ShardBox, shards: readonly Shard[], size: SubsetSize = defaultSubset): Shard[] {
--- a/src/measure/experiment.ts
+++ b/src/measure/experiment.ts
@@ -112,3 +112,11 @@
 function round (value: number): number {
   return Math.round(value * 10_000) / 10_000
 }
+
+/** Share of submissions that crossed between boxes on an ordinary day, with a shard for about each box. */
+export function measureRemoteShare (): number {
+  const [user] = userProfiles
+  const scenario = findScenario('ordinary') as Scenario
+  const { submitted } = new Simulation(user, scenario, sharings['owned-8'], 1).run()
+  return submitted.remote / (submitted.remote + submitted.local)
+}
--- a/src/measure/policy.ts
+++ b/src/measure/policy.ts
@@ -19,6 +19,8 @@
   send (request: SimRequest, engine: EngineId, priority: number): void
   refuse (request: SimRequest): void
   notePaused (): void
+  /** A request was handed to a shard, over the wire or on the same box. */
+  noteSubmitted (isRemote: boolean): void
   noteViolation (rule: string, detail: string): void
 }
 
--- a/src/measure/shard-policy.ts
+++ b/src/measure/shard-policy.ts
@@ -1,5 +1,5 @@
 /** The product's own decisions in a run: `Placer` in each box, `Scheduler` in each owner. */
-import { Placer, RetryBudget, Scheduler, brandId, defaultTuning, findOwner, partEngines } from '../core/index.js'
+import { Placer, RetryBudget, Scheduler, assignOwners, brandId, defaultTuning, partEngines } from '../core/index.js'
 import type { BoxId, EngineId, EngineSpec, LoadReport, ModelName, Placement, PoolName, SchedulerAction, SchedulerEvent, Shard, ShardId, ShardWord, StreamEnd, Submission, ZoneName } from '../core/index.js'
 import type { Policy, PolicyHost } from './policy.js'
 import type { SimRequest } from './sim-request.js'
@@ -110,6 +110,7 @@
 
   #createPlacer (box: BoxId, zone: number): Placer {
     return new Placer({
+      box,
       zone: nameZone(zone),
       now: () => this.#host.now(),
       random: () => this.#host.random(),
@@ -123,9 +124,9 @@
     const { way, perShard } = this.#sharing
     const engines = this.#host.engines.map(engine => ({ id: engine.id, pool, zone: engine.zone }))
     if (way === 'owned') {
-      for (const shard of partEngines(engines, () => [model], perShard)) {
-        this.#addShard(shard, this.#findOwner(shard), 1)
-      }
+      const shards = partEngines(engines, () => [model], perShard)
+      const owners = this.#assign(shards)
+      for (const shard of shards) this.#addShard(shard, owners.get(shard.id), 1)
       return
     }
     for (const { id, zone } of this.#host.boxes) {
@@ -147,19 +148,19 @@
     this.#shards.set(shard.id, { shard, scheduler, owner })
   }
 
-  #findOwner (shard: Shard): BoxId | undefined {
-    return findOwner(shard, this.#alive.map(id => ({ id, zone: nameZone(this.#zones.get(id) ?? 0) })))
+  #assign (shards: readonly Shard[]): Map<ShardId, BoxId> {
+    return assignOwners(shards, this.#alive.map(id => ({ id, zone: nameZone(this.#zones.get(id) ?? 0) })))
   }
 
   // A new owner begins without the old one's queue: boxes tell it what they have.
   #moveOwners (lost: BoxId): void {
-    for (const [id, owned] of this.#shards) {
-      if (owned.owner !== lost) continue
-      if (this.#sharing.way !== 'owned') {
+    const owners = this.#assign([...this.#shards.values()].map(owned => owned.shard))
+    for (const [id, owned] of [...this.#shards]) {
+      if (this.#sharing.way === 'owned') {
+        if (owned.owner !== owners.get(id)) this.#addShard(owned.shard, owners.get(id), 1)
+      } else if (owned.owner === lost) {
         this.#shards.delete(id)
-        continue
       }
-      this.#addShard(owned.shard, this.#findOwner(owned.shard), 1)
     }
     this.#tellShards()
   }
@@ -230,6 +231,7 @@
   #deliver (from: BoxId, owner: BoxId, shard: ShardId, word: ShardWord): boolean {
     const owned = this.#shards.get(shard)
     if (owned === undefined || owned.owner !== owner || !this.#isReachable(from, owner)) return false
+    if (word.type === 'submit') this.#host.noteSubmitted(from !== owner)
     if (from === owner) {
       this.#take(owned, word)
       return true
--- a/src/measure/simulation.ts
+++ b/src/measure/simulation.ts
@@ -21,6 +21,8 @@
 export interface RunNotes {
   readonly tally: Tally
   readonly paused: number
+  /** Submissions that crossed between boxes, and those that did not. */
+  readonly submitted: { readonly remote: number, readonly local: number }
   readonly violations: readonly string[]
   /** Requests that were accepted and had not ended when the run was over. */
   readonly unfinished: number
@@ -41,6 +43,7 @@
   #open = new Set<SimRequest>()
   #counter = 0
   #paused = 0
+  #submitted = { remote: 0, local: 0 }
   #violations: string[] = []
   #lostBox: BoxId | null = null
 
@@ -64,7 +67,7 @@
     this.#queue.runUntil(this.#scenario.durationMs)
     const until = this.#scenario.durationMs + settleMs
     while (this.#open.size > 0 && this.#queue.now < until) this.#queue.runUntil(this.#queue.now + 1000)
-    return { tally: this.#tally, paused: this.#paused, violations: this.#violations, unfinished: this.#open.size }
+    return { tally: this.#tally, paused: this.#paused, submitted: this.#submitted, violations: this.#violations, unfinished: this.#open.size }
   }
 
   #createEngines (): void {
@@ -102,6 +105,7 @@
       send: (request, engine, priority) => this.#send(request, engine, priority),
       refuse: request => this.#end(request, 'refused'),
       notePaused: () => { this.#paused += 1 },
+      noteSubmitted: isRemote => { this.#submitted[isRemote ? 'remote' : 'local'] += 1 },
       noteViolation: (rule, detail) => { this.#violations.push(`${rule}: ${detail}`) }
     }
   }
--- a/src/protocol/box-message.ts
+++ b/src/protocol/box-message.ts
@@ -1,6 +1,7 @@
 /** Everything that boxes and operators' shells say to each other over links. */
 import type { Change, CommandId, Document, KeeperCommand, KeeperResult, Members, RaftMessage, ReplicaId, Revision } from '../coordination/index.js'
-import type { EngineId, RequestId, ShardAnswer, ShardId, ShardLoad, ShardWord, WorkspaceName } from '../core/index.js'
+import type { EngineId, RequestId, ShardAnswer, ShardId, ShardWord, WorkspaceName } from '../core/index.js'
+import type { PackedLoad } from './packed-load.js'
 import type { BoxStatus, KeeperStatus } from './status.js'
 
 /** What a keeper is asked. */
@@ -52,6 +53,6 @@
   | { readonly type: 'shard-answer', readonly shard: ShardId, readonly answer: ShardAnswer }
   | { readonly type: 'not-owner', readonly shard: ShardId, readonly request: RequestId, readonly attempt: number }
   /** Sent several times a second: the shards that a box owns, and the demand of its active workspaces. */
-  | { readonly type: 'loads', readonly loads: readonly (readonly [ShardId, ShardLoad])[], readonly demands: readonly (readonly [WorkspaceName, number])[] }
+  | { readonly type: 'loads', readonly loads: readonly PackedLoad[], readonly demands: readonly (readonly [WorkspaceName, number])[] }
 
 export type { Change }
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -1,6 +1,8 @@
 /** Wire formats: frames and links between boxes, server-sent events, chats. */
 export * from './box-message.js'
 export * from './status.js'
+export { packLoad, unpackLoad } from './packed-load.js'
+export type { PackedLoad } from './packed-load.js'
 export { Link, decodeValue, encodeValue } from './link.js'
 export type { LinkFault, LinkHost } from './link.js'
 export { LinkPool } from './link-pool.js'
--- a/src/tasks/entry-box.ts
+++ b/src/tasks/entry-box.ts
@@ -8,9 +8,9 @@
 import type { Configuration, EngineEntry, EntrySettings, Service, ServiceEndpoint } from '../config/index.js'
 import { readSchedulerConfig } from '../config/index.js'
 import type { ClaimCommand, Member } from '../coordination/index.js'
-import { Placer, RetryBudget, brandId, chooseSubset, findOwner, partEngines } from '../core/index.js'
+import { Placer, RetryBudget, assignOwners, brandId, chooseSubset, partEngines } from '../core/index.js'
 import type { BoxId, EngineId, RequestId, Shard, ShardAnswer, ShardBox, ShardId, ShardWord, ZoneName } from '../core/index.js'
-import { LinkPool } from '../protocol/index.js'
+import { LinkPool, packLoad, unpackLoad } from '../protocol/index.js'
 import type { BoxMessage, BoxStatus, EngineStatus, EntryCall, EntryReply, Link } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import { CallerServer } from './caller-server.js'
@@ -34,6 +34,7 @@
 }
 
 const loadsEveryMs = 250
+const toldAtOnce = 6
 const tickEveryMs = 100
 const watchEveryMs = 2000
 const stopPollMs = 20
@@ -67,6 +68,7 @@
   #requests = 0
   #attempts = 0
   #services = 0
+  #loadsTurn = 0
   #leaving = false
   #killed = false
   #violations = 0
@@ -101,6 +103,7 @@
       noteYield: (request, engine, to) => around.log.info('yield', { request, engine, to })
     })
     this.#placer = new Placer({
+      box: this.id,
       zone: this.zone,
       now,
       random: Math.random,
@@ -384,7 +387,7 @@
       case 'shard-answer': return this.#placer.receive(message.shard, message.answer)
       case 'not-owner': return this.#placer.noteNotOwner(message.shard, message.request)
       case 'loads':
-        this.#placer.noteLoads(from, message.loads)
+        this.#placer.noteLoads(from, message.loads.map(unpackLoad))
         return this.#limits.note(from, message.demands)
       case 'entry-call':
         link.send({ type: 'entry-reply', call: message.call, body: this.#answerOperator(message.body) })
@@ -489,11 +492,7 @@
     this.#partShards()
     const boxes = this.#listBoxes()
     this.#limits.boxes = boxes.length
-    this.#owners = new Map()
-    for (const shard of this.#shards) {
-      const owner = findOwner(shard, boxes)
-      if (owner !== undefined) this.#owners.set(shard.id, owner)
-    }
+    this.#owners = assignOwners(this.#shards, boxes)
     const own = this.#shards.filter(shard => this.#owners.get(shard.id) === this.id)
     this.#owner.assign(own, shard => this.#configureShard(shard))
     const used = chooseSubset({ id: this.id, zone: this.zone }, this.#shards)
@@ -544,11 +543,17 @@
   #tellLoads (): void {
     const { loads } = this.#owner
     this.#placer.noteLoads(this.id, loads)
-    const message: BoxMessage = { type: 'loads', loads, demands: this.#limits.demands }
-    for (const peer of this.#openLinks.keys()) {
-      if (this.#isKeeper(peer) || peer.startsWith('operator')) continue
-      this.#findLink(peer)?.send(message)
-    }
+    const packed = loads.map(([shard, load]) => packLoad(shard, load))
+    const message: BoxMessage = { type: 'loads', loads: packed, demands: this.#limits.demands }
+    for (const peer of this.#nextToTell()) this.#findLink(peer)?.send(message)
+  }
+
+  // With many links each is told less often, so the traffic stays the same.
+  #nextToTell (): string[] {
+    const peers = [...this.#openLinks.keys()].filter(peer => !this.#isKeeper(peer) && !peer.startsWith('operator'))
+    const turns = Math.ceil(peers.length / toldAtOnce)
+    this.#loadsTurn += 1
+    return peers.filter((_, i) => i % turns === this.#loadsTurn % turns)
   }
 
   // Engines.
