--- /dev/null
+++ b/src/report/group.ts
@@ -0,0 +1,38 @@
+import type { Row } from '../measure/index.js'
+
+/** Rows of one user, scenario, policy and class over several seeds. */
+export interface Group {
+  readonly user: string
+  readonly scenario: string
+  readonly policy: string
+  readonly class: string
+  readonly rows: readonly Row[]
+}
+
+/** A mean over seeds with its least and largest. */
+export interface Spread {
+  readonly mean: number
+  readonly least: number
+  readonly most: number
+}
+
+/** Groups rows over their seeds, in the order in which they come. */
+export function groupRows (rows: readonly Row[]): Group[] {
+  const groups = new Map<string, Row[]>()
+  for (const row of rows) {
+    const key = JSON.stringify([row.user, row.scenario, row.policy, row.class])
+    const group = groups.get(key)
+    if (group === undefined) groups.set(key, [row])
+    else group.push(row)
+  }
+  return [...groups.values()].map(group => {
+    const { user, scenario, policy, class: name } = group[0]
+    return { user, scenario, policy, class: name, rows: group }
+  })
+}
+
+/** The spread of one column. */
+export function readSpread (group: Group, column: 'attainment' | 'goodput' | 'wasted' | 'worstWaitMs' | 'offered' | 'finished' | 'shed' | 'left' | 'failed'): Spread {
+  const values = group.rows.map(row => row[column])
+  return { mean: values.reduce((sum, value) => sum + value, 0) / values.length, least: Math.min(...values), most: Math.max(...values) }
+}
