--- /dev/null
+++ b/src/report/pages.ts
@@ -0,0 +1,30 @@
+import { entryFields, intentFields, keeperFields, standinFields } from '../config/index.js'
+import { formatErrors, formatFields } from './tables.js'
+
+const errorsHead = `# Errors
+
+Every answer carries \`x-wrenlane-request-id\` and, where something was asked of an endpoint or refused, \`x-wrenlane-outcome\`:
+\`not-run\` (no byte of it was written towards any endpoint, and none will be), \`run\`, or \`unknown\`.
+A request that was sent to an endpoint and then refused is \`unknown\` whatever its kind. Errors have the shape of the
+published protocol: \`{"error": {"message", "type", "param", "code", "outcome", "request_id"}}\`, where \`code\` is the kind.
+\`Retry-After\` counts whole seconds; \`retry-after-ms\` beside it is finer. This page is written by \`npm run docs\`.
+`
+
+const configHead = `# Settings and intents
+
+Every file is TOML. \`wrenlane check FILE\` shows all its mistakes with their lines. This page is written by \`npm run docs\`.
+`
+
+/** The pages that are made from the code, by path. */
+export function composePages (): ReadonlyMap<string, string> {
+  const sections = [
+    ['Intents: `wrenlane plan -f FILE`', formatFields(intentFields)],
+    ['Settings of `wrenlane-entry`', formatFields(entryFields)],
+    ['Settings of `wrenlane-keeper`', formatFields(keeperFields)],
+    ['Settings of `wrenlane-standin`', formatFields(standinFields)]
+  ]
+  return new Map([
+    ['docs/ERRORS.md', `${errorsHead}\n${formatErrors()}\n`],
+    ['docs/CONFIG.md', `${configHead}\n${sections.map(([title, table]) => `## ${title}\n\n${table}\n`).join('\n')}`]
+  ])
+}
--- /dev/null
+++ b/src/report/tables.ts
@@ -0,0 +1,44 @@
+/** Pages that are made from tables in the code, so that they can't differ from it. */
+import { describe } from '../config/index.js'
+import type { Field, FieldTable } from '../config/index.js'
+import { errorTable } from '../core/index.js'
+
+/** The table of `docs/ERRORS.md`. */
+export function formatErrors (): string {
+  const lines = ['| kind | status | type | outcome | Retry-After | meaning |', '|---|---|---|---|---|---|']
+  for (const [kind, answer] of Object.entries(errorTable)) {
+    lines.push(`| \`${kind}\` | ${answer.status} | \`${answer.type}\` | \`${answer.outcome}\` | ${answer.retryAfter ? 'yes' : 'no'} | ${answer.meaning} |`)
+  }
+  return lines.join('\n')
+}
+
+/** One section of `docs/CONFIG.md`. */
+export function formatFields (fields: FieldTable): string {
+  const lines = ['| key | type | default | about |', '|---|---|---|---|']
+  addFields(lines, fields, '')
+  return lines.join('\n')
+}
+
+function addFields (lines: string[], fields: FieldTable, path: string): void {
+  for (const [key, field] of Object.entries(fields)) addField(lines, `${path}${key}`, field)
+}
+
+function addField (lines: string[], path: string, field: Field): void {
+  const inner = field.type === 'list' ? field.of : field
+  switch (inner.type) {
+    case 'named':
+      lines.push(`| \`${path}.NAME\` | table | | ${field.about} |`)
+      return addFields(lines, inner.fields, `${path}.NAME.`)
+    case 'table':
+      lines.push(`| \`${path}\` | ${field.type === 'list' ? 'list of tables' : 'table'} | ${formatFallback(field)} | ${field.about} |`)
+      return addFields(lines, inner.fields, `${path}.`)
+    default:
+      lines.push(`| \`${path}\` | ${describe(field)} | ${formatFallback(field)} | ${field.about} |`)
+  }
+}
+
+function formatFallback (field: Field): string {
+  if (field.fallback === undefined) return field.type === 'named' ? '' : 'required'
+  if (field.fallback === null) return 'none'
+  return `\`${JSON.stringify(field.fallback)}\``
+}
--- /dev/null
+++ b/test/layers.test.ts
@@ -0,0 +1,49 @@
+import assert from 'node:assert/strict'
+import { readFileSync, readdirSync } from 'node:fs'
+import { join } from 'node:path'
+import { test } from 'node:test'
+
+/** What each package may import. Nothing else, and nothing but a package's index. */
+const allowed: Readonly<Record<string, readonly string[]>> = {
+  runtime: [],
+  core: [],
+  coordination: ['runtime'],
+  config: ['core', 'coordination'],
+  protocol: ['runtime', 'core', 'coordination'],
+  standin: ['config', 'protocol'],
+  tasks: ['runtime', 'core', 'coordination', 'config', 'protocol'],
+  measure: ['runtime', 'core', 'standin'],
+  proof: ['runtime', 'core', 'coordination'],
+  capacity: ['runtime', 'core', 'coordination', 'protocol', 'tasks'],
+  report: ['core', 'config', 'measure']
+}
+
+/** Proofs look inside the log to build a disk that forgets. */
+const exceptions = new Set(['proof -> coordination/log/entry-list.js'])
+
+function listFiles (folder: string): string[] {
+  return readdirSync(folder, { recursive: true, encoding: 'utf8' }).filter(name => name.endsWith('.ts')).map(name => join(folder, name))
+}
+
+for (const [name, others] of Object.entries(allowed)) {
+  test(`${name} imports ${others.length === 0 ? 'no other package' : others.join(', ')}, by their index`, () => {
+    for (const file of listFiles(join('src', name))) {
+      for (const [, path] of readFileSync(file, 'utf8').matchAll(/from '(\.[^']+)'/g)) {
+        const target = join(file, '..', path).replace(/^src\//, '')
+        const [to, ...rest] = target.split('/')
+        if (to === name || exceptions.has(`${name} -> ${target}`)) continue
+        assert.ok(others.includes(to), `${file} imports ${target}`)
+        assert.deepEqual(rest, ['index.js'], `${file} imports ${target}`)
+      }
+    }
+  })
+}
+
+test('the core has no clock, socket or randomness of its own', () => {
+  for (const folder of ['src/core', 'src/coordination/log', 'src/coordination/claims', 'src/coordination/ledger', 'src/coordination/orders', 'src/coordination/members']) {
+    for (const file of listFiles(folder)) {
+      if (/replica\.ts$|log-store\.ts$|record-file\.ts$/.test(file)) continue
+      assert.doesNotMatch(readFileSync(file, 'utf8'), /Date\.now|performance\.|Math\.random|from 'node:(net|http|dgram|fs|timers)/, file)
+    }
+  }
+})
--- /dev/null
+++ b/test/links.test.ts
@@ -0,0 +1,135 @@
+import assert from 'node:assert/strict'
+import { connect, createServer } from 'node:net'
+import type { Socket } from 'node:net'
+import { test } from 'node:test'
+import { FrameSplitter, LinkPool, encodeValue, frameBytes } from '../src/protocol/index.js'
+import { HybridClock } from '../src/runtime/index.js'
+import { host, until } from './support/deployment.js'
+
+interface Side {
+  readonly pool: LinkPool<string>
+  readonly received: string[]
+  readonly faults: string[]
+  opened: number
+}
+
+function createSide (id: string, secret = 'the same long secret'): Side {
+  const side: Side = {
+    received: [],
+    faults: [],
+    opened: 0,
+    pool: new LinkPool<string>({
+      id,
+      secret,
+      clock: new HybridClock(Date.now),
+      receive: (_link, message) => { side.received.push(message) },
+      noteOpen: () => { side.opened += 1 },
+      noteClosed: () => {},
+      noteFault: fault => { side.faults.push(fault) }
+    })
+  }
+  return side
+}
+
+test('messages pass in order between boxes with the same secret', async () => {
+  const [a, b] = [createSide('a'), createSide('b')]
+  const port = await b.pool.listen(host, 0)
+  a.pool.dial(host, port)
+  await until(() => a.pool.find(host, port) !== undefined, 'a link')
+  for (let i = 0; i < 500; i++) a.pool.find(host, port)?.send(`m${i}`)
+  await until(() => b.received.length === 500, '500 messages')
+  assert.deepEqual(b.received, Array.from({ length: 500 }, (_, i) => `m${i}`))
+  a.pool.close()
+  b.pool.close()
+})
+
+test('a box with another secret gets nothing through, and is counted', async () => {
+  const [a, b] = [createSide('a', 'another long secret'), createSide('b')]
+  const port = await b.pool.listen(host, 0)
+  a.pool.dial(host, port)
+  await until(() => a.pool.find(host, port) !== undefined, 'a link')
+  a.pool.find(host, port)?.send('hello')
+  await until(() => b.faults.includes('bad-code'), 'the fault')
+  assert.deepEqual(b.received, [])
+  a.pool.close()
+  b.pool.close()
+})
+
+/** A forwarder that keeps and can change what the caller's side sends. */
+async function tamper (port: number, change: (chunk: Buffer, index: number) => Buffer[]): Promise<{ port: number, close: () => void }> {
+  const sockets: Socket[] = []
+  const server = createServer(inner => {
+    const outer = connect(port, host)
+    sockets.push(inner, outer)
+    for (const socket of [inner, outer]) socket.on('error', () => {})
+    let index = 0
+    inner.on('data', (chunk: Buffer) => {
+      for (const bytes of change(chunk, index)) outer.write(bytes)
+      index += 1
+    })
+    outer.pipe(inner)
+  })
+  const own = await new Promise<number>(resolve => server.listen(0, host, () => resolve((server.address() as { port: number }).port)))
+  return {
+    port: own,
+    close: () => {
+      server.close()
+      for (const socket of sockets) socket.destroy()
+    }
+  }
+}
+
+const tamperings: { name: string, change: (chunk: Buffer, index: number) => Buffer[], fault: string }[] = [
+  { name: 'replayed', change: (chunk, index) => index === 0 ? [chunk] : [chunk, chunk], fault: 'bad-code' },
+  {
+    name: 'changed',
+    change: (chunk, index) => {
+      const copy = Buffer.from(chunk)
+      if (index > 0) copy[copy.length - 1] ^= 1
+      return [copy]
+    },
+    fault: 'bad-code'
+  },
+  { name: 'of a size beyond the limit', change: (chunk, index) => index === 0 ? [chunk] : [Buffer.from([255, 255, 255, 127])], fault: 'too-large' }
+]
+
+for (const { name, change, fault } of tamperings) {
+  test(`a frame that is ${name} is refused and counted`, async () => {
+    const [a, b] = [createSide('a'), createSide('b')]
+    const forwarder = await tamper(await b.pool.listen(host, 0), change)
+    a.pool.dial(host, forwarder.port)
+    await until(() => a.pool.find(host, forwarder.port) !== undefined, 'a link')
+    a.pool.find(host, forwarder.port)?.send('pay once')
+    await until(() => b.faults.includes(fault), 'the fault')
+    assert.ok(b.received.filter(message => message === 'pay once').length <= 1)
+    a.pool.close()
+    b.pool.close()
+    forwarder.close()
+  })
+}
+
+test('a hello that is no hello closes the connection, and others go on', async () => {
+  const b = createSide('b')
+  const port = await b.pool.listen(host, 0)
+  for (const bytes of [Buffer.from('GET / HTTP/1.1\r\n\r\n'), frameBytes([encodeValue({ v: 9 })]), frameBytes([Buffer.from([255, 255])])]) {
+    const socket = connect(port, host)
+    socket.on('error', () => {})
+    socket.resume()
+    socket.write(bytes)
+    await new Promise(resolve => socket.once('close', resolve))
+  }
+  assert.equal(b.faults.length, 3)
+  assert.equal(b.opened, 0)
+  b.pool.close()
+})
+
+test('frames are cut out of any chunks', () => {
+  const frames = [Buffer.from('a'), Buffer.alloc(300, 7), Buffer.from('')].map(body => frameBytes([body]))
+  const stream = Buffer.concat(frames)
+  for (let size = 1; size < 50; size += 7) {
+    const splitter = new FrameSplitter(1000)
+    const found: Buffer[] = []
+    for (let at = 0; at < stream.length; at += size) found.push(...splitter.push(stream.subarray(at, at + size)))
+    assert.deepEqual(found.map(frame => frame.length), [1, 300, 0])
+  }
+})
--- /dev/null
+++ b/test/timeline.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { mergeEvents, parseEvent } from '../src/bin/timeline.js'
+import { EventLog, HybridClock, formatTime } from '../src/runtime/index.js'
+
+test('a line holds its values through writing and reading', () => {
+  const lines: string[] = []
+  const log = new EventLog('entry-1', line => lines.push(line), () => 1000)
+  const values = ['plain', 'two words', 'a "quoted" one', 'k=v', '', 'a\\b']
+  for (const value of values) log.info('said', { value, number: 7, nothing: null })
+  assert.equal(lines.length, values.length)
+  lines.forEach((line, i) => {
+    const event = parseEvent(line)
+    assert.equal(event?.fields.get('value'), values[i])
+    assert.equal(event?.fields.get('nothing'), '-')
+    assert.equal(event?.fields.get('box'), 'entry-1')
+  })
+})
+
+test('what was caused comes after its cause, although its box has a slow clock', () => {
+  const lines: string[] = []
+  const ahead = new EventLog('ahead', line => lines.push(line), () => 5000)
+  const behind = new EventLog('behind', line => lines.push(line), () => 1000)
+  ahead.info('cause', { request: 'r1' })
+  behind.clock.merge(ahead.clock.read())
+  behind.info('effect', { request: 'r1' })
+  behind.info('other', { request: 'r2' })
+  const events = mergeEvents([lines.slice(1).join('\n'), lines[0]], null)
+  assert.deepEqual(events.map(event => event.fields.get('event')), ['cause', 'effect', 'other'])
+  assert.deepEqual(mergeEvents([lines.join('\n')], 'r1').map(event => event.fields.get('event')), ['cause', 'effect'])
+})
+
+test('a clock never falls, and passes what it heard of', () => {
+  let now = 100
+  const clock = new HybridClock(() => now)
+  const first = clock.read()
+  now = 50
+  const second = clock.read()
+  assert.ok(second.ms > first.ms || second.count > first.count)
+  clock.merge({ ms: 900, count: 4 })
+  assert.equal(formatTime(clock.read()), '900.0005')
+})
