Make a change of configuration cost what it touches, in the keepers

Change: the ledger changes its own sections in place and gives out a copy when the document is asked for.

--- a/src/coordination/ledger/config-ledger.ts
+++ b/src/coordination/ledger/config-ledger.ts
@@ -3,7 +3,6 @@
  * by compare-and-set on the base revision, and the first answer to every
  * command, given again when the command is resent.
  */
-import { applyChanges } from './document.js'
 import type { Change, CommandId, Document, LedgerCommand, LedgerResult, Plan, Revision } from './ledger-types.js'
 
 /** Bounds on what is kept beside the document. */
@@ -37,7 +36,10 @@
 
 export class ConfigLedger {
   #bounds: LedgerBounds
-  #document: Document
+  /** This ledger's own sections, changed in place: a change costs what it touches. */
+  #sections: Record<string, Record<string, unknown>>
+  /** What `document` gave last, until the next change. */
+  #document: Document | null
   #revision: number
   #recent: Revision[]
   #plans: Map<number, Plan>
@@ -47,7 +49,8 @@
 
   constructor (bounds: LedgerBounds, state: LedgerState = emptyLedger) {
     this.#bounds = bounds
-    this.#document = state.document
+    this.#sections = copySections(state.document)
+    this.#document = null
     this.#revision = state.revision
     this.#recent = [...state.recent]
     this.#plans = new Map(state.plans.map(plan => [plan.number, plan]))
@@ -56,7 +59,12 @@
     this.#lastPlan = state.lastPlan
   }
 
-  get document (): Document { return this.#document }
+  /** The document in force. What is given never changes later. */
+  get document (): Document {
+    this.#document ??= copySections(this.#sections)
+    return this.#document
+  }
+
   get revision (): number { return this.#revision }
   get planCount (): number { return this.#plans.size }
 
@@ -82,7 +90,7 @@
 
   save (): LedgerState {
     return {
-      document: this.#document,
+      document: this.document,
       revision: this.#revision,
       recent: [...this.#recent],
       plans: [...this.#plans.values()],
@@ -118,7 +126,7 @@
   }
 
   #accept (plan: Plan, operator: string, now: number): void {
-    this.#document = applyChanges(this.#document, plan.changes)
+    this.#make(plan.changes)
     this.#revision += 1
     this.#recent.push({ revision: this.#revision, changes: plan.changes, operator, time: now })
     if (this.#recent.length > this.#bounds.revisions) this.#recent.shift()
@@ -126,6 +134,15 @@
     this.#confirmed.set(plan.number, this.#revision)
   }
 
+  #make (changes: readonly Change[]): void {
+    this.#document = null
+    for (const { section, name, after } of changes) {
+      const items = this.#sections[section] ??= {}
+      if (after === null) delete items[name]
+      else items[name] = after
+    }
+  }
+
   #conflict (base: number): LedgerResult {
     const since = this.findSince(base) ?? this.#recent
     return { type: 'conflict', base, revision: this.#revision, since: since.flatMap(one => one.changes) }
@@ -147,6 +164,10 @@
   }
 }
 
+function copySections (document: Document): Record<string, Record<string, unknown>> {
+  return Object.fromEntries(Object.entries(document).map(([section, items]) => [section, { ...items }]))
+}
+
 function formatCommand (id: CommandId): string {
   return JSON.stringify([id.operator, id.number])
 }
