Bring a node's control traffic down; part the entry box's file; write the pages

Cause: docs/CAPACITY.md's first whole run said 49.6 KB/s and 4.97% of a core a node against bounds of 11 KB/s and 2.7%: demands of workspaces went with every word of loads (31.8 KB/s with it) and engines were polled every second (11.2 KB/s by a guessed size). A restart was read off a line that a far point had bent below 0. Change: demands are told every 5 s; 4 links are told at a time; the time between polls grows with the engines; a shard in which nothing waits ticks ten times less often; the size of a poll is measured; slopes are read between the two nearest points. The entry box gave its links, shards and status to files of their own (593 -> 528 lines).

--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -24,9 +24,9 @@
 
 idle () { # ENGINES
   local before after
-  sleep 2
-  before=$(cpu); sleep 8; after=$(cpu)
-  echo "{\"kind\":\"idle-engines\",\"x\":$1,\"y\":$(awk "BEGIN { print ($after - $before) / 8 }")}" >>"$samples"
+  sleep 10 # the start itself is no part of it
+  before=$(cpu); sleep 10; after=$(cpu)
+  echo "{\"kind\":\"idle-engines\",\"x\":$1,\"y\":$(awk "BEGIN { print ($after - $before) / 10 }")}" >>"$samples"
 }
 
 for engines in 5 10 20 40; do
--- /dev/null
+++ b/src/capacity/measure-poll.ts
@@ -0,0 +1,35 @@
+import { Agent, get } from 'node:http'
+import { StandinEngine } from '../standin/index.js'
+
+const tcpBytes = 44
+const packets = 3
+
+/** Bytes of one load report of an engine over a kept-alive connection, both ways, headers of TCP with them. */
+export async function measurePollBytes (): Promise<number> {
+  const engine = new StandinEngine({ id: 'e', host: '127.0.0.1', port: 0, models: ['m'], batch: 1, baseMs: 1, streamMs: 1, prefillMs: 1, kvTokens: 1000, reportLagMs: 0, checksFencing: true })
+  const port = await engine.listen()
+  const agent = new Agent({ keepAlive: true })
+  await poll(port, agent)
+  const bytes = await poll(port, agent)
+  agent.destroy()
+  engine.close()
+  return bytes + packets * tcpBytes
+}
+
+function poll (port: number, agent: Agent): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const request = get({ host: '127.0.0.1', port, path: '/v1/load', agent }, response => {
+      const { socket } = response
+      const before = countedBefore.get(socket) ?? 0
+      response.resume()
+      response.on('end', () => {
+        const total = socket.bytesRead + socket.bytesWritten
+        countedBefore.set(socket, total)
+        resolve(total - before)
+      })
+    })
+    request.on('error', reject)
+  })
+}
+
+const countedBefore = new WeakMap<object, number>()
--- a/src/capacity/page.ts
+++ b/src/capacity/page.ts
@@ -6,6 +6,8 @@
 /** Figures that are not slopes. */
 export interface Singles {
   readonly remoteRequestBytes: number
+  /** Of one load report over HTTP, both ways. */
+  readonly pollBytes: number
   /** Share of requests that another box placed, in a run with a shard for each box. */
   readonly remoteShare: number
   readonly changeBytes: number
@@ -24,12 +26,14 @@
   readonly commit: string
 }
 
+// As in entry-box.ts and engine-watch.ts.
 const subsetLinks = 18
-const toldAtOnce = 6
+const toldAtOnce = 4
 const loadsEverySeconds = 0.25
+const demandsEverySeconds = 5
+const pollMsPerEngine = 150
+const eventsEveryTurn = 3
 const activeWorkspaces = 24
-const pollBytes = 420
-const pollsPerSecond = 4 / 3
 
 /** The table of slopes. */
 export function formatSlopes (measured: Measured): string {
@@ -46,6 +50,7 @@
   const { singles } = measured
   lines.push('', '| single figure | measured |', '|---|---|')
   lines.push(`| bytes of all words for a request that another box places | ${format(singles.remoteRequestBytes)} |`)
+  lines.push(`| bytes of one load report over HTTP, both ways | ${format(singles.pollBytes)} |`)
   lines.push(`| share of requests that another box placed (virtual time, a shard for each box, ordinary day) | ${format(singles.remoteShare)} |`)
   lines.push(`| bytes of one change to one box | ${format(singles.changeBytes)} |`)
   lines.push(`| bytes of log for a change, planned and confirmed | ${format(singles.logChangeBytes)} |`)
@@ -108,14 +113,14 @@
 /** The table of what fails. */
 export function formatFailures (measured: Measured): string {
   const events = target.failuresPerDay + 2 * target.restartsPerDay
-  const newsBytes = 8 * 3 * Math.ceil(Math.log2(target.nodes + 2))
+  const tellings = 3 * Math.ceil(Math.log2(target.nodes + 2))
   const parting = read(measured, 'parting', target.runners) / 1000
   const rows = [
-    ['a box fails or restarts', `${target.failuresPerDay} + 2 × ${target.restartsPerDay} a day`, `one in ${format(daySeconds / events)} s; its news is told ${3 * Math.ceil(Math.log2(target.nodes + 2))} times by each node inside pings that go anyway (about ${newsBytes} bytes a node)`, 'found in 3 to 5 s (membership tests, virtual time); its shards are taken over as soon as each box knows', 'requests in flight on that box; its queued ones are asked again elsewhere'],
+    ['a box fails or restarts', `${target.failuresPerDay} + 2 × ${target.restartsPerDay} a day`, `one in ${format(daySeconds / events)} s; its news is told ${tellings} times by each node, on probes that go anyway`, 'found in 3 to 5 s (membership tests, virtual time); its shards are taken over as soon as each box knows', 'requests in flight on that box; its queued ones are asked again elsewhere'],
     ['a rack', 'once a week, 40 boxes at a time', 'as above, 40 times', 'as above: each node finds out by its own probe or by news', 'as above'],
     ['a zone cut off', 'every other month', `${target.nodes / target.zones} boxes on one side`, 'both sides serve on with what they hold; healed in a few probes of a gone box every 4 s', 'claims and changes on the side without a quorum, as not run'],
     ['regions apart', 'an hour now and then', 'no message crosses', 'each region serves its own engines', 'changes and claims on the side without a quorum'],
-    ['owners move', 'at each of these', `findOwner over ${Math.ceil(target.runners / 32)} shards; parting ${format(parting)} ms only when engines change`, 'at once on each box', 'nothing: running streams are adopted by the new owner']
+    ['owners move', 'at each of these', `owners of ${Math.ceil(target.runners / 32)} shards or more, each box for itself; parting ${format(parting)} ms only when engines change`, 'at once on each box', 'nothing: running streams are adopted by the new owner']
   ]
   return ['| event | how often | messages | time to settle | refused meanwhile |', '|---|---|---|---|---|', ...rows.map(row => `| ${row.join(' | ')} |`)].join('\n')
 }
@@ -123,17 +128,19 @@
 function listNodeBytes (measured: Measured): Row[] {
   const { singles } = measured
   const requests = target.requestsPerSecond / target.nodes
-  const perSecond = toldAtOnce / loadsEverySeconds
-  const each = Math.min(perSecond, subsetLinks / (Math.ceil(subsetLinks / toldAtOnce) * loadsEverySeconds))
-  const loads = read(measured, 'loads-bytes', activeWorkspaces)
+  const perSecond = subsetLinks / (Math.ceil(subsetLinks / toldAtOnce) * loadsEverySeconds)
+  const loads = read(measured, 'loads-bytes', 0)
+  const demands = read(measured, 'loads-bytes', activeWorkspaces) - loads
   const runners = target.runners / target.nodes
+  const polls = (1 + 1 / eventsEveryTurn) / Math.max(1, runners * pollMsPerEngine / 1000)
   const changes = target.changesPerDay / daySeconds
   return [
     { what: 'membership', arithmetic: `the member-bytes line at ${target.nodes}`, value: read(measured, 'member-bytes', target.nodes) },
-    { what: 'loads and demands', arithmetic: `${format(loads)} bytes × ${format(each)}/s × 2 (in and out), ${subsetLinks} links`, value: loads * each * 2 },
+    { what: 'loads of shards', arithmetic: `${format(loads)} bytes × ${format(perSecond)}/s × 2 (in and out), ${subsetLinks} links`, value: loads * perSecond * 2 },
+    { what: 'demands of workspaces', arithmetic: `${format(demands)} bytes (${activeWorkspaces} active) × ${subsetLinks} links / ${demandsEverySeconds} s × 2`, value: demands * subsetLinks / demandsEverySeconds * 2 },
     { what: 'requests placed by another box', arithmetic: `${format(singles.remoteRequestBytes)} bytes × ${format(requests)}/s × ${format(singles.remoteShare)} × 2`, value: singles.remoteRequestBytes * requests * singles.remoteShare * 2 },
     { what: 'configuration', arithmetic: `${format(singles.changeBytes)} bytes × ${format(changes)}/s × 5 keepers`, value: singles.changeBytes * changes * 5 },
-    { what: 'load reports of engines', arithmetic: `${pollBytes} bytes × ${format(pollsPerSecond)}/s × ${runners} runners`, value: pollBytes * pollsPerSecond * runners }
+    { what: 'load reports of engines', arithmetic: `${format(singles.pollBytes)} bytes × ${format(polls)}/s × ${runners} runners`, value: singles.pollBytes * polls * runners }
   ]
 }
 
--- a/src/capacity/slope.ts
+++ b/src/capacity/slope.ts
@@ -18,7 +18,13 @@
   return { name, by, unit, points, fit: fitLine(points) }
 }
 
-/** What the line gives at a size. */
+/** What is expected at a size: between two measured points the line through them, outside them the fit. */
 export function readSlope (slope: Slope, size: number): number {
-  return slope.fit.base + slope.fit.slope * size
+  const points = [...slope.points].sort((a, b) => a.x - b.x)
+  const after = points.findIndex(point => point.x >= size)
+  if (after < 0 || (after === 0 && points[0].x > size)) return slope.fit.base + slope.fit.slope * size
+  const right = points[after]
+  if (right.x === size) return right.y
+  const left = points[after - 1]
+  return left.y + (right.y - left.y) * (size - left.x) / (right.x - left.x)
 }
--- a/src/core/engine-health.ts
+++ b/src/core/engine-health.ts
@@ -1,7 +1,7 @@
 const failuresToEject = 3
 const firstBackoffMs = 1000
 const longestBackoffMs = 30_000
-const silentAfterMs = 6000
+const silentAfterMs = 10_000
 const gainOfNewest = 0.15
 const samplesToJudge = 8
 
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -92,6 +92,9 @@
     return { places, quick, patient, queued, queuedPatient }
   }
 
+  /** True where requests wait, so that ticks must come often. */
+  get hasWaiting (): boolean { return this.#waiting.size > 0 }
+
   /** Requests waiting, by class. */
   get queueSizes (): ReadonlyMap<ClassName, number> {
     return new Map(this.#queues.map(queue => [queue.class.name, queue.size]))
--- a/src/protocol/box-message.ts
+++ b/src/protocol/box-message.ts
@@ -52,7 +52,7 @@
   | { readonly type: 'shard-word', readonly shard: ShardId, readonly word: ShardWord }
   | { readonly type: 'shard-answer', readonly shard: ShardId, readonly answer: ShardAnswer }
   | { readonly type: 'not-owner', readonly shard: ShardId, readonly request: RequestId, readonly attempt: number }
-  /** Sent several times a second: the shards that a box owns, and the demand of its active workspaces. */
-  | { readonly type: 'loads', readonly loads: readonly PackedLoad[], readonly demands: readonly (readonly [WorkspaceName, number])[] }
+  /** The shards that a box owns, told often; and the demand of its active workspaces, told now and then, else null. */
+  | { readonly type: 'loads', readonly loads: readonly PackedLoad[], readonly demands: readonly (readonly [WorkspaceName, number])[] | null }
 
 export type { Change }
--- a/src/protocol/link-pool.ts
+++ b/src/protocol/link-pool.ts
@@ -1,25 +1,13 @@
 /** The links of one box: those it accepts and those it opens and keeps open. */
 import { createServer, connect } from 'node:net'
 import type { Server, Socket } from 'node:net'
-import type { HybridClock } from '../runtime/index.js'
 import { Link } from './link.js'
-import type { LinkFault } from './link.js'
+import type { LinkHost } from './link.js'
 
 const firstRetryMs = 50
 const longestRetryMs = 2000
 const connectMs = 3000
 
-/** What a box does with its links. */
-export interface LinkPoolHost<Message> {
-  readonly id: string
-  readonly secret: string
-  readonly clock: HybridClock
-  receive (link: Link<Message>, message: Message): void
-  noteOpen (link: Link<Message>): void
-  noteClosed (link: Link<Message>): void
-  noteFault (fault: LinkFault, peer: string): void
-}
-
 interface Dialed<Message> {
   readonly host: string
   readonly port: number
@@ -30,7 +18,7 @@
 }
 
 export class LinkPool<Message> {
-  #host: LinkPoolHost<Message>
+  #host: LinkHost<Message>
   #server: Server | null = null
   #sockets = new Set<Socket>()
   #dialed = new Map<string, Dialed<Message>>()
@@ -39,7 +27,7 @@
   #links = new Set<Link<Message>>()
   #closed = false
 
-  constructor (host: LinkPoolHost<Message>) {
+  constructor (host: LinkHost<Message>) {
     this.#host = {
       id: host.id,
       secret: host.secret,
--- a/src/tasks/engine-watch.ts
+++ b/src/tasks/engine-watch.ts
@@ -14,6 +14,7 @@
 }
 
 const everyMs = 1000
+const perEngineMs = 150
 const eventsEveryTurn = 3
 const timeoutMs = 2000
 const largestAnswer = 256 * 1024
@@ -21,21 +22,26 @@
 export class EngineWatch {
   #host: EngineWatchHost
   #timer: NodeJS.Timeout
+  #nextAt = 0
   #turn = 0
   #missed = new Set<string>()
 
   constructor (host: EngineWatchHost) {
     this.#host = host
-    this.#timer = setInterval(() => this.#poll(), everyMs)
+    this.#timer = setInterval(() => this.#poll(host.listEngines()), everyMs)
   }
 
   close (): void {
     clearInterval(this.#timer)
   }
 
-  #poll (): void {
+  // With many engines each is asked less often, so the traffic stays the same.
+  #poll (engines: readonly EngineEntry[]): void {
+    this.#nextAt -= everyMs
+    if (this.#nextAt > 0) return
+    this.#nextAt = engines.length * perEngineMs
     this.#turn += 1
-    for (const engine of this.#host.listEngines()) {
+    for (const engine of engines) {
       void this.#readReport(engine)
       if (this.#turn % eventsEveryTurn === 0) void this.#readEvents(engine)
     }
--- a/src/tasks/entry-box.ts
+++ b/src/tasks/entry-box.ts
@@ -5,13 +5,12 @@
 import { Agent } from 'node:http'
 import type { ServerResponse } from 'node:http'
 import { performance } from 'node:perf_hooks'
-import type { Configuration, EngineEntry, EntrySettings, Service, ServiceEndpoint } from '../config/index.js'
-import { readSchedulerConfig } from '../config/index.js'
+import type { Configuration, EntrySettings, Service, ServiceEndpoint } from '../config/index.js'
 import type { ClaimCommand, Member } from '../coordination/index.js'
-import { Placer, RetryBudget, assignOwners, brandId, chooseSubset, partEngines } from '../core/index.js'
-import type { BoxId, EngineId, RequestId, Shard, ShardAnswer, ShardBox, ShardId, ShardWord, ZoneName } from '../core/index.js'
+import { Placer, RetryBudget, brandId } from '../core/index.js'
+import type { BoxId, EngineId, PlacerShard, RequestId, Shard, ShardAnswer, ShardBox, ShardId, ShardWord, ZoneName } from '../core/index.js'
 import { LinkPool, packLoad, unpackLoad } from '../protocol/index.js'
-import type { BoxMessage, BoxStatus, EngineStatus, EntryCall, EntryReply, Link } from '../protocol/index.js'
+import type { BoxMessage, BoxStatus, EntryCall, EntryReply, Link } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import { CallerServer } from './caller-server.js'
 import { ChatExchange } from './chat-exchange.js'
@@ -22,6 +21,9 @@
 import { KeeperClient } from './keeper-client.js'
 import { Limits } from './limits.js'
 import { MemberTask } from './member-task.js'
+import { OpenLinks } from './open-links.js'
+import { describeOwned } from './owner-status.js'
+import { ShardDirectory, configureShard, listReporting } from './shard-directory.js'
 import { ServiceExchange } from './service-exchange.js'
 import type { ClaimEnd, ServiceHost, ServiceOrder, ServiceSummary } from './service-exchange.js'
 import { ShardOwner } from './shard-owner.js'
@@ -34,7 +36,8 @@
 }
 
 const loadsEveryMs = 250
-const toldAtOnce = 6
+const toldAtOnce = 4
+const demandTurns = 20
 const tickEveryMs = 100
 const watchEveryMs = 2000
 const stopPollMs = 20
@@ -48,7 +51,7 @@
   #around: EntrySurroundings
   #incarnation = Date.now()
   #links: LinkPool<BoxMessage>
-  #openLinks = new Map<string, Set<Link<BoxMessage>>>()
+  #openLinks = new OpenLinks<BoxMessage>()
   #keepers: KeeperClient
   #follower: ConfigFollower
   #members: MemberTask | null = null
@@ -59,10 +62,7 @@
   #server: CallerServer
   #agent = new Agent({ keepAlive: true, maxSockets: engineSockets, maxFreeSockets: 256, scheduling: 'lifo' })
   #budgets = new Map<string, RetryBudget>()
-  #shards: readonly Shard[] = []
-  #engineShards = new Map<EngineId, ShardId>()
-  #owners = new Map<ShardId, BoxId>()
-  #partedFrom: readonly unknown[] = []
+  #directory: ShardDirectory
   #dialed = new Set<string>()
   #timers: NodeJS.Timeout[] = []
   #requests = 0
@@ -79,6 +79,7 @@
     this.id = brandId<BoxId>(settings.id)
     this.zone = brandId<ZoneName>(settings.zone)
     this.settings = settings
+    this.#directory = new ShardDirectory({ id: this.id, zone: this.zone }, settings.enginesPerShard)
     this.#around = around
     const now = (): number => performance.now()
     this.#links = new LinkPool({
@@ -87,7 +88,7 @@
       clock: around.log.clock,
       receive: (link, message) => this.#receive(link, message),
       noteOpen: link => this.#noteOpen(link),
-      noteClosed: link => this.#noteClosed(link),
+      noteClosed: link => this.#openLinks.remove(link),
       noteFault: (fault, peer) => {
         around.metrics.count('link-fault', { fault })
         around.log.warn('link-fault', { fault, peer })
@@ -108,13 +109,13 @@
       now,
       random: Math.random,
       send: (owner, shard, word) => this.#sendShard(owner, shard, word),
-      isReachable: owner => owner === this.id || this.#findLink(owner) !== undefined,
+      isReachable: owner => owner === this.id || this.#openLinks.find(owner) !== undefined,
       noteViolation: (rule, detail) => this.#noteViolation(rule, detail)
     })
     this.#limits = new Limits(now)
     this.#watch = new EngineWatch({
       agent: this.#agent,
-      listEngines: () => this.#listWatched(),
+      listEngines: () => listReporting(this.#owner.shards, this.configuration),
       noteReport: (engine, report) => this.#noteEngine(engine.id, shard => this.#owner.noteEngine(shard, { type: 'report', at: now(), engine: engine.id, report })),
       noteEvicted: (engine, prefixes) => this.#noteEngine(engine.id, shard => this.#owner.noteEngine(shard, { type: 'evicted', at: now(), engine: engine.id, prefixes }))
     })
@@ -177,27 +178,6 @@
   }
 
   composeStatus (): BoxStatus {
-    const queues: Record<string, number> = {}
-    const engines: EngineStatus[] = []
-    for (const shard of this.#owner.shards) {
-      const scheduler = this.#owner.findScheduler(shard.id)
-      if (scheduler === undefined) continue
-      for (const [name, size] of scheduler.queueSizes) queues[name] = (queues[name] ?? 0) + size
-      for (const engine of scheduler.engines) {
-        const { health } = engine
-        engines.push({
-          id: engine.id,
-          zone: shard.zone,
-          pool: shard.pool,
-          state: engine.leaving ? 'leaving' : health.state,
-          slow: health.slow,
-          quick: engine.quick,
-          patient: engine.load - engine.quick,
-          places: engine.spec.places,
-          owner: this.id
-        })
-      }
-    }
     return {
       id: this.id,
       zone: this.zone,
@@ -205,8 +185,7 @@
       ready: this.#isReady,
       leaving: this.#leaving,
       inFlight: this.inFlight,
-      queues,
-      engines,
+      ...describeOwned(this.#owner, this.id),
       violations: this.#violations,
       incarnation: String(this.#incarnation)
     }
@@ -350,30 +329,15 @@
   // Links and messages.
 
   #noteOpen (link: Link<BoxMessage>): void {
-    const links = this.#openLinks.get(link.peer) ?? new Set()
-    links.add(link)
-    this.#openLinks.set(link.peer, links)
+    this.#openLinks.add(link)
     if (this.#isKeeper(link.peer)) this.#watchKeeper(link)
     else this.#placer.reopen(brandId<BoxId>(link.peer))
   }
 
-  #noteClosed (link: Link<BoxMessage>): void {
-    const links = this.#openLinks.get(link.peer)
-    links?.delete(link)
-    if (links?.size === 0) this.#openLinks.delete(link.peer)
-  }
-
   #isKeeper (name: string): boolean {
     return this.settings.keepers.some(keeper => keeper.id === name)
   }
 
-  #findLink (peer: string): Link<BoxMessage> | undefined {
-    for (const link of this.#openLinks.get(peer) ?? []) {
-      if (link.isOpen) return link
-    }
-    return undefined
-  }
-
   #receive (link: Link<BoxMessage>, message: BoxMessage): void {
     const from = brandId<BoxId>(link.peer)
     switch (message.type) {
@@ -388,7 +352,8 @@
       case 'not-owner': return this.#placer.noteNotOwner(message.shard, message.request)
       case 'loads':
         this.#placer.noteLoads(from, message.loads.map(unpackLoad))
-        return this.#limits.note(from, message.demands)
+        if (message.demands !== null) this.#limits.note(from, message.demands)
+        return
       case 'entry-call':
         link.send({ type: 'entry-reply', call: message.call, body: this.#answerOperator(message.body) })
         return
@@ -414,11 +379,11 @@
 
   #askForConfig (): void {
     for (const { id } of this.settings.keepers) {
-      const link = this.#findLink(id)
+      const link = this.#openLinks.find(id)
       if (link !== undefined) this.#watchKeeper(link)
     }
     for (const peer of this.#listZonePeers()) {
-      this.#findLink(peer.id)?.send({ type: 'ask-config', revision: this.#follower.revision })
+      this.#openLinks.find(peer.id)?.send({ type: 'ask-config', revision: this.#follower.revision })
     }
   }
 
@@ -434,7 +399,7 @@
     this.#around.metrics.gauge('revision', configuration.revision)
     this.#updateShards()
     for (const { id } of this.settings.keepers) {
-      const link = this.#findLink(id)
+      const link = this.#openLinks.find(id)
       if (link !== undefined) this.#watchKeeper(link)
     }
   }
@@ -478,42 +443,26 @@
     return rotate(peers, this.#requests).slice(0, zonePeers)
   }
 
-  // Parts the engines anew only when their section or the pools have changed.
-  #partShards (): void {
-    const { engines, pools } = this.configuration
-    if (this.#partedFrom[0] === engines && this.#partedFrom[1] === pools) return
-    this.#partedFrom = [engines, pools]
-    this.#shards = partEngines(engines.values(), pool => pools.get(pool)?.models ?? [], this.settings.enginesPerShard)
-    this.#engineShards = new Map(this.#shards.flatMap(shard => shard.engines.map(engine => [engine, shard.id] as const)))
-  }
-
   #updateShards (): void {
     if (this.#members === null) return
-    this.#partShards()
     const boxes = this.#listBoxes()
+    this.#directory.update(this.configuration, boxes)
     this.#limits.boxes = boxes.length
-    this.#owners = assignOwners(this.#shards, boxes)
-    const own = this.#shards.filter(shard => this.#owners.get(shard.id) === this.id)
-    this.#owner.assign(own, shard => this.#configureShard(shard))
-    const used = chooseSubset({ id: this.id, zone: this.zone }, this.#shards)
+    const { own, used } = this.#directory
+    this.#owner.assign(own, shard => configureShard(shard, this.configuration))
     this.#dialOwners(used)
-    this.#placer.setShards(used.map(shard => ({ id: shard.id, zone: shard.zone, models: shard.models, owner: this.#owners.get(shard.id) })))
+    this.#placer.setShards(used)
     for (const shard of own) this.#drainConfigured(shard)
   }
 
-  #configureShard (shard: Shard) {
-    const own = new Set(shard.engines)
-    return readSchedulerConfig(this.configuration, engine => own.has(engine.id))
-  }
-
   #drainConfigured (shard: Shard): void {
     for (const id of shard.engines) {
       if (this.configuration.engines.get(id)?.leaving === true) this.#owner.drain(id, true)
     }
   }
 
-  #dialOwners (shards: readonly Shard[]): void {
-    const wanted = new Set(shards.map(shard => this.#owners.get(shard.id)))
+  #dialOwners (shards: readonly PlacerShard[]): void {
+    const wanted = new Set(shards.map(shard => shard.owner))
     for (const peer of this.#listZonePeers()) wanted.add(brandId<BoxId>(peer.id))
     for (const member of this.#members?.members ?? []) {
       if (member.id === this.id || !wanted.has(brandId<BoxId>(member.id))) continue
@@ -526,7 +475,7 @@
 
   #sendShard (owner: BoxId, shard: ShardId, word: ShardWord): boolean {
     if (owner === this.id) return this.#owner.take(shard, word)
-    return this.#findLink(owner)?.send({ type: 'shard-word', shard, word }) === true
+    return this.#openLinks.find(owner)?.send({ type: 'shard-word', shard, word }) === true
   }
 
   #takeWord (link: Link<BoxMessage>, shard: ShardId, word: ShardWord): void {
@@ -537,41 +486,26 @@
 
   #answerShard (box: BoxId, shard: ShardId, answer: ShardAnswer): void {
     if (box === this.id) return this.#placer.receive(shard, answer)
-    this.#findLink(box)?.send({ type: 'shard-answer', shard, answer })
+    this.#openLinks.find(box)?.send({ type: 'shard-answer', shard, answer })
   }
 
   #tellLoads (): void {
     const { loads } = this.#owner
     this.#placer.noteLoads(this.id, loads)
     const packed = loads.map(([shard, load]) => packLoad(shard, load))
-    const message: BoxMessage = { type: 'loads', loads: packed, demands: this.#limits.demands }
-    for (const peer of this.#nextToTell()) this.#findLink(peer)?.send(message)
-  }
-
-  // With many links each is told less often, so the traffic stays the same.
-  #nextToTell (): string[] {
-    const peers = [...this.#openLinks.keys()].filter(peer => !this.#isKeeper(peer) && !peer.startsWith('operator'))
-    const turns = Math.ceil(peers.length / toldAtOnce)
+    const peers = this.#openLinks.peers.filter(peer => !this.#isKeeper(peer) && !peer.startsWith('operator'))
+    // With many links each is told less often, so the traffic stays the same.
+    const turns = Math.max(1, Math.ceil(peers.length / toldAtOnce))
     this.#loadsTurn += 1
-    return peers.filter((_, i) => i % turns === this.#loadsTurn % turns)
+    const demands = this.#loadsTurn % demandTurns < turns ? this.#limits.demands : null
+    const message: BoxMessage = { type: 'loads', loads: packed, demands }
+    for (const peer of peers.filter((_, i) => i % turns === this.#loadsTurn % turns)) this.#openLinks.find(peer)?.send(message)
   }
 
   // Engines.
 
-  #listWatched (): EngineEntry[] {
-    const watched: EngineEntry[] = []
-    for (const shard of this.#owner.shards) {
-      for (const id of shard.engines) {
-        const engine = this.configuration.engines.get(id)
-        if (engine === undefined || this.configuration.pools.get(engine.pool)?.protocol !== 'wrenlane') continue
-        watched.push(engine)
-      }
-    }
-    return watched
-  }
-
   #noteEngine (engine: EngineId, note: (shard: ShardId) => void): void {
-    const shard = this.#engineShards.get(engine)
+    const shard = this.#directory.findShard(engine)
     if (shard !== undefined) note(shard)
   }
 
--- a/src/tasks/shard-owner.ts
+++ b/src/tasks/shard-owner.ts
@@ -25,6 +25,7 @@
   | { readonly type: 'tick' }
 
 const tickMs = 15
+const idleTurns = 10
 const inboxLimit = 50_000
 
 export class ShardOwner {
@@ -32,11 +33,12 @@
   #owned = new Map<ShardId, Owned>()
   #inbox = new Inbox<OwnerInput>(inboxLimit)
   #timer: NodeJS.Timeout
+  #turn = 0
 
   constructor (host: ShardOwnerHost) {
     this.#host = host
     this.#inbox.run(input => this.#take(input))
-    this.#timer = setInterval(() => this.#inbox.post({ type: 'tick' }), tickMs)
+    this.#timer = setInterval(() => this.#tick(), tickMs)
   }
 
   /** The shards that are owned now, with their engines. */
@@ -96,6 +98,13 @@
     this.#inbox.close()
   }
 
+  // Where nothing waits there is no deadline to watch, and a tick now and then will do.
+  #tick (): void {
+    this.#turn += 1
+    const isIdle = [...this.#owned.values()].every(one => !one.scheduler.hasWaiting)
+    if (!isIdle || this.#turn % idleTurns === 0) this.#inbox.post({ type: 'tick' })
+  }
+
   // Deadlines cross between boxes as time left: their clocks differ.
   #toEvent (word: ShardWord): SchedulerEvent {
     const at = this.#host.now()
--- a/test/layers.test.ts
+++ b/test/layers.test.ts
@@ -14,7 +14,7 @@
   tasks: ['runtime', 'core', 'coordination', 'config', 'protocol'],
   measure: ['runtime', 'core', 'standin'],
   proof: ['runtime', 'core', 'coordination'],
-  capacity: ['runtime', 'core', 'coordination', 'protocol', 'tasks'],
+  capacity: ['runtime', 'core', 'coordination', 'protocol', 'tasks', 'standin'],
   report: ['core', 'config', 'measure']
 }
 
