Divide limits through cuts and deaths; tell keepers the whole status now and then

Cause: a zone that was cut off had its share of every limit given away on both sides; a box's whole status, with its engines, went to every keeper every 2 s (about 5 KB/s at 20 engines, and missing from docs/CAPACITY.md). Change: a zone that is gone whole keeps its share; the status goes to one keeper every 4 s, the revision to all; demands are told every 10 s.

--- a/src/bin/capacity.ts
+++ b/src/bin/capacity.ts
@@ -3,7 +3,7 @@
 import { readFileSync, writeFileSync } from 'node:fs'
 import { cpus, totalmem } from 'node:os'
 import sade from 'sade'
-import { fitSamples, formatDataPath, formatFailures, formatKeepers, formatNodeBytes, formatNodeCore, formatNodeMemory, formatSlopes, measureChangeBytes, measureChangeMemory, measureChangeTime, measureClaimMemory, measureClaimTime, measureConfigMemory, measureDecision, measureEngineMemory, measureLoads, measureLogBytes, measureMembers, measureParting, measurePollBytes, measureRemoteRequest, measureRequestMemory, measureRestart, measureSnapshot, measureSyncs, readSamples, target } from '../capacity/index.js'
+import { fitSamples, formatDataPath, formatFailures, formatKeepers, formatNodeBytes, formatNodeCore, formatNodeMemory, formatSlopes, measureChangeBytes, measureChangeMemory, measureChangeTime, measureClaimMemory, measureClaimTime, measureConfigMemory, measureDecision, measureEngineMemory, measureLoads, measureLogBytes, measureMembers, measureParting, measurePollBytes, measureRemoteRequest, measureRequestMemory, measureRestart, measureSnapshot, measureSyncs, measureWatch, readSamples, target } from '../capacity/index.js'
 import type { Measured, Slope } from '../capacity/index.js'
 import { measureRemoteShare } from '../measure/index.js'
 import { endWith, readVersion, usageExit } from './program.js'
@@ -77,6 +77,7 @@
       pollBytes: await measurePollBytes(),
       remoteShare: measureRemoteShare(),
       changeBytes: measureChangeBytes(),
+      watch: measureWatch(target.runners / target.nodes),
       logChangeBytes: log.change,
       logClaimBytes: log.claim,
       syncsPerSecond: await measureSyncs(),
--- a/src/bin/local.ts
+++ b/src/bin/local.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /** `wrenlane-local`: the whole path in one process, with stand-ins behind it. */
-import { mkdirSync, mkdtempSync } from 'node:fs'
+import { mkdirSync, mkdtempSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -53,8 +53,9 @@
   await service.listen()
   await configure(keepers, intent, composeEndpoints(port))
   await waitReady(entries)
+  const settings = writeOperatorSettings(keepers, data)
   const log = new EventLog('local', line => process.stdout.write(line + '\n'))
-  log.info('ready', { url: `http://${host}:${port}`, second: `http://${host}:${port + 1}`, keys: demoKeys, data })
+  log.info('ready', { url: `http://${host}:${port}`, second: `http://${host}:${port + 1}`, keys: demoKeys, data, operator: settings })
   handleSignals(async () => {
     const cut = await Promise.all(entries.map(entry => entry.stop()))
     await Promise.all(boxes.map(box => box.stop()))
@@ -160,6 +161,16 @@
   client.close()
 }
 
+// So that `wrenlane status --settings FILE` works beside it.
+function writeOperatorSettings (keepers: KeeperSettings['keepers'], data: string): string {
+  const path = join(data, 'wrenlane.toml')
+  const secretFile = join(data, 'secret')
+  const list = keepers.map(({ id, port }) => `  { id = "${id}", host = "${host}", port = ${port} }`)
+  writeFileSync(secretFile, `${secret}\n`, { mode: 0o600 })
+  writeFileSync(path, `keepers = [\n${list.join(',\n')}\n]\nsecretFile = ${JSON.stringify(secretFile)}\n`)
+  return path
+}
+
 async function waitReady (entries: readonly EntryBox[]): Promise<void> {
   const until = Date.now() + readyMs
   while (!entries.every(entry => entry.composeStatus().ready && entry.configuration.engines.size > 0)) {
--- a/src/bin/status-report.ts
+++ b/src/bin/status-report.ts
@@ -20,7 +20,8 @@
   for (const status of known) {
     for (const box of status.boxes) {
       const other = boxes.get(box.id)
-      if (other === undefined || other.revision < box.revision) boxes.set(box.id, box)
+      const newest = other === undefined || other.sentAt < box.sentAt ? box : other
+      boxes.set(box.id, { ...newest, revision: Math.max(box.revision, other?.revision ?? 0) })
     }
   }
   const revision = Math.max(0, ...known.map(status => status.revision))
--- a/src/capacity/measure-spread.ts
+++ b/src/capacity/measure-spread.ts
@@ -5,7 +5,7 @@
 import { brandId } from '../core/index.js'
 import type { BoxId, ClassName, EngineId, ModelName, RequestId, ShardId, Submission, WorkspaceName } from '../core/index.js'
 import { encodeValue, packLoad } from '../protocol/index.js'
-import type { BoxMessage } from '../protocol/index.js'
+import type { BoxMessage, BoxStatus } from '../protocol/index.js'
 import { createRandom } from '../runtime/index.js'
 import { measureSlope } from './slope.js'
 import type { Slope } from './slope.js'
@@ -142,6 +142,25 @@
   return measureSlope('config-memory', 'workspaces', 'bytes', sizes, count => weigh(() => createFollower(count)))
 }
 
+/** Bytes of a box's word to one keeper: its revision alone, and with the status of its engines. */
+export function measureWatch (engines: number): { readonly light: number, readonly full: number } {
+  const status: BoxStatus = {
+    id: 'entry-123',
+    zone: 'zone-12',
+    revision: 29_000,
+    ready: true,
+    leaving: false,
+    inFlight: 500,
+    queues: { 'pitch-question': 3, 'itinerary-draft': 17 },
+    engines: Array.from({ length: engines }, (_, i) => ({ id: `engine-${10_000 + i}`, zone: 'zone-12', pool: 'steppe', state: 'live', slow: false, quick: 5, patient: 1, places: 8, owner: 'entry-123' })),
+    violations: 0,
+    incarnation: '1796213637769',
+    sentAt: 1_796_213_637_769
+  }
+  const measure = (value: BoxStatus | null): number => measureFrame({ type: 'watch', revision: 29_000, status: value })
+  return { light: measure(null), full: measure(status) }
+}
+
 /** Bytes of one change on its way to one box. */
 export function measureChangeBytes (): number {
   return measureFrame({ type: 'revisions', revisions: [{ revision: 29_000, changes: [composeChange(1)], operator: 'ana', time: 1_796_213_637_769 }] })
--- a/src/capacity/page.ts
+++ b/src/capacity/page.ts
@@ -11,6 +11,8 @@
   /** Share of requests that another box placed, in a run with a shard for each box. */
   readonly remoteShare: number
   readonly changeBytes: number
+  /** A box's word to a keeper: its revision alone, and with the status of a node's engines. */
+  readonly watch: { readonly light: number, readonly full: number }
   readonly logChangeBytes: number
   readonly logClaimBytes: number
   readonly syncsPerSecond: number
@@ -30,7 +32,10 @@
 const subsetLinks = 18
 const toldAtOnce = 4
 const loadsEverySeconds = 0.25
-const demandsEverySeconds = 5
+const demandsEverySeconds = 10
+const watchEverySeconds = 2
+const statusEverySeconds = 4
+const keepers = 5
 const pollMsPerEngine = 150
 const eventsEveryTurn = 3
 const activeWorkspaces = 24
@@ -139,7 +144,8 @@
     { what: 'loads of shards', arithmetic: `${format(loads)} bytes × ${format(perSecond)}/s × 2 (in and out), ${subsetLinks} links`, value: loads * perSecond * 2 },
     { what: 'demands of workspaces', arithmetic: `${format(demands)} bytes (${activeWorkspaces} active) × ${subsetLinks} links / ${demandsEverySeconds} s × 2`, value: demands * subsetLinks / demandsEverySeconds * 2 },
     { what: 'requests placed by another box', arithmetic: `${format(singles.remoteRequestBytes)} bytes × ${format(requests)}/s × ${format(singles.remoteShare)} × 2`, value: singles.remoteRequestBytes * requests * singles.remoteShare * 2 },
-    { what: 'configuration', arithmetic: `${format(singles.changeBytes)} bytes × ${format(changes)}/s × 5 keepers`, value: singles.changeBytes * changes * 5 },
+    { what: 'configuration', arithmetic: `${format(singles.changeBytes)} bytes × ${format(changes)}/s × ${keepers} keepers`, value: singles.changeBytes * changes * keepers },
+    { what: 'revision and status to keepers', arithmetic: `${format(singles.watch.light)} bytes × ${keepers} / ${watchEverySeconds} s + ${format(singles.watch.full)} bytes / ${statusEverySeconds} s`, value: singles.watch.light * keepers / watchEverySeconds + singles.watch.full / statusEverySeconds },
     { what: 'load reports of engines', arithmetic: `${format(singles.pollBytes)} bytes × ${format(polls)}/s × ${runners} runners`, value: singles.pollBytes * polls * runners }
   ]
 }
--- a/src/coordination/members/membership.ts
+++ b/src/coordination/members/membership.ts
@@ -90,6 +90,9 @@
     return [this.#self, ...present]
   }
 
+  /** Every box that is remembered, this one first, those that are gone with them. */
+  get remembered (): Member[] { return [this.#self, ...this.#members.values()] }
+
   /** Takes one event and returns what is to be done. */
   step (event: MemberEvent): MemberEffect[] {
     this.#effects = []
--- a/src/core/workspace-limit.ts
+++ b/src/core/workspace-limit.ts
@@ -92,3 +92,20 @@
   const byDemand = total === 0 ? 1 / boxes : own / total
   return evenShare / boxes + (1 - evenShare) * byDemand
 }
+
+/** A box as it counts for dividing limits. */
+export interface LimitSharer {
+  readonly id: string
+  readonly zone: string
+  readonly isGone: boolean
+}
+
+/**
+ * The boxes among which limits are divided. A box that is gone gives its share
+ * up, unless its whole zone is gone: that zone is taken to be cut off and to
+ * spend its last share, so both sides together stay within the limit.
+ */
+export function listSharers (boxes: readonly LimitSharer[]): LimitSharer[] {
+  const present = new Set(boxes.filter(box => !box.isGone).map(box => box.zone))
+  return boxes.filter(box => !box.isGone || !present.has(box.zone))
+}
--- a/src/measure/shard-policy.ts
+++ b/src/measure/shard-policy.ts
@@ -8,6 +8,8 @@
 const farMs = 1
 const loadsEveryMs = 250
 const lossNoticedMs = 2500
+// As chat-exchange.ts has it.
+const attemptsApart = 100
 const model = brandId<ModelName>('model')
 const pool = brandId<PoolName>('pool')
 
@@ -191,7 +193,7 @@
     const { class: wanted } = request
     const submission: Submission = {
       request: request.id,
-      attempt: (request.attempts + 1) * 100,
+      attempt: (request.attempts + 1) * attemptsApart,
       box: request.box,
       class: wanted.name,
       workspace: request.workspace,
--- a/src/protocol/box-message.ts
+++ b/src/protocol/box-message.ts
@@ -45,6 +45,7 @@
   | { readonly type: 'reply', readonly call: number, readonly body: KeeperReply }
   | { readonly type: 'entry-call', readonly call: number, readonly body: EntryCall }
   | { readonly type: 'entry-reply', readonly call: number, readonly body: EntryReply }
+  /** A box has `revision` and wants what comes after; its whole status goes to one keeper now and then. */
   | { readonly type: 'watch', readonly revision: number, readonly status: BoxStatus | null }
   | { readonly type: 'revisions', readonly revisions: readonly Revision[] }
   | { readonly type: 'whole', readonly document: Document, readonly revision: number }
--- a/src/protocol/status.ts
+++ b/src/protocol/status.ts
@@ -26,6 +26,8 @@
   readonly engines: readonly EngineStatus[]
   readonly violations: number
   readonly incarnation: string
+  /** When the box said so, ms since 1970 on its clock. */
+  readonly sentAt: number
 }
 
 /** A keeper's own word, with what it heard from entry boxes. */
--- a/src/tasks/chat-exchange.ts
+++ b/src/tasks/chat-exchange.ts
@@ -61,6 +61,8 @@
 
 const mostAttempts = 3
 const mostUnreached = 8
+// The placer counts one up each time that it asks another owner.
+const attemptsApart = 100
 const quickIdleMs = 10_000
 const patientIdleMs = 300_000
 const firstTokenGrace = 4
@@ -119,7 +121,7 @@
     const deadline = this.#attempts === 1 ? arrivedAt + wanted.firstTokenMs : now + wanted.firstTokenMs
     return {
       request: requestId,
-      attempt: this.#attempts * 100,
+      attempt: this.#attempts * attemptsApart,
       box: this.#host.box,
       class: wanted.name,
       workspace: workspace.name,
--- a/src/tasks/entry-box.ts
+++ b/src/tasks/entry-box.ts
@@ -7,7 +7,7 @@
 import { performance } from 'node:perf_hooks'
 import type { Configuration, EntrySettings, Service, ServiceEndpoint } from '../config/index.js'
 import type { ClaimCommand, Member } from '../coordination/index.js'
-import { Placer, RetryBudget, brandId } from '../core/index.js'
+import { Placer, RetryBudget, brandId, listSharers } from '../core/index.js'
 import type { BoxId, EngineId, PlacerShard, RequestId, Shard, ShardAnswer, ShardBox, ShardId, ShardWord, ZoneName } from '../core/index.js'
 import { LinkPool, packLoad, unpackLoad } from '../protocol/index.js'
 import type { BoxMessage, BoxStatus, EntryCall, EntryReply, Link } from '../protocol/index.js'
@@ -37,9 +37,10 @@
 
 const loadsEveryMs = 250
 const toldAtOnce = 4
-const demandTurns = 20
+const demandTurns = 40
 const tickEveryMs = 100
 const watchEveryMs = 2000
+const statusTurns = 2
 const stopPollMs = 20
 const zonePeers = 2
 const engineSockets = 4096
@@ -69,6 +70,7 @@
   #attempts = 0
   #services = 0
   #loadsTurn = 0
+  #watchTurn = 0
   #leaving = false
   #killed = false
   #violations = 0
@@ -187,7 +189,8 @@
       inFlight: this.inFlight,
       ...describeOwned(this.#owner, this.id),
       violations: this.#violations,
-      incarnation: String(this.#incarnation)
+      incarnation: String(this.#incarnation),
+      sentAt: Date.now()
     }
   }
 
@@ -330,7 +333,7 @@
 
   #noteOpen (link: Link<BoxMessage>): void {
     this.#openLinks.add(link)
-    if (this.#isKeeper(link.peer)) this.#watchKeeper(link)
+    if (this.#isKeeper(link.peer)) this.#watchKeeper(link, true)
     else this.#placer.reopen(brandId<BoxId>(link.peer))
   }
 
@@ -373,15 +376,22 @@
 
   // Configuration.
 
-  #watchKeeper (link: Link<BoxMessage>): void {
-    link.send({ type: 'watch', revision: this.#follower.revision, status: this.composeStatus() })
+  #watchKeeper (link: Link<BoxMessage>, withStatus: boolean): void {
+    link.send({ type: 'watch', revision: this.#follower.revision, status: withStatus ? this.composeStatus() : null })
   }
 
-  #askForConfig (): void {
-    for (const { id } of this.settings.keepers) {
+  // Every keeper is told the revision, one at a time the whole status.
+  #watchKeepers (statusTo: number | null): void {
+    this.settings.keepers.forEach(({ id }, i) => {
       const link = this.#openLinks.find(id)
-      if (link !== undefined) this.#watchKeeper(link)
-    }
+      if (link !== undefined) this.#watchKeeper(link, i === statusTo)
+    })
+  }
+
+  #askForConfig (): void {
+    this.#watchTurn += 1
+    const isStatusDue = this.#watchTurn % statusTurns === 0
+    this.#watchKeepers(isStatusDue ? (this.#watchTurn / statusTurns) % this.settings.keepers.length : null)
     for (const peer of this.#listZonePeers()) {
       this.#openLinks.find(peer.id)?.send({ type: 'ask-config', revision: this.#follower.revision })
     }
@@ -398,10 +408,7 @@
     this.#around.log.info('configuration', { revision: configuration.revision })
     this.#around.metrics.gauge('revision', configuration.revision)
     this.#updateShards()
-    for (const { id } of this.settings.keepers) {
-      const link = this.#openLinks.find(id)
-      if (link !== undefined) this.#watchKeeper(link)
-    }
+    this.#watchKeepers(null)
   }
 
   // Members and shards.
@@ -424,7 +431,6 @@
     this.#around.log.info('member', { member: member.id, state: member.state, before, zone: member.zone })
     if (member.state === 'gone') {
       this.#owner.loseBox(brandId<BoxId>(member.id))
-      this.#limits.forget(member.id)
       this.#links.hangUp(member.host, member.port)
       this.#dialed.delete(`${member.host}:${member.port}`)
     }
@@ -438,6 +444,12 @@
       .map(member => ({ id: brandId<BoxId>(member.id), zone: brandId<ZoneName>(member.zone) }))
   }
 
+  #listSharers (): string[] {
+    const remembered = this.#members?.remembered ?? []
+    const sharers = listSharers(remembered.map(({ id, zone, state }) => ({ id, zone, isGone: state === 'gone' })))
+    return sharers.filter(sharer => sharer.id !== this.id).map(sharer => sharer.id)
+  }
+
   #listZonePeers (): Member[] {
     const peers = (this.#members?.members ?? []).filter(member => member.zone === this.zone && member.id !== this.id)
     return rotate(peers, this.#requests).slice(0, zonePeers)
@@ -447,7 +459,7 @@
     if (this.#members === null) return
     const boxes = this.#listBoxes()
     this.#directory.update(this.configuration, boxes)
-    this.#limits.boxes = boxes.length
+    this.#limits.setSharers(this.#listSharers())
     const { own, used } = this.#directory
     this.#owner.assign(own, shard => configureShard(shard, this.configuration))
     this.#dialOwners(used)
--- a/src/tasks/keeper-box.ts
+++ b/src/tasks/keeper-box.ts
@@ -33,8 +33,6 @@
   readonly secret: string
   /** Called when the disk failed: the process should end with an error. */
   readonly noteFatal: (error: Error) => void
-  /** What the text of an intent is given to parse; a seam for tests. */
-  readonly now?: () => number
 }
 
 export class KeeperBox {
@@ -173,7 +171,7 @@
       timing: { heartbeatMs: this.#settings.heartbeatMs, electionMs: this.#settings.electionMs },
       snapshotEvery: this.#settings.snapshotEvery,
       send: (to, message) => this.#sendRaft(to, message),
-      now: this.#around.now ?? (() => performance.now()),
+      now: () => performance.now(),
       wall: Date.now,
       random: Math.random,
       noteRole: (role, term, leader) => log.info('role', { role, term, leader }),
@@ -321,7 +319,7 @@
 
   #watch (link: Link<BoxMessage>, revision: number, status: BoxStatus | null): void {
     this.#watchers.set(link, { revision })
-    if (status !== null) this.#boxes.set(status.id, { status, at: performance.now() })
+    this.#noteBox(link.peer, revision, status)
     this.#push(link, revision)
   }
 
@@ -341,6 +339,11 @@
     else link.send({ type: 'whole', document: config.document, revision: config.revision })
   }
 
+  #noteBox (id: string, revision: number, status: BoxStatus | null): void {
+    const known = status ?? this.#boxes.get(id)?.status
+    if (known !== undefined) this.#boxes.set(id, { status: { ...known, revision }, at: performance.now() })
+  }
+
   #dropOldBoxes (): void {
     const now = performance.now()
     for (const [id, { at }] of this.#boxes) {
--- a/src/tasks/limits.ts
+++ b/src/tasks/limits.ts
@@ -13,15 +13,19 @@
   #now: () => number
   #limits = new Map<WorkspaceName, WorkspaceLimit>()
   #others = new Map<string, ReadonlyMap<WorkspaceName, number>>()
-  #boxes = 1
+  #sharers: readonly string[] = []
 
   constructor (now: () => number) {
     this.#now = now
   }
 
-  /** How many boxes share the limits. A cut keeps the last number. */
-  set boxes (boxes: number) { this.#boxes = Math.max(1, boxes) }
-  get boxes (): number { return this.#boxes }
+  /** The other boxes that share the limits; what any other box said is forgotten. */
+  setSharers (boxes: readonly string[]): void {
+    this.#sharers = boxes
+    for (const box of this.#others.keys()) {
+      if (!boxes.includes(box)) this.#others.delete(box)
+    }
+  }
 
   enter (workspace: Workspace, tokens: number): LimitAnswer {
     const limit = this.#open(workspace.name)
@@ -50,16 +54,9 @@
     this.#others.set(box, new Map(demands))
   }
 
-  /** Forgets a box that has left. */
-  forget (box: string): void {
-    this.#others.delete(box)
-  }
-
   #findShare (name: WorkspaceName, limit: WorkspaceLimit): number {
-    const others: number[] = []
     // Through a cut the last word stands, so that each side spends what it had.
-    for (const demands of this.#others.values()) others.push(demands.get(name) ?? 0)
-    while (others.length < this.#boxes - 1) others.push(0)
+    const others = this.#sharers.map(box => this.#others.get(box)?.get(name) ?? 0)
     return divideLimit(limit.getDemand(this.#now()) + leastDemand, others)
   }
 
--- a/src/tasks/member-task.ts
+++ b/src/tasks/member-task.ts
@@ -35,6 +35,7 @@
   }
 
   get members (): Member[] { return this.#membership.members }
+  get remembered (): Member[] { return this.#membership.remembered }
 
   /** Opens the socket; the members' port is that of the control address. */
   start (): Promise<void> {
