--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -33,3 +33,9 @@
 after=$(cpu)
 echo "{\"name\":\"tokens-cpu\",\"entryCpuSeconds\":$(awk "BEGIN { print $after - $before }"),\"residentMB\":$(memory)}"
 load --name claims --url "$entry" --callers 200 --service /v1/services/bookings/confirm
+stop_all; WORK=$(mktemp -d)
+start_deployment $port 3 3 1 1
+three="$entry,http://127.0.0.1:$((port + 2)),http://127.0.0.1:$((port + 3))"
+jobs=()
+for n in a b; do load --name "claims-three-$n" --url "$three" --callers 150 --service /v1/services/bookings/confirm & jobs+=($!); done
+wait "${jobs[@]}"
--- a/src/tasks/keeper-box.ts
+++ b/src/tasks/keeper-box.ts
@@ -47,6 +47,7 @@
   #boxes = new Map<string, { status: BoxStatus, at: number }>()
   #timer: NodeJS.Timeout | null = null
   #forming = false
+  #loggedRevision = 0
   #repairing = false
   port = 0
 
@@ -324,6 +325,9 @@
   }
 
   #pushRevisions (): void {
+    const { revision } = this.#state.config
+    if (revision !== this.#loggedRevision) this.#around.log.info('accepted', { revision })
+    this.#loggedRevision = revision
     for (const [link, watcher] of this.#watchers) {
       if (watcher.revision >= this.#state.config.revision) continue
       this.#push(link, watcher.revision)
