--- a/src/bin/status-report.ts
+++ b/src/bin/status-report.ts
@@ -46,7 +46,7 @@
     if (keeper.role === 'unreachable') lines.push(`  ${keeper.id}  unreachable`)
     else if ('term' in keeper) lines.push(`  ${keeper.id}  ${keeper.role}  term ${keeper.term}  commit ${keeper.commit}  revision ${keeper.revision}  claims ${keeper.claims}${keeper.waiting.length > 0 ? `  waiting to be let in: ${keeper.waiting.join(', ')}` : ''}`)
   }
-  lines.push('boxes:')
+  lines.push('boxes (each as it said within the last seconds):')
   for (const box of report.boxes) {
     const queues = Object.entries(box.queues).filter(([, size]) => size > 0).map(([name, size]) => `${name}=${size}`).join(' ')
     lines.push(`  ${box.id}  zone ${box.zone}  revision ${box.revision}  ${box.leaving ? 'leaving' : box.ready ? 'ready' : 'not ready'}  in flight ${box.inFlight}  violations ${box.violations}  queues ${queues === '' ? 'empty' : queues}`)
