Make the proofs notice what they should

Cause: tried on broken copies, the log's histories did not notice an acknowledgement before its sync, an older term committed by counting, or two changes of members at once, and no test noticed a short answer passed as whole. Histories of 400 steps ended soon after the first election. Change: histories of 1,500 and 2,000 steps, with slow disks and power lost everywhere at once; directed cases for the log's rules; a stand-in that ends its answer short without a word.

--- a/src/proof/raft-history.ts
+++ b/src/proof/raft-history.ts
@@ -95,6 +95,7 @@
   #repaired = 0
   #steps = 0
   #lostVoter: ReplicaId | null = null
+  #slow = new Map<ReplicaId, number>()
 
   constructor (seed: number, size: number) {
     this.#random = createRandom(seed)
@@ -138,13 +139,14 @@
     const dice = this.#random()
     if (dice < 0.44) return this.#deliver()
     if (dice < 0.6) return this.#passTime(this.#pickPeer(), 10 + this.#random() * 80)
-    if (dice < 0.84) return this.#sync(this.#pickPeer())
+    if (dice < 0.84) return this.#syncByLot(this.#pickPeer())
     if (dice < 0.91) return this.#propose(this.#pickPeer())
     if (dice < 0.93) return this.#startRead(this.#pickPeer())
     if (dice < 0.937) return this.#toggleCut()
     if (dice < 0.945) return this.#crash(this.#pickPeer())
     if (dice < 0.95) return this.#togglePause(this.#pickPeer())
     if (dice < 0.955) return this.#step(this.#pickPeer(), { type: 'transfer', at: 0 })
+    if (dice < 0.962) return this.#crashAll()
     this.#workOnDisks()
   }
 
@@ -204,6 +206,11 @@
     else peer.paused = true
   }
 
+  // Power is lost everywhere at once.
+  #crashAll (): void {
+    for (const peer of this.#peers.values()) this.#crash(peer)
+  }
+
   #crash (peer: Peer): void {
     this.#crashes += 1
     // Of what was not synced, the disk may have taken any beginning.
@@ -238,6 +245,20 @@
     }
   }
 
+  // Each replica's disk has its own slowness in a history, so that much can stand unsynced.
+  #syncByLot (peer: Peer): void {
+    if (this.#random() < this.#slowness(peer)) return
+    this.#sync(peer)
+  }
+
+  #slowness (peer: Peer): number {
+    const known = this.#slow.get(peer.id)
+    if (known !== undefined) return known
+    const drawn = this.#random() < 0.5 ? 0 : this.#random() * 0.95
+    this.#slow.set(peer.id, drawn)
+    return drawn
+  }
+
   #sync (peer: Peer): void {
     const { node } = peer
     if (node === null || peer.paused || (peer.unsynced.length === 0 && peer.late.length === 0)) return
--- a/src/standin/fault-plan.ts
+++ b/src/standin/fault-plan.ts
@@ -11,10 +11,12 @@
   | { readonly type: 'refuse' }
   /** Every stream is cut after so many tokens, once each. */
   | { readonly type: 'crash', readonly afterTokens: number }
+  /** Every stream ends after so many tokens as if it were whole, but for its last event. */
+  | { readonly type: 'short', readonly afterTokens: number }
   /** An event that is not JSON is sent after so many tokens. */
   | { readonly type: 'garble', readonly afterTokens: number }
 
-const faultTypes = ['none', 'slow', 'reset', 'hang', 'refuse', 'crash', 'garble']
+const faultTypes = ['none', 'slow', 'reset', 'hang', 'refuse', 'crash', 'short', 'garble']
 
 /** Reads a fault from a command's body; null where it is none. */
 export function parseFault (value: unknown): Fault | null {
@@ -22,6 +24,6 @@
   const { type, factor, afterTokens } = value as { type?: string, factor?: number, afterTokens?: number }
   if (type === undefined || !faultTypes.includes(type)) return null
   if (type === 'slow' && !(typeof factor === 'number' && factor > 0)) return null
-  if ((type === 'crash' || type === 'garble') && !Number.isInteger(afterTokens)) return null
+  if ((type === 'crash' || type === 'short' || type === 'garble') && !Number.isInteger(afterTokens)) return null
   return value as Fault
 }
--- a/src/standin/standin-engine.ts
+++ b/src/standin/standin-engine.ts
@@ -192,11 +192,12 @@
   #breakAfter (id: string, stream: OpenStream): void {
     const given = stream.next - stream.first
     const fault = this.#fault
-    if (fault.type === 'crash' && given === fault.afterTokens) {
+    if ((fault.type === 'crash' || fault.type === 'short') && given === fault.afterTokens) {
       this.#streams.delete(id)
       this.#model.remove(id)
       this.#note(id, 'crashed')
-      stream.response.destroy()
+      if (fault.type === 'short') stream.response.end()
+      else stream.response.destroy()
     }
     if (fault.type === 'garble' && given === fault.afterTokens) stream.response.write('data: {"choices": [}\n\n')
   }
--- a/test/engine-faults.test.ts
+++ b/test/engine-faults.test.ts
@@ -22,6 +22,7 @@
   { name: 'resets before the first byte', fault: { type: 'reset' } },
   { name: 'dies in the middle of the answer', fault: { type: 'crash', afterTokens: 4 } },
   { name: 'dies after its first token', fault: { type: 'crash', afterTokens: 1 } },
+  { name: 'ends its answer short without a word', fault: { type: 'short', afterTokens: 4 } },
   { name: 'sends broken events', fault: { type: 'garble', afterTokens: 3 } }
 ]
 
--- a/test/raft-history.test.ts
+++ b/test/raft-history.test.ts
@@ -3,8 +3,8 @@
 import { RaftHistory } from '../src/proof/index.js'
 
 const cases = [
-  { name: '800 histories of three keepers', from: 1, count: 800, size: 3, steps: 400 },
-  { name: '200 histories of five keepers', from: 5001, count: 200, size: 5, steps: 600 }
+  { name: '2,000 histories of three keepers', from: 1, count: 2000, size: 3, steps: 1500 },
+  { name: '700 histories of five keepers', from: 5001, count: 700, size: 5, steps: 2000 }
 ]
 
 for (const { name, from, count, size, steps } of cases) {
--- /dev/null
+++ b/test/raft-node.test.ts
@@ -0,0 +1,92 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { RaftNode } from '../src/coordination/index.js'
+import type { LogEntry, Members, RaftEffect, RaftMessage, ReplicaId, StoredLog } from '../src/coordination/index.js'
+
+const [a, b, c, d] = ['a#1', 'b#1', 'c#1', 'd#1'] as ReplicaId[]
+const members: Members = { voters: [a, b, c], learners: [] }
+const timing = { heartbeatMs: 50, electionMs: 300 }
+
+function stored (entries: readonly LogEntry[] = []): StoredLog {
+  return { hard: { term: 1, vote: null }, snapshot: { index: 1, term: 1, time: 0, members, state: null }, entries }
+}
+
+function receive (node: RaftNode, at: number, from: ReplicaId, message: RaftMessage): RaftEffect[] {
+  return node.step({ type: 'receive', at, from, message })
+}
+
+/** Makes a node lead term 2 with b's votes; its first entry is the last of its log. */
+function elect (node: RaftNode): void {
+  node.step({ type: 'tick', at: 1000 })
+  receive(node, 1001, b, { type: 'voteReply', term: 2, pre: true, granted: true })
+  receive(node, 1002, b, { type: 'voteReply', term: 2, pre: false, granted: true })
+  assert.equal(node.role, 'leader')
+}
+
+function acknowledge (node: RaftNode, at: number, from: ReplicaId, match: number): void {
+  receive(node, at, from, { type: 'appendReply', term: 2, ok: true, match, round: 1 })
+}
+
+function findFault (effects: readonly RaftEffect[]): string | undefined {
+  const rejected = effects.find(effect => effect.type === 'rejected')
+  return rejected?.type === 'rejected' ? rejected.fault : undefined
+}
+
+test('an entry of an older term is not committed by counting, only under one of the own term', () => {
+  const old: LogEntry = { index: 2, term: 1, time: 0, content: { type: 'command', command: 'x' } }
+  const node = new RaftNode(a, stored([old]), timing, () => 0.5, 0)
+  elect(node)
+  node.step({ type: 'synced', at: 1003, index: 3, term: 2 })
+  acknowledge(node, 1004, b, 2)
+  assert.equal(node.commitIndex, 1)
+  acknowledge(node, 1005, b, 3)
+  assert.equal(node.commitIndex, 3)
+})
+
+test('a leader counts itself only once its disk has the entry', () => {
+  const node = new RaftNode(a, stored(), timing, () => 0.5, 0)
+  elect(node)
+  acknowledge(node, 1003, b, 2)
+  assert.equal(node.commitIndex, 1)
+  node.step({ type: 'synced', at: 1004, index: 2, term: 2 })
+  assert.equal(node.commitIndex, 2)
+})
+
+/** A change of members that is asked for, and why it is turned away. */
+const changes: { name: string, prepare: (node: RaftNode) => void, wanted: Members, fault: string | undefined }[] = [
+  { name: 'before the leader has committed in its term', prepare: () => {}, wanted: { voters: [a, b, c], learners: [d] }, fault: 'not-ready' },
+  { name: 'of one learner', prepare: settle, wanted: { voters: [a, b, c], learners: [d] }, fault: undefined },
+  { name: 'while another is under way', prepare: node => { settle(node); change(node, { voters: [a, b, c], learners: [d] }) }, wanted: { voters: [a, b], learners: [] }, fault: 'change-in-progress' },
+  { name: 'of two voters at once', prepare: settle, wanted: { voters: [a], learners: [] }, fault: 'not-one-change' },
+  { name: 'to a voter that has not caught up', prepare: settle, wanted: { voters: [a, b, c, d], learners: [] }, fault: 'not-caught-up' }
+]
+
+function settle (node: RaftNode): void {
+  node.step({ type: 'synced', at: 1003, index: 2, term: 2 })
+  acknowledge(node, 1004, b, 2)
+}
+
+function change (node: RaftNode, wanted: Members): RaftEffect[] {
+  return node.step({ type: 'changeMembers', at: 1005, wall: 0, proposal: 1, members: wanted })
+}
+
+for (const { name, prepare, wanted, fault } of changes) {
+  test(`a change of members ${name} is ${fault === undefined ? 'taken' : 'turned away'}`, () => {
+    const node = new RaftNode(a, stored(), timing, () => 0.5, 0)
+    elect(node)
+    prepare(node)
+    assert.equal(findFault(change(node, wanted)), fault)
+  })
+}
+
+test('a leader that hears from no quorum steps down and answers no read', () => {
+  const node = new RaftNode(a, stored(), timing, () => 0.5, 0)
+  elect(node)
+  settle(node)
+  node.step({ type: 'tick', at: 1100 })
+  // Stopped for an hour: its first tick after that must not act as leader.
+  node.step({ type: 'tick', at: 3_601_100 })
+  assert.equal(node.role, 'follower')
+  assert.ok(node.step({ type: 'read', at: 3_601_101, read: 1 }).some(effect => effect.type === 'readFailed'))
+  assert.equal(findFault(node.step({ type: 'propose', at: 3_601_102, wall: 0, proposal: 2, command: 'x' })), 'not-leader')
+})
