Undo a drain; take out what nothing calls

Making changes in a document stood twice (the ledger and applyChanges). Calls to entry boxes, a shard's word 'drain' and some getters had no caller. Change: each source of 'leaving' keeps its newest word; one loop makes changes; the dead code is gone. Nothing else behaves otherwise.

--- a/src/bin/operator-client.ts
+++ b/src/bin/operator-client.ts
@@ -4,7 +4,7 @@
 import type { Address, KeeperAddress } from '../config/index.js'
 import type { CommandId } from '../coordination/index.js'
 import { LinkPool } from '../protocol/index.js'
-import type { BoxMessage, EntryCall, EntryReply, KeeperCall, KeeperReply } from '../protocol/index.js'
+import type { BoxMessage, KeeperCall, KeeperReply } from '../protocol/index.js'
 import { HybridClock } from '../runtime/index.js'
 import { KeeperClient } from '../tasks/index.js'
 
@@ -21,7 +21,6 @@
   #links: LinkPool<BoxMessage>
   #client: KeeperClient
   #keepers: readonly KeeperAddress[]
-  #entryCalls = new Map<number, (reply: EntryReply) => void>()
   #directCalls = new Map<number, (reply: KeeperReply) => void>()
   #counter = 1_000_000
 
@@ -67,18 +66,6 @@
     })
   }
 
-  /** Asks an entry box; null where it can't be reached. */
-  async askEntry (address: Address, body: EntryCall): Promise<EntryReply | null> {
-    this.#links.dial(address.host, address.port)
-    if (!await this.#connect(address)) return null
-    return await new Promise(resolve => {
-      const call = this.#next()
-      this.#entryCalls.set(call, resolve)
-      setTimeout(() => resolve(null), linkMs)
-      this.#links.find(address.host, address.port)?.send({ type: 'entry-call', call, body })
-    })
-  }
-
   get keepers (): readonly KeeperAddress[] { return this.#keepers }
 
   close (): void {
@@ -101,14 +88,10 @@
   }
 
   #receive (from: string, message: BoxMessage): void {
-    if (message.type === 'reply') {
-      const direct = this.#directCalls.get(message.call)
-      if (direct === undefined) return this.#client.receive(from, message.call, message.body)
-      this.#directCalls.delete(message.call)
-      direct(message.body)
-    } else if (message.type === 'entry-reply') {
-      this.#entryCalls.get(message.call)?.(message.body)
-      this.#entryCalls.delete(message.call)
-    }
+    if (message.type !== 'reply') return
+    const direct = this.#directCalls.get(message.call)
+    if (direct === undefined) return this.#client.receive(from, message.call, message.body)
+    this.#directCalls.delete(message.call)
+    direct(message.body)
   }
 }
--- a/src/bin/wrenlane.ts
+++ b/src/bin/wrenlane.ts
@@ -22,7 +22,6 @@
   readonly number?: string
   readonly request?: string
   readonly undo?: boolean
-  readonly entry?: string
 }
 
 interface OperatorSettings {
--- a/src/coordination/ledger/config-ledger.ts
+++ b/src/coordination/ledger/config-ledger.ts
@@ -3,6 +3,7 @@
  * by compare-and-set on the base revision, and the first answer to every
  * command, given again when the command is resent.
  */
+import { makeChanges } from './document.js'
 import type { Change, CommandId, Document, LedgerCommand, LedgerResult, Plan, Revision } from './ledger-types.js'
 
 /** Bounds on what is kept beside the document. */
@@ -66,7 +67,6 @@
   }
 
   get revision (): number { return this.#revision }
-  get planCount (): number { return this.#plans.size }
 
   /** Carries out one command at agreed time `now`. */
   apply (command: LedgerCommand, now: number): LedgerResult {
@@ -126,7 +126,8 @@
   }
 
   #accept (plan: Plan, operator: string, now: number): void {
-    this.#make(plan.changes)
+    makeChanges(this.#sections, plan.changes)
+    this.#document = null
     this.#revision += 1
     this.#recent.push({ revision: this.#revision, changes: plan.changes, operator, time: now })
     if (this.#recent.length > this.#bounds.revisions) this.#recent.shift()
@@ -134,15 +135,6 @@
     this.#confirmed.set(plan.number, this.#revision)
   }
 
-  #make (changes: readonly Change[]): void {
-    this.#document = null
-    for (const { section, name, after } of changes) {
-      const items = this.#sections[section] ??= {}
-      if (after === null) delete items[name]
-      else items[name] = after
-    }
-  }
-
   #conflict (base: number): LedgerResult {
     const since = this.findSince(base) ?? this.#recent
     return { type: 'conflict', base, revision: this.#revision, since: since.flatMap(one => one.changes) }
--- a/src/coordination/ledger/document.ts
+++ b/src/coordination/ledger/document.ts
@@ -2,14 +2,19 @@
 
 /** The document with the changes made. The given one stays as it is, and sections without a change are shared. */
 export function applyChanges (document: Document, changes: readonly Change[]): Document {
-  const sections: Record<string, Readonly<Record<string, unknown>>> = { ...document }
   const touched: Record<string, Record<string, unknown>> = {}
+  for (const { section } of changes) touched[section] ??= { ...document[section] }
+  makeChanges(touched, changes)
+  return { ...document, ...touched }
+}
+
+/** Makes the changes in the given sections themselves. */
+export function makeChanges (sections: Record<string, Record<string, unknown>>, changes: readonly Change[]): void {
   for (const { section, name, after } of changes) {
-    const items = touched[section] ??= { ...document[section] }
+    const items = sections[section] ??= {}
     if (after === null) delete items[name]
     else items[name] = after
   }
-  return Object.assign(sections, touched)
 }
 
 /** The changes that lead from one document to another, in order of name. */
--- a/src/coordination/log/log-store.ts
+++ b/src/coordination/log/log-store.ts
@@ -29,7 +29,6 @@
   #file: FileHandle
   #generation: number
   #length: number
-  #syncs = 0
 
   private constructor (folder: string, id: ReplicaId, list: EntryList, hard: HardState, file: FileHandle, generation: number, length: number) {
     this.folder = folder
@@ -68,9 +67,6 @@
     return { hard: this.#hard, snapshot: this.#list.snapshot, entries: this.#list.slice(this.#list.base + 1, Infinity) }
   }
 
-  get syncs (): number { return this.#syncs }
-  get bytes (): number { return this.#length }
-
   /** Writes the effects in order and syncs once. Whoever calls waits for it. */
   async persist (effects: readonly PersistEffect[]): Promise<void> {
     const snapshot = effects.findLast(effect => effect.snapshot !== null)?.snapshot ?? null
@@ -80,7 +76,6 @@
     const bytes = Buffer.concat(buffers)
     await this.#file.appendFile(bytes)
     await this.#file.datasync()
-    this.#syncs += 1
     this.#length += bytes.length
   }
 
@@ -111,7 +106,6 @@
     this.#file = await open(join(this.folder, `log.${this.#generation}`), 'a+')
     await rm(join(this.folder, `log.${old}`))
     this.#length = bytes.length
-    this.#syncs += 1
   }
 }
 
--- a/src/core/engine-state.ts
+++ b/src/core/engine-state.ts
@@ -26,7 +26,10 @@
   #spec: EngineSpec
   #byPriority: number[] = []
   #quick = 0
-  leaving = false
+  /** An operator's word. */
+  drained = false
+  /** The engine's own word. */
+  saysLeaving = false
 
   constructor (spec: EngineSpec) {
     this.#spec = spec
@@ -38,6 +41,7 @@
   get load (): number { return this.streams.size }
   /** Streams of classes that may not wait. */
   get quick (): number { return this.#quick }
+  get leaving (): boolean { return this.drained || this.saysLeaving }
   get batchLimit (): number { return this.#spec.places + this.#spec.floorPlaces }
 
   set spec (spec: EngineSpec) { this.#spec = spec }
--- a/src/core/placer.ts
+++ b/src/core/placer.ts
@@ -147,8 +147,6 @@
     }
   }
 
-  get beliefs (): readonly ShardBelief[] { return this.#shards.map(shard => this.#believe(shard)) }
-
   #ask (placed: Placed): void {
     const beliefs = this.#findShards(placed.submission.model)
     for (let step = placed.plan.next(beliefs); ; step = placed.plan.next(beliefs)) {
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -426,13 +426,13 @@
     const engine = this.#engines.get(id)
     if (engine === undefined) return
     engine.health.addReport(this.#now, report.stepMs)
-    if (report.leaving) engine.leaving = true
+    engine.saysLeaving = report.leaving
   }
 
   #drain (id: EngineId, leaving: boolean): void {
     const engine = this.#engines.get(id)
     if (engine === undefined) return
-    engine.leaving = leaving
+    engine.drained = leaving
     this.#dispatch()
   }
 
--- a/src/core/shard-word.ts
+++ b/src/core/shard-word.ts
@@ -10,7 +10,6 @@
   | { readonly type: 'cancel', readonly request: RequestId, readonly attempt: number }
   | { readonly type: 'firstToken', readonly request: RequestId, readonly attempt: number }
   | { readonly type: 'end', readonly request: RequestId, readonly attempt: number, readonly how: StreamEnd, readonly tokens: number }
-  | { readonly type: 'drain', readonly engine: EngineId, readonly leaving: boolean }
 
 /** A scheduler's answer to a box: a grant or a refusal. */
 export type ShardAnswer = Extract<SchedulerAction, { type: 'grant' | 'refuse' }>
--- a/src/protocol/box-message.ts
+++ b/src/protocol/box-message.ts
@@ -1,6 +1,6 @@
 /** Everything that boxes and operators' shells say to each other over links. */
 import type { Change, CommandId, Document, KeeperCommand, KeeperResult, Members, RaftMessage, ReplicaId, Revision } from '../coordination/index.js'
-import type { EngineId, RequestId, ShardAnswer, ShardId, ShardWord, WorkspaceName } from '../core/index.js'
+import type { RequestId, ShardAnswer, ShardId, ShardWord, WorkspaceName } from '../core/index.js'
 import type { PackedLoad } from './packed-load.js'
 import type { BoxStatus, KeeperStatus } from './status.js'
 
@@ -26,16 +26,6 @@
   | { readonly type: 'repaired', readonly members: Members }
   | { readonly type: 'fault', readonly text: string }
 
-/** What an entry box is asked by an operator's shell. */
-export type EntryCall =
-  | { readonly type: 'status' }
-  | { readonly type: 'drain', readonly engine: EngineId, readonly leaving: boolean }
-
-/** What an entry box answers. */
-export type EntryReply =
-  | { readonly type: 'status', readonly status: BoxStatus }
-  | { readonly type: 'done' }
-
 /** One message on a link. */
 export type BoxMessage =
   | { readonly type: 'raft', readonly from: ReplicaId, readonly to: ReplicaId, readonly message: RaftMessage }
@@ -43,8 +33,6 @@
   | { readonly type: 'form', readonly members: Members }
   | { readonly type: 'call', readonly call: number, readonly body: KeeperCall }
   | { readonly type: 'reply', readonly call: number, readonly body: KeeperReply }
-  | { readonly type: 'entry-call', readonly call: number, readonly body: EntryCall }
-  | { readonly type: 'entry-reply', readonly call: number, readonly body: EntryReply }
   /** A box has `revision` and wants what comes after; its whole status goes to one keeper now and then. */
   | { readonly type: 'watch', readonly revision: number, readonly status: BoxStatus | null }
   | { readonly type: 'revisions', readonly revisions: readonly Revision[] }
--- a/src/tasks/answer-parts.ts
+++ b/src/tasks/answer-parts.ts
@@ -33,8 +33,6 @@
   /** Events with text so far: tokens, as engines send one each. */
   get tokens (): number { return this.#tokens }
   get isDone (): boolean { return this.#done }
-  get isFinished (): boolean { return this.#finish !== null }
-  get usage (): Usage | null { return this.#usage }
 
   /** Takes one event, and says what it is. */
   take (event: Buffer): EventKind {
--- a/src/tasks/entry-box.ts
+++ b/src/tasks/entry-box.ts
@@ -10,7 +10,7 @@
 import { Placer, RetryBudget, brandId, listSharers } from '../core/index.js'
 import type { BoxId, EngineId, PlacerShard, RequestId, Shard, ShardAnswer, ShardBox, ShardId, ShardWord, ZoneName } from '../core/index.js'
 import { LinkPool, packLoad, unpackLoad } from '../protocol/index.js'
-import type { BoxMessage, BoxStatus, EntryCall, EntryReply, Link } from '../protocol/index.js'
+import type { BoxMessage, BoxStatus, Link } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import { CallerServer } from './caller-server.js'
 import { ChatExchange } from './chat-exchange.js'
@@ -357,23 +357,11 @@
         this.#placer.noteLoads(from, message.loads.map(unpackLoad))
         if (message.demands !== null) this.#limits.note(from, message.demands)
         return
-      case 'entry-call':
-        link.send({ type: 'entry-reply', call: message.call, body: this.#answerOperator(message.body) })
-        return
       case 'keeper-hello': return
       default: this.#noteViolation('known-messages', message.type)
     }
   }
 
-  #answerOperator (body: EntryCall): EntryReply {
-    switch (body.type) {
-      case 'status': return { type: 'status', status: this.composeStatus() }
-      case 'drain':
-        this.#owner.drain(body.engine, body.leaving)
-        return { type: 'done' }
-    }
-  }
-
   // Configuration.
 
   #watchKeeper (link: Link<BoxMessage>, withStatus: boolean): void {
@@ -469,7 +457,7 @@
 
   #drainConfigured (shard: Shard): void {
     for (const id of shard.engines) {
-      if (this.configuration.engines.get(id)?.leaving === true) this.#owner.drain(id, true)
+      this.#owner.drain(id, this.configuration.engines.get(id)?.leaving === true)
     }
   }
 
--- a/src/tasks/shard-owner.ts
+++ b/src/tasks/shard-owner.ts
@@ -114,7 +114,6 @@
       case 'cancel': return { ...word, at }
       case 'firstToken': return { ...word, at }
       case 'end': return { ...word, at }
-      case 'drain': return { ...word, at }
     }
   }
 
--- a/test/planned-stop.test.ts
+++ b/test/planned-stop.test.ts
@@ -40,6 +40,11 @@
     const late = await Promise.all(Array.from({ length: 8 }, () => chat(place.url, { stream: true })))
     assert.equal(engine.ran.size, before)
     for (const answer of [...late, ...await Promise.all(early)]) assert.equal(readStream(answer.body).done, true)
+    // Taken back, it gets work again.
+    await place.configure(`[engines.engine-0]\npool = "small"\nzone = "zone-0"\nhost = "${host}"\nport = ${engine.port}\n`)
+    await until(() => place.entries[0].composeStatus().engines.every(one => one.state === 'live'), 'the drain undone')
+    await Promise.all(Array.from({ length: 8 }, () => chat(place.url)))
+    assert.ok(engine.ran.size > before)
   } finally {
     await place.stop()
   }
