--- /dev/null
+++ b/src/bin/route-program.ts
@@ -0,0 +1,78 @@
+/** What gateways and registries share as programs: settings that change while they run, logs, metrics, signals. */
+import { unwatchFile, watchFile } from 'node:fs'
+import { parseToml, formatMistake, gatewayFields, registryFields } from '../config/index.js'
+import type { FieldTable, GatewaySettings, RegistrySettings, RouteBoxSettings } from '../config/index.js'
+import { GatewayBox } from '../gateway/index.js'
+import type { Dialect } from '../protocol/index.js'
+import { RegistryBox } from '../registry/index.js'
+import { Metrics, MetricsDoor, openProgramLog } from '../runtime/index.js'
+import type { EventLog } from '../runtime/index.js'
+import { endWith, handleSignals, readNamed, readSecret, readSettings, runProgram, usageExit } from './program.js'
+
+/** How often the settings file is looked at: it may change without a signal, ms. */
+const settingsEveryMs = 1000
+
+interface Program<Settings> {
+  readonly settings: Settings
+  readonly log: EventLog
+  readonly metrics: Metrics
+  readonly secret: string | null
+  readonly flush: () => void
+}
+
+/** Runs a gateway that speaks `dialect` with the settings at `path`. */
+export function runGateway (dialect: Dialect, path: string): void {
+  void runProgram(async () => {
+    const program = await openProgram<GatewaySettings>(path, gatewayFields)
+    const box = new GatewayBox(program.settings, { ...program, dialect })
+    await box.start()
+    followSettings<GatewaySettings>(path, gatewayFields, program.log, settings => box.setSeeds(settings.seeds))
+    handleSignals(async () => {
+      const cut = await box.stop()
+      program.flush()
+      return cut === 0 ? 0 : 1
+    }, () => box.inFlight)
+  })
+}
+
+/** Runs a registry that speaks `dialect` with the settings at `path`. */
+export function runRegistry (dialect: Dialect, path: string): void {
+  void runProgram(async () => {
+    const program = await openProgram<RegistrySettings>(path, registryFields)
+    const box = new RegistryBox(program.settings, { ...program, dialect })
+    await box.start()
+    followSettings<RegistrySettings>(path, registryFields, program.log, settings => box.setSeeds(settings.seeds))
+    handleSignals(async () => {
+      await box.stop()
+      program.flush()
+      return 0
+    }, () => 0)
+  })
+}
+
+async function openProgram<Settings extends RouteBoxSettings> (path: string, fields: FieldTable): Promise<Program<Settings>> {
+  const settings = readSettings<Settings>(path, fields)
+  const { log, sink } = openProgramLog(settings.id, settings.logLinesPerSecond)
+  const metrics = new Metrics(settings.statsd, settings.id)
+  if (settings.metricsPort !== 0) await new MetricsDoor(metrics).listen(settings.host, settings.metricsPort)
+  const secret = settings.secretFile === '' ? null : readSecret(settings.secretFile)
+  if (secret === null && !settings.openLinks) endWith(usageExit, 'links need a secretFile, or openLinks = true where nobody else can reach the network')
+  return { settings, log, metrics, secret, flush: () => sink.flush() }
+}
+
+// A file that can't be read keeps what was in force.
+function followSettings<Settings extends RouteBoxSettings> (path: string, fields: FieldTable, log: EventLog, adopt: (settings: Settings) => void): void {
+  const reload = (why: string): void => {
+    const parsed = parseToml(readNamed(path), fields)
+    if (parsed.ok) {
+      log.info('settings-read', { why, seeds: (parsed.value as Settings).seeds.join(',') })
+      return adopt(parsed.value as Settings)
+    }
+    for (const mistake of parsed.mistakes) log.error('settings-refused', { why, mistake: formatMistake(path, mistake) })
+  }
+  process.on('SIGHUP', () => reload('signal'))
+  watchFile(path, { interval: settingsEveryMs, persistent: false }, (now, before) => {
+    if (now.mtimeMs !== before.mtimeMs || now.size !== before.size) reload('change')
+  })
+  process.on('exit', () => unwatchFile(path))
+}
--- a/src/coordination/keeper-state.ts
+++ b/src/coordination/keeper-state.ts
@@ -1,6 +1,6 @@
 /**
- * All that keepers agree on: the configuration, the claims and the orders, as
- * one state machine that a replicated log drives.
+ * All that keepers agree on: the configuration, the claims, the orders and the
+ * routing document, as one state machine that a replicated log drives.
  */
 import { ClaimTable } from './claims/claim-table.js'
 import type { ClaimBounds, ClaimTableState } from './claims/claim-table.js'
@@ -8,6 +8,8 @@
 import { ConfigLedger } from './ledger/config-ledger.js'
 import type { LedgerBounds, LedgerState } from './ledger/config-ledger.js'
 import type { LedgerCommand, LedgerResult } from './ledger/ledger-types.js'
+import { DocumentRegister } from './ledger/document-register.js'
+import type { DocumentCommand, DocumentResult, VersionedText } from './ledger/document-register.js'
 import { OrderBook } from './orders/order-book.js'
 import type { OrderBookState, OrderCommand, OrderResult } from './orders/order-book.js'
 
@@ -16,9 +18,10 @@
   | { readonly part: 'claims', readonly command: ClaimCommand }
   | { readonly part: 'config', readonly command: LedgerCommand }
   | { readonly part: 'orders', readonly command: OrderCommand }
+  | { readonly part: 'routing', readonly command: DocumentCommand }
 
 /** Any answer. */
-export type KeeperResult = ClaimResult | LedgerResult | OrderResult
+export type KeeperResult = ClaimResult | LedgerResult | OrderResult | DocumentResult
 
 /** The bounds of each part. */
 export interface KeeperBounds {
@@ -37,17 +40,21 @@
   readonly claims: ClaimTableState
   readonly config: LedgerState
   readonly orders: OrderBookState
+  /** Absent in snapshots from before there were routes. */
+  readonly routing?: VersionedText | null
 }
 
 export class KeeperState {
   readonly claims: ClaimTable
   readonly config: ConfigLedger
   readonly orders: OrderBook
+  readonly routing: DocumentRegister
 
   constructor (bounds: KeeperBounds, snapshot: KeeperSnapshot | null) {
     this.claims = new ClaimTable(bounds.claims, snapshot?.claims)
     this.config = new ConfigLedger(bounds.config, snapshot?.config)
     this.orders = new OrderBook(snapshot?.orders)
+    this.routing = new DocumentRegister(snapshot?.routing)
   }
 
   /** Carries out a committed command at its agreed time. */
@@ -56,10 +63,11 @@
       case 'claims': return this.claims.apply(command.command, time)
       case 'config': return this.config.apply(command.command, time)
       case 'orders': return this.orders.apply(command.command, time)
+      case 'routing': return this.routing.apply(command.command)
     }
   }
 
   save (): KeeperSnapshot {
-    return { claims: this.claims.save(), config: this.config.save(), orders: this.orders.save() }
+    return { claims: this.claims.save(), config: this.config.save(), orders: this.orders.save(), routing: this.routing.save() }
   }
 }
--- a/src/coordination/log/log-store.ts
+++ b/src/coordination/log/log-store.ts
@@ -17,6 +17,13 @@
 
 type PersistEffect = Extract<RaftEffect, { type: 'persist' }>
 
+/** How to bear a disk that refuses to write: what is to be kept is tried again, and nothing is acknowledged meanwhile. */
+export interface DiskPatience {
+  readonly retryMs: number
+  noteFault (error: Error): void
+  noteWell (): void
+}
+
 const identityFile = 'identity.json'
 const snapshotFile = 'snapshot'
 const noHard: HardState = { term: 0, vote: null }
@@ -29,8 +36,9 @@
   #file: FileHandle
   #generation: number
   #length: number
+  #patience: DiskPatience | null
 
-  private constructor (folder: string, id: ReplicaId, list: EntryList, hard: HardState, file: FileHandle, generation: number, length: number) {
+  private constructor (folder: string, id: ReplicaId, list: EntryList, hard: HardState, file: FileHandle, generation: number, length: number, patience: DiskPatience | null) {
     this.folder = folder
     this.id = id
     this.#list = list
@@ -38,15 +46,17 @@
     this.#file = file
     this.#generation = generation
     this.#length = length
+    this.#patience = patience
   }
 
   /**
-   * Opens the folder, or makes it with a new identity for the keeper `name`.
+   * Opens the folder, or makes it with a new identity for the keeper `name`,
+   * of which `firstPart` is the second half (random where it is left out).
    * Throws `DamagedLogError` where acknowledged records can't be read.
    */
-  static async open (folder: string, name: string): Promise<LogStore> {
+  static async open (folder: string, name: string, firstPart?: string, patience: DiskPatience | null = null): Promise<LogStore> {
     await mkdir(folder, { recursive: true })
-    const id = await readIdentity(folder, name)
+    const id = await readIdentity(folder, name, firstPart)
     const snapshot = await readSnapshot(folder)
     const generation = await findGeneration(folder)
     const path = join(folder, `log.${generation}`)
@@ -59,7 +69,7 @@
     }
     const { list, hard } = replay(snapshot, records)
     await syncFolder(folder)
-    return new LogStore(folder, id, list, hard, file, generation, length)
+    return new LogStore(folder, id, list, hard, file, generation, length, patience)
   }
 
   /** Everything that is stored, for a replica that starts. */
@@ -72,13 +82,34 @@
     const snapshot = effects.findLast(effect => effect.snapshot !== null)?.snapshot ?? null
     const buffers = [encodeRecord({ type: 'mark', synced: this.#length })]
     for (const effect of effects) this.#take(effect, buffers)
-    if (snapshot !== null) return await this.#rewrite(snapshot)
     const bytes = Buffer.concat(buffers)
+    await this.#insist(() => snapshot !== null ? this.#rewrite(snapshot) : this.#append(bytes))
+  }
+
+  // A write that failed may have left a part of its bytes behind.
+  async #append (bytes: Buffer): Promise<void> {
+    const { size } = await this.#file.stat()
+    if (size > this.#length) await this.#file.truncate(this.#length)
     await this.#file.appendFile(bytes)
     await this.#file.datasync()
     this.#length += bytes.length
   }
 
+  async #insist (write: () => Promise<void>): Promise<void> {
+    const patience = this.#patience
+    if (patience === null) return await write()
+    for (let failed = false; ; failed = true) {
+      try {
+        await write()
+        if (failed) patience.noteWell()
+        return
+      } catch (error) {
+        if (!failed) patience.noteFault(error as Error)
+        await new Promise(resolve => setTimeout(resolve, patience.retryMs))
+      }
+    }
+  }
+
   async close (): Promise<void> {
     await this.#file.close()
   }
@@ -127,10 +158,10 @@
   return { list, hard }
 }
 
-async function readIdentity (folder: string, name: string): Promise<ReplicaId> {
+async function readIdentity (folder: string, name: string, firstPart: string | undefined): Promise<ReplicaId> {
   const text = await readFile(join(folder, identityFile), 'utf8').catch(allowMissing)
   if (text !== null) return (JSON.parse(text) as { replica: ReplicaId }).replica
-  const replica = `${name}#${randomBytes(6).toString('hex')}` as ReplicaId
+  const replica = `${name}#${firstPart ?? randomBytes(6).toString('hex')}` as ReplicaId
   await writeWhole(folder, identityFile, Buffer.from(JSON.stringify({ replica })))
   return replica
 }
--- /dev/null
+++ b/src/coordination/log/member-plan.ts
@@ -0,0 +1,164 @@
+/**
+ * The next change of a log's members, where keepers look after themselves: who
+ * has come joins, who has fallen silent gives way to a spare, and a keeper that
+ * lost its disk is another replica. One step at a time; each step keeps a
+ * quorum of those that can be reached.
+ */
+import type { Members, ReplicaId } from './log-types.js'
+
+/** What the leader knows of a keeper. */
+export interface KeeperSight {
+  readonly replica: ReplicaId
+  readonly zone: string
+  /** Time since it was heard from, ms. */
+  readonly silentMs: number
+  /** The last entry that it has synced; 0 where that isn't known. */
+  readonly match: number
+}
+
+/** What the members should come to. */
+export interface MemberWish {
+  readonly voters: number
+  /** The most voters of one zone. */
+  readonly perZone: number
+  /** A voter that was silent for so long gives way to a spare, ms. */
+  readonly replaceMs: number
+  /** A learner that was silent for so long is dropped, ms. */
+  readonly forgetMs: number
+}
+
+/** Where members stand. */
+export interface MemberState {
+  readonly members: Members
+  /** The leader, which plans. */
+  readonly self: ReplicaId
+  readonly commit: number
+  /** Every keeper that was ever heard of, the leader included. */
+  readonly sights: readonly KeeperSight[]
+}
+
+/** A learner so many entries behind counts as caught up. */
+const nearEntries = 64
+/** A keeper that was heard from within this time can be reached, ms. */
+const aliveMs = 1200
+
+/** The place of a replica: its id without the part that is made with its disk. */
+export function getReplicaHost (replica: ReplicaId): string {
+  return replica.slice(0, replica.lastIndexOf('#'))
+}
+
+/** The next members on the way to the wish; null where nothing is to be changed now. */
+export function planMembers (state: MemberState, wish: MemberWish): Members | null {
+  const planner = new MemberPlanner(state, wish)
+  return planner.replaceNewDisk() ?? planner.admit() ?? planner.promote() ?? planner.replaceSilent() ?? planner.balance() ?? planner.shrink() ?? planner.forget()
+}
+
+class MemberPlanner {
+  #state: MemberState
+  #wish: MemberWish
+  #sights: Map<ReplicaId, KeeperSight>
+
+  constructor (state: MemberState, wish: MemberWish) {
+    this.#state = state
+    this.#wish = wish
+    this.#sights = new Map(state.sights.map(sight => [sight.replica, sight]))
+  }
+
+  get #voters (): readonly ReplicaId[] { return this.#state.members.voters }
+  get #learners (): readonly ReplicaId[] { return this.#state.members.learners }
+
+  /** A keeper with a new disk takes the place of its old replica, without a vote at first. */
+  replaceNewDisk (): Members | null {
+    for (const old of [...this.#voters, ...this.#learners]) {
+      const fresh = this.#state.sights.find(sight => sight.replica !== old && getReplicaHost(sight.replica) === getReplicaHost(old) && sight.silentMs < aliveMs)
+      if (fresh === undefined || this.#silence(old) < fresh.silentMs) continue
+      const voters = this.#voters.filter(id => id !== old)
+      if (!this.#hasQuorum(voters)) continue
+      const learners = this.#learners.filter(id => id !== old && id !== fresh.replica)
+      return { voters, learners: voters.includes(fresh.replica) ? learners : [...learners, fresh.replica] }
+    }
+    return null
+  }
+
+  admit (): Members | null {
+    const known = new Set([...this.#voters, ...this.#learners])
+    const fresh = this.#state.sights.filter(sight => !known.has(sight.replica) && sight.silentMs < aliveMs)
+    if (fresh.length === 0) return null
+    return { voters: this.#voters, learners: [...this.#learners, ...fresh.map(sight => sight.replica)] }
+  }
+
+  promote (): Members | null {
+    if (this.#voters.length >= this.#wish.voters) return null
+    const spare = this.#findSpare(this.#wish.perZone)
+    return spare === undefined ? null : this.#withVoter(spare)
+  }
+
+  // The spare joins before the silent one leaves.
+  replaceSilent (): Members | null {
+    if (this.#voters.length !== this.#wish.voters) return null
+    const silent = this.#findSilent()
+    if (silent === undefined) return null
+    const spare = this.#findSpare(Infinity)
+    return spare === undefined ? null : this.#withVoter(spare)
+  }
+
+  balance (): Members | null {
+    if (this.#voters.length !== this.#wish.voters) return null
+    if (!this.#voters.some(id => this.#countZone(this.#zone(id)) > this.#wish.perZone)) return null
+    const spare = this.#findSpare(this.#wish.perZone)
+    return spare === undefined ? null : this.#withVoter(spare)
+  }
+
+  shrink (): Members | null {
+    if (this.#voters.length <= this.#wish.voters) return null
+    const leaving = this.#findSilent() ?? this.#findCrowded()
+    const voters = this.#voters.filter(id => id !== leaving)
+    if (leaving === undefined || !this.#hasQuorum(voters)) return null
+    return { voters, learners: [...this.#learners, leaving] }
+  }
+
+  forget (): Members | null {
+    const learners = this.#learners.filter(id => this.#silence(id) < this.#wish.forgetMs)
+    return learners.length === this.#learners.length ? null : { voters: this.#voters, learners }
+  }
+
+  #withVoter (spare: ReplicaId): Members {
+    return { voters: [...this.#voters, spare], learners: this.#learners.filter(id => id !== spare) }
+  }
+
+  // A learner that has all but the newest entries, in the zone with the fewest voters.
+  #findSpare (perZone: number): ReplicaId | undefined {
+    const { commit } = this.#state
+    const spares = this.#learners.filter(id => {
+      const sight = this.#sights.get(id)
+      return sight !== undefined && sight.silentMs < aliveMs && sight.match > 0 && sight.match + nearEntries >= commit
+    })
+    const free = spares.filter(id => this.#countZone(this.#zone(id)) < perZone)
+    const best = (free.length > 0 ? free : this.#voters.length < this.#wish.voters ? spares : [])
+    return [...best].sort((a, b) => this.#countZone(this.#zone(a)) - this.#countZone(this.#zone(b)) || (a < b ? -1 : 1))[0]
+  }
+
+  #findSilent (): ReplicaId | undefined {
+    const silent = this.#voters.filter(id => id !== this.#state.self && this.#silence(id) >= this.#wish.replaceMs)
+    return silent.sort((a, b) => this.#silence(b) - this.#silence(a))[0]
+  }
+
+  #findCrowded (): ReplicaId | undefined {
+    const others = this.#voters.filter(id => id !== this.#state.self)
+    return others.sort((a, b) => this.#countZone(this.#zone(b)) - this.#countZone(this.#zone(a)) || (a < b ? 1 : -1))[0]
+  }
+
+  #silence (id: ReplicaId): number {
+    return id === this.#state.self ? 0 : this.#sights.get(id)?.silentMs ?? Infinity
+  }
+
+  #zone (id: ReplicaId): string { return this.#sights.get(id)?.zone ?? '' }
+
+  #countZone (zone: string): number {
+    return this.#voters.filter(id => this.#zone(id) === zone).length
+  }
+
+  #hasQuorum (voters: readonly ReplicaId[]): boolean {
+    return voters.filter(id => this.#silence(id) < aliveMs).length * 2 > voters.length
+  }
+}
--- a/src/coordination/log/replica.ts
+++ b/src/coordination/log/replica.ts
@@ -67,6 +67,8 @@
   | { readonly type: 'failed', readonly error: Error }
 
 const inboxLimit = 20_000
+/** Events that wait for a sync before messages of others are dropped: a log bears their loss. */
+const mostWaiting = 4000
 const membersApplied = { type: 'members-changed' }
 
 export class Replica {
@@ -156,7 +158,7 @@
   #take (input: ReplicaInput): void {
     switch (input.type) {
       case 'event':
-        this.#backlog.push(input.event)
+        this.#keep(input.event)
         break
       case 'persisted':
         this.#syncing = false
@@ -169,6 +171,14 @@
     }
   }
 
+  // While a slow disk syncs, time and messages go on; neither may pile up.
+  #keep (event: RaftEvent): void {
+    const last = this.#backlog[this.#backlog.length - 1]
+    if (event.type === 'tick' && last?.type === 'tick') this.#backlog.pop()
+    if (event.type === 'receive' && this.#backlog.length >= mostWaiting) return
+    this.#backlog.push(event)
+  }
+
   #sendLate (): void {
     for (const { to, message } of this.#late) this.#host.send(to, message)
     this.#late = []
--- /dev/null
+++ b/src/core/balance/demand-meter.ts
@@ -0,0 +1,28 @@
+/** Buckets of the window that demand is measured over. */
+const buckets = 4
+/** Length of a bucket, ms. One second in all: long enough to smooth arrivals, short enough to follow a burst. */
+const bucketMs = 250
+
+/** How much arrives a second, over the last second. */
+export class DemandMeter {
+  #sums = new Array<number>(buckets).fill(0)
+  #bucket = 0
+
+  add (at: number, amount: number): void {
+    this.#advance(at)
+    this.#sums[this.#bucket % buckets] += amount
+  }
+
+  /** Amount a second. */
+  rate (at: number): number {
+    this.#advance(at)
+    return this.#sums.reduce((sum, one) => sum + one, 0) * 1000 / (buckets * bucketMs)
+  }
+
+  #advance (at: number): void {
+    const bucket = Math.floor(at / bucketMs)
+    if (bucket - this.#bucket >= buckets) this.#sums.fill(0)
+    else for (let b = this.#bucket + 1; b <= bucket; b++) this.#sums[b % buckets] = 0
+    this.#bucket = Math.max(this.#bucket, bucket)
+  }
+}
--- /dev/null
+++ b/src/core/balance/endpoint-directory.ts
@@ -0,0 +1,68 @@
+/**
+ * The live directory of endpoints. Words arrive late, twice and out of order,
+ * through any box; the newest of each endpoint wins, so that all directories
+ * that heard the same words are alike.
+ */
+import type { EndpointId } from '../ids.js'
+import type { EndpointRecord } from './endpoint-record.js'
+
+/** Records of endpoints that are gone are kept so that late words don't revive them; the oldest go first. */
+const mostGone = 5000
+
+export class EndpointDirectory {
+  #records = new Map<EndpointId, EndpointRecord>()
+  #byAddress = new Map<string, EndpointId>()
+  #gone: EndpointId[] = []
+
+  /** Every record, those of gone endpoints included. */
+  get records (): EndpointRecord[] { return [...this.#records.values()] }
+
+  find (id: EndpointId): EndpointRecord | undefined { return this.#records.get(id) }
+
+  /** Takes in a word; returns the records that it changed for others, or none. */
+  merge (word: EndpointRecord): EndpointRecord[] {
+    const known = this.#records.get(word.id)
+    if (known !== undefined && !isNewer(word, known)) return []
+    const record = word.stage === 'gone' && known !== undefined ? { ...known, sequence: Math.max(known.sequence, word.sequence), stage: word.stage } : word
+    this.#set(record)
+    const changed = known === undefined || !isSame(known, record) ? [record] : []
+    return [...changed, ...this.#displace(record)]
+  }
+
+  /** Notes that nothing was heard of an endpoint for long. */
+  lose (id: EndpointId): EndpointRecord[] {
+    const known = this.#records.get(id)
+    if (known === undefined || known.stage === 'gone' || known.stage === 'lost') return []
+    const record: EndpointRecord = { ...known, stage: 'lost' }
+    this.#set(record)
+    return [record]
+  }
+
+  #set (record: EndpointRecord): void {
+    this.#records.set(record.id, record)
+    if (record.stage !== 'gone') return
+    this.#gone.push(record.id)
+    if (this.#gone.length > mostGone) this.#records.delete(this.#gone.shift() as EndpointId)
+  }
+
+  // An address belongs to whoever spoke from it last. The other may only seem
+  // to be the older one, where words were late: its next word brings it back.
+  #displace (record: EndpointRecord): EndpointRecord[] {
+    if (record.stage === 'gone' || record.stage === 'lost') return []
+    const address = `${record.host}:${record.port}`
+    const other = this.#byAddress.get(address)
+    this.#byAddress.set(address, record.id)
+    return other === undefined || other === record.id ? [] : this.lose(other)
+  }
+}
+
+function isNewer (word: EndpointRecord, known: EndpointRecord): boolean {
+  if (known.stage === 'gone') return false
+  if (word.stage === 'gone') return true
+  if (word.stage === 'lost') return known.stage !== 'lost' && word.sequence >= known.sequence
+  return word.sequence > known.sequence
+}
+
+function isSame (a: EndpointRecord, b: EndpointRecord): boolean {
+  return a.stage === b.stage && a.host === b.host && a.port === b.port && a.service === b.service && a.zone === b.zone && a.slots === b.slots
+}
--- /dev/null
+++ b/src/core/balance/endpoint-record.ts
@@ -0,0 +1,21 @@
+import type { EndpointId, ServiceName, ZoneName } from '../ids.js'
+
+/**
+ * Where an endpoint is in its life. `gone` is its own last word and final;
+ * `lost` is a guess from its silence that a newer word of its own undoes.
+ */
+export type EndpointStage = 'ready' | 'draining' | 'gone' | 'lost'
+
+/** What an endpoint says of itself, by its newest word. */
+export interface EndpointRecord {
+  readonly id: EndpointId
+  readonly service: ServiceName
+  readonly host: string
+  readonly port: number
+  readonly zone: ZoneName
+  /** Requests that it works on at once. */
+  readonly slots: number
+  /** Rises with each word of the endpoint; tells a late one. */
+  readonly sequence: number
+  readonly stage: EndpointStage
+}
--- /dev/null
+++ b/src/core/balance/endpoint-view.ts
@@ -0,0 +1,159 @@
+/**
+ * One endpoint as this box sees it: its newest record, what this box has
+ * running there, what the other boxes say they have, and how it performs.
+ */
+import type { BoxId, EndpointId } from '../ids.js'
+import { FadingAverage } from './average.js'
+import type { EndpointRecord } from './endpoint-record.js'
+import { EndpointTrust } from './endpoint-trust.js'
+import type { EndpointLoad } from './load-word.js'
+import { PromptMemory } from './prompt-memory.js'
+import type { Work } from './work.js'
+
+/** A request of this box at an endpoint. */
+export interface Placed {
+  readonly work: Work
+  /** Prompt tokens that the engine is expected to read for it. */
+  readonly readTokens: number
+  /** Tokens that waited ahead of it when it was sent. */
+  readonly aheadTokens: number
+  readonly memory: number
+  readonly sentAt: number
+  firstAt: number | null
+  heardAt: number
+}
+
+/** Weight of the newest sample in what is learned of an endpoint. */
+const gainOfNewest = 0.15
+/** Reading time is learned only from prompts that take longer than the noise of the network, tokens. */
+const leastTokensToLearn = 1000
+/** Time of an answer that isn't reading, ms. */
+const overheadMs = 10
+/** Share of an engine's memory that is believed to hold prompts that nobody is running. */
+const cacheShare = 0.5
+/** Expected time of a call to a plain service before any was seen, ms. */
+const firstAnswerMs = 100
+/** A request that waits so many times longer than usual, and this much more, shows that its endpoint hangs. */
+const overdueTimes = 3
+const overdueMs = 300
+/** Streams give an event every few dozen ms; one endpoint that is silent on all of its streams for so long hangs, ms. */
+const silentMs = 500
+/** Bounds on a sample against what was believed before: one odd answer must not turn the belief over. */
+const boldestSample = 8
+
+export class EndpointView {
+  readonly trust = new EndpointTrust()
+  readonly prompts: PromptMemory
+  readonly answerMs = new FadingAverage(firstAnswerMs, gainOfNewest)
+  record: EndpointRecord
+  #pace: FadingAverage
+  #placed = new Set<Placed>()
+  #peers = new Map<BoxId, EndpointLoad>()
+
+  /** `paceMs`: ms a prompt token, as it is known of the service so far. */
+  constructor (record: EndpointRecord, memoryTokens: number, paceMs: number) {
+    this.record = record
+    this.prompts = new PromptMemory(memoryTokens * cacheShare)
+    this.#pace = new FadingAverage(paceMs, gainOfNewest)
+  }
+
+  get id (): EndpointId { return this.record.id }
+  /** Time to read a prompt token, ms. */
+  get paceMs (): number { return this.#pace.value }
+  get ownRunning (): number { return this.#placed.size }
+
+  /** Requests in flight, those of other boxes included. */
+  get running (): number {
+    let running = this.#placed.size
+    for (const peer of this.#peers.values()) running += peer.running
+    return running
+  }
+
+  /** Memory that requests in flight are expected to take, tokens. */
+  get memoryInUse (): number {
+    let tokens = 0
+    for (const placed of this.#placed) tokens += placed.memory
+    for (const peer of this.#peers.values()) tokens += peer.memory
+    return tokens
+  }
+
+  /** Prompt tokens that will be read before those of a new request of this priority. */
+  countAhead (priority: number): number {
+    let tokens = 0
+    for (const placed of this.#placed) {
+      if (placed.firstAt === null && placed.work.priority <= priority) tokens += placed.readTokens
+    }
+    for (const peer of this.#peers.values()) {
+      for (const [theirs, waiting] of peer.waiting) if (theirs <= priority) tokens += waiting
+    }
+    return tokens
+  }
+
+  /** How long the endpoint has been overdue with an answer or an event, ms; 0 where it isn't. */
+  measureOverdue (at: number): number {
+    let overdue = 0
+    let started = 0
+    let heardAt = -Infinity
+    for (const placed of this.#placed) {
+      if (placed.firstAt !== null && placed.work.cost !== null) {
+        started += 1
+        heardAt = Math.max(heardAt, placed.heardAt)
+      } else if (placed.firstAt === null) {
+        overdue = Math.max(overdue, at - placed.sentAt - overdueTimes * this.expectAnswer(placed) - overdueMs)
+      }
+    }
+    if (started > 1) overdue = Math.max(overdue, at - heardAt - silentMs)
+    return overdue
+  }
+
+  /** Expected time from sending a request to its answer, or first event, ms. */
+  expectAnswer (placed: Placed): number {
+    if (placed.work.cost === null) return this.answerMs.value
+    return (placed.readTokens + placed.aheadTokens) * this.paceMs + overheadMs
+  }
+
+  place (work: Work, readTokens: number, at: number): Placed {
+    const { cost } = work
+    const memory = cost === null ? 0 : cost.promptTokens + cost.mostTokens / 2
+    const placed: Placed = { work, readTokens, aheadTokens: this.countAhead(work.priority), memory, sentAt: at, firstAt: null, heardAt: at }
+    this.#placed.add(placed)
+    this.trust.noteSent(at)
+    if (cost !== null) this.prompts.add(cost.parts)
+    return placed
+  }
+
+  /** The answer, or its first event, has come. Returns what a token took, where that can be told. */
+  noteFirst (placed: Placed, at: number): number | null {
+    placed.firstAt = at
+    placed.heardAt = at
+    const took = at - placed.sentAt
+    if (placed.work.cost === null) {
+      this.answerMs.add(took)
+      return null
+    }
+    const tokens = placed.readTokens + placed.aheadTokens
+    if (tokens < leastTokensToLearn) return null
+    const pace = Math.max(0, took - overheadMs) / tokens
+    const sample = Math.min(this.paceMs * boldestSample, Math.max(this.paceMs / boldestSample, pace))
+    this.#pace.add(sample)
+    return sample
+  }
+
+  remove (placed: Placed): void { this.#placed.delete(placed) }
+
+  notePeer (box: BoxId, load: EndpointLoad): void { this.#peers.set(box, load) }
+
+  dropPeer (box: BoxId): void { this.#peers.delete(box) }
+
+  /** What this box tells others of its work here; null where it has none. */
+  composeLoad (): EndpointLoad | null {
+    if (this.#placed.size === 0) return null
+    const waiting = new Map<number, number>()
+    let memory = 0
+    for (const placed of this.#placed) {
+      memory += placed.memory
+      if (placed.firstAt === null && placed.readTokens > 0) waiting.set(placed.work.priority, (waiting.get(placed.work.priority) ?? 0) + placed.readTokens)
+    }
+    return { endpoint: this.id, running: this.#placed.size, memory: Math.round(memory), waiting: [...waiting] }
+  }
+}
--- /dev/null
+++ b/src/core/balance/fleet.ts
@@ -0,0 +1,295 @@
+/**
+ * The endpoints as one box believes them to be, and the choice among them. Each
+ * box decides alone, on its own work and on what the others last told of
+ * theirs. Where all boxes must agree (which engines are set apart for long
+ * prompts, which of them holds a shared prompt) they do so by the same hash.
+ */
+import { chooseByHash, hashText } from '../hash.js'
+import type { BoxId, EndpointId, ServiceName, ZoneName } from '../ids.js'
+import type { RoutedService } from '../routes/index.js'
+import { FadingAverage } from './average.js'
+import { DemandMeter } from './demand-meter.js'
+import type { EndpointRecord } from './endpoint-record.js'
+import { EndpointView } from './endpoint-view.js'
+import type { Placed } from './endpoint-view.js'
+import type { BoxLoad } from './load-word.js'
+import { ReadingShare } from './reading-share.js'
+import type { PromptCost, Work } from './work.js'
+import { ZoneWatch } from './zone-watch.js'
+
+/** A choice, with what decided it, for the log. */
+export interface Choice {
+  readonly view: EndpointView
+  /** Expected time to the answer, or to its first event, ms; what else counts against the endpoint included. */
+  readonly expectedMs: number
+  readonly readTokens: number
+  readonly candidates: number
+  /** Engines set apart for long prompts. */
+  readonly share: number
+}
+
+/** Why there is no choice: the service has no endpoint at all, or none that isn't full or out. */
+export type NoChoice = 'none-known' | 'none-usable'
+
+/** Time to read a prompt token before any was measured, ms: a middling engine of the users' days. */
+const firstPaceMs = 0.024
+/** Weight of the newest sample in a service's time per token. */
+const poolGain = 0.05
+/** Tokens that an engine reads at a time, between the tokens of what runs there. */
+const pieceTokens = 1024
+/** Time of a step of an engine without reading, ms. */
+const stepMs = 4
+/** A pause must be this many times longer than one beside a long prompt to count as long. */
+const pauseMargin = 1.3
+/** What an endpoint in another zone is worth less, ms: bytes between zones are priced. */
+const otherZoneMs = 8
+/** What a doubtful endpoint, or one in a zone that fell silent, is worth less, ms: about what a lost request costs. */
+const doubtMs = 400
+/** What each stream more slows the others, ms. */
+const crowdMs = 0.4
+/** What each request beyond the slots waits, ms: a slot comes free every so often. */
+const queueMs = 60
+/** What a request waits where memory is used up, ms. */
+const memoryMs = 1500
+/** Part of an engine's memory that requests in flight may be expected to take. */
+const memoryLimit = 0.92
+/** Part of the shared tokens that an engine is believed to hold of a prompt that all boxes send there. */
+const homeShare = 0.7
+/** An endpoint whose failures exceed the middle of its service's by so much is taken last. */
+const worseShare = 0.25
+/** A zone counts as cut off after so long without a word, ms: three words of the slowest peer. */
+const zoneSilentMs = 800
+
+interface ServiceState {
+  readonly service: RoutedService
+  readonly share: ReadingShare
+  readonly pace: FadingAverage
+  readonly patient: DemandMeter
+  readonly brisk: DemandMeter
+}
+
+export class Fleet {
+  readonly zones: ZoneWatch
+  #zone: ZoneName
+  #services = new Map<ServiceName, ServiceState>()
+  #views = new Map<EndpointId, EndpointView>()
+  #byService = new Map<ServiceName, EndpointView[]>()
+  #peers = new Map<BoxId, BoxLoad>()
+
+  constructor (zone: ZoneName) {
+    this.#zone = zone
+    this.zones = new ZoneWatch(zone, zoneSilentMs)
+  }
+
+  get views (): IterableIterator<EndpointView> { return this.#views.values() }
+  findView (id: EndpointId): EndpointView | undefined { return this.#views.get(id) }
+
+  /** Takes over the services of a new document; what was learned of those that stay is kept. */
+  configure (services: readonly RoutedService[]): void {
+    const states = new Map<ServiceName, ServiceState>()
+    for (const service of services) {
+      const known = this.#services.get(service.name)
+      states.set(service.name, known === undefined ? createState(service) : { ...known, service })
+    }
+    this.#services = states
+  }
+
+  /** Takes in newer records of the directory. */
+  applyRecords (records: readonly EndpointRecord[]): void {
+    for (const record of records) {
+      const known = this.#views.get(record.id)
+      if (record.stage === 'gone' || record.stage === 'lost') this.#views.delete(record.id)
+      else if (known !== undefined) known.record = record
+      else this.#views.set(record.id, this.#createView(record))
+    }
+    this.#byService = groupByService(this.#views.values())
+  }
+
+  /** Takes in what a peer has at the endpoints. */
+  notePeer (box: BoxId, load: BoxLoad): void {
+    const before = this.#peers.get(box)
+    this.#peers.set(box, load)
+    const told = new Set<EndpointId>()
+    for (const one of load.loads) {
+      told.add(one.endpoint)
+      this.#views.get(one.endpoint)?.notePeer(box, one)
+    }
+    for (const one of before?.loads ?? []) if (!told.has(one.endpoint)) this.#views.get(one.endpoint)?.dropPeer(box)
+  }
+
+  /** Forgets a peer that has fallen silent. */
+  dropPeer (box: BoxId): void {
+    for (const one of this.#peers.get(box)?.loads ?? []) this.#views.get(one.endpoint)?.dropPeer(box)
+    this.#peers.delete(box)
+  }
+
+  /** What this box tells its peers. */
+  composeLoad (at: number): BoxLoad {
+    const loads = []
+    for (const view of this.#views.values()) {
+      const load = view.composeLoad()
+      if (load !== null) loads.push(load)
+    }
+    const demands = []
+    for (const [service, { patient, brisk }] of this.#services) {
+      const demand = { service, patient: Math.round(patient.rate(at)), brisk: Math.round(brisk.rate(at)) }
+      if (demand.patient > 0 || demand.brisk > 0) demands.push(demand)
+    }
+    return { loads, demands }
+  }
+
+  /** Chooses an endpoint that wasn't tried yet. `draw`, from 0 up to 1, parts those that are alike. */
+  choose (work: Work, tried: readonly EndpointId[], at: number, draw: number): Choice | NoChoice {
+    const all = this.#byService.get(work.service) ?? []
+    const ready = all.filter(view => view.record.stage === 'ready' && !tried.includes(view.id))
+    if (ready.length === 0) return all.length === 0 ? 'none-known' : 'none-usable'
+    const usable = ready.filter(view => view.trust.look(at) !== 'out')
+    if (usable.length === 0) return 'none-usable'
+    const state = this.#services.get(work.service)
+    const engine = state?.service.engine ?? null
+    if (work.cost === null || engine === null || state === undefined) return this.#choosePlain(usable, at, draw)
+    const share = state.share.update(at, this.#measureDemand(state, usable, at))
+    const apart = listApart(usable, share)
+    const patient = isPatient(work, engine.tokensPerEvent, state.pace.value)
+    const side = usable.filter(view => apart.has(view.id) === patient)
+    return this.#chooseEngine(side.length > 0 ? side : usable, work, work.cost, state, at, draw)
+  }
+
+  /** Notes that a request arrived, for the measure of demand. */
+  noteArrival (work: Work, at: number): void {
+    const state = this.#services.get(work.service)
+    if (state?.service.engine == null || work.cost === null) return
+    const patient = isPatient(work, state.service.engine.tokensPerEvent, state.pace.value)
+    const meter = patient ? state.patient : state.brisk
+    meter.add(at, work.cost.promptTokens - countShared(work.cost) * homeShare)
+  }
+
+  /** Notes a request's answer, or first event; learns from the time that it took. */
+  noteFirst (view: EndpointView, placed: Placed, at: number): void {
+    const pace = view.noteFirst(placed, at)
+    if (pace !== null) this.#services.get(placed.work.service)?.pace.add(pace)
+  }
+
+  #createView (record: EndpointRecord): EndpointView {
+    const state = this.#services.get(record.service)
+    return new EndpointView(record, state?.service.engine?.memoryTokens ?? 0, state?.pace.value ?? firstPaceMs)
+  }
+
+  #measureDemand (state: ServiceState, engines: readonly EndpointView[], at: number) {
+    const { service, patient, brisk, pace } = state
+    let patientRate = patient.rate(at)
+    let briskRate = brisk.rate(at)
+    for (const peer of this.#peers.values()) {
+      for (const demand of peer.demands) {
+        if (demand.service !== service.name) continue
+        patientRate += demand.patient
+        briskRate += demand.brisk
+      }
+    }
+    let waiting = 0
+    for (const view of engines) waiting += view.countAhead(Infinity)
+    return { engines: engines.length, patientRate, briskRate, patientWaiting: waiting, briskRunning: 0, slots: service.engine?.slots ?? 1, engineRate: 1000 / pace.value }
+  }
+
+  #choosePlain (usable: readonly EndpointView[], at: number, draw: number): Choice {
+    const middle = findMiddleFailures(usable)
+    const rate = (view: EndpointView): number => {
+      const { slots } = view.record
+      const running = view.running
+      const queued = Math.max(0, running + 1 - slots) / Math.max(1, slots)
+      return view.answerMs.value * (1 + queued + 0.5 * running / Math.max(1, slots)) + this.#weighTrust(view, middle, at)
+    }
+    return pickLeast(usable, rate, () => 0, 0, draw)
+  }
+
+  #chooseEngine (side: readonly EndpointView[], work: Work, cost: PromptCost, state: ServiceState, at: number, draw: number): Choice {
+    const home = findHome(cost, side)
+    const middle = findMiddleFailures(side)
+    const slots = state.service.engine?.slots ?? 1
+    const memory = (state.service.engine?.memoryTokens ?? Infinity) * memoryLimit
+    const countRead = (view: EndpointView): number => expectRead(view, cost, view.id === home)
+    const rate = (view: EndpointView): number => {
+      const running = view.running
+      const ms = (view.countAhead(work.priority) + countRead(view)) * view.paceMs + running * crowdMs
+      const queued = Math.max(0, running + 1 - slots) * queueMs
+      const short = view.memoryInUse + cost.promptTokens > memory ? memoryMs : 0
+      return ms + queued + short + this.#weighTrust(view, middle, at)
+    }
+    return pickLeast(side, rate, countRead, state.share.count, draw)
+  }
+
+  #weighTrust (view: EndpointView, middle: number, at: number): number {
+    const zone = view.record.zone
+    let ms = zone === this.#zone ? 0 : otherZoneMs
+    if (this.zones.isCut(zone, at)) ms += doubtMs
+    if (view.trust.look(at) !== 'good') ms += doubtMs
+    if (view.trust.failureShare > middle + worseShare) ms += doubtMs
+    return ms + Math.max(0, view.measureOverdue(at))
+  }
+}
+
+function createState (service: RoutedService): ServiceState {
+  return { service, share: new ReadingShare(), pace: new FadingAverage(firstPaceMs, poolGain), patient: new DemandMeter(), brisk: new DemandMeter() }
+}
+
+function groupByService (views: Iterable<EndpointView>): Map<ServiceName, EndpointView[]> {
+  const groups = new Map<ServiceName, EndpointView[]>()
+  for (const view of views) {
+    const group = groups.get(view.record.service)
+    if (group === undefined) groups.set(view.record.service, [view])
+    else group.push(view)
+  }
+  return groups
+}
+
+/** True where a request's pauses stay in time even beside a prompt that is being read. */
+export function isPatient (work: Work, tokensPerEvent: number, paceMs: number): boolean {
+  const besideReadingMs = tokensPerEvent * (pieceTokens * paceMs + stepMs)
+  return work.pauseMs === null || work.pauseMs >= besideReadingMs * pauseMargin
+}
+
+// The same engines at every box: one of each zone in turn, in the order of a hash.
+function listApart (engines: readonly EndpointView[], count: number): Set<EndpointId> {
+  const ranked = [...engines].sort((a, b) => hashText(a.id) - hashText(b.id))
+  const perZone = new Map<ZoneName, number>()
+  const turns = ranked.map(view => {
+    const turn = perZone.get(view.record.zone) ?? 0
+    perZone.set(view.record.zone, turn + 1)
+    return { id: view.id, turn }
+  })
+  turns.sort((a, b) => a.turn - b.turn)
+  return new Set(turns.slice(0, count).map(one => one.id))
+}
+
+function countShared (cost: PromptCost): number {
+  let tokens = 0
+  for (let i = 0; i + 1 < cost.parts.length; i++) tokens += cost.parts[i].tokens
+  return tokens
+}
+
+// The engine to which all boxes send prompts that share their longest part.
+function findHome (cost: PromptCost, engines: readonly EndpointView[]): EndpointId | undefined {
+  const shared = cost.parts.at(-2)
+  return shared === undefined ? undefined : chooseByHash(shared.id, engines.map(view => view.id))
+}
+
+function expectRead (view: EndpointView, cost: PromptCost, isHome: boolean): number {
+  const held = view.prompts.countHeld(cost.parts)
+  return cost.promptTokens - Math.max(held, isHome ? countShared(cost) * homeShare : 0)
+}
+
+function findMiddleFailures (views: readonly EndpointView[]): number {
+  const shares = views.map(view => view.trust.failureShare).sort((a, b) => a - b)
+  return shares[shares.length >> 1] ?? 0
+}
+
+/** Endpoints that differ by less are alike, ms: less than a word between boxes takes. */
+const alikeMs = 3
+
+function pickLeast (views: readonly EndpointView[], rate: (view: EndpointView) => number, countRead: (view: EndpointView) => number, share: number, draw: number): Choice {
+  const rated = views.map(view => ({ view, ms: rate(view) }))
+  const least = rated.reduce((ms, one) => Math.min(ms, one.ms), Infinity)
+  const alike = rated.filter(one => one.ms <= least + alikeMs)
+  const { view, ms } = alike[Math.floor(draw * alike.length)]
+  return { view, expectedMs: ms, readTokens: countRead(view), candidates: views.length, share }
+}
--- /dev/null
+++ b/src/core/balance/zone-watch.ts
@@ -0,0 +1,27 @@
+import type { ZoneName } from '../ids.js'
+
+/**
+ * Whether a zone can be reached, from when anything was last heard from there.
+ * Boxes speak to each other several times a second, so that a cut shows sooner
+ * here than in requests that stay unanswered.
+ */
+export class ZoneWatch {
+  #own: ZoneName
+  #silentMs: number
+  #heard = new Map<ZoneName, number>()
+
+  /** `silentMs`: after so long without a word a zone counts as cut off. */
+  constructor (own: ZoneName, silentMs: number) {
+    this.#own = own
+    this.#silentMs = silentMs
+  }
+
+  noteHeard (zone: ZoneName, at: number): void { this.#heard.set(zone, at) }
+
+  /** True where the zone spoke once and has fallen silent. */
+  isCut (zone: ZoneName, at: number): boolean {
+    if (zone === this.#own) return false
+    const heard = this.#heard.get(zone)
+    return heard !== undefined && at - heard > this.#silentMs
+  }
+}
--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -27,6 +27,11 @@
 /** One shard: the engines of a pool in one zone that one box schedules. */
 export type ShardId = Branded<'ShardId'>
 
+/** A route, named in the routing document. */
+export type RouteName = Branded<'RouteName'>
+/** One start of an endpoint: a restarted endpoint has another. */
+export type EndpointId = Branded<'EndpointId'>
+
 /** Brands a plain string. The caller vouches for the kind. */
 export function brandId<T extends string> (value: string): T {
   return value as T
--- /dev/null
+++ b/src/core/routes/check-document.ts
@@ -0,0 +1,40 @@
+import type { RoutingDocument } from './route.js'
+
+/** Every reason for which a well-formed document must not be put in force, in words; empty where there is none. */
+export function findDocumentMistakes (document: RoutingDocument): string[] {
+  return [...findRouteMistakes(document), ...findKeyMistakes(document)]
+}
+
+function findRouteMistakes ({ routes, services }: RoutingDocument): string[] {
+  const mistakes: string[] = []
+  const known = new Set<string>(services.map(service => service.name))
+  if (known.size < services.length) mistakes.push('two services have the same name')
+  const places = new Map<string, string>()
+  for (const route of routes) {
+    for (const { service } of route.services) {
+      if (!known.has(service)) mistakes.push(`route ${route.name} names the unknown service ${service}`)
+    }
+    const place = `${route.host.toLowerCase()} ${route.prefix}`
+    const other = places.get(place)
+    if (other !== undefined) mistakes.push(`routes ${other} and ${route.name} have the same host and prefix`)
+    places.set(place, route.name)
+    const weight = route.services.reduce((sum, one) => sum + one.weight, 0)
+    if (!(weight > 0)) mistakes.push(`the weights of route ${route.name} sum to ${weight}`)
+    if (route.services.some(one => one.weight < 0)) mistakes.push(`route ${route.name} has a weight below 0`)
+    if (!(route.timeoutMs > 0)) mistakes.push(`the time-out of route ${route.name} is ${route.timeoutMs} ms`)
+  }
+  return mistakes
+}
+
+function findKeyMistakes ({ workspaces }: RoutingDocument): string[] {
+  const mistakes: string[] = []
+  const owners = new Map<string, string>()
+  for (const { name, keys } of workspaces ?? []) {
+    for (const key of keys) {
+      const owner = owners.get(key)
+      if (owner !== undefined && owner !== name) mistakes.push(`workspaces ${owner} and ${name} share a key`)
+      owners.set(key, name)
+    }
+  }
+  return mistakes
+}
--- /dev/null
+++ b/src/core/routes/route-table.ts
@@ -0,0 +1,58 @@
+import type { ServiceName } from '../ids.js'
+import type { KeyedWorkspace, Route, RoutedService, RoutingDocument } from './route.js'
+
+/** A routing document, indexed for look-ups. Never changes: a newer document makes another table. */
+export class RouteTable {
+  readonly document: RoutingDocument
+  #byHost = new Map<string, Map<string, Route>>()
+  #services = new Map<ServiceName, RoutedService>()
+  #byKey = new Map<string, KeyedWorkspace>()
+
+  constructor (document: RoutingDocument) {
+    this.document = document
+    for (const route of document.routes) {
+      const host = route.host.toLowerCase()
+      const routes = this.#byHost.get(host) ?? new Map<string, Route>()
+      routes.set(route.prefix, route)
+      this.#byHost.set(host, routes)
+    }
+    for (const service of document.services) this.#services.set(service.name, service)
+    for (const workspace of document.workspaces ?? []) {
+      for (const key of workspace.keys) this.#byKey.set(key, workspace)
+    }
+  }
+
+  get version (): number { return this.document.version }
+
+  /** True where requests need a key, but on public routes. */
+  get needsKeys (): boolean { return this.document.workspaces !== null }
+
+  /** The route with the longest prefix that begins the path; the host may carry a port. */
+  findRoute (host: string, path: string): Route | undefined {
+    const routes = this.#byHost.get(host.replace(/:\d+$/, '').toLowerCase())
+    if (routes === undefined) return undefined
+    const query = path.indexOf('?')
+    const end = query < 0 ? path.length : query
+    for (let slash = path.lastIndexOf('/', end - 1); slash >= 0; slash = slash === 0 ? -1 : path.lastIndexOf('/', slash - 1)) {
+      const route = routes.get(path.slice(0, slash + 1))
+      if (route !== undefined) return route
+    }
+    return undefined
+  }
+
+  findService (name: ServiceName): RoutedService | undefined { return this.#services.get(name) }
+
+  /** The workspace that a key opens. */
+  findWorkspace (key: string): KeyedWorkspace | undefined { return this.#byKey.get(key) }
+}
+
+/** Picks one of a route's services by weight; `draw` is from 0 up to 1. */
+export function pickService (route: Route, draw: number): ServiceName {
+  const total = route.services.reduce((sum, one) => sum + one.weight, 0)
+  let left = draw * total
+  for (const { service, weight } of route.services) {
+    left -= weight
+    if (left < 0) return service
+  }
+  return route.services[route.services.length - 1].service
+}
--- /dev/null
+++ b/src/core/routes/route.ts
@@ -0,0 +1,97 @@
+/**
+ * The routing document: which service answers which request and under which
+ * promises, whose keys open it, and what callers may send. It is replaced as a
+ * whole, under a version that only rises.
+ */
+import type { RouteName, ServiceName, WorkspaceName } from '../ids.js'
+
+/**
+ * What may be done with a request: `repeatable` may run again, `once` may not,
+ * `events` is answered with numbered events and may be continued elsewhere only
+ * where its route is resumable.
+ */
+export type RouteKind = 'repeatable' | 'once' | 'events'
+
+/** A service with its share of a route's requests. */
+export interface WeightedService {
+  readonly service: ServiceName
+  readonly weight: number
+}
+
+/** One route: the host and the beginning of the path that it takes. */
+export interface Route {
+  readonly name: RouteName
+  readonly host: string
+  /** Begins and ends with a slash; the longest that fits a path wins. */
+  readonly prefix: string
+  readonly kind: RouteKind
+  /** The longest that a request is held, ms. */
+  readonly timeoutMs: number
+  /** Target for the answer, or for its first event, ms. */
+  readonly targetMs: number
+  /** The longest pause between events that still counts as in time, ms; null where there are no events. */
+  readonly pauseMs: number | null
+  /** 0 is served first. */
+  readonly priority: number
+  readonly services: readonly WeightedService[]
+  /** Endpoints that one request may be sent to. */
+  readonly mostAttempts: number
+  /** True where no key is asked for. */
+  readonly isPublic: boolean
+  /** True where a broken stream may be continued after its last event. */
+  readonly resumable: boolean
+}
+
+/** What is known of the engines of a service. */
+export interface EngineProfile {
+  /** Requests that run at once. */
+  readonly slots: number
+  /** Tokens that the memory holds, of running requests and cached prompts. */
+  readonly memoryTokens: number
+  /** Tokens in one event of a stream. */
+  readonly tokensPerEvent: number
+}
+
+/** A service that routes lead to. */
+export interface RoutedService {
+  readonly name: ServiceName
+  /** Connections that one endpoint takes from all boxes together. */
+  readonly mostConnections: number
+  /** Null for a plain service. */
+  readonly engine: EngineProfile | null
+}
+
+/** Bounds on what a caller may send and how long it may take. */
+export interface CallerLimits {
+  readonly headerBytes: number
+  readonly bodyBytes: number
+  readonly headerMs: number
+  /** How long a connection may rest between requests, ms. */
+  readonly idleMs: number
+}
+
+/** A workspace and the keys that open it. */
+export interface KeyedWorkspace {
+  readonly name: WorkspaceName
+  readonly keys: readonly string[]
+  /** Goes before the route's; null for none. */
+  readonly priority: number | null
+}
+
+/** Everything that routes requests, as one value. */
+export interface RoutingDocument {
+  readonly version: number
+  readonly routes: readonly Route[]
+  readonly services: readonly RoutedService[]
+  readonly limits: CallerLimits
+  /** Null where no request needs a key. */
+  readonly workspaces: readonly KeyedWorkspace[] | null
+}
+
+/** Bounds that hold where a document names none. */
+export const defaultCallerLimits: CallerLimits = {
+  headerBytes: 16 * 1024,
+  bodyBytes: 4 * 2 ** 20,
+  headerMs: 10_000,
+  idleMs: 60_000
+}
--- /dev/null
+++ b/src/gateway/answers.ts
@@ -0,0 +1,26 @@
+import type { ServerResponse } from 'node:http'
+import { lookUpError } from '../core/index.js'
+import type { ErrorKind } from '../core/index.js'
+import type { Dialect } from '../protocol/index.js'
+
+/** A final answer of the box itself. */
+export interface Refusal {
+  readonly kind: ErrorKind
+  readonly text: string
+  /** When to come back, ms; for kinds that are worth another try. */
+  readonly retryAfterMs?: number
+}
+
+/** Where a kind that is worth another try names no time, ms. */
+const defaultRetryMs = 500
+
+/** Answers with an error of the box's own. Its status is what the table of kinds says. */
+export function sendRefusal (response: ServerResponse, refusal: Refusal, dialect: Dialect): void {
+  const { status, outcome, retryAfter } = lookUpError(refusal.kind)
+  const body = JSON.stringify({ error: refusal.kind, message: refusal.text, outcome })
+  const headers: Record<string, string | number> = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }
+  if (retryAfter) headers['retry-after'] = dialect.formatRetryAfter(refusal.retryAfterMs ?? defaultRetryMs)
+  if (status === 413 || status === 408) headers.connection = 'close'
+  response.writeHead(status, headers)
+  response.end(body)
+}
--- /dev/null
+++ b/src/gateway/caller-door.ts
@@ -0,0 +1,181 @@
+/** The HTTP server that callers meet: reads requests whole, finds their route and whose they are. */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Address } from '../config/index.js'
+import { pickService } from '../core/index.js'
+import type { CallerLimits, KeyedWorkspace, Route, RouteTable, Work } from '../core/index.js'
+import type { CallerWords, Dialect } from '../protocol/index.js'
+import { sendRefusal } from './answers.js'
+import type { Refusal } from './answers.js'
+import type { Exchange } from './exchange.js'
+import type { Order } from './order.js'
+
+/** What the door needs of its box. */
+export interface DoorHost {
+  readonly dialect: Dialect
+  /** The routes in force; null before the first document. */
+  readonly table: RouteTable | null
+  readonly isLeaving: boolean
+  now (): number
+  draw (): number
+  makeRequestId (): string
+  begin (order: Order, response: ServerResponse): Exchange
+  noteRefused (words: CallerWords | null, refusal: Refusal): void
+}
+
+/** A box without a document learns one within moments, ms. */
+const noDocumentRetryMs = 300
+/** Headers larger than this are refused whatever a document allows, bytes. */
+const mostHeaderBytes = 64 * 1024
+/** How long a caller may take over a whole request, ms. */
+const requestMs = 60_000
+/** After a body is refused, what still comes is read past for so long, ms, so that the caller can read the answer. */
+const restMs = 500
+/** Longest a request is held where a caller names a longer time than any route should, ms. */
+const longestHoldMs = 3_600_000
+
+export class CallerDoor {
+  #host: DoorHost
+  #server: Server
+  #running = new WeakMap<Socket, Set<Exchange>>()
+  #sockets = new WeakMap<Exchange, Socket>()
+
+  constructor (host: DoorHost, maxConnections: number) {
+    this.#host = host
+    this.#server = createServer({ maxHeaderSize: mostHeaderBytes, requestTimeout: requestMs, connectionsCheckingInterval: 1000 }, (request, response) => {
+      void this.#serve(request, response)
+    })
+    this.#server.maxConnections = maxConnections
+    this.#server.on('connection', socket => this.#watch(socket))
+    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => refuseBroken(error, socket as Socket))
+  }
+
+  listen (address: Address): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen({ ...address, backlog: 511 }, () => {
+        const bound = this.#server.address()
+        resolve(typeof bound === 'object' && bound !== null ? bound.port : address.port)
+      })
+    })
+  }
+
+  /** Puts the limits of a new document in force. */
+  setLimits (limits: CallerLimits): void {
+    this.#server.keepAliveTimeout = limits.idleMs
+    this.#server.headersTimeout = limits.headerMs
+  }
+
+  /** The exchange that runs on a connection is over. */
+  release (exchange: Exchange): void {
+    const socket = this.#sockets.get(exchange)
+    if (socket !== undefined) this.#running.get(socket)?.delete(exchange)
+  }
+
+  /** Connections of callers, at rest or not. */
+  countConnections (): Promise<number> {
+    return new Promise(resolve => this.#server.getConnections((error, count) => resolve(error === null ? count : 0)))
+  }
+
+  close (): void {
+    this.#server.close()
+    this.#server.closeAllConnections()
+  }
+
+  // A caller that closes its side has left: its answer would reach nobody.
+  #watch (socket: Socket): void {
+    const running = new Set<Exchange>()
+    this.#running.set(socket, running)
+    const leave = (): void => {
+      for (const exchange of [...running]) exchange.leave()
+    }
+    socket.on('end', leave)
+    socket.on('close', leave)
+  }
+
+  async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const arrivedAt = this.#host.now()
+    request.on('error', () => {})
+    response.on('error', () => {})
+    if (this.#host.isLeaving) response.setHeader('connection', 'close')
+    const words = this.#host.dialect.readCaller(request.headers)
+    const table = this.#host.table
+    const found = this.#admit(request, words, table)
+    if ('kind' in found || table === null) return this.#refuse(request, response, words, found as Refusal)
+    const body = await readBody(request, table.document.limits.bodyBytes)
+    if (body === null) return
+    if (body === 'too-large') return this.#refuse(request, response, words, { kind: 'body-too-large', text: `a body has at most ${table.document.limits.bodyBytes} bytes` })
+    if (request.socket.destroyed) return
+    const order = this.#compose(request, body, words, found, table, arrivedAt)
+    const exchange = this.#host.begin(order, response)
+    if (exchange.isEnded) return
+    this.#sockets.set(exchange, request.socket)
+    this.#running.get(request.socket)?.add(exchange)
+  }
+
+  // The route and the workspace, or why there is none.
+  #admit (request: IncomingMessage, words: CallerWords, table: RouteTable | null): { route: Route, workspace: KeyedWorkspace | null } | Refusal {
+    if (table === null) return { kind: 'no-document', text: 'this box has no routes yet', retryAfterMs: noDocumentRetryMs }
+    const route = table.findRoute(request.headers.host ?? '', request.url ?? '/')
+    if (route === undefined) return { kind: 'unknown-path', text: 'no route leads there' }
+    const workspace = words.key === null ? undefined : table.findWorkspace(words.key)
+    if (workspace === undefined && table.needsKeys && !route.isPublic) return { kind: 'bad-key', text: 'the key is missing or opens no workspace' }
+    return { route, workspace: workspace ?? null }
+  }
+
+  #compose (request: IncomingMessage, body: Buffer, words: CallerWords, { route, workspace }: { route: Route, workspace: KeyedWorkspace | null }, table: RouteTable, arrivedAt: number): Order {
+    const service = pickService(route, this.#host.draw())
+    const work: Work = { service, priority: workspace?.priority ?? route.priority, cost: words.cost, pauseMs: route.pauseMs, targetMs: route.targetMs }
+    const holdMs = Math.min(route.timeoutMs, words.deadlineMs ?? longestHoldMs)
+    return {
+      words: words.requestId === '' ? { ...words, requestId: this.#host.makeRequestId() } : words,
+      route,
+      service,
+      workspace,
+      work,
+      version: table.version,
+      method: request.method ?? 'GET',
+      url: request.url ?? '/',
+      rawHeaders: request.rawHeaders,
+      body,
+      arrivedAt,
+      holdUntil: arrivedAt + holdMs
+    }
+  }
+
+  #refuse (request: IncomingMessage, response: ServerResponse, words: CallerWords, refusal: Refusal): void {
+    if (!request.complete) {
+      request.resume()
+      setTimeout(() => { if (!request.complete) request.socket.destroy() }, restMs).unref()
+    }
+    sendRefusal(response, refusal, this.#host.dialect)
+    this.#host.noteRefused(words, refusal)
+  }
+}
+
+// Null where the caller left before its body was whole.
+function readBody (request: IncomingMessage, most: number): Promise<Buffer | 'too-large' | null> {
+  if (Number(request.headers['content-length'] ?? 0) > most) return Promise.resolve('too-large')
+  return new Promise(resolve => {
+    const chunks: Buffer[] = []
+    let size = 0
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length
+      if (size > most) resolve('too-large')
+      else chunks.push(chunk)
+    })
+    request.on('end', () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)))
+    request.on('close', () => { if (!request.complete) resolve(null) })
+  })
+}
+
+/** Bytes that are no request are answered once, and their connection is closed. */
+function refuseBroken (error: NodeJS.ErrnoException, socket: Socket): void {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy()
+    return
+  }
+  const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request'
+  socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`)
+}
--- /dev/null
+++ b/src/gateway/exchange.ts
@@ -0,0 +1,379 @@
+/**
+ * One request from its arrival to its final answer: chooses an endpoint, sends,
+ * relays, and decides what a failure allows. A request that may not be repeated
+ * goes elsewhere only where no byte of it was written, or the endpoint said
+ * that it did not run it. "Not run" is said to a caller on the same grounds.
+ */
+import type { ServerResponse } from 'node:http'
+import type { EndpointId, EndpointView, ErrorKind, Fleet, Placed } from '../core/index.js'
+import type { Dialect } from '../protocol/index.js'
+import { copyHeaders } from '../protocol/index.js'
+import { sendRefusal } from './answers.js'
+import type { EndpointAgent } from './endpoint-agent.js'
+import { EndpointCall } from './endpoint-call.js'
+import type { AnswerHead, CallFailure } from './endpoint-call.js'
+import { EventCutter } from './event-cutter.js'
+import type { NumberedEvent } from './event-cutter.js'
+import type { Order } from './order.js'
+
+/** What an exchange needs of its box. */
+export interface ExchangeHost {
+  readonly dialect: Dialect
+  readonly fleet: Fleet
+  readonly agent: EndpointAgent
+  now (): number
+  /** A number from 0 up to 1. */
+  draw (): number
+  /** Takes one second send from the retry budget. */
+  takeRetry (order: Order): boolean
+  /** The work at the endpoints has changed. */
+  noteLoad (): void
+  noteEnd (exchange: Exchange, summary: ExchangeSummary): void
+}
+
+/** What became of one send. */
+export interface Attempt {
+  readonly endpoint: EndpointId
+  readonly expectedMs: number
+  readonly candidates: number
+  readonly share: number
+  readonly sentAt: number
+  end: string
+}
+
+/** How an exchange went, for log and metrics. */
+export interface ExchangeSummary {
+  readonly order: Order
+  /** `ok`, `left` where the caller was gone, `cut` where a begun answer broke off, else why it was refused. */
+  readonly outcome: ErrorKind | 'ok' | 'endpoint-status' | 'left' | 'cut'
+  readonly status: number
+  readonly attempts: readonly Attempt[]
+  readonly firstMs: number | null
+  readonly totalMs: number
+  readonly events: number
+  readonly longestPauseMs: number
+}
+
+type Phase = 'waiting' | 'relaying' | 'ended'
+
+interface Sent {
+  readonly call: EndpointCall
+  readonly view: EndpointView
+  readonly placed: Placed
+  readonly attempt: Attempt
+  head: AnswerHead | null
+  chunks: Buffer[]
+  size: number
+  cutter: EventCutter | null
+}
+
+/** Answers that are not passed on event by event are held whole, up to this, bytes. */
+const largestAnswer = 64 * 2 ** 20
+/** Statuses that promise a caller that its request did not run and never will. */
+const promisingStatuses = new Set([408, 421, 429, 503])
+/** Connections that don't come about cost nobody anything; so many are tried beyond the attempts that a route allows. */
+const mostUnreachable = 3
+/** A stream that may be continued elsewhere is, once it has been silent for this many of the pauses that its route allows, and at least so long, ms. */
+const silentPauses = 4
+const leastSilentMs = 600
+/** When a caller is to come back where an endpoint was full, ms: about a place's time to come free. */
+const fullRetryMs = 250
+/** When a caller is to come back where no endpoint can be used, ms: about the time until one is tried again. */
+const noneRetryMs = 400
+
+export class Exchange {
+  readonly order: Order
+  #host: ExchangeHost
+  #response: ServerResponse
+  #phase: Phase = 'waiting'
+  #sent: Sent | null = null
+  #attempts: Attempt[] = []
+  #tried: EndpointId[] = []
+  #unreachable = 0
+  #mayHaveRun = false
+  #lastEvent: string | null
+  #events = 0
+  #firstAt: number | null = null
+  #eventAt = 0
+  #longestPauseMs = 0
+
+  constructor (host: ExchangeHost, order: Order, response: ServerResponse) {
+    this.#host = host
+    this.order = order
+    this.#response = response
+    this.#lastEvent = order.words.lastEvent
+    response.on('drain', () => this.#sent?.call.resume())
+  }
+
+  get isEnded (): boolean { return this.#phase === 'ended' }
+
+  start (): void { this.#send() }
+
+  /** The caller is gone: whatever runs for it is called off. */
+  leave (): void {
+    if (this.#phase === 'ended') return
+    this.#dropCall('left')
+    this.#end('left', 0)
+  }
+
+  /** The box stops: a begun answer ends as one that broke off. */
+  cut (): void {
+    if (this.#phase === 'ended') return
+    this.#dropCall('cut')
+    this.#response.destroy()
+    this.#end('cut', 0)
+  }
+
+  /** Looks at the time: connections that don't come about, streams that went silent, requests to be given up. */
+  check (now: number): void {
+    if (this.#phase === 'ended') return
+    if (now >= this.order.holdUntil) return this.#giveUp()
+    this.#sent?.call.check(now)
+    if (this.#sent !== null && this.#isSilent(this.#sent, now)) this.#moveOn(this.#sent, 'broken', 'silent')
+  }
+
+  // Sending.
+
+  #send (): void {
+    const { order } = this
+    const at = this.#host.now()
+    const choice = this.#host.fleet.choose(order.work, this.#tried, at, this.#host.draw())
+    if (typeof choice === 'string') return this.#refuseUnplaced(choice)
+    const { view, expectedMs, candidates, share, readTokens } = choice
+    const attempt: Attempt = { endpoint: view.id, expectedMs: Math.round(expectedMs), candidates, share, sentAt: at, end: 'open' }
+    this.#attempts.push(attempt)
+    this.#tried.push(view.id)
+    const placed = view.place(order.work, readTokens, at)
+    const sent: Sent = { view, placed, attempt, call: this.#call(view, at, () => sent), head: null, chunks: [], size: 0, cutter: null }
+    this.#sent = sent
+    this.#host.noteLoad()
+  }
+
+  #call (view: EndpointView, at: number, getSent: () => Sent): EndpointCall {
+    const { order } = this
+    const headers = this.#host.dialect.composeRequest(order.rawHeaders, {
+      requestId: order.words.requestId,
+      deadlineMs: order.holdUntil - at,
+      endpoint: view.id,
+      workspace: order.workspace?.name ?? null,
+      priority: order.work.cost === null ? null : order.work.priority,
+      lastEvent: this.#lastEvent
+    })
+    const { host, port } = view.record
+    const target = { host, port, agent: this.#host.agent, method: order.method, path: order.url, headers, body: order.body, requestId: order.words.requestId }
+    return new EndpointCall(target, this.#host.dialect, {
+      begin: head => this.#begin(getSent(), head),
+      take: chunk => this.#take(getSent(), chunk),
+      finish: () => this.#finish(getSent()),
+      fail: (failure, reason) => this.#noteFailure(getSent(), failure, reason)
+    }, at)
+  }
+
+  #refuseUnplaced (why: 'none-known' | 'none-usable'): void {
+    if (this.#mayHaveRun) return this.#refuse('engine-failed', 'no other endpoint could be tried')
+    this.#refuse('no-engine', why === 'none-known' ? 'the service has no endpoint' : 'no endpoint of the service can be used now', noneRetryMs)
+  }
+
+  // Answers.
+
+  #begin (sent: Sent, head: AnswerHead): void {
+    const { view } = sent
+    sent.head = head
+    if (head.words.isNotRun) return this.#noteNotRun(sent, head)
+    const isAnswer = head.words.isMarked && !head.isEncoded
+    if (!isAnswer) return this.#moveOn(sent, 'broken', `not an answer of an endpoint (${head.status})`)
+    if (head.status >= 500) {
+      view.trust.noteFailure()
+      if (this.#mayRepeat && this.#isAnotherAllowed()) return this.#moveOn(sent, 'failed', String(head.status))
+    } else {
+      view.trust.noteGood()
+    }
+    const isStream = this.order.route.kind === 'events' && head.status === 200
+    if (isStream) sent.cutter = new EventCutter()
+    else this.#noteFirst(sent)
+  }
+
+  #take (sent: Sent, chunk: Buffer): boolean {
+    sent.placed.heardAt = this.#host.now()
+    if (sent.cutter !== null) return this.#relay(sent, sent.cutter, chunk)
+    sent.chunks.push(chunk)
+    sent.size += chunk.length
+    if (sent.size > largestAnswer) this.#moveOn(sent, 'broken', 'the answer is too large')
+    return true
+  }
+
+  // Events are passed on whole and at once; the head goes with the first.
+  #relay (sent: Sent, cutter: EventCutter, chunk: Buffer): boolean {
+    let events
+    try {
+      events = cutter.push(chunk)
+    } catch (error) {
+      this.#moveOn(sent, 'broken', (error as Error).message)
+      return true
+    }
+    if (events.length === 0) return true
+    if (sent.placed.firstAt === null) this.#noteFirst(sent)
+    this.#openStream(sent)
+    return this.#writeEvents(events)
+  }
+
+  #openStream (sent: Sent): void {
+    if (this.#phase === 'relaying' || sent.head === null) return
+    this.#phase = 'relaying'
+    this.#response.writeHead(sent.head.status, passHeaders(sent.head, null))
+  }
+
+  #writeEvents (events: readonly NumberedEvent[]): boolean {
+    const now = this.#host.now()
+    if (this.#events > 0) this.#longestPauseMs = Math.max(this.#longestPauseMs, now - this.#eventAt)
+    this.#eventAt = now
+    this.#events += events.length
+    for (const { id } of events) this.#lastEvent = id ?? this.#lastEvent
+    return this.#response.write(events.length === 1 ? events[0].bytes : Buffer.concat(events.map(event => event.bytes)))
+  }
+
+  #noteFirst (sent: Sent): void {
+    const now = this.#host.now()
+    this.#firstAt ??= now
+    this.#host.fleet.noteFirst(sent.view, sent.placed, now)
+    this.#host.noteLoad()
+  }
+
+  #finish (sent: Sent): void {
+    if (sent.cutter !== null) return this.#finishStream(sent, sent.cutter)
+    const { head } = sent
+    if (head === null) return
+    this.#release(sent, 'done')
+    // The endpoint ran it: its status must not promise the caller the contrary.
+    if (promisingStatuses.has(head.status)) {
+      this.#mayHaveRun = true
+      return this.#refuse('engine-failed', `the endpoint answered ${head.status}`)
+    }
+    const body = Buffer.concat(sent.chunks)
+    this.#response.writeHead(head.status, passHeaders(head, body.length))
+    this.#response.end(body)
+    this.#end(head.status < 400 ? 'ok' : 'endpoint-status', head.status)
+  }
+
+  #finishStream (sent: Sent, cutter: EventCutter): void {
+    if (cutter.isInside) return this.#noteFailure(sent, 'broken', 'the stream ended inside an event')
+    this.#openStream(sent)
+    this.#release(sent, 'done')
+    this.#response.end()
+    this.#end('ok', 200)
+  }
+
+  // Failures.
+
+  #noteNotRun (sent: Sent, head: AnswerHead): void {
+    const { view } = sent
+    const at = this.#host.now()
+    if (head.words.isOtherEndpoint) view.trust.noteUnreachable(at)
+    else view.trust.noteGood()
+    if (head.words.isOtherEndpoint) this.#unreachable += 1
+    this.#dropSent(sent, `not-run ${head.status}`)
+    if (this.#isAnotherAllowed()) return this.#send()
+    if (this.#mayHaveRun) return this.#refuse('engine-failed', 'an earlier send broke, and another endpoint is full')
+    this.#refuse('overloaded', 'the endpoint is full', fullRetryMs)
+  }
+
+  #noteFailure (sent: Sent, failure: CallFailure, reason: string): void {
+    if (this.#phase === 'ended' || this.#sent !== sent) return
+    this.#moveOn(sent, failure, reason)
+  }
+
+  // Leaves an endpoint, and goes to another where that is allowed.
+  #moveOn (sent: Sent, failure: CallFailure | 'failed', reason: string): void {
+    const at = this.#host.now()
+    if (failure === 'unreachable') {
+      this.#unreachable += 1
+      sent.view.trust.noteUnreachable(at)
+    } else {
+      this.#mayHaveRun = true
+      if (failure === 'broken') sent.view.trust.noteBroken(at)
+    }
+    this.#dropSent(sent, `${failure} ${reason}`)
+    const mayGoOn = failure === 'unreachable' ? !this.#mayHaveRun || this.#mayRepeat : this.#mayRepeat
+    if (mayGoOn && this.#isAnotherAllowed()) return this.#send()
+    if (this.#phase === 'relaying') return this.cut()
+    if (this.#mayHaveRun) return this.#refuse('engine-failed', `the endpoint failed: ${reason}`)
+    this.#refuse('no-engine', 'no endpoint could be reached', noneRetryMs)
+  }
+
+  #giveUp (): void {
+    const sent = this.#sent
+    if (sent !== null) {
+      this.#mayHaveRun ||= sent.call.mayHaveRun
+      this.#dropSent(sent, 'given up')
+    }
+    if (this.#phase === 'relaying') return this.cut()
+    if (this.#mayHaveRun) return this.#refuse('engine-timeout', 'the endpoint did not answer in time')
+    this.#refuse('overloaded', 'no endpoint took the request in time', noneRetryMs)
+  }
+
+  get #mayRepeat (): boolean {
+    const { kind, resumable } = this.order.route
+    return kind === 'repeatable' || (kind === 'events' && resumable)
+  }
+
+  // Endpoints that could not be reached at all don't count as tried.
+  #isAnotherAllowed (): boolean {
+    if (this.#unreachable > mostUnreachable) return false
+    const sends = this.#attempts.length - this.#unreachable
+    if (sends === 0) return true
+    return sends < this.order.route.mostAttempts && this.#host.takeRetry(this.order)
+  }
+
+  #isSilent (sent: Sent, now: number): boolean {
+    const { route } = this.order
+    if (!this.#mayRepeat || sent.cutter === null || this.#phase !== 'relaying') return false
+    const limit = Math.max(leastSilentMs, silentPauses * (route.pauseMs ?? 0))
+    return now - sent.placed.heardAt > limit && this.#attempts.length - this.#unreachable < route.mostAttempts
+  }
+
+  #refuse (kind: ErrorKind, text: string, retryAfterMs?: number): void {
+    sendRefusal(this.#response, { kind, text, retryAfterMs }, this.#host.dialect)
+    this.#end(kind, this.#response.statusCode)
+  }
+
+  // Ends.
+
+  #dropCall (how: string): void {
+    if (this.#sent !== null) this.#dropSent(this.#sent, how)
+  }
+
+  #dropSent (sent: Sent, how: string): void {
+    sent.call.cancel()
+    this.#release(sent, how)
+  }
+
+  #release (sent: Sent, how: string): void {
+    if (this.#sent === sent) this.#sent = null
+    sent.attempt.end = how
+    sent.view.remove(sent.placed)
+    this.#host.noteLoad()
+  }
+
+  #end (outcome: ExchangeSummary['outcome'], status: number): void {
+    if (this.#phase === 'ended') return
+    this.#phase = 'ended'
+    const { order } = this
+    this.#host.noteEnd(this, {
+      order,
+      outcome,
+      status,
+      attempts: this.#attempts,
+      firstMs: this.#firstAt === null ? null : this.#firstAt - order.arrivedAt,
+      totalMs: this.#host.now() - order.arrivedAt,
+      events: this.#events,
+      longestPauseMs: this.#longestPauseMs
+    })
+  }
+}
+
+// The endpoint's own headers, but for the framing of its connection.
+function passHeaders (head: AnswerHead, length: number | null): string[] {
+  const headers = copyHeaders(head.rawHeaders, name => name === 'content-length')
+  if (length !== null && head.status !== 204 && head.status !== 304) headers.push('Content-Length', String(length))
+  return headers
+}
--- /dev/null
+++ b/src/gateway/gateway-box.ts
@@ -0,0 +1,274 @@
+/**
+ * A gateway: an entry box that routes by a document. It decides alone, on what
+ * it sees and hears; no request waits for a word from another box.
+ */
+import { performance } from 'node:perf_hooks'
+import type { ServerResponse } from 'node:http'
+import { parseAddress } from '../config/index.js'
+import type { GatewaySettings } from '../config/index.js'
+import type { VersionedText } from '../coordination/index.js'
+import { EndpointDirectory, Fleet, RetryPurse, RouteTable, brandId } from '../core/index.js'
+import type { BoxId, EndpointRecord, ServiceName, ZoneName } from '../core/index.js'
+import type { CallerWords, Dialect, GatewayAddress } from '../protocol/index.js'
+import type { EventLog, Metrics } from '../runtime/index.js'
+import type { Refusal } from './answers.js'
+import { CallerDoor } from './caller-door.js'
+import { EndpointAgent } from './endpoint-agent.js'
+import { Exchange } from './exchange.js'
+import type { ExchangeHost, ExchangeSummary } from './exchange.js'
+import { LoadExchange } from './load-exchange.js'
+import type { Order } from './order.js'
+import { ReadyDoor } from './ready-door.js'
+import { RegistryFollower } from './registry-follower.js'
+
+/** What a gateway is given beside its settings. */
+export interface GatewaySurroundings {
+  readonly dialect: Dialect
+  readonly log: EventLog
+  readonly metrics: Metrics
+  /** Null where links go without authentication. */
+  readonly secret: string | null
+}
+
+/** How often exchanges look at the time, ms: well within what a late final answer may be late. */
+const sweepMs = 40
+/** A box with routes but no endpoint yet calls itself ready after this all the same, ms. */
+const endpointsMs = 1500
+/** After readiness goes red, callers may still be sent here for so long, ms: two questions of the balancer, and a connection on its way. */
+const lagMs = 2600
+/** The box stops once nothing has been in flight for so long, ms. */
+const quietMs = 400
+/** Time kept at the end of a planned stop to end what is left, ms. */
+const endMs = 300
+
+export class GatewayBox {
+  #settings: GatewaySettings
+  #around: GatewaySurroundings
+  #fleet: Fleet
+  #directory = new EndpointDirectory()
+  #table: RouteTable | null = null
+  #tableAt = 0
+  #purses = new Map<ServiceName, RetryPurse>()
+  #agent = new EndpointAgent()
+  #exchanges = new Set<Exchange>()
+  #door: CallerDoor
+  #ready: ReadyDoor
+  #loads: LoadExchange
+  #follower: RegistryFollower
+  #exchangeHost: ExchangeHost
+  #leaving = false
+  #busyAt = 0
+  #requests = 0
+  #timer: NodeJS.Timeout | null = null
+  port = 0
+  readyPort = 0
+
+  constructor (settings: GatewaySettings, around: GatewaySurroundings) {
+    this.#settings = settings
+    this.#around = around
+    const { dialect, log, secret } = around
+    const zone = brandId<ZoneName>(settings.zone)
+    const id = brandId<BoxId>(settings.id)
+    this.#fleet = new Fleet(zone)
+    const now = (): number => performance.now()
+    this.#loads = new LoadExchange({
+      id,
+      zone,
+      now,
+      composeLoad: () => this.#fleet.composeLoad(now()),
+      notePeer: (box, load) => this.#fleet.notePeer(box, load),
+      dropPeer: box => this.#losePeer(box),
+      noteZone: heard => this.#fleet.zones.noteHeard(heard, now())
+    })
+    const address: GatewayAddress = { id, zone, host: settings.host, port: settings.loadPort }
+    this.#follower = new RegistryFollower({
+      log,
+      secret,
+      linkPort: settings.linkPort,
+      address,
+      now,
+      takeDocument: document => this.#adopt(document),
+      takeRecords: records => this.#takeRecords(records),
+      takeGateways: gateways => this.#loads.setPeers(gateways),
+      noteZone: heard => this.#fleet.zones.noteHeard(heard, now())
+    })
+    this.#exchangeHost = {
+      dialect,
+      fleet: this.#fleet,
+      agent: this.#agent,
+      now,
+      draw: Math.random,
+      takeRetry: order => this.#takeRetry(order),
+      noteLoad: () => this.#loads.noteChange(),
+      noteEnd: (exchange, summary) => this.#noteEnd(exchange, summary)
+    }
+    this.#door = this.#createDoor()
+    this.#ready = new ReadyDoor(dialect.readyPath, () => this.isReady)
+  }
+
+  get isReady (): boolean {
+    if (this.#table === null || this.#leaving) return false
+    return this.#directory.records.some(record => record.stage === 'ready') || performance.now() - this.#tableAt > endpointsMs
+  }
+
+  get inFlight (): number { return this.#exchanges.size }
+  get table (): RouteTable | null { return this.#table }
+  get fleet (): Fleet { return this.#fleet }
+
+  /** Begins to serve; callers are refused until there are routes. */
+  async start (): Promise<void> {
+    const { listen, ready, host, loadPort, seeds } = this.#settings
+    this.port = await this.#door.listen(parseAddress(listen))
+    this.readyPort = await this.#ready.listen(parseAddress(ready))
+    await this.#loads.listen(host, loadPort)
+    this.#follower.start(seeds)
+    this.#timer = setInterval(() => this.#sweep(), sweepMs)
+    this.#around.log.info('gateway-started', { listen, seeds: seeds.join(',') })
+  }
+
+  /** Takes other seeds. */
+  setSeeds (seeds: readonly string[]): void { this.#follower.setSeeds(seeds) }
+
+  /** Stops without cutting a request: callers that still come are served until it is quiet. Returns what had to be cut. */
+  async stop (): Promise<number> {
+    this.#leaving = true
+    const startedAt = performance.now()
+    const until = startedAt + this.#settings.drainSeconds * 1000 - endMs
+    this.#around.log.info('gateway-leaving', { inFlight: this.inFlight })
+    while (performance.now() < until && !this.#isQuiet(startedAt)) await new Promise(resolve => setTimeout(resolve, sweepMs))
+    const cut = this.inFlight
+    for (const exchange of [...this.#exchanges]) exchange.cut()
+    this.kill()
+    this.#around.log.info('gateway-stopped', { cut, ms: Math.round(performance.now() - startedAt) })
+    return cut
+  }
+
+  /** Ends at once, as a crash does. */
+  kill (): void {
+    if (this.#timer !== null) clearInterval(this.#timer)
+    this.#door.close()
+    this.#ready.close()
+    this.#loads.close()
+    this.#follower.close()
+    this.#agent.destroy()
+  }
+
+  #isQuiet (startedAt: number): boolean {
+    const now = performance.now()
+    return now - startedAt > lagMs && this.inFlight === 0 && now - this.#busyAt > quietMs
+  }
+
+  #createDoor (): CallerDoor {
+    const box = this
+    return new CallerDoor({
+      dialect: this.#around.dialect,
+      get table () { return box.#table },
+      get isLeaving () { return box.#leaving },
+      now: () => performance.now(),
+      draw: Math.random,
+      makeRequestId: () => this.#makeRequestId(),
+      begin: (order, response) => this.#begin(order, response),
+      noteRefused: (words, refusal) => this.#noteRefused(words, refusal)
+    }, this.#settings.maxConnections)
+  }
+
+  #makeRequestId (): string {
+    this.#requests += 1
+    return `${this.#settings.id}-${Date.now().toString(36)}-${this.#requests}`
+  }
+
+  // Documents and endpoints.
+
+  #adopt ({ version, text }: VersionedText): void {
+    let table
+    try {
+      table = new RouteTable(this.#around.dialect.decodeDocument(text))
+    } catch (error) {
+      return this.#around.log.error('document-not-read', { version, error: (error as Error).message })
+    }
+    this.#table = table
+    this.#tableAt = performance.now()
+    const { services, routes, limits } = table.document
+    this.#fleet.configure(services)
+    this.#door.setLimits(limits)
+    const { ratio, extra, windowSeconds } = this.#settings.retries
+    for (const { name } of services) {
+      if (!this.#purses.has(name)) this.#purses.set(name, new RetryPurse({ ratio, extra, windowMs: windowSeconds * 1000 }))
+    }
+    this.#around.log.info('routes-in-force', { version, routes: routes.length, services: services.length })
+    this.#around.metrics.gauge('document-version', version)
+  }
+
+  #takeRecords (records: readonly EndpointRecord[]): void {
+    const changed = records.flatMap(record => this.#directory.merge(record))
+    if (changed.length === 0) return
+    this.#fleet.applyRecords(changed)
+    for (const { id, service, stage, sequence, zone } of changed) this.#around.log.info('endpoint', { endpoint: id, service, stage, sequence, zone })
+  }
+
+  #losePeer (box: BoxId): void {
+    this.#fleet.dropPeer(box)
+    this.#around.log.warn('peer-silent', { peer: box })
+  }
+
+  // Requests.
+
+  #begin (order: Order, response: ServerResponse): Exchange {
+    const now = performance.now()
+    this.#busyAt = now
+    this.#purses.get(order.service)?.noteRequest(now)
+    this.#fleet.noteArrival(order.work, now)
+    const exchange = new Exchange(this.#exchangeHost, order, response)
+    this.#exchanges.add(exchange)
+    exchange.start()
+    return exchange
+  }
+
+  #takeRetry (order: Order): boolean {
+    return this.#purses.get(order.service)?.take(performance.now(), this.#loads.boxCount) ?? false
+  }
+
+  #sweep (): void {
+    const now = performance.now()
+    for (const exchange of this.#exchanges) exchange.check(now)
+  }
+
+  #noteRefused (words: CallerWords | null, refusal: Refusal): void {
+    this.#around.metrics.count('refused', { kind: refusal.kind })
+    this.#around.log.warn('refused', { request: words?.requestId, kind: refusal.kind, version: this.#table?.version ?? 0, text: refusal.text })
+  }
+
+  #noteEnd (exchange: Exchange, summary: ExchangeSummary): void {
+    this.#busyAt = performance.now()
+    this.#exchanges.delete(exchange)
+    this.#door.release(exchange)
+    this.#tellEnd(summary)
+  }
+
+  #tellEnd (summary: ExchangeSummary): void {
+    const { order, outcome, attempts, firstMs, totalMs } = summary
+    const route = order.route.name
+    const { metrics, log } = this.#around
+    metrics.count('exchange', { route, outcome })
+    metrics.time('exchange', totalMs, { route })
+    if (firstMs !== null) metrics.time('first', firstMs, { route })
+    if (summary.longestPauseMs > 0) metrics.time('pause', summary.longestPauseMs, { route })
+    const fields = {
+      request: order.words.requestId,
+      route,
+      service: order.service,
+      workspace: order.workspace?.name,
+      outcome,
+      status: summary.status,
+      version: order.version,
+      waitedMs: attempts.length === 0 ? undefined : Math.round(attempts[0].sentAt - order.arrivedAt),
+      firstMs: firstMs === null ? undefined : Math.round(firstMs),
+      totalMs: Math.round(totalMs),
+      events: summary.events,
+      pauseMs: Math.round(summary.longestPauseMs),
+      attempts: attempts.map(one => `${one.endpoint}@${Math.round(one.sentAt - order.arrivedAt)}:expected=${one.expectedMs}:of=${one.candidates}:apart=${one.share}:${one.end}`).join(';')
+    }
+    if (outcome === 'ok') log.info('exchange', fields)
+    else log.warn('exchange', fields)
+  }
+}
--- /dev/null
+++ b/src/gateway/index.ts
@@ -0,0 +1,3 @@
+/** The program that routes callers by a document. */
+export { GatewayBox } from './gateway-box.js'
+export type { GatewaySurroundings } from './gateway-box.js'
--- /dev/null
+++ b/src/gateway/registry-follower.ts
@@ -0,0 +1,168 @@
+/**
+ * A gateway's side of the registries: it keeps a link to each of them, takes
+ * the newest document and every change of the directory, and goes on with what
+ * it has where none can be reached.
+ */
+import { parseAddress } from '../config/index.js'
+import type { VersionedText } from '../coordination/index.js'
+import { brandId } from '../core/index.js'
+import type { EndpointRecord, ZoneName } from '../core/index.js'
+import { LinkPool } from '../protocol/index.js'
+import type { GatewayAddress, Link, RouteMessage } from '../protocol/index.js'
+import { Inbox } from '../runtime/index.js'
+import type { EventLog } from '../runtime/index.js'
+
+/** What the follower needs of its box. */
+export interface FollowerHost {
+  readonly log: EventLog
+  readonly secret: string | null
+  readonly linkPort: number
+  readonly address: GatewayAddress
+  now (): number
+  takeDocument (document: VersionedText): void
+  takeRecords (records: readonly EndpointRecord[]): void
+  takeGateways (gateways: readonly GatewayAddress[]): void
+  noteZone (zone: ZoneName): void
+}
+
+type Input =
+  | { readonly type: 'message', readonly link: Link<RouteMessage>, readonly message: RouteMessage }
+  | { readonly type: 'open', readonly link: Link<RouteMessage> }
+  | { readonly type: 'closed', readonly link: Link<RouteMessage> }
+  | { readonly type: 'tick' }
+
+/** Heartbeats of links, ms: two of them missing show a cut zone. */
+const pulse = { everyMs: 300, silentMs: 1500 }
+const dialing = { connectMs: 500, longestRetryMs: 500 }
+/** How often the follower looks at its links, ms. */
+const tickMs = 100
+/** A registry that was asked for a document and did not send it in this time is passed over, ms. */
+const askMs = 300
+/** At the start, documents are taken from the first registry only after the others had so long to name a newer one, ms. */
+const settleMs = 500
+/** Links to registries at most: one for each of a system of today's size. */
+const mostLinks = 12
+/** Messages that may wait; they are few, as registries send only changes. */
+const mostWaiting = 10_000
+
+export class RegistryFollower {
+  #host: FollowerHost
+  #links: LinkPool<RouteMessage>
+  #inbox = new Inbox<Input>(mostWaiting)
+  #hosts = new Set<string>()
+  #zones = new Map<Link<RouteMessage>, ZoneName>()
+  #named = new Map<Link<RouteMessage>, number>()
+  #version = 0
+  #asked: { readonly version: number, readonly at: number } | null = null
+  #firstNamedAt: number | null = null
+  #timer: NodeJS.Timeout | null = null
+
+  constructor (host: FollowerHost) {
+    this.#host = host
+    this.#links = new LinkPool<RouteMessage>({
+      id: host.address.id,
+      secret: host.secret,
+      pulse,
+      clock: host.log.clock,
+      receive: (link, message) => this.#inbox.post({ type: 'message', link, message }),
+      noteOpen: link => this.#inbox.post({ type: 'open', link }),
+      noteClosed: link => this.#inbox.post({ type: 'closed', link }),
+      noteFault: (fault, peer) => host.log.warn('link-fault', { fault, peer })
+    }, dialing)
+    this.#inbox.run(input => this.#take(input))
+  }
+
+  /** Registries in touch. */
+  get linkCount (): number { return this.#links.dialed.length }
+
+  start (seeds: readonly string[]): void {
+    this.setSeeds(seeds)
+    this.#timer = setInterval(() => this.#inbox.post({ type: 'tick' }), tickMs)
+  }
+
+  /** Takes other seeds; registries known before stay known. */
+  setSeeds (seeds: readonly string[]): void {
+    for (const seed of seeds) this.#meet(parseAddress(seed).host)
+  }
+
+  close (): void {
+    if (this.#timer !== null) clearInterval(this.#timer)
+    this.#inbox.close()
+    this.#links.close()
+  }
+
+  #meet (host: string): void {
+    if (this.#hosts.has(host) || this.#hosts.size >= mostLinks) return
+    this.#hosts.add(host)
+    this.#links.dial(host, this.#host.linkPort)
+  }
+
+  #take (input: Input): void {
+    switch (input.type) {
+      case 'open':
+        input.link.send({ type: 'gateway-hello', address: this.#host.address, version: this.#version })
+        this.#host.log.info('registry-met', { registry: input.link.peer })
+        return
+      case 'closed':
+        this.#zones.delete(input.link)
+        this.#named.delete(input.link)
+        if (input.link.peer !== '') this.#host.log.warn('registry-lost', { registry: input.link.peer, left: this.linkCount })
+        return
+      case 'message': return this.#receive(input.link, input.message)
+      case 'tick': return this.#tick()
+    }
+  }
+
+  #receive (link: Link<RouteMessage>, message: RouteMessage): void {
+    switch (message.type) {
+      case 'registry-hello':
+        this.#zones.set(link, brandId(message.zone))
+        return
+      case 'version':
+        this.#named.set(link, message.version)
+        this.#firstNamedAt ??= this.#host.now()
+        return this.#ask()
+      case 'document': return this.#takeDocument(message.document)
+      case 'endpoints': return this.#host.takeRecords(message.records)
+      case 'boxes':
+        for (const host of message.registries) this.#meet(host)
+        return this.#host.takeGateways(message.gateways)
+      default: return this.#host.log.error('violation', { rule: 'messages-for-gateways', detail: message.type })
+    }
+  }
+
+  #takeDocument (document: VersionedText): void {
+    if (document.version <= this.#version) return
+    this.#version = document.version
+    this.#asked = null
+    this.#host.takeDocument(document)
+    for (const link of this.#links.dialed) link.send({ type: 'gateway-hello', address: this.#host.address, version: this.#version })
+    this.#ask()
+  }
+
+  #tick (): void {
+    for (const [link, zone] of this.#zones) {
+      if (this.#host.now() - link.heardAt < 2 * pulse.everyMs) this.#host.noteZone(zone)
+    }
+    this.#ask()
+  }
+
+  // Asks one of those that name the newest version; another one where it stays silent.
+  #ask (): void {
+    const now = this.#host.now()
+    const newest = Math.max(...this.#named.values())
+    if (newest <= this.#version || this.#firstNamedAt === null) return
+    if (this.#version === 0 && this.#named.size < this.#hosts.size && now - this.#firstNamedAt < settleMs) return
+    if (this.#asked !== null && this.#asked.version >= newest && now - this.#asked.at < askMs) return
+    const holders = [...this.#named].filter(([, version]) => version === newest).map(([link]) => link)
+    const chosen = this.#chooseHolder(holders)
+    if (chosen.send({ type: 'ask-document', version: newest })) this.#asked = { version: newest, at: now }
+  }
+
+  // The own zone's first: bytes between zones are dear. A second try goes to another.
+  #chooseHolder (holders: readonly Link<RouteMessage>[]): Link<RouteMessage> {
+    const near = holders.find(link => this.#zones.get(link) === this.#host.address.zone)
+    if (near !== undefined && this.#asked === null) return near
+    return holders[Math.floor(this.#host.now()) % holders.length]
+  }
+}
--- /dev/null
+++ b/src/protocol/document-reader.ts
@@ -0,0 +1,98 @@
+import { DocumentError } from './dialect.js'
+
+/**
+ * Reads a decoded document field by field and gathers every mistake, so that an
+ * operator sees all of them at once. Unknown fields are passed over: a newer
+ * document may hold them.
+ */
+export class DocumentReader {
+  #table: Readonly<Record<string, unknown>>
+  #path: string
+  #mistakes: string[]
+
+  constructor (value: unknown, path = '', mistakes: string[] = []) {
+    this.#path = path
+    this.#mistakes = mistakes
+    this.#table = isTable(value) ? value : {}
+    if (!isTable(value)) this.#add('', 'is not a table')
+  }
+
+  has (key: string): boolean { return this.#table[key] !== undefined && this.#table[key] !== null }
+
+  /** A text that isn't empty; a missing one is a mistake unless there is a fallback. */
+  readText (key: string, fallback?: string): string {
+    const found = this.#table[key]
+    if (typeof found === 'string' && found !== '') return found
+    if (fallback !== undefined && !this.has(key)) return fallback
+    this.#add(key, 'is not a text')
+    return ''
+  }
+
+  readNumber (key: string, fallback?: number): number {
+    const found = this.#table[key]
+    if (typeof found === 'number' && Number.isFinite(found)) return found
+    if (fallback !== undefined && !this.has(key)) return fallback
+    this.#add(key, 'is not a number')
+    return 0
+  }
+
+  readSwitch (key: string, fallback: boolean): boolean {
+    const found = this.#table[key]
+    if (typeof found === 'boolean') return found
+    if (this.has(key)) this.#add(key, 'is not true or false')
+    return fallback
+  }
+
+  /** One of the keys of `choices`, as the value that stands there. */
+  readChoice<T> (key: string, choices: Readonly<Record<string, T>>): T {
+    const found = this.#table[key]
+    if (typeof found === 'string' && Object.hasOwn(choices, found)) return choices[found]
+    this.#add(key, `is not one of ${Object.keys(choices).join(', ')}`)
+    return Object.values(choices)[0]
+  }
+
+  /** A list of tables; a missing one is a mistake. */
+  readList<T> (key: string, read: (reader: DocumentReader) => T): T[] {
+    const found = this.#table[key]
+    if (Array.isArray(found)) return found.map((one, i) => read(new DocumentReader(one, this.#join(`${key}.${i}`), this.#mistakes)))
+    this.#add(key, 'is not a list')
+    return []
+  }
+
+  readTexts (key: string): string[] {
+    const found = this.#table[key]
+    if (Array.isArray(found) && found.every(one => typeof one === 'string')) return found
+    this.#add(key, 'is not a list of texts')
+    return []
+  }
+
+  readTable<T> (key: string, read: (reader: DocumentReader) => T): T {
+    return read(new DocumentReader(this.#table[key], this.#join(key), this.#mistakes))
+  }
+
+  /** Throws `DocumentError` where anything was amiss. */
+  finish (): void {
+    if (this.#mistakes.length > 0) throw new DocumentError(this.#mistakes)
+  }
+
+  #add (key: string, what: string): void {
+    this.#mistakes.push(`${this.#join(key) || 'the document'} ${what}`)
+  }
+
+  #join (key: string): string {
+    return key === '' ? this.#path : this.#path === '' ? key : `${this.#path}.${key}`
+  }
+}
+
+/** Parses JSON; throws `DocumentError` where it is not whole. */
+export function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch (error) {
+    throw new DocumentError([`not JSON: ${(error as Error).message}`])
+  }
+}
+
+function isTable (value: unknown): value is Record<string, unknown> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value)
+}
--- a/src/protocol/frame-cipher.ts
+++ b/src/protocol/frame-cipher.ts
@@ -18,8 +18,26 @@
   return { caller: derive('caller'), listener: derive('listener') }
 }
 
+/** What marks the frames of one direction as coming from the peer. */
+export interface FrameCode {
+  /** Bytes that stand before each frame's body. */
+  readonly bytes: number
+  sign (body: Uint8Array): Buffer
+  verify (mac: Uint8Array, body: Uint8Array): boolean
+}
+
+const noBytes = Buffer.alloc(0)
+
+/** Marks nothing: for boxes that share no secret, on a network that only they can write to. */
+export const openCode: FrameCode = {
+  bytes: 0,
+  sign: () => noBytes,
+  verify: () => true
+}
+
 /** Authenticates the frames of one direction, which carry rising numbers. */
-export class FrameSeal {
+export class FrameSeal implements FrameCode {
+  readonly bytes = macBytes
   #key: Buffer
   #sequence = 0n
 
@@ -40,6 +58,3 @@
     return timingSafeEqual(this.sign(body), mac)
   }
 }
-
-/** Bytes of a frame's code. */
-export const frameMacBytes = macBytes
--- a/src/protocol/link-pool.ts
+++ b/src/protocol/link-pool.ts
@@ -5,8 +5,16 @@
 import type { LinkHost } from './link.js'
 
 const firstRetryMs = 50
-const longestRetryMs = 2000
-const connectMs = 3000
+
+/** How links are opened, ms. */
+export interface DialTiming {
+  /** The longest that a connection may take to come about. */
+  readonly connectMs: number
+  /** The longest pause between tries; it doubles up to this. */
+  readonly longestRetryMs: number
+}
+
+const defaultTiming: DialTiming = { connectMs: 3000, longestRetryMs: 2000 }
 
 interface Dialed<Message> {
   readonly host: string
@@ -26,11 +34,14 @@
   #bytesOut = 0
   #links = new Set<Link<Message>>()
   #closed = false
+  #timing: DialTiming
 
-  constructor (host: LinkHost<Message>) {
+  constructor (host: LinkHost<Message>, timing = defaultTiming) {
+    this.#timing = timing
     this.#host = {
       id: host.id,
       secret: host.secret,
+      pulse: host.pulse,
       clock: host.clock,
       receive: (link, message) => host.receive(link, message),
       noteOpen: link => host.noteOpen(link),
@@ -80,6 +91,11 @@
     return link?.isOpen === true ? link : undefined
   }
 
+  /** The links that were dialed and are open. */
+  get dialed (): Link<Message>[] {
+    return [...this.#dialed.values()].flatMap(({ link }) => link?.isOpen === true ? [link] : [])
+  }
+
   hangUp (host: string, port: number): void {
     const key = `${host}:${port}`
     const dialed = this.#dialed.get(key)
@@ -100,7 +116,7 @@
   #connect (dialed: Dialed<Message>): void {
     dialed.timer = null
     const socket = connect({ host: dialed.host, port: dialed.port })
-    const timer = setTimeout(() => socket.destroy(), connectMs)
+    const timer = setTimeout(() => socket.destroy(), this.#timing.connectMs)
     socket.once('connect', () => {
       clearTimeout(timer)
       dialed.retryMs = firstRetryMs
@@ -112,7 +128,7 @@
       dialed.link = null
       if (!dialed.wanted || this.#closed) return
       dialed.timer = setTimeout(() => this.#connect(dialed), dialed.retryMs)
-      dialed.retryMs = Math.min(longestRetryMs, dialed.retryMs * 2)
+      dialed.retryMs = Math.min(this.#timing.longestRetryMs, dialed.retryMs * 2)
     })
   }
 
--- a/src/protocol/link.ts
+++ b/src/protocol/link.ts
@@ -1,14 +1,15 @@
 /**
- * An authenticated connection between two boxes. Both sides send a hello with a
- * nonce; every later frame carries a code over its number and body. Messages of
- * one turn share a frame.
+ * A connection between two boxes. Both sides send a hello with a nonce; where
+ * the boxes share a secret, every later frame carries a code over its number and
+ * body. Messages of one turn share a frame. A peer behind a cut says nothing, so
+ * a link may be given heartbeats, and ends when it hears none.
  */
 import { randomBytes } from 'node:crypto'
 import type { Socket } from 'node:net'
 import { Encoder } from 'cbor-x'
 import type { HybridClock, HybridTime } from '../runtime/index.js'
-import { FrameSeal, deriveKeys, frameMacBytes } from './frame-cipher.js'
-import type { FrameSide } from './frame-cipher.js'
+import { FrameSeal, deriveKeys, openCode } from './frame-cipher.js'
+import type { FrameCode, FrameSide } from './frame-cipher.js'
 import { FrameSplitter, frameBytes } from './frame-splitter.js'
 
 const largestFrame = 64 * 2 ** 20
@@ -25,12 +26,23 @@
 }
 
 /** Why a link was closed by this side. */
-export type LinkFault = 'bad-frame' | 'bad-code' | 'bad-hello' | 'too-large' | 'too-slow'
+export type LinkFault = 'bad-frame' | 'bad-code' | 'bad-hello' | 'too-large' | 'too-slow' | 'silent'
+
+/** Heartbeats of a link, ms. */
+export interface LinkPulse {
+  /** A frame is sent at least this often. */
+  readonly everyMs: number
+  /** A link that heard nothing for so long is closed. */
+  readonly silentMs: number
+}
 
 /** Who this side is, and what it makes of the other's words. */
 export interface LinkHost<Message> {
   readonly id: string
-  readonly secret: string
+  /** Null where the boxes share none: frames are then not authenticated. */
+  readonly secret: string | null
+  /** Left out where links have no heartbeats. */
+  readonly pulse?: LinkPulse
   readonly clock: HybridClock
   receive (link: Link<Message>, message: Message): void
   noteOpen (link: Link<Message>): void
@@ -66,12 +78,15 @@
   #host: LinkHost<Message>
   #nonce = randomBytes(nonceBytes)
   #splitter = new FrameSplitter(largestHello)
-  #out: FrameSeal | null = null
-  #in: FrameSeal | null = null
+  #out: FrameCode | null = null
+  #in: FrameCode | null = null
   #peer = ''
   #queue: Message[] = []
   #scheduled = false
   #helloTimer: NodeJS.Timeout
+  #pulseTimer: NodeJS.Timeout | null = null
+  #heardAt = 0
+  #saidAt = 0
   bytesIn = 0
   bytesOut = 0
 
@@ -88,6 +103,8 @@
     this.#write(frameBytes([encodeValue(hello)]))
   }
 
+  /** When anything was last heard on this link, on the process's rising clock, ms. */
+  get heardAt (): number { return this.#heardAt }
   /** The other box's name, once the link is open. */
   get peer (): string { return this.#peer }
   get isOpen (): boolean { return this.#out !== null && !this.#socket.destroyed }
@@ -112,20 +129,28 @@
   #flush (): void {
     this.#scheduled = false
     if (this.#out === null || this.#queue.length === 0 || this.#socket.destroyed) return
-    const time = this.#host.clock.read()
-    const body = encodeValue([time.ms, time.count, this.#queue])
+    const messages = this.#queue
     this.#queue = []
+    this.#sendFrame(messages)
+  }
+
+  #sendFrame (messages: readonly Message[]): void {
+    if (this.#out === null || this.#socket.destroyed) return
+    const time = this.#host.clock.read()
+    const body = encodeValue([time.ms, time.count, messages])
     this.#write(frameBytes([this.#out.sign(body), body]))
     if (this.#socket.writableLength > mostUnsent) this.#fail('too-slow')
   }
 
   #write (bytes: Buffer): void {
     this.bytesOut += bytes.length
+    this.#saidAt = performance.now()
     this.#socket.write(bytes)
   }
 
   #read (chunk: Buffer): void {
     this.bytesIn += chunk.length
+    this.#heardAt = performance.now()
     let frames
     try {
       frames = this.#splitter.push(chunk)
@@ -144,25 +169,45 @@
     if (hello === undefined || hello.v !== version || typeof hello.id !== 'string' || hello.nonce?.length !== nonceBytes) {
       return this.#fail('bad-hello')
     }
-    const isCaller = this.#side === 'caller'
-    const keys = isCaller ? deriveKeys(this.#host.secret, this.#nonce, hello.nonce) : deriveKeys(this.#host.secret, hello.nonce, this.#nonce)
     this.#peer = hello.id
-    this.#out = new FrameSeal(isCaller ? keys.caller : keys.listener)
-    this.#in = new FrameSeal(isCaller ? keys.listener : keys.caller)
+    this.#setCodes(this.#host.secret, hello.nonce)
     this.#splitter = this.#widen()
     clearTimeout(this.#helloTimer)
+    this.#startPulse()
     this.#host.noteOpen(this)
   }
 
+  #setCodes (secret: string | null, theirs: Uint8Array): void {
+    if (secret === null) {
+      this.#out = openCode
+      this.#in = openCode
+      return
+    }
+    const isCaller = this.#side === 'caller'
+    const keys = isCaller ? deriveKeys(secret, this.#nonce, theirs) : deriveKeys(secret, theirs, this.#nonce)
+    this.#out = new FrameSeal(isCaller ? keys.caller : keys.listener)
+    this.#in = new FrameSeal(isCaller ? keys.listener : keys.caller)
+  }
+
+  #startPulse (): void {
+    const { pulse } = this.#host
+    if (pulse === undefined) return
+    this.#pulseTimer = setInterval(() => {
+      const now = performance.now()
+      if (now - this.#heardAt > pulse.silentMs) return this.#fail('silent')
+      if (now - this.#saidAt >= pulse.everyMs) this.#sendFrame([])
+    }, pulse.everyMs / 2)
+  }
+
   // Only a peer that has said hello may send large frames.
   #widen (): FrameSplitter {
     return new FrameSplitter(largestFrame)
   }
 
-  #readFrame (frame: Buffer, seal: FrameSeal): void {
-    if (frame.length < frameMacBytes) return this.#fail('bad-frame')
-    const body = frame.subarray(frameMacBytes)
-    if (!seal.verify(frame.subarray(0, frameMacBytes), body)) return this.#fail('bad-code')
+  #readFrame (frame: Buffer, code: FrameCode): void {
+    if (frame.length < code.bytes) return this.#fail('bad-frame')
+    const body = frame.subarray(code.bytes)
+    if (!code.verify(frame.subarray(0, code.bytes), body)) return this.#fail('bad-code')
     const decoded = this.#decode(body)
     if (!Array.isArray(decoded)) return this.#fail('bad-frame')
     const [ms, count, messages] = decoded as [number, number, Message[]]
@@ -186,6 +231,7 @@
 
   #noteClosed (): void {
     clearTimeout(this.#helloTimer)
+    if (this.#pulseTimer !== null) clearInterval(this.#pulseTimer)
     this.#host.noteClosed(this)
   }
 }
--- /dev/null
+++ b/src/protocol/native-dialect.ts
@@ -0,0 +1,114 @@
+/**
+ * The product's own dialect for routed requests, in the names of
+ * `docs/ROUTES.md`: JSON documents, `x-wrenlane-` headers.
+ */
+import { brandId, defaultCallerLimits } from '../core/index.js'
+import type { EndpointRecord, EndpointStage, KeyedWorkspace, Route, RouteKind, RoutedService, RoutingDocument, WeightedService } from '../core/index.js'
+import { DocumentReader, parseJson } from './document-reader.js'
+import { createDialect } from './header-dialect.js'
+
+const routeKinds: Readonly<Record<RouteKind, RouteKind>> = { repeatable: 'repeatable', once: 'once', events: 'events' }
+const stages: Readonly<Record<string, EndpointStage>> = { ready: 'ready', draining: 'draining' }
+const defaultAttempts = 2
+const defaultConnections = 64
+/** Least urgent of the ranks that are usual. */
+const defaultPriority = 5
+
+/** The product's own dialect. */
+export const nativeDialect = createDialect({
+  headers: {
+    requestId: 'x-wrenlane-request-id',
+    deadline: 'x-wrenlane-deadline-ms',
+    lastEvent: 'last-event-id',
+    tokens: 'x-wrenlane-tokens',
+    parts: 'x-wrenlane-prompt-parts',
+    expectedEndpoint: 'x-wrenlane-endpoint',
+    workspace: 'x-wrenlane-workspace',
+    priority: 'x-wrenlane-priority',
+    notRun: 'x-wrenlane-not-run',
+    mark: '',
+    keyScheme: 'Bearer',
+    reserved: []
+  },
+  paths: { ready: '/readyz', document: '/v1/routing', endpoints: '/v1/endpoints/' },
+  fractionalRetryAfter: false,
+  decodeDocument,
+  decodeRegistration
+})
+
+function decodeDocument (text: string): RoutingDocument {
+  const reader = new DocumentReader(parseJson(text))
+  const document: RoutingDocument = {
+    version: reader.readNumber('version'),
+    routes: reader.readList('routes', readRoute),
+    services: reader.readList('services', readService),
+    limits: reader.has('limits') ? reader.readTable('limits', readLimits) : defaultCallerLimits,
+    workspaces: reader.has('workspaces') ? reader.readList('workspaces', readWorkspace) : null
+  }
+  reader.finish()
+  return document
+}
+
+function readRoute (reader: DocumentReader): Route {
+  return {
+    name: brandId(reader.readText('name')),
+    host: reader.readText('host'),
+    prefix: reader.readText('prefix'),
+    kind: reader.readChoice('kind', routeKinds),
+    timeoutMs: reader.readNumber('timeoutMs'),
+    targetMs: reader.readNumber('targetMs'),
+    pauseMs: reader.has('pauseMs') ? reader.readNumber('pauseMs') : null,
+    priority: reader.readNumber('priority', defaultPriority),
+    services: reader.readList('services', readWeighted),
+    mostAttempts: reader.readNumber('mostAttempts', defaultAttempts),
+    isPublic: reader.readSwitch('public', false),
+    resumable: reader.readSwitch('resumable', false)
+  }
+}
+
+function readWeighted (reader: DocumentReader): WeightedService {
+  return { service: brandId(reader.readText('service')), weight: reader.readNumber('weight', 1) }
+}
+
+function readService (reader: DocumentReader): RoutedService {
+  return {
+    name: brandId(reader.readText('name')),
+    mostConnections: reader.readNumber('mostConnections', defaultConnections),
+    engine: reader.has('engine')
+      ? reader.readTable('engine', engine => ({ slots: engine.readNumber('slots'), memoryTokens: engine.readNumber('memoryTokens'), tokensPerEvent: engine.readNumber('tokensPerEvent', 1) }))
+      : null
+  }
+}
+
+function readLimits (reader: DocumentReader): RoutingDocument['limits'] {
+  return {
+    headerBytes: reader.readNumber('headerBytes', defaultCallerLimits.headerBytes),
+    bodyBytes: reader.readNumber('bodyBytes', defaultCallerLimits.bodyBytes),
+    headerMs: reader.readNumber('headerMs', defaultCallerLimits.headerMs),
+    idleMs: reader.readNumber('idleMs', defaultCallerLimits.idleMs)
+  }
+}
+
+function readWorkspace (reader: DocumentReader): KeyedWorkspace {
+  return {
+    name: brandId(reader.readText('name')),
+    keys: reader.readTexts('keys'),
+    priority: reader.has('priority') ? reader.readNumber('priority') : null
+  }
+}
+
+function decodeRegistration (endpoint: string, text: string): EndpointRecord {
+  const reader = new DocumentReader(parseJson(text))
+  const record: EndpointRecord = {
+    id: brandId(endpoint),
+    service: brandId(reader.readText('service')),
+    host: reader.readText('host'),
+    port: reader.readNumber('port'),
+    zone: brandId(reader.readText('zone')),
+    slots: reader.readNumber('slots'),
+    sequence: reader.readNumber('sequence'),
+    stage: reader.readChoice('stage', stages)
+  }
+  reader.finish()
+  return record
+}
--- /dev/null
+++ b/src/protocol/route-message.ts
@@ -0,0 +1,43 @@
+/**
+ * What the boxes that route by a document say to each other over links:
+ * registries among themselves, gateways with registries.
+ */
+import type { RaftMessage, ReplicaId, VersionedText } from '../coordination/index.js'
+import type { BoxId, EndpointId, EndpointRecord, ZoneName } from '../core/index.js'
+
+/** Where a gateway is reached by its peers. */
+export interface GatewayAddress {
+  readonly id: BoxId
+  readonly host: string
+  /** UDP port on which it takes its peers' loads. */
+  readonly port: number
+  readonly zone: ZoneName
+}
+
+/** How a document that a registry passed to the leader ended; `unknown`: it may be in force or not. */
+export type PutEnd = 'taken' | 'held' | 'unknown'
+
+/** One message on a link. */
+export type RouteMessage =
+  | { readonly type: 'raft', readonly from: ReplicaId, readonly to: ReplicaId, readonly message: RaftMessage }
+  /** A registry presents itself; told again and again as a sign of life. */
+  | { readonly type: 'registry-hello', readonly replica: ReplicaId, readonly zone: string, readonly registries: readonly string[] }
+  /** A gateway presents itself, with the version that it has in force. */
+  | { readonly type: 'gateway-hello', readonly address: GatewayAddress, readonly version: number }
+  /** Passes a document, or the wish to read it, to the leader. */
+  | { readonly type: 'put', readonly call: number, readonly document: VersionedText }
+  | { readonly type: 'put-end', readonly call: number, readonly end: PutEnd | 'not-leader' }
+  /** `version`: what the asking side has, so that only a newer document is sent back. */
+  | { readonly type: 'read', readonly call: number, readonly version: number }
+  /** `sure` is false where the asked one can't be sure of the newest; the document is null where the asking side has it. */
+  | { readonly type: 'read-end', readonly call: number, readonly document: VersionedText | null, readonly sure: boolean }
+  /** A document with this version is in force; it is sent when asked for. */
+  | { readonly type: 'version', readonly version: number }
+  | { readonly type: 'ask-document', readonly version: number }
+  | { readonly type: 'document', readonly document: VersionedText }
+  /** Records of endpoints; `whole` where they are all that the sender has. */
+  | { readonly type: 'endpoints', readonly records: readonly EndpointRecord[], readonly whole: boolean }
+  /** Endpoints that were heard from, with the sequence of the newest word. */
+  | { readonly type: 'heard', readonly words: readonly (readonly [EndpointId, number])[] }
+  /** The registries and gateways that the sender is in touch with. */
+  | { readonly type: 'boxes', readonly registries: readonly string[], readonly gateways: readonly GatewayAddress[] }
--- /dev/null
+++ b/src/registry/endpoint-desk.ts
@@ -0,0 +1,72 @@
+/**
+ * A registry's directory of endpoints. Words that change it are spread at once
+ * to all boxes in touch; heartbeats that change nothing go to the other
+ * registries now and then, so that all know who has fallen silent.
+ */
+import { EndpointDirectory } from '../core/index.js'
+import type { EndpointId, EndpointRecord } from '../core/index.js'
+import type { EventLog } from '../runtime/index.js'
+
+/** What the directory needs of its box. */
+export interface EndpointDeskHost {
+  readonly log: EventLog
+  readonly lostMs: number
+  now (): number
+  /** Sends changed records to every box in touch. */
+  spread (records: readonly EndpointRecord[]): void
+  /** Tells the other registries who was heard from. */
+  spreadHeard (words: readonly (readonly [EndpointId, number])[]): void
+}
+
+export class EndpointDesk {
+  #host: EndpointDeskHost
+  #directory = new EndpointDirectory()
+  #heardAt = new Map<EndpointId, number>()
+  #heard = new Map<EndpointId, number>()
+
+  constructor (host: EndpointDeskHost) {
+    this.#host = host
+  }
+
+  get records (): EndpointRecord[] { return this.#directory.records }
+
+  /** Takes an endpoint's own word. */
+  note (word: EndpointRecord): void {
+    this.#heardAt.set(word.id, this.#host.now())
+    this.#heard.set(word.id, word.sequence)
+    this.merge([word])
+  }
+
+  /** Takes records from another box; only what is news here goes on. */
+  merge (records: readonly EndpointRecord[]): void {
+    const changed: EndpointRecord[] = []
+    for (const record of records) {
+      if (!this.#heardAt.has(record.id)) this.#heardAt.set(record.id, this.#host.now())
+      changed.push(...this.#directory.merge(record))
+    }
+    if (changed.length === 0) return
+    for (const { id, service, stage, sequence, zone } of changed) this.#host.log.info('endpoint', { endpoint: id, service, stage, sequence, zone })
+    this.#host.spread(changed)
+  }
+
+  /** Takes word of who was heard from at another registry. */
+  noteHeard (words: readonly (readonly [EndpointId, number])[]): void {
+    for (const [id] of words) this.#heardAt.set(id, this.#host.now())
+  }
+
+  /** Tells who was heard from since the last call, and gives up those that are silent. */
+  tick (): void {
+    if (this.#heard.size > 0) this.#host.spreadHeard([...this.#heard])
+    this.#heard.clear()
+    const now = this.#host.now()
+    const lost: EndpointRecord[] = []
+    for (const [id, at] of this.#heardAt) {
+      if (now - at < this.#host.lostMs) continue
+      this.#heardAt.delete(id)
+      lost.push(...this.#directory.lose(id))
+    }
+    if (lost.length === 0) return
+    for (const { id, service } of lost) this.#host.log.warn('endpoint', { endpoint: id, service, stage: 'lost' })
+    this.#host.spread(lost)
+  }
+}
--- /dev/null
+++ b/src/registry/index.ts
@@ -0,0 +1,3 @@
+/** The program that keeps the routing document and the directory of endpoints. */
+export { RegistryBox } from './registry-box.js'
+export type { RegistrySurroundings } from './registry-box.js'
--- /dev/null
+++ b/src/registry/operator-desk.ts
@@ -0,0 +1,145 @@
+/** The HTTP server of a registry: calls of operators and of endpoints. */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Address } from '../config/index.js'
+import type { VersionedText } from '../coordination/index.js'
+import { findDocumentMistakes } from '../core/index.js'
+import type { EndpointRecord } from '../core/index.js'
+import { DocumentError } from '../protocol/index.js'
+import type { Dialect, PutEnd } from '../protocol/index.js'
+import type { EventLog } from '../runtime/index.js'
+
+/** What the desk needs of its box. */
+export interface DeskHost {
+  readonly dialect: Dialect
+  readonly log: EventLog
+  /** Puts a document in force, wherever the leader is. */
+  put (document: VersionedText): Promise<PutEnd>
+  /** The newest document; `sure` is false where another may be newer. */
+  read (): Promise<{ readonly sure: boolean, readonly document: VersionedText | null }>
+  /** Takes an endpoint's word and spreads it. */
+  noteEndpoint (word: EndpointRecord): void
+  noteCall (call: string, status: number, ms: number): void
+}
+
+/** Callers come back after this where nothing can be said now, s: an election takes about that long. */
+const retryAfterS = '0.5'
+/** Calls that rest longer between requests find their connection closed, ms. */
+const idleMs = 20_000
+/** Time to receive a call whole, ms. */
+const receiveMs = 10_000
+
+interface Answer {
+  readonly status: number
+  readonly body: string
+}
+
+export class OperatorDesk {
+  #host: DeskHost
+  #server: Server
+  #maxBodyBytes: number
+
+  constructor (host: DeskHost, maxBodyBytes: number) {
+    this.#host = host
+    this.#maxBodyBytes = maxBodyBytes
+    this.#server = createServer({ keepAliveTimeout: idleMs, requestTimeout: receiveMs, headersTimeout: receiveMs }, (request, response) => {
+      void this.#serve(request, response)
+    })
+    this.#server.on('clientError', (_error, socket) => socket.destroy())
+  }
+
+  listen (address: Address): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(address.port, address.host, () => {
+        const bound = this.#server.address()
+        resolve(typeof bound === 'object' && bound !== null ? bound.port : address.port)
+      })
+    })
+  }
+
+  close (): void {
+    this.#server.close()
+    this.#server.closeAllConnections()
+  }
+
+  async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const startedAt = performance.now()
+    request.on('error', () => {})
+    response.on('error', () => {})
+    const call = this.#host.dialect.readRegistryCall(request.method ?? '', request.url ?? '')
+    let answer: Answer
+    try {
+      const body = await readBody(request, this.#maxBodyBytes)
+      answer = body === null ? { status: 413, body: 'the body is too large' } : await this.#carryOut(call, body)
+    } catch (error) {
+      answer = this.#explain(call.type, error as Error)
+    }
+    this.#host.noteCall(call.type, answer.status, performance.now() - startedAt)
+    if (response.destroyed) return
+    const headers: Record<string, string | number> = {
+      'content-type': answer.status === 200 ? 'application/json' : 'text/plain',
+      'content-length': Buffer.byteLength(answer.body)
+    }
+    if (answer.status === 503) headers['retry-after'] = retryAfterS
+    response.writeHead(answer.status, headers)
+    response.end(answer.body)
+  }
+
+  async #carryOut (call: ReturnType<Dialect['readRegistryCall']>, body: Buffer): Promise<Answer> {
+    const { dialect } = this.#host
+    switch (call.type) {
+      case 'put-document': return await this.#put(body)
+      case 'read-document': return await this.#read()
+      case 'register':
+        this.#host.noteEndpoint(dialect.decodeRegistration(call.endpoint, body.toString('utf8')))
+        return { status: 200, body: '{}' }
+      case 'deregister':
+        this.#host.noteEndpoint(dialect.composeGone(call.endpoint, 'gone'))
+        return { status: 200, body: '{}' }
+      case 'unknown': return { status: 404, body: 'no such call' }
+    }
+  }
+
+  async #put (body: Buffer): Promise<Answer> {
+    const text = body.toString('utf8')
+    const document = this.#host.dialect.decodeDocument(text)
+    const mistakes = findDocumentMistakes(document)
+    if (mistakes.length > 0) throw new DocumentError(mistakes)
+    const startedAt = performance.now()
+    const end = await this.#host.put({ version: document.version, text })
+    this.#host.log.info('document-put', { version: document.version, end, routes: document.routes.length, ms: Math.round(performance.now() - startedAt) })
+    switch (end) {
+      case 'taken': return { status: 200, body: '{}' }
+      case 'held': return { status: 200, body: '{}' }
+      case 'unknown': return { status: 503, body: 'it is not known whether the document is in force; send it again' }
+    }
+  }
+
+  async #read (): Promise<Answer> {
+    const { sure, document } = await this.#host.read()
+    if (!sure || document === null) return { status: 503, body: sure ? 'there is no document yet' : 'another box may have a newer document' }
+    return { status: 200, body: document.text }
+  }
+
+  #explain (call: string, error: Error): Answer {
+    if (error instanceof DocumentError) {
+      this.#host.log.warn('call-refused', { call, mistakes: error.mistakes.length, first: error.mistakes[0] })
+      return { status: 400, body: error.mistakes.join('\n') }
+    }
+    this.#host.log.error('call-failed', { call, error: error.message })
+    return { status: 500, body: 'a fault of the registry itself' }
+  }
+}
+
+// Null where the body exceeds the limit; throws where the caller left.
+async function readBody (request: IncomingMessage, most: number): Promise<Buffer | null> {
+  const chunks: Buffer[] = []
+  let size = 0
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    size += chunk.length
+    if (size > most) return null
+    chunks.push(chunk)
+  }
+  return Buffer.concat(chunks)
+}
--- /dev/null
+++ b/src/registry/registry-box.ts
@@ -0,0 +1,349 @@
+/**
+ * A registry: a replica of the log that holds the routing document, a copy of
+ * the directory of endpoints, and the place where gateways learn both. The
+ * registries find each other by seeds and look after their log themselves.
+ */
+import { performance } from 'node:perf_hooks'
+import { parseAddress } from '../config/index.js'
+import type { RegistrySettings } from '../config/index.js'
+import { KeeperLog, getReplicaHost, planMembers } from '../coordination/index.js'
+import type { KeeperSight, MemberWish, Members, ReplicaId } from '../coordination/index.js'
+import type { BoxId, EndpointRecord } from '../core/index.js'
+import { LinkPool } from '../protocol/index.js'
+import type { Dialect, GatewayAddress, Link, RouteMessage } from '../protocol/index.js'
+import type { EventLog, Metrics } from '../runtime/index.js'
+import { EndpointDesk } from './endpoint-desk.js'
+import { LeaderCalls } from './leader-calls.js'
+import { OperatorDesk } from './operator-desk.js'
+
+/** What a registry is given beside its settings. */
+export interface RegistrySurroundings {
+  readonly dialect: Dialect
+  readonly log: EventLog
+  readonly metrics: Metrics
+  /** Null where links go without authentication. */
+  readonly secret: string | null
+}
+
+interface Sight {
+  readonly zone: string
+  heardAt: number
+}
+
+/** Signs of life between registries, and the pace of the members' upkeep, ms. */
+const helloMs = 250
+/** How often the boxes in touch, and who was heard from, are told, ms. */
+const tellMs = 2000
+/** Heartbeats of links, ms: an eighth of what makes a box count as out of touch on the users' days. */
+const pulse = { everyMs: 400, silentMs: 1500 }
+const dialing = { connectMs: 500, longestRetryMs: 500 }
+/** A silent voter gives way to a spare after this, ms: longer than a restart, shorter than the time in which the next loss may come. */
+const replaceMs = 2500
+/** A learner, or a registry that is no seed, is forgotten after this, ms. */
+const forgetMs = 60_000
+/** Pause before a disk that refuses is tried again, ms. */
+const diskRetryMs = 150
+/** The second part of the ids of the replicas that begin a log. */
+const firstDisk = 'first'
+/** The fewest voters that bear a loss. */
+const leastVoters = 3
+
+export class RegistryBox {
+  #settings: RegistrySettings
+  #around: RegistrySurroundings
+  #links: LinkPool<RouteMessage>
+  #endpoints: EndpointDesk
+  #desk: OperatorDesk
+  #log: KeeperLog | null = null
+  #calls: LeaderCalls | null = null
+  #hosts = new Set<string>()
+  #seeds: readonly string[] = []
+  #sights = new Map<ReplicaId, Sight>()
+  #gateways = new Map<Link<RouteMessage>, GatewayAddress>()
+  #toldVersion = 0
+  #changing = false
+  #timers: NodeJS.Timeout[] = []
+  port = 0
+
+  constructor (settings: RegistrySettings, around: RegistrySurroundings) {
+    this.#settings = settings
+    this.#around = around
+    const { log, dialect } = around
+    this.#links = new LinkPool<RouteMessage>({
+      id: settings.id,
+      secret: around.secret,
+      pulse,
+      clock: log.clock,
+      receive: (link, message) => this.#receive(link, message),
+      noteOpen: link => this.#greet(link),
+      noteClosed: link => this.#noteClosed(link),
+      noteFault: (fault, peer) => log.warn('link-fault', { fault, peer })
+    }, dialing)
+    this.#endpoints = new EndpointDesk({
+      log,
+      lostMs: settings.lostMs,
+      now: () => performance.now(),
+      spread: records => this.#tellAll({ type: 'endpoints', records, whole: false }),
+      spreadHeard: words => this.#tellRegistries({ type: 'heard', words })
+    })
+    this.#desk = new OperatorDesk({
+      dialect,
+      log,
+      put: document => this.#opened.calls.put(document),
+      read: () => this.#opened.calls.read(),
+      noteEndpoint: word => this.#endpoints.note(word),
+      noteCall: (call, status, ms) => around.metrics.time('registry-call', ms, { call, status: String(status) })
+    }, settings.maxBodyBytes)
+  }
+
+  get keeperLog (): KeeperLog { return this.#opened.log }
+  get records (): EndpointRecord[] { return this.#endpoints.records }
+
+  /** Opens the disk and begins to serve. */
+  async start (): Promise<void> {
+    const { listen, host, linkPort, seeds } = this.#settings
+    this.setSeeds(seeds)
+    await this.#links.listen(host, linkPort)
+    this.#log = await this.#openLog()
+    this.#calls = new LeaderCalls({ log: this.#log, findLink: replica => this.#links.find(getReplicaHost(replica), linkPort) })
+    await this.#begin(this.#log)
+    this.port = await this.#desk.listen(parseAddress(listen))
+    this.#timers.push(setInterval(() => this.#tick(), helloMs), setInterval(() => this.#tell(), tellMs))
+    this.#around.log.info('registry-started', { replica: this.#log.id, formed: this.#log.isFormed })
+  }
+
+  /** Takes other seeds; those known before stay known. */
+  setSeeds (seeds: readonly string[]): void {
+    this.#seeds = seeds.map(seed => parseAddress(seed).host)
+    for (const host of this.#seeds) this.#meet(host)
+  }
+
+  /** Hands leadership over, then ends. */
+  async stop (): Promise<void> {
+    const replica = this.#log?.replica
+    if (replica?.isLeader === true) {
+      replica.transfer()
+      for (let waited = 0; replica.isLeader && waited < 1000; waited += 20) await new Promise(resolve => setTimeout(resolve, 20))
+    }
+    this.kill()
+    this.#around.log.info('registry-stopped')
+  }
+
+  /** Ends at once, as a crash does. */
+  kill (): void {
+    for (const timer of this.#timers) clearInterval(timer)
+    this.#log?.stop()
+    this.#desk.close()
+    this.#links.close()
+  }
+
+  get #opened (): { log: KeeperLog, calls: LeaderCalls } {
+    if (this.#log === null || this.#calls === null) throw new Error('the registry has not started')
+    return { log: this.#log, calls: this.#calls }
+  }
+
+  get #isSeed (): boolean { return this.#seeds.includes(this.#settings.host) }
+
+  async #openLog (): Promise<KeeperLog> {
+    const { data, host, first, heartbeatMs, electionMs, snapshotEvery } = this.#settings
+    const { log } = this.#around
+    const patience = {
+      retryMs: diskRetryMs,
+      noteFault: (error: Error) => log.error('disk-refuses', { error: error.message }),
+      noteWell: () => log.info('disk-writes-again')
+    }
+    const place = { folder: data, name: host, patience, ...(first && this.#isSeed ? { firstPart: firstDisk } : {}) }
+    const logHost = {
+      timing: { heartbeatMs, electionMs },
+      snapshotEvery,
+      send: (to: ReplicaId, message: Extract<RouteMessage, { type: 'raft' }>['message']) => this.#sendRaft(to, message),
+      noteRole: (role: string, term: number, leader: ReplicaId | null) => log.info('role', { role, term, leader }),
+      noteViolation: (rule: string, detail: string) => this.#noteViolation(rule, detail),
+      noteApplied: () => this.#announce(),
+      noteDiskFault: (error: Error) => log.error('disk-failed', { error: error.message })
+    }
+    for (;;) {
+      try {
+        return await KeeperLog.open(place, logHost)
+      } catch (error) {
+        log.error('disk-not-opened', { error: (error as Error).message })
+        await new Promise(resolve => setTimeout(resolve, diskRetryMs))
+      }
+    }
+  }
+
+  // The seeds of the first start all begin the same log, without a word between
+  // them; every other empty disk waits to be let in.
+  async #begin (log: KeeperLog): Promise<void> {
+    const voters = this.#seeds.map(host => `${host}#${firstDisk}` as ReplicaId).sort()
+    const members: Members = { voters, learners: [] }
+    if (this.#settings.first && await log.form(members)) this.#around.log.info('log-formed', { voters: voters.join(',') })
+    log.startReplica()
+  }
+
+  // Meeting the others.
+
+  #meet (host: string): void {
+    if (host === this.#settings.host || this.#hosts.has(host)) return
+    this.#hosts.add(host)
+    this.#links.dial(host, this.#settings.linkPort)
+  }
+
+  #greet (link: Link<RouteMessage>): void {
+    this.#sendHello(link)
+    link.send({ type: 'endpoints', records: this.#endpoints.records, whole: true })
+  }
+
+  #sendHello (link: Link<RouteMessage>): void {
+    if (this.#log === null) return
+    link.send({ type: 'registry-hello', replica: this.#log.id, zone: this.#settings.zone, registries: [...this.#hosts] })
+  }
+
+  #noteHello (message: Extract<RouteMessage, { type: 'registry-hello' }>): void {
+    const host = getReplicaHost(message.replica)
+    this.#sights.set(message.replica, { zone: message.zone, heardAt: performance.now() })
+    this.#meet(host)
+    for (const other of message.registries) this.#meet(other)
+  }
+
+  #noteClosed (link: Link<RouteMessage>): void {
+    const gateway = this.#gateways.get(link)
+    if (gateway === undefined) return
+    this.#gateways.delete(link)
+    this.#around.log.info('gateway-lost', { gateway: gateway.id })
+  }
+
+  #tick (): void {
+    for (const link of this.#links.dialed) this.#sendHello(link)
+    void this.#tendMembers()
+  }
+
+  #tell (): void {
+    this.#endpoints.tick()
+    this.#tellGateways(this.#composeBoxes())
+    this.#forgetSilent()
+  }
+
+  #composeBoxes (): RouteMessage {
+    const gateways = new Map<BoxId, GatewayAddress>()
+    for (const gateway of this.#gateways.values()) gateways.set(gateway.id, gateway)
+    return { type: 'boxes', registries: [this.#settings.host, ...this.#hosts], gateways: [...gateways.values()] }
+  }
+
+  #forgetSilent (): void {
+    const now = performance.now()
+    for (const [replica, { heardAt }] of this.#sights) {
+      if (now - heardAt < forgetMs) continue
+      this.#sights.delete(replica)
+      const host = getReplicaHost(replica)
+      if (this.#seeds.includes(host)) continue
+      this.#hosts.delete(host)
+      this.#links.hangUp(host, this.#settings.linkPort)
+    }
+  }
+
+  // Messages.
+
+  #receive (link: Link<RouteMessage>, message: RouteMessage): void {
+    switch (message.type) {
+      case 'raft': return this.#log?.receive(message.from, message.to, message.message)
+      case 'registry-hello': return this.#noteHello(message)
+      case 'gateway-hello': return this.#noteGateway(link, message)
+      case 'put': return void this.#answerPut(link, message)
+      case 'read': return void this.#answerRead(link, message)
+      case 'put-end':
+      case 'read-end': return this.#calls?.receive(message)
+      case 'ask-document': return this.#sendDocument(link, message.version)
+      case 'endpoints': return this.#endpoints.merge(message.records)
+      case 'heard': return this.#endpoints.noteHeard(message.words)
+      case 'version':
+      case 'document':
+      case 'boxes': return this.#noteViolation('messages-for-registries', message.type)
+    }
+  }
+
+  #noteGateway (link: Link<RouteMessage>, { address, version }: Extract<RouteMessage, { type: 'gateway-hello' }>): void {
+    const isNew = !this.#gateways.has(link)
+    this.#gateways.set(link, address)
+    const newest = this.#log?.state.routing.newest ?? null
+    if (newest !== null && newest.version > version) link.send({ type: 'version', version: newest.version })
+    if (!isNew) return
+    this.#around.log.info('gateway-met', { gateway: address.id, version })
+    this.#tellGateways(this.#composeBoxes())
+  }
+
+  async #answerPut (link: Link<RouteMessage>, { call, document }: Extract<RouteMessage, { type: 'put' }>): Promise<void> {
+    const end = await this.#opened.calls.putHere(document)
+    link.send({ type: 'put-end', call, end: end ?? 'not-leader' })
+  }
+
+  async #answerRead (link: Link<RouteMessage>, { call, version }: Extract<RouteMessage, { type: 'read' }>): Promise<void> {
+    const { sure, document } = await this.#opened.calls.readHere()
+    const isNews = document !== null && document.version > version
+    link.send({ type: 'read-end', call, sure, document: isNews ? document : null })
+  }
+
+  #sendDocument (link: Link<RouteMessage>, version: number): void {
+    const newest = this.#log?.state.routing.newest ?? null
+    if (newest !== null && newest.version >= version) link.send({ type: 'document', document: newest })
+  }
+
+  #sendRaft (to: ReplicaId, message: Extract<RouteMessage, { type: 'raft' }>['message']): void {
+    const from = this.#log?.id
+    if (from !== undefined) this.#links.find(getReplicaHost(to), this.#settings.linkPort)?.send({ type: 'raft', from, to, message })
+  }
+
+  // Spreading.
+
+  #announce (): void {
+    const newest = this.#log?.state.routing.newest ?? null
+    if (newest === null || newest.version <= this.#toldVersion) return
+    this.#toldVersion = newest.version
+    this.#around.log.info('document-in-force', { version: newest.version, bytes: newest.text.length })
+    this.#around.metrics.gauge('document-version', newest.version)
+    this.#tellGateways({ type: 'version', version: newest.version })
+  }
+
+  #tellGateways (message: RouteMessage): void {
+    for (const link of this.#gateways.keys()) link.send(message)
+  }
+
+  #tellRegistries (message: RouteMessage): void {
+    for (const link of this.#links.dialed) link.send(message)
+  }
+
+  #tellAll (message: RouteMessage): void {
+    this.#tellGateways(message)
+    this.#tellRegistries(message)
+  }
+
+  // The members of the log, looked after by the leader.
+
+  get #wish (): MemberWish {
+    const { faults } = this.#settings
+    return { voters: Math.max(leastVoters, 2 * faults + 1), perZone: Math.max(1, faults), replaceMs, forgetMs }
+  }
+
+  async #tendMembers (): Promise<void> {
+    const replica = this.#log?.replica
+    if (replica?.isLeader !== true || this.#changing || !replica.node.isSettled) return
+    const next = planMembers({ members: replica.members, self: replica.id, commit: replica.node.commitIndex, sights: this.#listSights(replica.node.matches) }, this.#wish)
+    if (next === null) return
+    this.#changing = true
+    const end = await replica.changeMembers(next)
+    this.#changing = false
+    this.#around.log.info('members', { voters: next.voters.join(','), learners: next.learners.join(','), end: end.type === 'rejected' ? end.fault : end.type })
+  }
+
+  #listSights (matches: ReadonlyMap<ReplicaId, number>): KeeperSight[] {
+    const now = performance.now()
+    const sights: KeeperSight[] = [{ replica: this.#opened.log.id, zone: this.#settings.zone, silentMs: 0, match: matches.get(this.#opened.log.id) ?? 0 }]
+    for (const [replica, { zone, heardAt }] of this.#sights) sights.push({ replica, zone, silentMs: now - heardAt, match: matches.get(replica) ?? 0 })
+    return sights
+  }
+
+  #noteViolation (rule: string, detail: string): void {
+    this.#around.metrics.count('violation', { rule })
+    this.#around.log.error('violation', { rule, detail })
+  }
+}
--- a/src/runtime/metrics.ts
+++ b/src/runtime/metrics.ts
@@ -1,4 +1,5 @@
 import { StatsD } from 'hot-shots'
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 /** Where StatsD metrics go; null sends none. */
 export interface MetricsTarget {
@@ -6,36 +7,81 @@
   readonly port: number
 }
 
-/** StatsD counters, gauges and timings of one process. */
+type Tags = Readonly<Record<string, string>>
+
+/** Bounds of the buckets of times, ms: from a hop between boxes to the longest hold. */
+const timeBuckets = [1, 2, 5, 10, 20, 50, 100, 200, 400, 800, 1500, 3000, 6000, 15000]
+
+/**
+ * Counters, gauges and times of one process: sent by StatsD where there is a
+ * target, and kept in the usual text form for whoever asks.
+ */
 export class Metrics {
-  #client: StatsD
+  #client: StatsD | null
+  #registry = new Registry()
+  #counters = new Map<string, Counter>()
+  #gauges = new Map<string, Gauge>()
+  #times = new Map<string, Histogram>()
 
   constructor (target: MetricsTarget | null, box: string) {
-    this.#client = new StatsD({
-      host: target?.host,
-      port: target?.port,
-      mock: target === null,
-      prefix: 'wrenlane.',
-      globalTags: { box },
-      maxBufferSize: 1400,
-      bufferFlushInterval: 1000,
-      errorHandler: () => {}
-    })
+    this.#registry.setDefaultLabels({ box })
+    this.#client = target === null
+      ? null
+      : new StatsD({
+        host: target.host,
+        port: target.port,
+        prefix: 'wrenlane.',
+        globalTags: { box },
+        maxBufferSize: 1400,
+        bufferFlushInterval: 1000,
+        errorHandler: () => {}
+      })
   }
 
-  count (name: string, tags: Record<string, string> = {}, by = 1): void {
-    this.#client.increment(name, by, tags)
+  count (name: string, tags: Tags = {}, by = 1): void {
+    this.#client?.increment(name, by, { ...tags })
+    this.#findCounter(name, tags).inc(tags, by)
   }
 
-  gauge (name: string, value: number, tags: Record<string, string> = {}): void {
-    this.#client.gauge(name, value, tags)
+  gauge (name: string, value: number, tags: Tags = {}): void {
+    this.#client?.gauge(name, value, { ...tags })
+    this.#findGauge(name, tags).set(tags, value)
   }
 
-  time (name: string, ms: number, tags: Record<string, string> = {}): void {
-    this.#client.timing(name, ms, tags)
+  time (name: string, ms: number, tags: Tags = {}): void {
+    this.#client?.timing(name, ms, { ...tags })
+    this.#findTimes(name, tags).observe(tags, ms)
   }
 
+  /** Everything that was counted, in the text form of Prometheus. */
+  format (): Promise<string> { return this.#registry.metrics() }
+
   close (): Promise<void> {
-    return new Promise(resolve => this.#client.close(() => resolve()))
+    const client = this.#client
+    return client === null ? Promise.resolve() : new Promise(resolve => client.close(() => resolve()))
+  }
+
+  #findCounter (name: string, tags: Tags): Counter {
+    return find(this.#counters, name, () => new Counter({ ...this.#describe(name, tags, '_total') }))
+  }
+
+  #findGauge (name: string, tags: Tags): Gauge {
+    return find(this.#gauges, name, () => new Gauge({ ...this.#describe(name, tags, '') }))
   }
+
+  #findTimes (name: string, tags: Tags): Histogram {
+    return find(this.#times, name, () => new Histogram({ ...this.#describe(name, tags, '_ms'), buckets: timeBuckets }))
+  }
+
+  #describe (name: string, tags: Tags, unit: string) {
+    return { name: `wrenlane_${name.replace(/[^a-zA-Z0-9]/g, '_')}${unit}`, help: name, labelNames: Object.keys(tags), registers: [this.#registry] }
+  }
+}
+
+function find<T> (known: Map<string, T>, name: string, make: () => T): T {
+  const found = known.get(name)
+  if (found !== undefined) return found
+  const made = make()
+  known.set(name, made)
+  return made
 }
--- a/src/tasks/keeper-box.ts
+++ b/src/tasks/keeper-box.ts
@@ -6,8 +6,8 @@
 import { performance } from 'node:perf_hooks'
 import type { KeeperSettings } from '../config/index.js'
 import { checkDocument, formatMistake, parseIntent, planIntent } from '../config/index.js'
-import { KeeperState, LogStore, Replica, applyChanges, defaultBounds } from '../coordination/index.js'
-import type { KeeperCommand, KeeperSnapshot, Members, ReplicaId, Snapshot } from '../coordination/index.js'
+import { KeeperLog, applyChanges, getReplicaHost } from '../coordination/index.js'
+import type { KeeperCommand, KeeperState, LogStore, Members, Replica, ReplicaId } from '../coordination/index.js'
 import { LinkPool } from '../protocol/index.js'
 import type { BoxMessage, BoxStatus, KeeperCall, KeeperReply, KeeperStatus, Link } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
@@ -39,14 +39,11 @@
   #settings: KeeperSettings
   #around: KeeperSurroundings
   #links: LinkPool<BoxMessage>
-  #state = new KeeperState(defaultBounds, null)
-  #store: LogStore | null = null
-  #replica: Replica | null = null
+  #log: KeeperLog | null = null
   #hellos = new Map<string, Hello>()
   #watchers = new Map<Link<BoxMessage>, Watcher>()
   #boxes = new Map<string, { status: BoxStatus, at: number }>()
   #timer: NodeJS.Timeout | null = null
-  #forming = false
   #loggedRevision = 0
   #repairing = false
   port = 0
@@ -65,44 +62,45 @@
     })
   }
 
-  get replica (): Replica | null { return this.#replica }
-  get state (): KeeperState { return this.#state }
+  get replica (): Replica | null { return this.#log?.replica ?? null }
+  get state (): KeeperState { return this.#opened.state }
   get traffic (): { readonly bytesIn: number, readonly bytesOut: number } { return this.#links.traffic }
-  get store (): LogStore | null { return this.#store }
+  get store (): LogStore | null { return this.#log?.store ?? null }
+
+  get #opened (): KeeperLog {
+    if (this.#log === null) throw new Error('the keeper has not started')
+    return this.#log
+  }
 
   /** Opens the disk and begins to serve. Throws where the disk's log is damaged. */
   async start (): Promise<void> {
-    this.#store = await LogStore.open(this.#settings.data, this.#settings.id)
-    if (this.#isFormed) this.#startReplica()
+    this.#log = await this.#openLog()
     this.port = await this.#links.listen(this.#settings.control.host, this.#settings.control.port)
     for (const keeper of this.#others()) this.#links.dial(keeper.host, keeper.port)
     this.#timer = setInterval(() => this.#tick(), helloMs)
     this.#tick()
-    this.#around.log.info('keeper-started', { replica: this.#store.id, formed: this.#isFormed })
+    this.#around.log.info('keeper-started', { replica: this.#log.id, formed: this.#log.isFormed })
   }
 
   /** Hands leadership over, then ends. */
   async stop (): Promise<void> {
-    if (this.#replica?.isLeader === true) {
-      this.#replica.transfer()
-      await this.#waitUntil(() => this.#replica?.isLeader !== true, 1000)
+    const { replica } = this
+    if (replica?.isLeader === true) {
+      replica.transfer()
+      await this.#waitUntil(() => !replica.isLeader, 1000)
     }
     this.kill()
-    await this.#store?.close().catch(() => {})
+    await this.#log?.store.close().catch(() => {})
     this.#around.log.info('keeper-stopped')
   }
 
   /** Ends at once, as a crash does. */
   kill (): void {
     if (this.#timer !== null) clearInterval(this.#timer)
-    this.#replica?.stop()
+    this.#log?.stop()
     this.#links.close()
   }
 
-  get #isFormed (): boolean {
-    return this.#store !== null && this.#store.stored.snapshot !== null
-  }
-
   #others () {
     return this.#settings.keepers.filter(keeper => keeper.id !== this.#settings.id)
   }
@@ -119,25 +117,25 @@
   }
 
   #sendHello (link: Link<BoxMessage>): void {
-    const store = this.#store
-    if (store === null || !this.#settings.keepers.some(keeper => keeper.id === link.peer)) return
-    const formed = this.#replica !== null && this.#replica.members.voters.length > 0 ? this.#replica.members : null
-    link.send({ type: 'keeper-hello', name: this.#settings.id, replica: store.id, formed })
+    const log = this.#log
+    if (log === null || !this.#settings.keepers.some(keeper => keeper.id === link.peer)) return
+    const formed = log.replica !== null && log.replica.members.voters.length > 0 ? log.replica.members : null
+    link.send({ type: 'keeper-hello', name: this.#settings.id, replica: log.id, formed })
   }
 
   #noteHello (name: string, hello: Hello): void {
     this.#hellos.set(name, hello)
     // Beside a formed log, an empty disk waits as a replica without a vote.
-    if (hello.formed !== null && this.#replica === null && !this.#forming) this.#startReplica()
+    if (hello.formed !== null && this.replica === null && this.#log?.isForming === false) this.#log.startReplica()
   }
 
   async #formIfAlone (): Promise<void> {
-    const store = this.#store
-    if (store === null || this.#replica !== null || this.#forming) return
+    const log = this.#log
+    if (log === null || log.replica !== null || log.isForming) return
     const names = this.#settings.keepers.map(keeper => keeper.id).sort()
     if (names[0] !== this.#settings.id) return
     const hellos = this.#others().map(keeper => this.#hellos.get(keeper.id))
-    const voters = [store.id]
+    const voters = [log.id]
     for (const hello of hellos) {
       if (hello === undefined || hello.formed !== null) return
       voters.push(hello.replica)
@@ -149,32 +147,16 @@
   }
 
   async #form (members: Members): Promise<void> {
-    const store = this.#store
-    if (store === null || this.#replica !== null || this.#forming || !members.voters.includes(store.id)) return
-    this.#forming = true
-    const snapshot: Snapshot = { index: 1, term: 1, time: 0, members, state: null }
-    await store.persist([{ type: 'persist', hard: { term: 1, vote: null }, entries: [], snapshot }])
-    this.#forming = false
-    this.#around.log.info('log-formed', { voters: members.voters.join(',') })
-    this.#startReplica()
-  }
-
-  #startReplica (): void {
-    const store = this.#store
-    if (store === null || this.#replica !== null) return
+    if (await this.#log?.form(members) === true) this.#around.log.info('log-formed', { voters: members.voters.join(',') })
+  }
+
+  async #openLog (): Promise<KeeperLog> {
     const { log, noteFatal } = this.#around
-    this.#replica = new Replica(store, {
-      machine: {
-        apply: (command, time) => this.#state.apply(command as KeeperCommand, time),
-        save: () => this.#state.save(),
-        restore: state => { this.#state = new KeeperState(defaultBounds, state as KeeperSnapshot | null) }
-      },
-      timing: { heartbeatMs: this.#settings.heartbeatMs, electionMs: this.#settings.electionMs },
-      snapshotEvery: this.#settings.snapshotEvery,
+    const { data, id, heartbeatMs, electionMs, snapshotEvery } = this.#settings
+    return await KeeperLog.open({ folder: data, name: id }, {
+      timing: { heartbeatMs, electionMs },
+      snapshotEvery,
       send: (to, message) => this.#sendRaft(to, message),
-      now: () => performance.now(),
-      wall: Date.now,
-      random: Math.random,
       noteRole: (role, term, leader) => log.info('role', { role, term, leader }),
       noteViolation: (rule, detail) => this.#noteViolation(rule, detail),
       noteApplied: () => this.#pushRevisions(),
@@ -186,9 +168,9 @@
   }
 
   #sendRaft (to: ReplicaId, message: Extract<BoxMessage, { type: 'raft' }>['message']): void {
-    const name = to.slice(0, to.lastIndexOf('#'))
+    const name = getReplicaHost(to)
     const keeper = this.#settings.keepers.find(one => one.id === name)
-    const from = this.#store?.id
+    const from = this.#log?.id
     if (keeper === undefined || from === undefined) return
     this.#links.find(keeper.host, keeper.port)?.send({ type: 'raft', from, to, message })
   }
@@ -198,7 +180,7 @@
   #receive (link: Link<BoxMessage>, message: BoxMessage): void {
     switch (message.type) {
       case 'raft':
-        if (message.to === this.#store?.id && this.#isKeeper(link.peer)) this.#replica?.receive(message.from, message.message)
+        if (this.#isKeeper(link.peer)) this.#log?.receive(message.from, message.to, message.message)
         return
       case 'keeper-hello':
         if (message.name === link.peer && this.#isKeeper(link.peer)) this.#noteHello(message.name, message)
@@ -237,14 +219,14 @@
   }
 
   #redirect (): KeeperReply {
-    const leader = this.#replica?.leader ?? null
-    const name = leader === null ? null : leader.slice(0, leader.lastIndexOf('#'))
+    const leader = this.#log?.leader ?? null
+    const name = leader === null ? null : getReplicaHost(leader)
     return { type: 'redirect', leader: name === this.#settings.id ? null : name }
   }
 
   async #propose (command: KeeperCommand): Promise<KeeperReply> {
-    if (this.#replica?.isLeader !== true) return this.#redirect()
-    const end = await this.#replica.propose(command)
+    if (this.#log?.isLeader !== true) return this.#redirect()
+    const end = await this.#log.propose(command)
     switch (end.type) {
       case 'applied': return { type: 'result', result: end.result as Extract<KeeperReply, { type: 'result' }>['result'] }
       case 'rejected': return this.#redirect()
@@ -255,8 +237,8 @@
   async #plan (body: Extract<KeeperCall, { type: 'plan' }>): Promise<KeeperReply> {
     const parsed = parseIntent(body.intent)
     if (!parsed.ok) return { type: 'mistakes', mistakes: parsed.mistakes.map(one => formatMistake('intent', one)) }
-    if (this.#replica?.isLeader !== true || !await this.#replica.read()) return this.#redirect()
-    const { document, revision } = this.#state.config
+    if (this.#log?.isLeader !== true || !await this.#log.read()) return this.#redirect()
+    const { document, revision } = this.state.config
     const changes = planIntent(parsed.value, document)
     const mistakes = checkDocument(applyChanges(document, changes))
     if (mistakes.length > 0) return { type: 'mistakes', mistakes: mistakes.map(one => formatMistake('intent', one)) }
@@ -264,15 +246,15 @@
   }
 
   async #readDocument (): Promise<KeeperReply> {
-    if (this.#replica?.isLeader !== true || !await this.#replica.read()) return this.#redirect()
-    const { document, revision } = this.#state.config
+    if (this.#log?.isLeader !== true || !await this.#log.read()) return this.#redirect()
+    const { document, revision } = this.state.config
     return { type: 'document', document, revision }
   }
 
   // Repair: let a keeper with another disk in, and its old replica out.
 
   async #repair (name: string): Promise<KeeperReply> {
-    const replica = this.#replica
+    const { replica } = this
     if (replica?.isLeader !== true) return this.#redirect()
     const fresh = this.#hellos.get(name)?.replica
     const old = replica.members.voters.find(id => id.startsWith(`${name}#`))
@@ -325,18 +307,18 @@
   }
 
   #pushRevisions (): void {
-    const { revision } = this.#state.config
+    const { revision } = this.state.config
     if (revision !== this.#loggedRevision) this.#around.log.info('accepted', { revision })
     this.#loggedRevision = revision
     for (const [link, watcher] of this.#watchers) {
-      if (watcher.revision >= this.#state.config.revision) continue
+      if (watcher.revision >= this.state.config.revision) continue
       this.#push(link, watcher.revision)
-      watcher.revision = this.#state.config.revision
+      watcher.revision = this.state.config.revision
     }
   }
 
   #push (link: Link<BoxMessage>, from: number): void {
-    const { config } = this.#state
+    const { config } = this.state
     if (from >= config.revision) return
     const since = config.findSince(from)
     if (since !== null) link.send({ type: 'revisions', revisions: since })
@@ -358,22 +340,22 @@
   // What operators see.
 
   #composeStatus (): KeeperStatus {
-    const replica = this.#replica
+    const { replica } = this
     const members = replica?.members ?? { voters: [], learners: [] }
     const matches = replica?.node.matches ?? new Map<ReplicaId, number>()
     const waiting = [...this.#hellos.values()].map(hello => hello.replica).filter(id => !members.voters.includes(id))
     return {
       id: this.#settings.id,
       zone: this.#settings.zone,
-      replica: this.#store?.id ?? '' as ReplicaId,
+      replica: this.#log?.id ?? '' as ReplicaId,
       role: replica?.node.role ?? 'unformed',
       term: replica?.node.term ?? 0,
       leader: replica?.leader ?? null,
       members,
       commit: replica?.node.commitIndex ?? 0,
       matches: Object.fromEntries(matches),
-      revision: this.#state.config.revision,
-      claims: this.#state.claims.size,
+      revision: this.state.config.revision,
+      claims: this.state.claims.size,
       spare: countSpare(members, matches, replica?.node.commitIndex ?? 0),
       waiting: members.voters.length > 0 ? waiting : [],
       boxes: [...this.#boxes.values()].map(one => one.status)
