Set engines apart by agreement and keep shared prompts at home; rank by kind first

Cause: each box worked out its own number of engines for long prompts, so that the same engine took long prompts from one box and quick questions from another (24 of 84 late questions stood beside five or more long prompts); prompts that share a part moved with every change of that number. Ranks by workspace first let a draft of one workspace put back questions of another (TIER). Change: the largest share that any box would have counts for all; a base that moves slowly holds the homes of shared prompts; waiting at home is weighed against reading again; rank by kind of request, then by workspace. A stopping box refuses what it won't finish. A refusal after an answer has begun ends it (a process ended on headers sent twice).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  { ignores: ['dist/', 'node_modules/'] },
+  { ignores: ['dist/', 'target/', 'node_modules/'] },
   ...neostandard({ ts: true }),
   {
     rules: {
--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -77,16 +77,36 @@
     return tokens
   }
 
-  /** Prompt tokens that will be read before those of a new request of this priority. */
-  countAhead (priority: number): number {
-    let tokens = 0
+  /**
+   * Prompt tokens that will be read before those of a new request of this
+   * priority: those of requests that go before it, and what is left of one
+   * less urgent prompt that may have been begun.
+   */
+  countAhead (priority: number, at: number): number {
+    let before = 0
+    let behind = 0
+    let largest = 0
     for (const placed of this.#placed) {
-      if (placed.firstAt === null && placed.work.priority <= priority) tokens += placed.readTokens
+      if (placed.firstAt !== null) continue
+      const left = this.#countLeft(placed, at)
+      if (placed.work.priority <= priority) before += left
+      else behind += left
+      largest = Math.max(largest, left)
     }
     for (const peer of this.#peers.values()) {
-      for (const [theirs, waiting] of peer.waiting) if (theirs <= priority) tokens += waiting
+      for (const [theirs, tokens] of peer.waiting) {
+        if (theirs <= priority) before += tokens
+        else behind += tokens
+      }
+      largest = Math.max(largest, peer.largest)
     }
-    return tokens
+    return before + Math.min(behind, largest)
+  }
+
+  // What is still to be read of a prompt, if it was read as fast as expected.
+  #countLeft (placed: Placed, at: number): number {
+    const readingMs = at - placed.sentAt - placed.aheadTokens * this.paceMs
+    return Math.max(0, placed.readTokens - Math.max(0, readingMs) / this.paceMs)
   }
 
   /** How long the endpoint has been overdue with an answer or an event, ms; 0 where it isn't. */
@@ -115,7 +135,7 @@
   place (work: Work, readTokens: number, at: number): Placed {
     const { cost } = work
     const memory = cost === null ? 0 : cost.promptTokens + cost.mostTokens / 2
-    const placed: Placed = { work, readTokens, aheadTokens: this.countAhead(work.priority), memory, sentAt: at, firstAt: null, heardAt: at }
+    const placed: Placed = { work, readTokens, aheadTokens: this.countAhead(work.priority, at), memory, sentAt: at, firstAt: null, heardAt: at }
     this.#placed.add(placed)
     this.trust.noteSent(at)
     if (cost !== null) this.prompts.add(cost.parts)
@@ -146,14 +166,18 @@
   dropPeer (box: BoxId): void { this.#peers.delete(box) }
 
   /** What this box tells others of its work here; null where it has none. */
-  composeLoad (): EndpointLoad | null {
+  composeLoad (at: number): EndpointLoad | null {
     if (this.#placed.size === 0) return null
     const waiting = new Map<number, number>()
     let memory = 0
+    let largest = 0
     for (const placed of this.#placed) {
       memory += placed.memory
-      if (placed.firstAt === null && placed.readTokens > 0) waiting.set(placed.work.priority, (waiting.get(placed.work.priority) ?? 0) + placed.readTokens)
+      if (placed.firstAt !== null) continue
+      const left = Math.round(this.#countLeft(placed, at))
+      largest = Math.max(largest, left)
+      if (left > 0) waiting.set(placed.work.priority, (waiting.get(placed.work.priority) ?? 0) + left)
     }
-    return { endpoint: this.id, running: this.#placed.size, memory: Math.round(memory), waiting: [...waiting] }
+    return { endpoint: this.id, running: this.#placed.size, memory: Math.round(memory), waiting: [...waiting], largest }
   }
 }
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -14,6 +14,7 @@
 import type { Placed } from './endpoint-view.js'
 import type { BoxLoad } from './load-word.js'
 import { ReadingShare } from './reading-share.js'
+import type { ApartCount, ReadingDemand } from './reading-share.js'
 import type { PromptCost, Work } from './work.js'
 import { ZoneWatch } from './zone-watch.js'
 
@@ -23,6 +24,8 @@
   /** Expected time to the answer, or to its first event, ms; what else counts against the endpoint included. */
   readonly expectedMs: number
   readonly readTokens: number
+  /** True where all boxes send prompts with the same shared part to this engine. */
+  readonly isHome: boolean
   readonly candidates: number
   /** Engines set apart for long prompts. */
   readonly share: number
@@ -52,7 +55,15 @@
 /** What a request waits where memory is used up, ms. */
 const memoryMs = 1500
 /** Part of an engine's memory that requests in flight may be expected to take. */
-const memoryLimit = 0.92
+const memoryLimit = 0.9
+/** Part of the memory of engines set apart that is planned for. */
+const plannedMemory = 0.75
+/**
+ * What reading a shared token again is worth, ms: an engine that holds a shared
+ * prompt is waited for up to this much longer than another one. On the users'
+ * sites reading 5,000 shared tokens again costs about what a late answer does.
+ */
+const rereadMs = 0.15
 /** Part of the shared tokens that an engine is believed to hold of a prompt that all boxes send there. */
 const homeShare = 0.7
 /** An endpoint whose failures exceed the middle of its service's by so much is taken last. */
@@ -127,12 +138,12 @@
   composeLoad (at: number): BoxLoad {
     const loads = []
     for (const view of this.#views.values()) {
-      const load = view.composeLoad()
+      const load = view.composeLoad(at)
       if (load !== null) loads.push(load)
     }
     const demands = []
-    for (const [service, { patient, brisk }] of this.#services) {
-      const demand = { service, patient: Math.round(patient.rate(at)), brisk: Math.round(brisk.rate(at)) }
+    for (const [service, { patient, brisk, share }] of this.#services) {
+      const demand = { service, patient: Math.round(patient.rate(at)), brisk: Math.round(brisk.rate(at)), apart: share.count, base: share.base }
       if (demand.patient > 0 || demand.brisk > 0) demands.push(demand)
     }
     return { loads, demands }
@@ -148,11 +159,12 @@
     const state = this.#services.get(work.service)
     const engine = state?.service.engine ?? null
     if (work.cost === null || engine === null || state === undefined) return this.#choosePlain(usable, at, draw)
-    const share = state.share.update(at, this.#measureDemand(state, usable, at))
-    const apart = listApart(usable, share)
+    const count = this.#agreeShare(state, usable, at)
+    const apart = listApart(usable)
     const patient = isPatient(work, engine.tokensPerEvent, state.pace.value)
-    const side = usable.filter(view => apart.has(view.id) === patient)
-    return this.#chooseEngine(side.length > 0 ? side : usable, work, work.cost, state, at, draw)
+    const side = patient ? apart.slice(0, count.count) : apart.slice(count.count)
+    const homes = patient ? apart.slice(0, count.base) : side
+    return this.#chooseEngine(side.length > 0 ? side : usable, homes, work, work.cost, state, count.count, at, draw)
   }
 
   /** Notes that a request arrived, for the measure of demand. */
@@ -175,7 +187,21 @@
     return new EndpointView(record, state?.service.engine?.memoryTokens ?? 0, state?.pace.value ?? firstPaceMs)
   }
 
-  #measureDemand (state: ServiceState, engines: readonly EndpointView[], at: number) {
+  // The largest share that any box would have: all must send long prompts to the same engines.
+  #agreeShare (state: ServiceState, engines: readonly EndpointView[], at: number): ApartCount {
+    let { count, base } = state.share.update(at, this.#measureDemand(state, engines, at))
+    for (const peer of this.#peers.values()) {
+      for (const demand of peer.demands) {
+        if (demand.service !== state.service.name) continue
+        count = Math.max(count, demand.apart)
+        base = Math.max(base, demand.base)
+      }
+    }
+    const most = Math.max(1, engines.length - 1)
+    return { count: Math.min(count, most), base: Math.min(base, count, most) }
+  }
+
+  #measureDemand (state: ServiceState, engines: readonly EndpointView[], at: number): ReadingDemand {
     const { service, patient, brisk, pace } = state
     let patientRate = patient.rate(at)
     let briskRate = brisk.rate(at)
@@ -187,8 +213,13 @@
       }
     }
     let waiting = 0
-    for (const view of engines) waiting += view.countAhead(Infinity)
-    return { engines: engines.length, patientRate, briskRate, patientWaiting: waiting, briskRunning: 0, slots: service.engine?.slots ?? 1, engineRate: 1000 / pace.value }
+    let memory = 0
+    for (const view of engines) {
+      waiting += view.countAhead(Infinity, at)
+      memory += view.memoryInUse
+    }
+    const patientEngines = memory / ((service.engine?.memoryTokens ?? Infinity) * plannedMemory)
+    return { engines: engines.length, patientRate, briskRate, waiting, patientEngines, engineRate: 1000 / pace.value }
   }
 
   #choosePlain (usable: readonly EndpointView[], at: number, draw: number): Choice {
@@ -202,20 +233,23 @@
     return pickLeast(usable, rate, () => 0, 0, draw)
   }
 
-  #chooseEngine (side: readonly EndpointView[], work: Work, cost: PromptCost, state: ServiceState, at: number, draw: number): Choice {
-    const home = findHome(cost, side)
+  #chooseEngine (side: readonly EndpointView[], homes: readonly EndpointView[], work: Work, cost: PromptCost, state: ServiceState, share: number, at: number, draw: number): Choice {
+    const home = findHome(cost, homes)
     const middle = findMiddleFailures(side)
     const slots = state.service.engine?.slots ?? 1
     const memory = (state.service.engine?.memoryTokens ?? Infinity) * memoryLimit
+    const shared = countShared(cost)
     const countRead = (view: EndpointView): number => expectRead(view, cost, view.id === home)
     const rate = (view: EndpointView): number => {
       const running = view.running
-      const ms = (view.countAhead(work.priority) + countRead(view)) * view.paceMs + running * crowdMs
+      const read = countRead(view)
+      const ms = (view.countAhead(work.priority, at) + read) * view.paceMs + running * crowdMs
+      const again = Math.max(0, read - (cost.promptTokens - shared)) * rereadMs
       const queued = Math.max(0, running + 1 - slots) * queueMs
       const short = view.memoryInUse + cost.promptTokens > memory ? memoryMs : 0
-      return ms + queued + short + this.#weighTrust(view, middle, at)
+      return ms + again + queued + short + this.#weighTrust(view, middle, at)
     }
-    return pickLeast(side, rate, countRead, state.share.count, draw)
+    return pickLeast(side, rate, countRead, share, draw, home)
   }
 
   #weighTrust (view: EndpointView, middle: number, at: number): number {
@@ -248,17 +282,17 @@
   return work.pauseMs === null || work.pauseMs >= besideReadingMs * pauseMargin
 }
 
-// The same engines at every box: one of each zone in turn, in the order of a hash.
-function listApart (engines: readonly EndpointView[], count: number): Set<EndpointId> {
+// In the same order at every box: one of each zone in turn, by a hash.
+function listApart (engines: readonly EndpointView[]): EndpointView[] {
   const ranked = [...engines].sort((a, b) => hashText(a.id) - hashText(b.id))
   const perZone = new Map<ZoneName, number>()
   const turns = ranked.map(view => {
     const turn = perZone.get(view.record.zone) ?? 0
     perZone.set(view.record.zone, turn + 1)
-    return { id: view.id, turn }
+    return { view, turn }
   })
   turns.sort((a, b) => a.turn - b.turn)
-  return new Set(turns.slice(0, count).map(one => one.id))
+  return turns.map(one => one.view)
 }
 
 function countShared (cost: PromptCost): number {
@@ -286,10 +320,10 @@
 /** Endpoints that differ by less are alike, ms: less than a word between boxes takes. */
 const alikeMs = 3
 
-function pickLeast (views: readonly EndpointView[], rate: (view: EndpointView) => number, countRead: (view: EndpointView) => number, share: number, draw: number): Choice {
+function pickLeast (views: readonly EndpointView[], rate: (view: EndpointView) => number, countRead: (view: EndpointView) => number, share: number, draw: number, home?: EndpointId): Choice {
   const rated = views.map(view => ({ view, ms: rate(view) }))
   const least = rated.reduce((ms, one) => Math.min(ms, one.ms), Infinity)
   const alike = rated.filter(one => one.ms <= least + alikeMs)
   const { view, ms } = alike[Math.floor(draw * alike.length)]
-  return { view, expectedMs: ms, readTokens: countRead(view), candidates: views.length, share }
+  return { view, expectedMs: ms, readTokens: countRead(view), isHome: view.id === home, candidates: views.length, share }
 }
--- a/src/core/balance/load-word.ts
+++ b/src/core/balance/load-word.ts
@@ -11,6 +11,8 @@
   /** Memory that they are expected to take, tokens. */
   readonly memory: number
   readonly waiting: WaitingTokens
+  /** The most that one waiting prompt still has to be read, tokens: a prompt that is begun is not put back. */
+  readonly largest: number
 }
 
 /** Prompt tokens a second that arrive at one box for a service. */
@@ -20,6 +22,9 @@
   readonly patient: number
   /** Of requests whose pauses must stay short. */
   readonly brisk: number
+  /** Engines that the box would set apart for long prompts, and those of them that are homes of shared prompts. */
+  readonly apart: number
+  readonly base: number
 }
 
 /** What a box tells its peers of its work. */
--- a/src/core/routes/route-table.ts
+++ b/src/core/routes/route-table.ts
@@ -7,9 +7,12 @@
   #byHost = new Map<string, Map<string, Route>>()
   #services = new Map<ServiceName, RoutedService>()
   #byKey = new Map<string, KeyedWorkspace>()
+  /** One more than the largest priority of a workspace. */
+  readonly ranksPerRoute: number
 
   constructor (document: RoutingDocument) {
     this.document = document
+    this.ranksPerRoute = 1 + (document.workspaces ?? []).reduce((most, workspace) => Math.max(most, workspace.priority ?? 0), 0)
     for (const route of document.routes) {
       const host = route.host.toLowerCase()
       const routes = this.#byHost.get(host) ?? new Map<string, Route>()
--- a/src/core/routes/route.ts
+++ b/src/core/routes/route.ts
@@ -95,3 +95,17 @@
   headerMs: 10_000,
   idleMs: 60_000
 }
+
+/** The lowest rank that endpoints know. */
+const lowestRank = 9
+
+/**
+ * The rank of a request, 0 first. The kind of request goes first, as a question
+ * that a caller waits for is never put back for a draft, whoever asks; among
+ * those of one kind the workspace's priority decides. `ranksPerRoute`: one more
+ * than the largest priority of a workspace.
+ */
+export function rankRequest (route: Route, workspace: KeyedWorkspace | null, ranksPerRoute: number): number {
+  const second = workspace?.priority ?? ranksPerRoute - 1
+  return Math.max(0, Math.min(lowestRank, route.priority * ranksPerRoute + second))
+}
--- a/src/gateway/caller-door.ts
+++ b/src/gateway/caller-door.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Address } from '../config/index.js'
-import { pickService } from '../core/index.js'
+import { pickService, rankRequest } from '../core/index.js'
 import type { CallerLimits, KeyedWorkspace, Route, RouteTable, Work } from '../core/index.js'
 import type { CallerWords, Dialect } from '../protocol/index.js'
 import { sendRefusal } from './answers.js'
@@ -17,6 +17,8 @@
   /** The routes in force; null before the first document. */
   readonly table: RouteTable | null
   readonly isLeaving: boolean
+  /** Time until a box that is leaving must have ended, ms; null for one that stays. */
+  readonly leavesInMs: number | null
   now (): number
   draw (): number
   makeRequestId (): string
@@ -26,6 +28,10 @@
 
 /** A box without a document learns one within moments, ms. */
 const noDocumentRetryMs = 300
+/** A caller that meets a stopping box finds another at once, ms. */
+const drainRetryMs = 50
+/** A stopping box takes a stream only where so much time is left, ms: most of the users' streams end within it. */
+const streamMs = 5000
 /** Headers larger than this are refused whatever a document allows, bytes. */
 const mostHeaderBytes = 64 * 1024
 /** How long a caller may take over a whole request, ms. */
@@ -119,14 +125,22 @@
     if (table === null) return { kind: 'no-document', text: 'this box has no routes yet', retryAfterMs: noDocumentRetryMs }
     const route = table.findRoute(request.headers.host ?? '', request.url ?? '/')
     if (route === undefined) return { kind: 'unknown-path', text: 'no route leads there' }
+    if (!this.#canFinish(route)) return { kind: 'draining', text: 'this box is stopping', retryAfterMs: drainRetryMs }
     const workspace = words.key === null ? undefined : table.findWorkspace(words.key)
     if (workspace === undefined && table.needsKeys && !route.isPublic) return { kind: 'bad-key', text: 'the key is missing or opens no workspace' }
     return { route, workspace: workspace ?? null }
   }
 
+  // A box that is leaving takes only what it will surely finish.
+  #canFinish (route: Route): boolean {
+    const left = this.#host.leavesInMs
+    if (left === null) return true
+    return left > (route.kind === 'events' ? Math.min(route.timeoutMs, streamMs) : route.timeoutMs)
+  }
+
   #compose (request: IncomingMessage, body: Buffer, words: CallerWords, { route, workspace }: { route: Route, workspace: KeyedWorkspace | null }, table: RouteTable, arrivedAt: number): Order {
     const service = pickService(route, this.#host.draw())
-    const work: Work = { service, priority: workspace?.priority ?? route.priority, cost: words.cost, pauseMs: route.pauseMs, targetMs: route.targetMs }
+    const work: Work = { service, priority: rankRequest(route, workspace, table.ranksPerRoute), cost: words.cost, pauseMs: route.pauseMs, targetMs: route.targetMs }
     const holdMs = Math.min(route.timeoutMs, words.deadlineMs ?? longestHoldMs)
     return {
       words: words.requestId === '' ? { ...words, requestId: this.#host.makeRequestId() } : words,
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -37,6 +37,9 @@
   readonly expectedMs: number
   readonly candidates: number
   readonly share: number
+  /** Prompt tokens that the endpoint was expected to read, and whether it is the home of the shared ones. */
+  readonly readTokens: number
+  readonly isHome: boolean
   readonly sentAt: number
   end: string
 }
@@ -139,8 +142,8 @@
     const at = this.#host.now()
     const choice = this.#host.fleet.choose(order.work, this.#tried, at, this.#host.draw())
     if (typeof choice === 'string') return this.#refuseUnplaced(choice)
-    const { view, expectedMs, candidates, share, readTokens } = choice
-    const attempt: Attempt = { endpoint: view.id, expectedMs: Math.round(expectedMs), candidates, share, sentAt: at, end: 'open' }
+    const { view, expectedMs, candidates, share, readTokens, isHome } = choice
+    const attempt: Attempt = { endpoint: view.id, expectedMs: Math.round(expectedMs), candidates, share, readTokens: Math.round(readTokens), isHome, sentAt: at, end: 'open' }
     this.#attempts.push(attempt)
     this.#tried.push(view.id)
     const placed = view.place(order.work, readTokens, at)
@@ -295,7 +298,6 @@
     this.#dropSent(sent, `${failure} ${reason}`)
     const mayGoOn = failure === 'unreachable' ? !this.#mayHaveRun || this.#mayRepeat : this.#mayRepeat
     if (mayGoOn && this.#isAnotherAllowed()) return this.#send()
-    if (this.#phase === 'relaying') return this.cut()
     if (this.#mayHaveRun) return this.#refuse('engine-failed', `the endpoint failed: ${reason}`)
     this.#refuse('no-engine', 'no endpoint could be reached', noneRetryMs)
   }
@@ -306,7 +308,6 @@
       this.#mayHaveRun ||= sent.call.mayHaveRun
       this.#dropSent(sent, 'given up')
     }
-    if (this.#phase === 'relaying') return this.cut()
     if (this.#mayHaveRun) return this.#refuse('engine-timeout', 'the endpoint did not answer in time')
     this.#refuse('overloaded', 'no endpoint took the request in time', noneRetryMs)
   }
@@ -331,7 +332,9 @@
     return now - sent.placed.heardAt > limit && this.#attempts.length - this.#unreachable < route.mostAttempts
   }
 
+  // An answer that has begun can only break off.
   #refuse (kind: ErrorKind, text: string, retryAfterMs?: number): void {
+    if (this.#phase === 'relaying') return this.cut()
     sendRefusal(this.#response, { kind, text, retryAfterMs }, this.#host.dialect)
     this.#end(kind, this.#response.statusCode)
   }
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -57,6 +57,7 @@
   #follower: RegistryFollower
   #exchangeHost: ExchangeHost
   #leaving = false
+  #leavesAt: number | null = null
   #busyAt = 0
   #requests = 0
   #timer: NodeJS.Timeout | null = null
@@ -134,6 +135,7 @@
     this.#leaving = true
     const startedAt = performance.now()
     const until = startedAt + this.#settings.drainSeconds * 1000 - endMs
+    this.#leavesAt = until
     this.#around.log.info('gateway-leaving', { inFlight: this.inFlight })
     while (performance.now() < until && !this.#isQuiet(startedAt)) await new Promise(resolve => setTimeout(resolve, sweepMs))
     const cut = this.inFlight
@@ -164,6 +166,7 @@
       dialect: this.#around.dialect,
       get table () { return box.#table },
       get isLeaving () { return box.#leaving },
+      get leavesInMs () { return box.#leavesAt === null ? null : box.#leavesAt - performance.now() },
       now: () => performance.now(),
       draw: Math.random,
       makeRequestId: () => this.#makeRequestId(),
@@ -266,7 +269,7 @@
       totalMs: Math.round(totalMs),
       events: summary.events,
       pauseMs: Math.round(summary.longestPauseMs),
-      attempts: attempts.map(one => `${one.endpoint}@${Math.round(one.sentAt - order.arrivedAt)}:expected=${one.expectedMs}:of=${one.candidates}:apart=${one.share}:${one.end}`).join(';')
+      attempts: attempts.map(one => `${one.endpoint}@${Math.round(one.sentAt - order.arrivedAt)}:expected=${one.expectedMs}:of=${one.candidates}:apart=${one.share}:read=${one.readTokens}:home=${one.isHome ? 1 : 0}:${one.end}`).join(';')
     }
     if (outcome === 'ok') log.info('exchange', fields)
     else log.warn('exchange', fields)
--- a/src/gateway/registry-follower.ts
+++ b/src/gateway/registry-follower.ts
@@ -39,7 +39,7 @@
 /** A registry that was asked for a document and did not send it in this time is passed over, ms. */
 const askMs = 300
 /** At the start, documents are taken from the first registry only after the others had so long to name a newer one, ms. */
-const settleMs = 500
+const settleMs = 250
 /** Links to registries at most: one for each of a system of today's size. */
 const mostLinks = 12
 /** Messages that may wait; they are few, as registries send only changes. */
@@ -120,7 +120,7 @@
         return
       case 'version':
         this.#named.set(link, message.version)
-        this.#firstNamedAt ??= this.#host.now()
+        if (message.version > 0) this.#firstNamedAt ??= this.#host.now()
         return this.#ask()
       case 'document': return this.#takeDocument(message.document)
       case 'endpoints': return this.#host.takeRecords(message.records)
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -266,7 +266,7 @@
     const isNew = !this.#gateways.has(link)
     this.#gateways.set(link, address)
     const newest = this.#log?.state.routing.newest ?? null
-    if (newest !== null && newest.version > version) link.send({ type: 'version', version: newest.version })
+    if (isNew || (newest !== null && newest.version > version)) link.send({ type: 'version', version: newest?.version ?? 0 })
     if (!isNew) return
     this.#around.log.info('gateway-met', { gateway: address.id, version })
     this.#tellGateways(this.#composeBoxes())
