Hold long prompts in the box, and set slower engines apart first

Beside reading, streams at the engines that are 1.3 times slower pause for longer than questions bear. The time per token as a fading average of noisy samples moved who counts as bearing pauses back and forth. Change: patient requests wait in the box, by rank, until an engine has little to read; the speed of engines is measured by the time between events while nothing is read, agreed between boxes by the middle of their measures; a low quantile of samples is the pace; refusal at once where more than a second waits.

--- a/src/core/balance/average.ts
+++ b/src/core/balance/average.ts
@@ -18,3 +18,30 @@
     this.#value += (sample - this.#value) * Math.max(this.#gain, 1 / (this.#count + 1))
   }
 }
+
+/** A quantile of what was seen, by small steps: a few odd samples, however odd, don't move it. */
+export class RunningQuantile {
+  #value: number
+  #up: number
+  #down: number
+
+  /** `quantile`: share of the samples that lie below, 0 to 1; `step`: part of the value that two samples may move it. */
+  constructor (initial: number, quantile: number, step: number) {
+    this.#value = initial
+    this.#up = 1 + step * quantile
+    this.#down = 1 - step * (1 - quantile)
+  }
+
+  get value (): number { return this.#value }
+
+  add (sample: number): void {
+    this.#value *= sample > this.#value ? this.#up : this.#down
+  }
+}
+
+/** The middle of some numbers; null for none. */
+export function findMiddle (values: readonly number[]): number | null {
+  if (values.length === 0) return null
+  const sorted = [...values].sort((a, b) => a - b)
+  return sorted[sorted.length >> 1]
+}
--- a/src/core/balance/demand-meter.ts
+++ b/src/core/balance/demand-meter.ts
@@ -1,9 +1,9 @@
 /** Buckets of the window that demand is measured over. */
-const buckets = 4
-/** Length of a bucket, ms. One second in all: long enough to smooth arrivals, short enough to follow a burst. */
+const buckets = 10
+/** Length of a bucket, ms. 2.5 s in all: callers come in clumps, and what waits shows a burst sooner. */
 const bucketMs = 250
 
-/** How much arrives a second, over the last second. */
+/** How much arrives a second, over the last seconds. */
 export class DemandMeter {
   #sums = new Array<number>(buckets).fill(0)
   #bucket = 0
--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -3,7 +3,7 @@
  * running there, what the other boxes say they have, and how it performs.
  */
 import type { BoxId, EndpointId } from '../ids.js'
-import { FadingAverage } from './average.js'
+import { FadingAverage, RunningQuantile, findMiddle } from './average.js'
 import type { EndpointRecord } from './endpoint-record.js'
 import { EndpointTrust } from './endpoint-trust.js'
 import type { EndpointLoad } from './load-word.js'
@@ -38,28 +38,37 @@
 const overdueMs = 300
 /** Streams give an event every few dozen ms; one endpoint that is silent on all of its streams for so long hangs, ms. */
 const silentMs = 500
-/** Bounds on a sample against what was believed before: one odd answer must not turn the belief over. */
-const boldestSample = 8
+/** Part by which each event moves what is believed of the time between events. */
+const gapStep = 0.04
+/** The gaps that count: lower ones, as what is read unseen makes gaps longer. */
+const gapQuantile = 0.35
+/** Events that must be seen before an engine's speed is judged. */
+const leastGaps = 40
 
 export class EndpointView {
   readonly trust = new EndpointTrust()
   readonly prompts: PromptMemory
   readonly answerMs = new FadingAverage(firstAnswerMs, gainOfNewest)
   record: EndpointRecord
-  #pace: FadingAverage
+  #pace: RunningQuantile
+  #gap: RunningQuantile | null = null
+  #gaps = 0
   #placed = new Set<Placed>()
   #peers = new Map<BoxId, EndpointLoad>()
+  #peerGaps = new Map<BoxId, number>()
+  /** How many times slower than the middle of its service it is; 1 where that isn't known. */
+  slowness = 1
 
-  /** `paceMs`: ms a prompt token, as it is known of the service so far. */
-  constructor (record: EndpointRecord, memoryTokens: number, paceMs: number) {
+  /** `pace`: ms a prompt token at the service's engines, shared by their views. */
+  constructor (record: EndpointRecord, memoryTokens: number, pace: RunningQuantile) {
     this.record = record
     this.prompts = new PromptMemory(memoryTokens * cacheShare)
-    this.#pace = new FadingAverage(paceMs, gainOfNewest)
+    this.#pace = pace
   }
 
   get id (): EndpointId { return this.record.id }
   /** Time to read a prompt token, ms. */
-  get paceMs (): number { return this.#pace.value }
+  get paceMs (): number { return this.#pace.value * this.slowness }
   get ownRunning (): number { return this.#placed.size }
 
   /** Requests in flight, those of other boxes included. */
@@ -83,6 +92,16 @@
    * less urgent prompt that may have been begun.
    */
   countAhead (priority: number, at: number): number {
+    const { before, behind, largest } = this.#countWaiting(priority, at)
+    return before + Math.min(behind, largest)
+  }
+
+  /** Prompt tokens of requests that go before one of this priority, what has been begun aside. */
+  countBefore (priority: number, at: number): number {
+    return this.#countWaiting(priority, at).before
+  }
+
+  #countWaiting (priority: number, at: number): { before: number, behind: number, largest: number } {
     let before = 0
     let behind = 0
     let largest = 0
@@ -100,7 +119,7 @@
       }
       largest = Math.max(largest, peer.largest)
     }
-    return before + Math.min(behind, largest)
+    return { before, behind, largest }
   }
 
   // What is still to be read of a prompt, if it was read as fast as expected.
@@ -142,28 +161,43 @@
     return placed
   }
 
-  /** The answer, or its first event, has come. Returns what a token took, where that can be told. */
-  noteFirst (placed: Placed, at: number): number | null {
+  /** The answer, or its first event, has come. */
+  noteFirst (placed: Placed, at: number): void {
     placed.firstAt = at
     placed.heardAt = at
     const took = at - placed.sentAt
-    if (placed.work.cost === null) {
-      this.answerMs.add(took)
-      return null
-    }
     const tokens = placed.readTokens + placed.aheadTokens
-    if (tokens < leastTokensToLearn) return null
-    const pace = Math.max(0, took - overheadMs) / tokens
-    const sample = Math.min(this.paceMs * boldestSample, Math.max(this.paceMs / boldestSample, pace))
-    this.#pace.add(sample)
-    return sample
+    if (placed.work.cost === null) this.answerMs.add(took)
+    else if (tokens >= leastTokensToLearn) this.#pace.add(Math.max(0, took - overheadMs) / tokens / this.slowness)
+  }
+
+  /** Time between events while no prompt is read beside them, as this box measured it, ms; null before enough was seen. */
+  get ownGapMs (): number | null { return this.#gaps >= leastGaps ? this.#gap?.value ?? null : null }
+
+  /** The same, in the middle of what all boxes measured. */
+  get gapMs (): number | null {
+    const own = this.ownGapMs
+    return findMiddle(own === null ? [...this.#peerGaps.values()] : [own, ...this.#peerGaps.values()])
+  }
+
+  notePeerGap (box: BoxId, gapMs: number): void { this.#peerGaps.set(box, gapMs) }
+
+  /** Notes the time between two events of a stream; counts only where nothing is being read here. */
+  noteGap (gapMs: number, at: number): void {
+    if (this.countAhead(Infinity, at) > 0) return
+    this.#gap ??= new RunningQuantile(gapMs, gapQuantile, gapStep)
+    this.#gap.add(gapMs)
+    this.#gaps += 1
   }
 
   remove (placed: Placed): void { this.#placed.delete(placed) }
 
   notePeer (box: BoxId, load: EndpointLoad): void { this.#peers.set(box, load) }
 
-  dropPeer (box: BoxId): void { this.#peers.delete(box) }
+  dropPeer (box: BoxId): void {
+    this.#peers.delete(box)
+    this.#peerGaps.delete(box)
+  }
 
   /** What this box tells others of its work here; null where it has none. */
   composeLoad (at: number): EndpointLoad | null {
--- a/src/core/balance/load-word.ts
+++ b/src/core/balance/load-word.ts
@@ -15,6 +15,9 @@
   readonly largest: number
 }
 
+/** Time between events at an engine while it reads no prompt, as one box measured it, ms. */
+export type EngineGap = readonly [endpoint: EndpointId, gapMs: number]
+
 /** Prompt tokens a second that arrive at one box for a service. */
 export interface ServiceDemand {
   readonly service: ServiceName
@@ -25,10 +28,13 @@
   /** Engines that the box would set apart for long prompts, and those of them that are homes of shared prompts. */
   readonly apart: number
   readonly base: number
+  /** Tokens of requests that wait in the box itself. */
+  readonly held: WaitingTokens
 }
 
 /** What a box tells its peers of its work. */
 export interface BoxLoad {
   readonly loads: readonly EndpointLoad[]
   readonly demands: readonly ServiceDemand[]
+  readonly gaps: readonly EngineGap[]
 }
--- a/src/core/balance/reading-share.ts
+++ b/src/core/balance/reading-share.ts
@@ -11,17 +11,18 @@
 
 /** What the share is worked out from; tokens are prompt tokens still to be read. */
 export interface ReadingDemand {
-  readonly engines: number
+  /** Tokens that each engine reads in a second, in the order in which engines are set apart. */
+  readonly rates: readonly number[]
   /** Tokens a second of requests that bear long pauses. */
   readonly patientRate: number
   /** Tokens a second of the others. */
   readonly briskRate: number
-  /** Tokens that wait already. */
+  /** Tokens of patient requests that wait already. */
   readonly waiting: number
   /** Memory that patient requests in flight take, in engines. */
   readonly patientEngines: number
-  /** Tokens that one engine reads in a second. */
-  readonly engineRate: number
+  /** Places that the others take, in engines. */
+  readonly briskEngines: number
 }
 
 /** Engines set apart, and those of them that are homes. */
@@ -31,11 +32,13 @@
 }
 
 /** Load by reading that engines set apart are filled to: their requests bear waits of a second. */
-const patientLoad = 0.9
-/** Load by reading that the other engines bear without breaking pauses. */
-const briskLoad = 0.4
+const patientLoad = 0.85
+/** Load by reading that the other engines bear: their prompts are short, and bursts of them must find room. */
+const briskLoad = 0.5
 /** Tokens that wait already are to be read within this time, s. */
 const clearWaitingS = 2
+/** Part of the engines that are never set apart: quick questions go on in any burst. */
+const leastBriskShare = 0.2
 /** Part of the engines set apart before anything was seen: what long prompts came to on the users' quiet days. */
 const firstShare = 0.38
 /** The share shrinks by one after so long, ms. */
@@ -46,29 +49,33 @@
 export class ReadingShare {
   #count = 0
   #base = 0
+  /** How far the base has moved from what it was at first. */
+  #moved = 0
   #lessSince: number | null = null
   #awaySince: number | null = null
 
-  /** Engines set apart at present, by this box's own measure. */
-  get count (): number { return this.#count }
-  get base (): number { return this.#base }
+  /** Engines set apart at present, by this box's own measure, and those of them that are homes. */
+  get counts (): ApartCount { return { count: this.#count, base: this.#base } }
 
   update (at: number, demand: ReadingDemand): ApartCount {
-    const most = Math.max(1, demand.engines - 1)
-    if (this.#base === 0) this.#base = Math.min(most, Math.ceil(demand.engines * firstShare))
+    const engines = demand.rates.length
     const wanted = computeShare(demand)
-    this.#moveBase(at, Math.min(most, wanted))
+    this.#moveBase(at, engines, wanted)
     this.#moveCount(at, Math.max(this.#base, wanted))
-    return { count: Math.min(this.#count, demand.engines), base: Math.min(this.#base, demand.engines) }
+    this.#count = Math.min(this.#count, Math.max(1, engines - 1))
+    return this.counts
   }
 
-  #moveBase (at: number, wanted: number): void {
-    const isAway = wanted > this.#base || wanted < this.#base - 1
+  #moveBase (at: number, engines: number, wanted: number): void {
+    const first = Math.ceil(engines * firstShare)
+    const isAway = wanted > first + this.#moved || wanted < first + this.#moved - 1
     if (!isAway) this.#awaySince = null
     else this.#awaySince ??= at
-    if (this.#awaySince === null || at - this.#awaySince < baseAfterMs) return
-    this.#base += wanted > this.#base ? 1 : -1
-    this.#awaySince = at
+    if (this.#awaySince !== null && at - this.#awaySince >= baseAfterMs) {
+      this.#moved += wanted > first + this.#moved ? 1 : -1
+      this.#awaySince = at
+    }
+    this.#base = Math.max(1, Math.min(engines - 1, first + this.#moved))
   }
 
   #moveCount (at: number, wanted: number): void {
@@ -86,13 +93,25 @@
 
 /** The number of engines to set apart; at least one for each side where there are two. */
 export function computeShare (demand: ReadingDemand): number {
-  const { engines, engineRate } = demand
+  const { rates } = demand
+  const engines = rates.length
   if (engines <= 1) return engines
-  const reading = demand.patientRate / engineRate / patientLoad + demand.waiting / engineRate / clearWaitingS
-  const patient = Math.max(reading, demand.patientEngines)
-  const brisk = Math.max(demand.briskRate / engineRate / briskLoad, 1)
+  const needed = demand.patientRate / patientLoad + demand.waiting / clearWaitingS
+  const patient = Math.max(countEngines(rates, needed), Math.ceil(demand.patientEngines))
+  const rate = rates[engines - 1]
+  const brisk = Math.max(demand.briskRate / rate / briskLoad, demand.briskEngines, engines * leastBriskShare, 1)
   const room = engines - Math.ceil(brisk)
   const fair = Math.round(engines * patient / (patient + brisk))
-  const wanted = patient <= room ? Math.ceil(patient) : Math.max(room, fair)
+  const wanted = patient <= room ? patient : Math.max(room, Math.min(fair, patient))
   return Math.min(engines - 1, Math.max(1, wanted))
 }
+
+// The first engines that together read so much; one more than there are where they can't.
+function countEngines (rates: readonly number[], needed: number): number {
+  let left = needed
+  for (let i = 0; i < rates.length; i++) {
+    if (left <= 0) return i
+    left -= rates[i]
+  }
+  return left <= 0 ? rates.length : rates.length + 1
+}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -28,6 +28,10 @@
   takeRetry (order: Order): boolean
   /** The work at the endpoints has changed. */
   noteLoad (): void
+  /** Holds the exchange until `tryPlace` finds room for it. */
+  hold (exchange: Exchange): void
+  /** The exchange waits no more. */
+  unhold (exchange: Exchange): void
   noteEnd (exchange: Exchange, summary: ExchangeSummary): void
 }
 
@@ -89,6 +93,7 @@
   #host: ExchangeHost
   #response: ServerResponse
   #phase: Phase = 'waiting'
+  #isHeld = false
   #sent: Sent | null = null
   #attempts: Attempt[] = []
   #tried: EndpointId[] = []
@@ -110,7 +115,16 @@
 
   get isEnded (): boolean { return this.#phase === 'ended' }
 
-  start (): void { this.#send() }
+  start (): void {
+    const returnMs = this.#host.fleet.findReturn(this.order.work, this.#host.now())
+    if (returnMs !== null) return this.#refuse('overloaded', 'too much waits before this request', returnMs)
+    this.#send()
+  }
+
+  /** Looks once more for room, where the exchange is held. */
+  tryPlace (): void {
+    if (this.#isHeld) this.#send()
+  }
 
   /** The caller is gone: whatever runs for it is called off. */
   leave (): void {
@@ -140,7 +154,9 @@
   #send (): void {
     const { order } = this
     const at = this.#host.now()
-    const choice = this.#host.fleet.choose(order.work, this.#tried, at, this.#host.draw())
+    const choice = this.#host.fleet.choose(order.work, this.#tried, at, this.#host.draw(), at - order.arrivedAt)
+    if (choice === 'later') return this.#hold()
+    this.#unhold()
     if (typeof choice === 'string') return this.#refuseUnplaced(choice)
     const { view, expectedMs, candidates, share, readTokens, isHome } = choice
     const attempt: Attempt = { endpoint: view.id, expectedMs: Math.round(expectedMs), candidates, share, readTokens: Math.round(readTokens), isHome, sentAt: at, end: 'open' }
@@ -152,6 +168,18 @@
     this.#host.noteLoad()
   }
 
+  #hold (): void {
+    if (this.#isHeld) return
+    this.#isHeld = true
+    this.#host.hold(this)
+  }
+
+  #unhold (): void {
+    if (!this.#isHeld) return
+    this.#isHeld = false
+    this.#host.unhold(this)
+  }
+
   #call (view: EndpointView, at: number, getSent: () => Sent): EndpointCall {
     const { order } = this
     const headers = this.#host.dialect.composeRequest(order.rawHeaders, {
@@ -229,6 +257,7 @@
   #writeEvents (events: readonly NumberedEvent[]): boolean {
     const now = this.#host.now()
     if (this.#events > 0) this.#longestPauseMs = Math.max(this.#longestPauseMs, now - this.#eventAt)
+    if (this.#events > 0 && events.length === 1) this.#sent?.view.noteGap(now - this.#eventAt, now)
     this.#eventAt = now
     this.#events += events.length
     for (const { id } of events) this.#lastEvent = id ?? this.#lastEvent
@@ -238,7 +267,7 @@
   #noteFirst (sent: Sent): void {
     const now = this.#host.now()
     this.#firstAt ??= now
-    this.#host.fleet.noteFirst(sent.view, sent.placed, now)
+    sent.view.noteFirst(sent.placed, now)
     this.#host.noteLoad()
   }
 
@@ -359,6 +388,7 @@
 
   #end (outcome: ExchangeSummary['outcome'], status: number): void {
     if (this.#phase === 'ended') return
+    this.#unhold()
     this.#phase = 'ended'
     const { order } = this
     this.#host.noteEnd(this, {
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -20,6 +20,7 @@
 import type { Order } from './order.js'
 import { ReadyDoor } from './ready-door.js'
 import { RegistryFollower } from './registry-follower.js'
+import { WaitingLine } from './waiting-line.js'
 
 /** What a gateway is given beside its settings. */
 export interface GatewaySurroundings {
@@ -36,6 +37,8 @@
 const endpointsMs = 1500
 /** After readiness goes red, callers may still be sent here for so long, ms: two questions of the balancer, and a connection on its way. */
 const lagMs = 2600
+/** How often the log tells what is believed of the engines, ms. */
+const beliefsMs = 2000
 /** The box stops once nothing has been in flight for so long, ms. */
 const quietMs = 400
 /** Time kept at the end of a planned stop to end what is left, ms. */
@@ -56,11 +59,13 @@
   #loads: LoadExchange
   #follower: RegistryFollower
   #exchangeHost: ExchangeHost
+  #line: WaitingLine
   #leaving = false
   #leavesAt: number | null = null
   #busyAt = 0
   #requests = 0
   #timer: NodeJS.Timeout | null = null
+  #teller: NodeJS.Timeout | null = null
   port = 0
   readyPort = 0
 
@@ -77,7 +82,10 @@
       zone,
       now,
       composeLoad: () => this.#fleet.composeLoad(now()),
-      notePeer: (box, load) => this.#fleet.notePeer(box, load),
+      notePeer: (box, load) => {
+        this.#fleet.notePeer(box, load)
+        this.#line.look()
+      },
       dropPeer: box => this.#losePeer(box),
       noteZone: heard => this.#fleet.zones.noteHeard(heard, now())
     })
@@ -93,6 +101,7 @@
       takeGateways: gateways => this.#loads.setPeers(gateways),
       noteZone: heard => this.#fleet.zones.noteHeard(heard, now())
     })
+    this.#line = new WaitingLine({ now, draw: Math.random, countHolders: service => this.#fleet.countHolders(service) })
     this.#exchangeHost = {
       dialect,
       fleet: this.#fleet,
@@ -101,6 +110,8 @@
       draw: Math.random,
       takeRetry: order => this.#takeRetry(order),
       noteLoad: () => this.#loads.noteChange(),
+      hold: exchange => this.#hold(exchange),
+      unhold: exchange => this.#unhold(exchange),
       noteEnd: (exchange, summary) => this.#noteEnd(exchange, summary)
     }
     this.#door = this.#createDoor()
@@ -124,6 +135,7 @@
     await this.#loads.listen(host, loadPort)
     this.#follower.start(seeds)
     this.#timer = setInterval(() => this.#sweep(), sweepMs)
+    this.#teller = setInterval(() => this.#tellBeliefs(), beliefsMs)
     this.#around.log.info('gateway-started', { listen, seeds: seeds.join(',') })
   }
 
@@ -148,6 +160,8 @@
   /** Ends at once, as a crash does. */
   kill (): void {
     if (this.#timer !== null) clearInterval(this.#timer)
+    if (this.#teller !== null) clearInterval(this.#teller)
+    this.#line.close()
     this.#door.close()
     this.#ready.close()
     this.#loads.close()
@@ -227,6 +241,18 @@
     return exchange
   }
 
+  #hold (exchange: Exchange): void {
+    this.#line.add(exchange)
+    this.#fleet.noteHeld(exchange.order.work, true)
+    this.#loads.noteChange()
+  }
+
+  #unhold (exchange: Exchange): void {
+    this.#line.remove(exchange)
+    this.#fleet.noteHeld(exchange.order.work, false)
+    this.#loads.noteChange()
+  }
+
   #takeRetry (order: Order): boolean {
     return this.#purses.get(order.service)?.take(performance.now(), this.#loads.boxCount) ?? false
   }
@@ -236,6 +262,10 @@
     for (const exchange of this.#exchanges) exchange.check(now)
   }
 
+  #tellBeliefs (): void {
+    for (const { service, text } of this.#fleet.describe(performance.now())) this.#around.log.info('beliefs', { service, text })
+  }
+
   #noteRefused (words: CallerWords | null, refusal: Refusal): void {
     this.#around.metrics.count('refused', { kind: refusal.kind })
     this.#around.log.warn('refused', { request: words?.requestId, kind: refusal.kind, version: this.#table?.version ?? 0, text: refusal.text })
--- a/src/gateway/load-exchange.ts
+++ b/src/gateway/load-exchange.ts
@@ -152,7 +152,7 @@
 function decodeDatagram (bytes: Buffer): Datagram | null {
   try {
     const datagram = decodeValue(bytes) as Datagram
-    return Array.isArray(datagram) && datagram[0] === wireVersion && Array.isArray(datagram[5]?.loads) && Array.isArray(datagram[5].demands) ? datagram : null
+    return Array.isArray(datagram) && datagram[0] === wireVersion && Array.isArray(datagram[5]?.loads) && Array.isArray(datagram[5].demands) && Array.isArray(datagram[5].gaps) ? datagram : null
   } catch {
     return null
   }
--- /dev/null
+++ b/src/gateway/waiting-line.ts
@@ -0,0 +1,74 @@
+/**
+ * Requests that wait in this box for room at an engine. They are looked at again
+ * whenever the work at the engines changes, and every few ms: the most urgent
+ * first; of one rank those that can still be in time, then in order of arrival.
+ */
+import type { ServiceName } from '../core/index.js'
+import type { Exchange } from './exchange.js'
+
+/** What the line needs of its box. */
+export interface LineHost {
+  now (): number
+  draw (): number
+  /** Boxes in which requests of the service wait, this one included. */
+  countHolders (service: ServiceName): number
+}
+
+/** How often the line is looked at while something waits, ms: a few times in the reading of one prompt. */
+const lookMs = 15
+/** Requests that are tried at one look; those behind them would find no room either. */
+const mostTries = 12
+
+export class WaitingLine {
+  #host: LineHost
+  #waiting: Exchange[] = []
+  #timer: NodeJS.Timeout | null = null
+
+  constructor (host: LineHost) {
+    this.#host = host
+  }
+
+  get length (): number { return this.#waiting.length }
+
+  add (exchange: Exchange): void {
+    this.#waiting.push(exchange)
+    this.#timer ??= setInterval(() => this.look(), lookMs)
+  }
+
+  remove (exchange: Exchange): void {
+    const at = this.#waiting.indexOf(exchange)
+    if (at >= 0) this.#waiting.splice(at, 1)
+    if (this.#waiting.length > 0 || this.#timer === null) return
+    clearInterval(this.#timer)
+    this.#timer = null
+  }
+
+  /**
+   * Tries those that wait. Boxes that see the same engine come free would all
+   * fill it: where several wait, one of them at a time goes ahead, by lot.
+   */
+  look (): void {
+    if (this.#waiting.length === 0) return
+    const now = this.#host.now()
+    const ordered = [...this.#waiting].sort((a, b) => compare(a, b, now))
+    if (this.#host.draw() * this.#host.countHolders(ordered[0].order.service) >= 1) return
+    for (const exchange of ordered.slice(0, mostTries)) exchange.tryPlace()
+  }
+
+  close (): void {
+    if (this.#timer !== null) clearInterval(this.#timer)
+    this.#timer = null
+  }
+}
+
+function compare (a: Exchange, b: Exchange, now: number): number {
+  const first = a.order
+  const second = b.order
+  if (first.work.priority !== second.work.priority) return first.work.priority - second.work.priority
+  const late = Number(isLate(a, now)) - Number(isLate(b, now))
+  return late !== 0 ? late : first.arrivedAt - second.arrivedAt
+}
+
+function isLate ({ order }: Exchange, now: number): boolean {
+  return now - order.arrivedAt > order.work.targetMs
+}
--- a/src/runtime/line-sink.ts
+++ b/src/runtime/line-sink.ts
@@ -3,7 +3,7 @@
  * bound, and those that find it full are dropped and counted. A cap on lines a
  * second leaves out ordinary successes first; what was left out is told.
  */
-import { SonicBoom } from 'sonic-boom'
+import sonic from 'sonic-boom'
 import type { LogLevel } from './event-log.js'
 
 /** Bytes that may wait for a reader that has stalled. */
@@ -63,13 +63,13 @@
 
 /** A sink to standard output, capped and never blocking. */
 export class StandardSink implements LineSink {
-  #boom: SonicBoom
+  #boom: InstanceType<typeof sonic.SonicBoom>
   #cap: LineCap
   #dropped = 0
 
   constructor (linesPerSecond: number, descriptor = 1) {
     this.#cap = new LineCap(linesPerSecond)
-    this.#boom = new SonicBoom({ fd: descriptor, sync: false, minLength: leastWrite, maxLength: mostWaiting, periodicFlush: flushMs })
+    this.#boom = new sonic.SonicBoom({ fd: descriptor, sync: false, minLength: leastWrite, maxLength: mostWaiting, periodicFlush: flushMs })
     this.#boom.on('drop', () => { this.#dropped += 1 })
     // Nobody reads any more: there is nowhere to say so.
     this.#boom.on('error', () => { this.#dropped += 1 })
