--- a/src/core/balance/endpoint-trust.ts
+++ b/src/core/balance/endpoint-trust.ts
@@ -14,7 +14,7 @@
 /** Weight of the newest outcome in the share of failures. */
 const gainOfNewest = 0.12
 
-/** `probing`: one request may try whether the endpoint is back. */
+/** `probing`: nobody listened there; a connection may be tried to see whether somebody does now. */
 export type TrustState = 'good' | 'doubtful' | 'out' | 'probing'
 
 export class EndpointTrust {
@@ -22,29 +22,34 @@
   #outMs = firstOutMs
   #outUntil = -Infinity
   #doubtUntil = -Infinity
-  #probingSince: number | null = null
   #failures = 0
+  #isReachable = true
+
+  /** False where no connection came about: the endpoint is out until one does. */
+  get isReachable (): boolean { return this.#isReachable }
 
   /** Share of the last answers that were failures of the endpoint's own, 0 to 1. */
   get failureShare (): number { return this.#failures }
 
   look (at: number): TrustState {
     if (at < this.#outUntil) return 'out'
-    if (this.#breaks >= breaksToEject) return this.#probingSince === null ? 'probing' : 'out'
+    if (!this.#isReachable) return 'probing'
     return at < this.#doubtUntil ? 'doubtful' : 'good'
   }
 
-  /** A request is sent; where the endpoint is being probed, it is the only one meanwhile. */
-  noteSent (at: number): void {
-    if (this.look(at) === 'probing') this.#probingSince = at
-  }
-
   /** No connection came about. */
   noteUnreachable (at: number): void {
-    this.#breaks = breaksToEject
+    this.#isReachable = false
     this.#eject(at)
   }
 
+  /** A connection came about that was tried for its own sake. */
+  noteReachable (at: number): void {
+    this.#isReachable = true
+    this.#outUntil = -Infinity
+    this.#doubtUntil = at
+  }
+
   /** The connection broke, or went silent, after the request was written. */
   noteBroken (at: number): void {
     this.#breaks += 1
@@ -55,7 +60,6 @@
 
   /** The endpoint answered with a failure of its own. */
   noteFailure (): void {
-    this.#probingSince = null
     this.#breaks = 0
     this.#addOutcome(1)
   }
@@ -65,7 +69,7 @@
     this.#breaks = 0
     this.#outMs = firstOutMs
     this.#outUntil = -Infinity
-    this.#probingSince = null
+    this.#isReachable = true
     this.#addOutcome(0)
   }
 
@@ -76,6 +80,5 @@
   #eject (at: number): void {
     this.#outUntil = at + this.#outMs
     this.#outMs = Math.min(longestOutMs, this.#outMs * 2)
-    this.#probingSince = null
   }
 }
--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -156,7 +156,6 @@
     const memory = cost === null ? 0 : cost.promptTokens + cost.mostTokens / 2
     const placed: Placed = { work, readTokens, aheadTokens: this.countAhead(work.priority, at), memory, sentAt: at, firstAt: null, heardAt: at }
     this.#placed.add(placed)
-    this.trust.noteSent(at)
     if (cost !== null) this.prompts.add(cost.parts)
     return placed
   }
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -94,6 +94,8 @@
 /** Bounds on how much slower an engine is believed to be than the middle one. */
 const leastSlowness = 0.85
 const mostSlowness = 10
+/** At least this part of a service's endpoints is used, however often their answers break. */
+const leastUsed = 0.6
 /** A zone counts as cut off after so long without a word, ms: three words of the slowest peer. */
 const zoneSilentMs = 800
 
@@ -188,7 +190,7 @@
     const all = this.#byService.get(work.service) ?? []
     const ready = all.filter(view => view.record.stage === 'ready' && !tried.includes(view.id))
     if (ready.length === 0) return all.length === 0 ? 'none-known' : 'none-usable'
-    const usable = ready.filter(view => view.trust.look(at) !== 'out')
+    const usable = listUsable(ready, at)
     if (usable.length === 0) return 'none-usable'
     const state = this.#services.get(work.service)
     const engine = state?.service.engine ?? null
@@ -237,7 +239,7 @@
   findReturn (work: Work, at: number): number | null {
     const state = this.#services.get(work.service)
     if (state?.service.engine == null || work.cost === null || !this.#isPatient(work, state)) return null
-    const usable = (this.#byService.get(work.service) ?? []).filter(view => view.record.stage === 'ready' && view.trust.look(at) !== 'out')
+    const usable = listUsable((this.#byService.get(work.service) ?? []).filter(view => view.record.stage === 'ready'), at)
     const side = listApart(usable).slice(0, Math.max(1, this.#agreeShare(state, usable, at).count))
     let tokens = this.#countHeld(state, work.priority)
     let rate = 0
@@ -398,6 +400,14 @@
   return work.pauseMs === null || work.pauseMs >= besideReadingMs * pauseMargin
 }
 
+// Endpoints that aren't out. Where most are out for broken answers, the fault is
+// of the service rather than of some of them: those are used all the same.
+function listUsable (ready: readonly EndpointView[], at: number): EndpointView[] {
+  const reachable = ready.filter(view => view.trust.isReachable)
+  const good = reachable.filter(view => view.trust.look(at) !== 'out')
+  return good.length >= ready.length * leastUsed ? good : reachable
+}
+
 // The order in which engines are set apart, the same at every box: those of a
 // slower kind first, as beside their reading no pause is short; of each kind one
 // of each zone in turn, by a hash.
--- a/src/gateway/endpoint-agent.ts
+++ b/src/gateway/endpoint-agent.ts
@@ -3,8 +3,9 @@
  * comes on one belongs to no request, so that it can't be trusted any more.
  */
 import { Agent } from 'node:http'
-import type { ClientRequest, IncomingMessage } from 'node:http'
-import type { Socket } from 'node:net'
+import type { ClientRequest, ClientRequestArgs, IncomingMessage } from 'node:http'
+import type { Duplex } from 'node:stream'
+import { Socket } from 'node:net'
 
 /** Node's socket while an answer is still attached to it. */
 interface AnsweredSocket extends Socket {
@@ -17,12 +18,26 @@
 const restShare = 0.8
 
 const restHandlers = new WeakMap<Socket, () => void>()
+const resetSockets = new WeakSet<Socket>()
+
+/**
+ * True where the peer reset the connection, although Node took it for an end. It
+ * does where the reset follows right upon the last bytes: an answer without a
+ * length would look whole.
+ */
+export function wasReset (socket: Socket): boolean { return resetSockets.has(socket) }
 
 export class EndpointAgent extends Agent {
   constructor () {
     super({ keepAlive: true, scheduling: 'lifo' })
   }
 
+  override createConnection (options: ClientRequestArgs, callback?: (error: Error | null, stream: Duplex) => void): Duplex | null | undefined {
+    const stream = super.createConnection(options, callback)
+    if (stream instanceof Socket) watchReset(stream)
+    return stream
+  }
+
   // These two are Node's hooks around a connection's rest.
 
   override keepSocketAlive (socket: AnsweredSocket): boolean {
@@ -33,7 +48,8 @@
     return true
   }
 
-  override reuseSocket (socket: Socket): void {
+  override reuseSocket (socket: Socket, request: ClientRequest): void {
+    super.reuseSocket(socket, request)
     const end = restHandlers.get(socket)
     if (end === undefined) return
     restHandlers.delete(socket)
@@ -48,3 +64,12 @@
   const seconds = /timeout=(\d+)/.exec(String(header ?? ''))?.[1]
   return seconds === undefined ? defaultRestMs : Number(seconds) * 1000 * restShare
 }
+
+// The system no longer knows the peer of a connection that was reset. Must look
+// before Node closes its own side, and the peer must not have been asked before,
+// as Node remembers it.
+function watchReset (socket: Socket): void {
+  socket.prependListener('end', () => {
+    if (socket.remoteAddress === undefined) resetSockets.add(socket)
+  })
+}
--- a/src/gateway/endpoint-call.ts
+++ b/src/gateway/endpoint-call.ts
@@ -6,6 +6,7 @@
 import { request as httpRequest } from 'node:http'
 import type { Agent, ClientRequest, IncomingMessage } from 'node:http'
 import type { AnswerWords, Dialect } from '../protocol/index.js'
+import { wasReset } from './endpoint-agent.js'
 
 /** Where a request goes and what is sent. */
 export interface CallTarget {
@@ -106,7 +107,7 @@
     })
     answer.on('end', () => {
       if (this.#ended) return
-      if (!answer.complete) return this.#fail('the answer broke off')
+      if (!answer.complete || wasReset(answer.socket)) return this.#fail('the answer broke off')
       this.#ended = true
       this.#sink.finish()
     })
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -14,6 +14,7 @@
 import type { Refusal } from './answers.js'
 import { CallerDoor } from './caller-door.js'
 import { EndpointAgent } from './endpoint-agent.js'
+import { EndpointProber } from './endpoint-prober.js'
 import { Exchange } from './exchange.js'
 import type { ExchangeHost, ExchangeSummary } from './exchange.js'
 import { LoadExchange } from './load-exchange.js'
@@ -60,6 +61,7 @@
   #follower: RegistryFollower
   #exchangeHost: ExchangeHost
   #line: WaitingLine
+  #prober: EndpointProber
   #leaving = false
   #leavesAt: number | null = null
   #busyAt = 0
@@ -102,6 +104,7 @@
       noteZone: heard => this.#fleet.zones.noteHeard(heard, now())
     })
     this.#line = new WaitingLine({ now, draw: Math.random, countHolders: service => this.#fleet.countHolders(service) })
+    this.#prober = new EndpointProber(log, now)
     this.#exchangeHost = {
       dialect,
       fleet: this.#fleet,
@@ -260,6 +263,7 @@
   #sweep (): void {
     const now = performance.now()
     for (const exchange of this.#exchanges) exchange.check(now)
+    this.#prober.look(this.#fleet.views)
   }
 
   #tellBeliefs (): void {
--- /dev/null
+++ b/src/standin/standin-endpoint.ts
@@ -0,0 +1,174 @@
+/**
+ * A stand-in endpoint of a routed service: it answers whole or with numbered
+ * events, records every run, and misbehaves on command. It speaks any dialect
+ * whose header names it is given.
+ */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { listenOn, readBody } from './http-tools.js'
+
+/** How the endpoint misbehaves. */
+export type EndpointFault =
+  | { readonly type: 'none' }
+  /** Turns requests away without running them. */
+  | { readonly type: 'full' }
+  /** Runs requests and answers 500. */
+  | { readonly type: 'error' }
+  /** Runs requests and resets the connection in place of an answer. */
+  | { readonly type: 'lose' }
+  /** Runs requests and never answers. */
+  | { readonly type: 'hang' }
+  /** Ends answers in the middle; streams in the middle of the event after so many. */
+  | { readonly type: 'break', readonly afterEvents: number }
+  /** Names another request in its answers. */
+  | { readonly type: 'foreign' }
+  /** Leaves out its mark. */
+  | { readonly type: 'unmarked' }
+  /** Sends a second answer after each whole one. */
+  | { readonly type: 'surplus' }
+  /** Answers without a length, ended by the connection's end. */
+  | { readonly type: 'unframed' }
+  /** The same, but in the middle the connection is reset. */
+  | { readonly type: 'unframed-reset' }
+
+/** The headers that the endpoint reads and writes. */
+export interface EndpointHeaders {
+  readonly requestId: string
+  readonly expectedEndpoint: string
+  readonly notRun: string
+  /** Empty where the dialect has no mark. */
+  readonly mark: string
+  readonly lastEvent: string
+}
+
+/** One request that the endpoint ran. */
+export interface EndpointRun {
+  readonly requestId: string
+  readonly method: string
+  readonly path: string
+  readonly headers: IncomingMessage['headers']
+  readonly body: string
+  /** True once the caller's side closed the connection before the end. */
+  isCalledOff: boolean
+}
+
+/** Number of a stream's events; a path ending in `/events-N` asks for N. */
+const defaultEvents = 6
+
+export class StandinEndpoint {
+  readonly id: string
+  readonly runs: EndpointRun[] = []
+  fault: EndpointFault = { type: 'none' }
+  eventMs = 5
+  answerMs = 1
+  port = 0
+  #headers: EndpointHeaders
+  #server: Server
+  #sockets = new Set<Socket>()
+
+  constructor (id: string, headers: EndpointHeaders) {
+    this.id = id
+    this.#headers = headers
+    this.#server = createServer((request, response) => { void this.#serve(request, response) })
+    this.#server.on('connection', socket => {
+      this.#sockets.add(socket)
+      socket.on('close', () => this.#sockets.delete(socket))
+    })
+  }
+
+  /** Connections that are open. */
+  get connections (): number { return this.#sockets.size }
+
+  async listen (host: string, port = 0): Promise<number> {
+    this.port = await listenOn(this.#server, host, port)
+    return this.port
+  }
+
+  /** Ends at once, as a crash does. */
+  close (): void {
+    this.#server.close()
+    this.#server.closeAllConnections()
+  }
+
+  async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const names = this.#headers
+    const requestId = String(request.headers[names.requestId.toLowerCase()] ?? '')
+    const body = (await readBody(request)).toString()
+    const expected = request.headers[names.expectedEndpoint.toLowerCase()]
+    if (expected !== undefined && expected !== this.id) return this.#refuse(response, requestId, 421)
+    if (this.fault.type === 'full') return this.#refuse(response, requestId, 503)
+    const run: EndpointRun = { requestId, method: request.method ?? '', path: request.url ?? '', headers: request.headers, body, isCalledOff: false }
+    this.runs.push(run)
+    response.on('close', () => { if (!response.writableFinished) run.isCalledOff = true })
+    await sleep(this.answerMs)
+    if (this.fault.type === 'lose') return void request.socket.destroy()
+    if (this.fault.type === 'hang') return
+    if (this.fault.type === 'error') return this.#finish(response, requestId, 500, 'failed')
+    if (run.path.includes('/events')) return await this.#stream(run, request, response)
+    this.#finish(response, requestId, 200, composeWhole(run))
+  }
+
+  #refuse (response: ServerResponse, requestId: string, status: number): void {
+    response.writeHead(status, { [this.#headers.requestId]: requestId, [this.#headers.notRun]: '1', 'content-length': 0 })
+    response.end()
+  }
+
+  #compose (requestId: string): Record<string, string> {
+    const { mark } = this.#headers
+    const headers: Record<string, string> = { [this.#headers.requestId]: this.fault.type === 'foreign' ? 'another' : requestId }
+    if (mark !== '' && this.fault.type !== 'unmarked') headers[mark] = `mark of ${this.id}`
+    return headers
+  }
+
+  #finish (response: ServerResponse, requestId: string, status: number, body: string): void {
+    const headers = this.#compose(requestId)
+    if (this.fault.type === 'unframed-reset') {
+      const head = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')
+      const { socket } = response
+      return void socket?.write(`HTTP/1.1 ${status} OK\r\n${head}\r\n${body.slice(0, body.length >> 1)}`, () => socket.resetAndDestroy())
+    }
+    if (this.fault.type === 'unframed') {
+      response.useChunkedEncodingByDefault = false
+      response.shouldKeepAlive = false
+      response.writeHead(status, headers)
+      return void response.end(body)
+    }
+    response.writeHead(status, { ...headers, 'content-length': Buffer.byteLength(body) })
+    if (this.fault.type === 'break') {
+      response.write(body.slice(0, body.length >> 1))
+      return void setTimeout(() => response.destroy(), 5)
+    }
+    response.end(body)
+    if (this.fault.type === 'surplus') response.socket?.write(`HTTP/1.1 200 OK\r\n${this.#headers.requestId}: ${requestId}\r\ncontent-length: 5\r\n\r\nagain`)
+  }
+
+  async #stream (run: EndpointRun, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const last = Number(request.headers[this.#headers.lastEvent.toLowerCase()] ?? 0)
+    const count = Number(/events-(\d+)/.exec(run.path)?.[1] ?? defaultEvents)
+    response.writeHead(200, { ...this.#compose(run.requestId), 'content-type': 'text/event-stream' })
+    for (let id = last + 1; id <= count; id++) {
+      if (response.destroyed) return
+      const event = composeEvent(run.path, id)
+      if (this.fault.type === 'break' && id > this.fault.afterEvents) {
+        response.write(event.slice(0, event.length >> 1))
+        await sleep(2)
+        return void response.destroy()
+      }
+      response.write(event)
+      await sleep(this.eventMs)
+    }
+    response.end()
+  }
+}
+
+/** The whole answer to a run: a function of the request, so that a test can tell whose it is. */
+export function composeWhole (run: Pick<EndpointRun, 'requestId' | 'method' | 'path' | 'body'>): string {
+  return JSON.stringify({ answers: run.requestId, method: run.method, path: run.path, body: run.body })
+}
+
+/** One event of a stream, the same at every endpoint. */
+export function composeEvent (path: string, id: number): string {
+  return `id: ${id}\ndata: ${path} ${id}\n\n`
+}
--- /dev/null
+++ b/test/balance.test.ts
@@ -0,0 +1,239 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import fc from 'fast-check'
+import { EndpointDirectory, EndpointTrust, Fleet, PromptMemory, ReadingShare, RetryPurse, ZoneWatch, brandId, computeShare } from '../src/core/index.js'
+import type { EndpointRecord, EndpointStage, ReadingDemand, RoutedService, ServiceName, Work, ZoneName } from '../src/core/index.js'
+
+const desk = brandId<ServiceName>('desk')
+
+function nameZone (name: string): ZoneName { return brandId(name) }
+
+function createRecord (id: string, more: Partial<EndpointRecord> = {}): EndpointRecord {
+  return { id: brandId(id), service: desk, host: '10.0.0.1', port: Number(id.replace(/\D/g, '')) || 1, zone: nameZone('zone-a'), slots: 4, sequence: 1, stage: 'ready', ...more }
+}
+
+// Directories.
+
+const words: readonly { name: string, words: readonly EndpointRecord[], stage: EndpointStage, sequence: number }[] = [
+  { name: 'a late ready after draining', words: [createRecord('e1', { sequence: 5, stage: 'draining' }), createRecord('e1', { sequence: 4 })], stage: 'draining', sequence: 5 },
+  { name: 'ready again by a newer word', words: [createRecord('e1', { sequence: 5, stage: 'draining' }), createRecord('e1', { sequence: 6 })], stage: 'ready', sequence: 6 },
+  { name: 'gone is final', words: [createRecord('e1', { sequence: 5 }), createRecord('e1', { sequence: 0, stage: 'gone' }), createRecord('e1', { sequence: 9 })], stage: 'gone', sequence: 5 },
+  { name: 'gone before anything else', words: [createRecord('e1', { sequence: 0, stage: 'gone' }), createRecord('e1', { sequence: 9 })], stage: 'gone', sequence: 0 },
+  { name: 'lost, and heard again', words: [createRecord('e1', { sequence: 5 }), createRecord('e1', { sequence: 5, stage: 'lost' }), createRecord('e1', { sequence: 6 })], stage: 'ready', sequence: 6 },
+  { name: 'a reused address', words: [createRecord('e1', { port: 7 }), createRecord('e2', { port: 7, service: brandId<ServiceName>('other') })], stage: 'lost', sequence: 1 }
+]
+
+for (const { name, words: told, stage, sequence } of words) {
+  test(`the directory: ${name}`, () => {
+    const directory = new EndpointDirectory()
+    for (const word of told) directory.merge(word)
+    const { stage: found, sequence: newest } = directory.find(brandId('e1')) as EndpointRecord
+    assert.deepEqual([found, newest], [stage, sequence])
+  })
+}
+
+test('directories that heard the same words of an endpoint, in any order and twice, agree', () => {
+  const stages: EndpointStage[] = ['ready', 'draining', 'gone']
+  const word = fc.record({ sequence: fc.integer({ min: 1, max: 20 }), stage: fc.constantFrom(...stages) })
+  fc.assert(fc.property(fc.uniqueArray(word, { selector: one => one.sequence, minLength: 1, maxLength: 8 }), fc.infiniteStream(fc.nat()), (told, order) => {
+    const first = new EndpointDirectory()
+    const second = new EndpointDirectory()
+    const records = told.map(one => createRecord('e1', one))
+    for (const record of records) first.merge(record)
+    const shuffled = [...records, ...records].map(record => ({ record, key: order.next().value as number })).sort((a, b) => a.key - b.key)
+    for (const { record } of shuffled) second.merge(record)
+    assert.equal(first.find(brandId('e1'))?.stage, second.find(brandId('e1'))?.stage)
+  }), { numRuns: 300 })
+})
+
+// Trust.
+
+test('an endpoint that refuses connections is out until one comes about, tried ever more seldom', () => {
+  const trust = new EndpointTrust()
+  trust.noteUnreachable(0)
+  assert.deepEqual([trust.look(10), trust.look(260)], ['out', 'probing'])
+  trust.noteUnreachable(260)
+  assert.deepEqual([trust.look(700), trust.look(770)], ['out', 'probing'])
+  trust.noteReachable(770)
+  assert.equal(trust.look(771), 'good')
+})
+
+test('one broken answer makes an endpoint doubtful, two in a row put it out', () => {
+  const trust = new EndpointTrust()
+  trust.noteBroken(0)
+  assert.equal(trust.look(1), 'doubtful')
+  assert.equal(trust.look(800), 'good')
+  trust.noteBroken(800)
+  assert.equal(trust.look(801), 'out')
+})
+
+// The retry budget.
+
+test('boxes that each spend their part stay within the budget of all, in every window', () => {
+  const bounds = { ratio: 0.2, extra: 58, windowMs: 10_000 }
+  const step = fc.record({ box: fc.integer({ min: 0, max: 8 }), wait: fc.integer({ min: 0, max: 60 }), retries: fc.integer({ min: 0, max: 3 }) })
+  fc.assert(fc.property(fc.array(step, { minLength: 200, maxLength: 600 }), steps => {
+    const purses = Array.from({ length: 9 }, () => new RetryPurse(bounds))
+    const events: { at: number, repeat: boolean }[] = []
+    let at = 0
+    for (const { box, wait, retries } of steps) {
+      at += wait
+      purses[box].noteRequest(at)
+      events.push({ at, repeat: false })
+      for (let i = 0; i < retries; i++) if (purses[box].take(at, 9)) events.push({ at, repeat: true })
+    }
+    for (const { at: end } of events) {
+      const window = events.filter(one => one.at > end - bounds.windowMs && one.at <= end)
+      const repeats = window.filter(one => one.repeat).length
+      assert.ok(repeats <= bounds.ratio * (window.length - repeats) + bounds.extra, `${repeats} of ${window.length}`)
+    }
+  }), { numRuns: 30 })
+})
+
+// Prompts and the engines for them.
+
+test('a part counts as held only where every part before it is, and the oldest give way', () => {
+  const memory = new PromptMemory(1000)
+  const parts = [{ id: 'a', tokens: 300 }, { id: 'b', tokens: 300 }, { id: 'c', tokens: 200 }]
+  memory.add(parts)
+  assert.equal(memory.countHeld(parts), 800)
+  assert.equal(memory.countHeld([{ id: 'x', tokens: 1 }, ...parts]), 0)
+  memory.add([{ id: 'd', tokens: 600 }])
+  assert.equal(memory.countHeld(parts), 0)
+  assert.equal(memory.countHeld([{ id: 'd', tokens: 600 }]), 600)
+})
+
+const demand: ReadingDemand = { rates: Array<number>(10).fill(40_000), patientRate: 0, briskRate: 0, waiting: 0, patientEngines: 0, briskEngines: 0 }
+const shares: readonly { name: string, demand: Partial<ReadingDemand>, count: number }[] = [
+  { name: 'nothing asked', demand: {}, count: 1 },
+  { name: 'three engines\' worth of reading', demand: { patientRate: 100_000 }, count: 3 },
+  { name: 'a burst of reading leaves a fifth to the others', demand: { patientRate: 900_000 }, count: 8 },
+  { name: 'bursts of both are parted by what they need', demand: { patientRate: 240_000, briskRate: 100_000 }, count: 6 },
+  { name: 'slow engines count for less', demand: { rates: Array<number>(10).fill(20_000), patientRate: 100_000 }, count: 6 },
+  { name: 'memory needs engines too', demand: { patientEngines: 4.2 }, count: 5 },
+  { name: 'one engine serves all', demand: { rates: [40_000], patientRate: 100_000 }, count: 1 }
+]
+
+for (const { name, demand: more, count } of shares) {
+  test(`engines set apart: ${name}`, () => assert.equal(computeShare({ ...demand, ...more }), count))
+}
+
+test('the share grows at once and shrinks slowly, never below its base', () => {
+  const share = new ReadingShare()
+  assert.deepEqual(share.update(0, demand), { count: 4, base: 4 })
+  assert.equal(share.update(10, { ...demand, patientRate: 250_000 }).count, 8)
+  assert.equal(share.update(1000, demand).count, 8)
+  assert.equal(share.update(2600, demand).count, 7)
+  for (let at = 4200; at < 30_000; at += 1600) share.update(at, { ...demand, patientRate: 120_000 })
+  assert.deepEqual(share.counts, { count: 4, base: 4 })
+})
+
+const engineService: RoutedService = { name: desk, mostConnections: 10, engine: { slots: 8, memoryTokens: 100_000, tokensPerEvent: 5 } }
+
+function createWork (more: Partial<Work> = {}): Work {
+  return { service: desk, priority: 0, cost: null, pauseMs: null, targetMs: 500, ...more }
+}
+
+function createFleet (records: readonly EndpointRecord[], service: RoutedService = { ...engineService, engine: null }): Fleet {
+  const fleet = new Fleet(brandId('zone-a'))
+  fleet.configure([service])
+  fleet.applyRecords(records)
+  return fleet
+}
+
+test('work goes only to endpoints that are ready, in touch and not tried', () => {
+  const fleet = createFleet([createRecord('e1'), createRecord('e2', { stage: 'draining' }), createRecord('e3'), createRecord('e4', { service: brandId<ServiceName>('other') })])
+  fleet.findView(brandId('e3'))?.trust.noteUnreachable(0)
+  const choice = fleet.choose(createWork(), [], 1, 0.5)
+  assert.equal(typeof choice === 'string' ? choice : choice.view.id, 'e1')
+  assert.equal(fleet.choose(createWork(), [brandId('e1')], 1, 0.5), 'none-usable')
+  assert.equal(fleet.choose(createWork({ service: brandId<ServiceName>('nobody') }), [], 1, 0.5), 'none-known')
+})
+
+test('where the answers of all break, all are used on; where connections fail, they are not', () => {
+  const fleet = createFleet([createRecord('e1'), createRecord('e2'), createRecord('e3')])
+  for (const view of fleet.views) for (let i = 0; i < 4; i++) view.trust.noteBroken(i)
+  assert.notEqual(typeof fleet.choose(createWork(), [], 10, 0), 'string')
+  for (const view of fleet.views) view.trust.noteUnreachable(20)
+  assert.equal(fleet.choose(createWork(), [], 30, 0), 'none-usable')
+})
+
+test('an endpoint in a zone that fell silent is taken last', () => {
+  const fleet = createFleet([createRecord('e1', { zone: nameZone('zone-b') }), createRecord('e2')])
+  const busy = fleet.findView(brandId('e2'))
+  for (let i = 0; i < 4; i++) busy?.place(createWork(), 0, 900)
+  const choose = (at: number) => { const choice = fleet.choose(createWork(), [], at, 0); return typeof choice === 'string' ? choice : choice.view.id }
+  fleet.zones.noteHeard(brandId('zone-b'), 0)
+  assert.equal(choose(700), 'e1')
+  assert.equal(choose(1000), 'e2')
+})
+
+test('long prompts and quick questions don\'t share engines, and boxes agree on which are which', () => {
+  const records = Array.from({ length: 8 }, (_, i) => createRecord(`e${i + 1}`, { zone: nameZone(`zone-${i % 2}`) }))
+  const boxes = [createFleet(records, engineService), createFleet([...records].reverse(), engineService)]
+  const sides = boxes.map(fleet => {
+    const patient = new Set<string>()
+    const brisk = new Set<string>()
+    for (let i = 0; i < 60; i++) {
+      const parts = [{ id: `shared-${i % 7}`, tokens: 300 }, { id: `own-${i}`, tokens: 700 }]
+      const long = fleet.choose(createWork({ priority: 2, pauseMs: 600, cost: { promptTokens: 1000, mostTokens: 10, parts } }), [], i, i / 60)
+      const quick = fleet.choose(createWork({ pauseMs: 100, cost: { promptTokens: 200, mostTokens: 10, parts: [{ id: `q-${i}`, tokens: 200 }] } }), [], i, i / 60)
+      if (typeof long !== 'string') patient.add(long.view.id)
+      if (typeof quick !== 'string') brisk.add(quick.view.id)
+    }
+    return { patient, brisk }
+  })
+  for (const { patient, brisk } of sides) assert.deepEqual([...patient].filter(id => brisk.has(id)), [])
+  assert.deepEqual([...sides[0].patient].filter(id => sides[1].brisk.has(id)), [])
+  assert.deepEqual([...sides[1].patient].filter(id => sides[0].brisk.has(id)), [])
+})
+
+test('prompts with the same shared part go to the same engine from all boxes', () => {
+  const records = Array.from({ length: 8 }, (_, i) => createRecord(`e${i + 1}`))
+  const boxes = [createFleet(records, engineService), createFleet(records, engineService)]
+  for (let shared = 0; shared < 20; shared++) {
+    const homes = boxes.map((fleet, i) => {
+      const parts = [{ id: `shared-${shared}`, tokens: 4000 }, { id: `own-${i}`, tokens: 500 }]
+      const choice = fleet.choose(createWork({ pauseMs: 600, cost: { promptTokens: 4500, mostTokens: 10, parts } }), [], 0, 0.9 * i)
+      return typeof choice === 'string' ? choice : choice.view.id
+    })
+    assert.equal(homes[0], homes[1])
+  }
+})
+
+test('a long prompt waits in the box while engines have much to read; a question is sent at once', () => {
+  const fleet = createFleet([createRecord('e1'), createRecord('e2')], engineService)
+  const long = createWork({ priority: 2, pauseMs: 600, targetMs: 2000, cost: { promptTokens: 30_000, mostTokens: 10, parts: [] } })
+  const first = fleet.choose(long, [], 0, 0)
+  assert.ok(typeof first !== 'string')
+  first.view.place(long, first.readTokens, 0)
+  assert.equal(fleet.choose(long, [], 1, 0), 'later')
+  assert.notEqual(fleet.choose(createWork({ pauseMs: 50, cost: { promptTokens: 100, mostTokens: 10, parts: [] } }), [], 1, 0), 'later')
+})
+
+test('a request before which too much waits is told when to come back; a more urgent one is not', () => {
+  const fleet = createFleet([createRecord('e1'), createRecord('e2')], engineService)
+  const long = createWork({ priority: 2, pauseMs: 600, targetMs: 2000, cost: { promptTokens: 30_000, mostTokens: 10, parts: [] } })
+  assert.equal(fleet.findReturn(long, 0), null)
+  for (let i = 0; i < 5; i++) fleet.noteHeld(long, true)
+  const returnMs = fleet.findReturn(long, 0)
+  assert.ok(returnMs !== null && returnMs > 1000)
+  assert.equal(fleet.findReturn({ ...long, priority: 1 }, 0), null)
+})
+
+test('a peer\'s work counts, until the peer falls silent', () => {
+  const fleet = createFleet([createRecord('e1'), createRecord('e2')])
+  fleet.notePeer(brandId('peer'), { loads: [{ endpoint: brandId('e1'), running: 9, memory: 0, waiting: [], largest: 0 }], demands: [], gaps: [] })
+  assert.equal(fleet.findView(brandId('e1'))?.running, 9)
+  fleet.dropPeer(brandId('peer'))
+  assert.equal(fleet.findView(brandId('e1'))?.running, 0)
+})
+
+test('a zone counts as cut off once it spoke and fell silent, the own one never', () => {
+  const watch = new ZoneWatch(brandId('zone-a'), 500)
+  assert.equal(watch.isCut(brandId('zone-b'), 10_000), false)
+  watch.noteHeard(brandId('zone-b'), 10_000)
+  assert.equal(watch.isCut(brandId('zone-b'), 10_400), false)
+  assert.equal(watch.isCut(brandId('zone-b'), 10_600), true)
+  assert.equal(watch.isCut(brandId('zone-a'), 99_000), false)
+})
--- /dev/null
+++ b/test/dialects.test.ts
@@ -0,0 +1,124 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { platformDialect } from '../platform/dialect.js'
+import { DocumentError, nativeDialect } from '../src/protocol/index.js'
+import type { Dialect } from '../src/protocol/index.js'
+import { composeDocument } from './support/route-deployment.js'
+
+const platformRoute = { name: 'r', host: 'h.example', pathPrefix: '/a/', routeKind: 'streaming', timeoutMs: 15000, sloMs: 250, priority: 2, service: 's', maxAttempts: 2, public: false, sticky: true, resumable: true, itlTargetMs: 120 }
+const platformDocument = {
+  version: 7,
+  routes: [platformRoute, { ...platformRoute, name: 'q', pathPrefix: '/b/', routeKind: 'non_idempotent', service: undefined, split: [{ service: 's', weight: 90 }, { service: 't', weight: 10 }] }],
+  services: [{ name: 's', healthPath: '/healthz', maxConns: 370, protocol: 'h1', tls: false, engine: { slots: 64, kvCapacityTokens: 638949, stride: 5, models: [{ name: 'm' }] } }, { name: 't', maxConns: 110 }],
+  limits: { maxHeaderBytes: 16384, maxBodyBytes: 4194304, headerTimeoutMs: 3000, idleTimeoutMs: 15000 },
+  tenants: [{ name: 'w', apiKeys: ['k', 'l'], priority: 1 }, { name: 'v', apiKeys: [] }]
+}
+
+test('the platform\'s document is decoded into the product\'s terms', () => {
+  const { version, routes, services, limits, workspaces } = platformDialect.decodeDocument(JSON.stringify(platformDocument))
+  assert.equal(version, 7)
+  assert.deepEqual(routes[0], { name: 'r', host: 'h.example', prefix: '/a/', kind: 'events', timeoutMs: 15000, targetMs: 250, pauseMs: 120, priority: 2, services: [{ service: 's', weight: 1 }], mostAttempts: 2, isPublic: false, resumable: true })
+  assert.deepEqual([routes[1].kind, routes[1].services], ['once', [{ service: 's', weight: 90 }, { service: 't', weight: 10 }]])
+  assert.deepEqual(services, [{ name: 's', mostConnections: 370, engine: { slots: 64, memoryTokens: 638949, tokensPerEvent: 5 } }, { name: 't', mostConnections: 110, engine: null }])
+  assert.deepEqual(limits, { headerBytes: 16384, bodyBytes: 4194304, headerMs: 3000, idleMs: 15000 })
+  assert.deepEqual(workspaces, [{ name: 'w', keys: ['k', 'l'], priority: 1 }, { name: 'v', keys: [], priority: null }])
+})
+
+const nativeText = JSON.stringify(composeDocument(1))
+const platformText = JSON.stringify(platformDocument)
+
+function change (text: string, edit: (document: Record<string, any>) => void): string {
+  const document = JSON.parse(text) as Record<string, any>
+  edit(document)
+  return JSON.stringify(document)
+}
+
+const broken: readonly { name: string, dialect: Dialect, text: string, found: RegExp }[] = [
+  { name: 'cut short', dialect: platformDialect, text: platformText.slice(0, -20), found: /not JSON/ },
+  { name: 'cut short', dialect: nativeDialect, text: nativeText.slice(0, -20), found: /not JSON/ },
+  { name: 'a list', dialect: platformDialect, text: '[]', found: /the document is not a table/ },
+  { name: 'no version', dialect: platformDialect, text: change(platformText, one => { delete one.version }), found: /version is not a number/ },
+  { name: 'no routes', dialect: platformDialect, text: change(platformText, one => { delete one.routes }), found: /routes is not a list/ },
+  { name: 'a route without a service', dialect: platformDialect, text: change(platformText, one => { delete one.routes[0].service }), found: /routes\.0\.service is not a text/ },
+  { name: 'an unknown kind', dialect: platformDialect, text: change(platformText, one => { one.routes[0].routeKind = 'x' }), found: /routes\.0\.routeKind is not one of streaming, idempotent, non_idempotent/ },
+  { name: 'a weight of text', dialect: platformDialect, text: change(platformText, one => { one.routes[1].split[0].weight = '90' }), found: /routes\.1\.split\.0\.weight is not a number/ },
+  { name: 'keys that are no texts', dialect: platformDialect, text: change(platformText, one => { one.tenants[0].apiKeys = [1] }), found: /tenants\.0\.apiKeys/ },
+  { name: 'an unknown kind', dialect: nativeDialect, text: change(nativeText, one => { one.routes[0].kind = 'x' }), found: /routes\.0\.kind is not one of repeatable, once, events/ },
+  { name: 'two mistakes at once', dialect: nativeDialect, text: change(nativeText, one => { delete one.version; one.routes[1].timeoutMs = null }), found: /version is not a number; routes\.1\.timeoutMs is not a number/ }
+]
+
+for (const { name, dialect, text, found } of broken) {
+  test(`a document with ${name} is refused (${dialect.readyPath})`, () => {
+    assert.throws(() => dialect.decodeDocument(text), (error: unknown) => error instanceof DocumentError && found.test(error.message))
+  })
+}
+
+const registrations: readonly { name: string, dialect: Dialect, body: string, found: RegExp | object }[] = [
+  {
+    name: 'a ready one of the platform',
+    dialect: platformDialect,
+    body: '{"service":"s","addr":"10.128.0.9:8080","zone":"z","version":"v1","slots":64,"state":"ready","coldLeftMs":0,"seq":4}',
+    found: { id: 'e', service: 's', host: '10.128.0.9', port: 8080, zone: 'z', slots: 64, sequence: 4, stage: 'ready' }
+  },
+  { name: 'a draining one', dialect: platformDialect, body: '{"service":"s","addr":"10.0.0.9:80","zone":"z","slots":6,"state":"draining","seq":5}', found: { id: 'e', service: 's', host: '10.0.0.9', port: 80, zone: 'z', slots: 6, sequence: 5, stage: 'draining' } },
+  { name: 'one without a port', dialect: platformDialect, body: '{"service":"s","addr":"10.0.0.9","zone":"z","slots":6,"state":"ready","seq":5}', found: /addr is not an address/ },
+  { name: 'one in an unknown state', dialect: platformDialect, body: '{"service":"s","addr":"10.0.0.9:80","zone":"z","slots":6,"state":"asleep","seq":5}', found: /state is not one of/ },
+  { name: 'one that is no JSON', dialect: nativeDialect, body: 'ready', found: /not JSON/ }
+]
+
+for (const { name, dialect, body, found } of registrations) {
+  test(`a registration: ${name}`, () => {
+    if (found instanceof RegExp) assert.throws(() => dialect.decodeRegistration('e', body), found)
+    else assert.deepEqual(dialect.decodeRegistration('e', body), found)
+  })
+}
+
+const raw = ['Host', 'h.example', 'X-Attempt-Id', 'id1', 'Authorization', 'Token secret', 'X-Tenant', 'someone', 'X-Priority-Class', '0', 'Connection', 'keep-alive, X-Hop', 'X-Hop', '1',
+  'Transfer-Encoding', 'chunked', 'Content-Length', '5', 'X-Deadline-Ms', '9000', 'X-Model', 'm', 'X-Expect-Instance', 'i', 'Kv-From', 'x', 'Last-Event-Id', '3', 'X-Own', 'a', 'X-Own', 'b']
+
+test('a request goes on with the caller\'s headers, less those of the connection, the key and what the product says itself', () => {
+  const headers = platformDialect.composeRequest(raw, { requestId: 'id1', deadlineMs: 812.7, endpoint: 'i-7', workspace: 'w', priority: 3, lastEvent: '9' })
+  assert.deepEqual(headers, ['Host', 'h.example', 'X-Attempt-Id', 'id1', 'X-Model', 'm', 'X-Own', 'a', 'X-Own', 'b',
+    'X-Deadline-Ms', '812', 'X-Expect-Instance', 'i-7', 'X-Tenant', 'w', 'X-Priority-Class', '3', 'Last-Event-Id', '9'])
+})
+
+test('a caller\'s words are read; what can\'t be read is left out', () => {
+  const read = (headers: Record<string, string>) => platformDialect.readCaller(headers)
+  assert.deepEqual(read({ 'x-attempt-id': 'id', 'x-deadline-ms': '1500', authorization: 'Token  k', 'x-token-usage': '1460,80', 'x-prefix-hash': '5c:800,91:410,e4:250' }), {
+    requestId: 'id', deadlineMs: 1500, key: 'k', lastEvent: null, cost: { promptTokens: 1460, mostTokens: 80, parts: [{ id: '5c', tokens: 800 }, { id: '91', tokens: 410 }, { id: 'e4', tokens: 250 }] }
+  })
+  assert.deepEqual(read({ 'x-deadline-ms': 'soon', authorization: 'Bearer k', 'x-token-usage': 'many', 'last-event-id': '7' }), { requestId: '', deadlineMs: null, key: null, lastEvent: '7', cost: null })
+})
+
+const answers: readonly (readonly [status: number, headers: Record<string, string>, isNotRun: boolean, isOther: boolean, isMarked: boolean])[] = [
+  [200, { 'x-attempt-id': 'id', 'x-response-seal': 's' }, false, false, true],
+  [503, { 'x-attempt-id': 'id', 'x-not-executed': '1' }, true, false, false],
+  [421, { 'x-instance-id': 'i' }, true, true, false],
+  [500, { 'x-attempt-id': 'id' }, false, false, false]
+]
+
+test('an answer says whether it ran and whose it is', () => {
+  for (const [status, headers, isNotRun, isOtherEndpoint, isMarked] of answers) {
+    assert.deepEqual(platformDialect.readAnswer(status, headers), { requestId: headers['x-attempt-id'] ?? '', isNotRun, isOtherEndpoint, isMarked }, String(status))
+  }
+})
+
+const calls: readonly (readonly [method: string, path: string, expected: object])[] = [
+  ['PUT', '/api/config', { type: 'put-document' }],
+  ['GET', '/api/config?x=1', { type: 'read-document' }],
+  ['PUT', '/api/instances/i-1', { type: 'register', endpoint: 'i-1' }],
+  ['DELETE', '/api/instances/i%2D1', { type: 'deregister', endpoint: 'i-1' }],
+  ['PATCH', '/api/config', { type: 'unknown' }],
+  ['PUT', '/api/instances/', { type: 'unknown' }],
+  ['PUT', '/api/instances/a/b', { type: 'unknown' }],
+  ['GET', '/api/instances/i-1', { type: 'unknown' }]
+]
+
+test('calls at a registry are told apart', () => {
+  for (const [method, path, expected] of calls) assert.deepEqual(platformDialect.readRegistryCall(method, path), expected, `${method} ${path}`)
+})
+
+test('the time to come back has fractions only where callers read them', () => {
+  assert.equal(platformDialect.formatRetryAfter(250), '0.250')
+  assert.equal(nativeDialect.formatRetryAfter(250), '1')
+})
--- /dev/null
+++ b/test/routes-path.test.ts
@@ -0,0 +1,196 @@
+import assert from 'node:assert/strict'
+import { Agent } from 'node:http'
+import { after, before, test } from 'node:test'
+import { composeEvent, composeWhole } from '../src/standin/index.js'
+import type { EndpointFault, StandinEndpoint } from '../src/standin/index.js'
+import { until } from './support/deployment.js'
+import { RouteDeployment, composeDocument } from './support/route-deployment.js'
+
+let place: RouteDeployment
+let first: StandinEndpoint
+let second: StandinEndpoint
+
+before(async () => {
+  place = await RouteDeployment.start({ number: 11, registries: 1, gateways: 1 })
+  await place.putDocument(composeDocument(1))
+  first = await place.addEndpoint('desk')
+  second = await place.addEndpoint('desk')
+})
+after(() => place.stop())
+
+function composeStream (path: string, from: number, to: number): string {
+  return Array.from({ length: to - from + 1 }, (_, i) => composeEvent(path, from + i)).join('')
+}
+
+// Until both endpoints are trusted again, each after an answer of its own.
+async function settle (): Promise<void> {
+  const isGood = (endpoint: StandinEndpoint): boolean => place.gateways[0].fleet.findView(endpoint.id as never)?.trust.look(performance.now()) === 'good'
+  await until(async () => (await place.ask('/again/x', { method: 'GET', body: '' })).status === 200 && isGood(first) && isGood(second), 'both endpoints trusted')
+}
+
+function countRuns (requestId: string): number {
+  return [first, second].flatMap(endpoint => endpoint.runs).filter(run => run.requestId === requestId).length
+}
+
+const served: readonly { name: string, path: string, method?: string, body?: string, expected: (requestId: string) => string }[] = [
+  { name: 'a whole answer', path: '/once/x?y=1', body: 'some text', expected: requestId => composeWhole({ requestId, method: 'POST', path: '/once/x?y=1', body: 'some text' }) },
+  { name: 'a large body', path: '/again/x', body: 'ä'.repeat(200_000), expected: requestId => composeWhole({ requestId, method: 'POST', path: '/again/x', body: 'ä'.repeat(200_000) }) },
+  { name: 'a GET without a body', path: '/again/x', method: 'GET', body: '', expected: requestId => composeWhole({ requestId, method: 'GET', path: '/again/x', body: '' }) },
+  { name: 'numbered events', path: '/stream/events-4', expected: () => composeStream('/stream/events-4', 1, 4) },
+  { name: 'events after the last that the caller has', path: '/resume/events-9', expected: () => composeStream('/resume/events-9', 6, 9) }
+]
+
+for (const { name, path, method, body, expected } of served) {
+  test(`${name} is passed on byte for byte`, async () => {
+    const requestId = `served ${name}`
+    const headers: Record<string, string> = name.startsWith('events after') ? { 'last-event-id': '5' } : {}
+    const answer = await place.ask(path, { requestId, method, body, headers })
+    assert.deepEqual([answer.status, answer.isWhole, answer.body], [200, true, expected(requestId)])
+    assert.equal(answer.headers['x-wrenlane-request-id'], requestId)
+    const run = [first, second].flatMap(endpoint => endpoint.runs).find(one => one.requestId === requestId)
+    assert.equal(run?.headers['x-wrenlane-workspace'], 'camp')
+    assert.equal(run?.headers.authorization, undefined)
+    const left = Number(run?.headers['x-wrenlane-deadline-ms'])
+    assert.ok(left > 0 && left <= 1500, String(left))
+  })
+}
+
+const refused: readonly { name: string, path: string, more: Parameters<RouteDeployment['ask']>[1], status: number }[] = [
+  { name: 'no route', path: '/nowhere/x', more: {}, status: 404 },
+  { name: 'another host', path: '/once/x', more: { host: 'else.example' }, status: 404 },
+  { name: 'no key', path: '/once/x', more: { keyed: false }, status: 401 },
+  { name: 'a wrong key', path: '/once/x', more: { headers: { authorization: 'Bearer wrong' } }, status: 401 },
+  { name: 'a body beyond the limit', path: '/once/x', more: { body: 'x'.repeat(5 * 2 ** 20) }, status: 413 }
+]
+
+for (const { name, path, more, status } of refused) {
+  test(`${name}: ${status}, and nothing runs`, async () => {
+    const requestId = `refused ${name}`
+    assert.equal((await place.ask(path, { requestId, ...more })).status, status)
+    assert.equal(countRuns(requestId), 0)
+  })
+}
+
+test('a public route needs no key', async () => {
+  assert.equal((await place.ask('/public/x', { keyed: false })).status, 200)
+})
+
+/** What a caller gets, and how often its request runs, where both endpoints fail alike. */
+const faults: readonly { fault: EndpointFault, path: string, status: number, runs: number, isWhole?: boolean }[] = [
+  { fault: { type: 'full' }, path: '/once/x', status: 503, runs: 0 },
+  { fault: { type: 'full' }, path: '/again/x', status: 503, runs: 0 },
+  { fault: { type: 'error' }, path: '/once/x', status: 500, runs: 1 },
+  { fault: { type: 'error' }, path: '/again/x', status: 500, runs: 2 },
+  { fault: { type: 'lose' }, path: '/once/x', status: 502, runs: 1 },
+  { fault: { type: 'lose' }, path: '/again/x', status: 502, runs: 2 },
+  { fault: { type: 'lose' }, path: '/stream/events', status: 502, runs: 1 },
+  { fault: { type: 'lose' }, path: '/resume/events', status: 502, runs: 2 },
+  { fault: { type: 'hang' }, path: '/once/x', status: 504, runs: 1 },
+  { fault: { type: 'break', afterEvents: 0 }, path: '/once/x', status: 502, runs: 1 },
+  { fault: { type: 'break', afterEvents: 2 }, path: '/stream/events', status: 200, runs: 1, isWhole: false },
+  { fault: { type: 'foreign' }, path: '/once/x', status: 502, runs: 1 },
+  { fault: { type: 'foreign' }, path: '/again/x', status: 502, runs: 2 },
+  { fault: { type: 'unframed' }, path: '/once/x', status: 200, runs: 1 },
+  { fault: { type: 'unframed-reset' }, path: '/once/x', status: 502, runs: 1 },
+  { fault: { type: 'unframed-reset' }, path: '/again/x', status: 502, runs: 2 },
+  { fault: { type: 'surplus' }, path: '/once/x', status: 200, runs: 1 }
+]
+
+for (const { fault, path, status, runs, isWhole = true } of faults) {
+  test(`endpoints that ${fault.type}: ${path} gets ${status} and runs ${runs} times`, async () => {
+    const requestId = `fault ${fault.type} ${path}`
+    first.fault = fault
+    second.fault = fault
+    try {
+      const answer = await place.ask(path, { requestId })
+      assert.deepEqual([answer.status, answer.isWhole, countRuns(requestId)], [status, isWhole, runs])
+      if (status === 503) assert.ok(Number(answer.headers['retry-after']) > 0)
+    } finally {
+      first.fault = { type: 'none' }
+      second.fault = { type: 'none' }
+      await settle()
+    }
+  })
+}
+
+test('a stream that may be resumed goes on at the other endpoint, each event once', async () => {
+  for (const endpoint of [first, second]) {
+    const requestId = `resumed after ${endpoint.id}`
+    endpoint.fault = { type: 'break', afterEvents: 3 }
+    const other = endpoint === first ? second : first
+    // Whichever is chosen first: where it's the sound one, the answer is whole at once.
+    const answer = await place.ask('/resume/events-8', { requestId })
+    endpoint.fault = { type: 'none' }
+    assert.deepEqual([answer.status, answer.isWhole, answer.body], [200, true, composeStream('/resume/events-8', 1, 8)])
+    const resumed = other.runs.find(run => run.requestId === requestId)
+    if (endpoint.runs.some(run => run.requestId === requestId)) assert.equal(resumed?.headers['last-event-id'], '3')
+    await settle()
+  }
+})
+
+test('a surplus answer on a kept connection is never given to the next caller', async () => {
+  first.fault = { type: 'surplus' }
+  second.fault = { type: 'surplus' }
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 })
+  for (let i = 0; i < 20; i++) {
+    const requestId = `surplus ${i}`
+    const answer = await place.ask('/once/x', { requestId, agent })
+    assert.equal(answer.body, composeWhole({ requestId, method: 'POST', path: '/once/x', body: 'a body' }))
+  }
+  agent.destroy()
+  first.fault = { type: 'none' }
+  second.fault = { type: 'none' }
+})
+
+test('an endpoint whose address belongs to another one now does not run the request', async () => {
+  const { port } = second
+  second.close()
+  const { StandinEndpoint: Standin } = await import('../src/standin/index.js')
+  const stranger = new Standin('stranger', place.spoken.endpointHeaders)
+  await stranger.listen(place.endpointHost, port)
+  try {
+    for (let i = 0; i < 8; i++) assert.equal((await place.ask('/once/x')).status, 200)
+    assert.equal(stranger.runs.length, 0)
+  } finally {
+    stranger.close()
+    await second.listen(place.endpointHost, port)
+    await settle()
+  }
+})
+
+test('a caller that leaves has its request called off', async () => {
+  first.eventMs = second.eventMs = 30
+  const requestId = 'left'
+  const { request } = await import('node:http')
+  const asked = request({ host: place.gatewayHost(0), port: 7003, method: 'POST', path: '/stream/events-500', headers: { host: 'camp.example', ...place.spoken.composeCall(requestId, 'test-key', 5000) } })
+  asked.on('error', () => {})
+  asked.end('x')
+  await until(() => countRuns(requestId) === 1, 'the run')
+  asked.destroy()
+  await until(() => [first, second].flatMap(endpoint => endpoint.runs).some(run => run.requestId === requestId && run.isCalledOff), 'the run called off')
+  first.eventMs = second.eventMs = 5
+})
+
+test('a request is given up at the end of its route\'s time with a final answer at once', async () => {
+  first.fault = second.fault = { type: 'hang' }
+  const startedAt = performance.now()
+  const answer = await place.ask('/once/x', { deadlineMs: 300 })
+  const took = performance.now() - startedAt
+  first.fault = second.fault = { type: 'none' }
+  assert.equal(answer.status, 504)
+  assert.ok(took >= 290, String(took))
+  await until(async () => (await place.ask('/again/x')).status === 200, 'served again')
+})
+
+test('an endpoint that drains gets no new work, and ends what it has', async () => {
+  const long = Array.from({ length: 6 }, (_, i) => place.ask('/stream/events-60', { requestId: `draining ${i}` }))
+  await until(() => first.runs.filter(run => run.requestId.startsWith('draining')).length > 0, 'work at the first')
+  await place.register(first, 'desk', 'draining')
+  await until(() => place.gateways[0].fleet.findView(first.id as never)?.record.stage === 'draining', 'the drain known')
+  const before = first.runs.length
+  for (let i = 0; i < 10; i++) assert.equal((await place.ask('/again/x')).status, 200)
+  assert.equal(first.runs.length, before)
+  for (const answer of await Promise.all(long)) assert.ok(answer.isWhole)
+  await place.register(first, 'desk', 'ready')
+  await until(() => place.gateways[0].fleet.findView(first.id as never)?.record.stage === 'ready', 'ready again')
+})
--- /dev/null
+++ b/test/support/route-deployment.ts
@@ -0,0 +1,248 @@
+/**
+ * Gateways, registries and stand-in endpoints in the test's process, over real
+ * sockets and disks. Each box has a loopback address of its own, as boxes find
+ * each other by address; the ports are alike on all.
+ */
+import { mkdtempSync, rmSync } from 'node:fs'
+import { Agent, request as httpRequest } from 'node:http'
+import type { IncomingHttpHeaders } from 'node:http'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import type { GatewaySettings, RegistrySettings } from '../../src/config/index.js'
+import { GatewayBox } from '../../src/gateway/index.js'
+import { nativeDialect } from '../../src/protocol/index.js'
+import type { Dialect } from '../../src/protocol/index.js'
+import { RegistryBox } from '../../src/registry/index.js'
+import { EventLog, Metrics } from '../../src/runtime/index.js'
+import { StandinEndpoint } from '../../src/standin/index.js'
+import type { EndpointHeaders } from '../../src/standin/index.js'
+import { until } from './deployment.js'
+
+/** A dialect with what stand-ins and clients need to speak it. */
+export interface SpokenDialect {
+  readonly dialect: Dialect
+  readonly endpointHeaders: EndpointHeaders
+  readonly paths: { readonly document: string, readonly endpoints: string }
+  composeRegistration (endpoint: StandinEndpoint, service: string, zone: string, host: string, sequence: number, stage: string): object
+  composeCall (requestId: string, key: string | null, deadlineMs: number): Record<string, string>
+}
+
+/** The product's own dialect. */
+export const native: SpokenDialect = {
+  dialect: nativeDialect,
+  endpointHeaders: { requestId: 'x-wrenlane-request-id', expectedEndpoint: 'x-wrenlane-endpoint', notRun: 'x-wrenlane-not-run', mark: '', lastEvent: 'last-event-id' },
+  paths: { document: '/v1/routing', endpoints: '/v1/endpoints/' },
+  composeRegistration: (endpoint, service, zone, host, sequence, stage) => ({ service, host, port: endpoint.port, zone, slots: 8, sequence, stage }),
+  composeCall: (requestId, key, deadlineMs) => ({
+    'x-wrenlane-request-id': requestId,
+    'x-wrenlane-deadline-ms': String(deadlineMs),
+    ...(key === null ? {} : { authorization: `Bearer ${key}` })
+  })
+}
+
+/** What a deployment is made of. */
+export interface RouteShape {
+  /** Tells deployments apart: the third part of their loopback addresses and their ports. */
+  readonly number: number
+  readonly registries?: number
+  readonly gateways?: number
+  readonly spoken?: SpokenDialect
+  readonly registry?: Partial<RegistrySettings>
+  readonly gateway?: Partial<GatewaySettings>
+}
+
+/** A caller's answer. `isWhole` is false where it broke off. */
+export interface CallAnswer {
+  readonly status: number
+  readonly headers: IncomingHttpHeaders
+  readonly body: string
+  readonly isWhole: boolean
+}
+
+const linkPort = 7000
+const loadPort = 7001
+const operatorPort = 7002
+const callerPort = 7003
+const readyPort = 7004
+const zones = ['zone-a', 'zone-b', 'zone-c']
+export const key = 'test-key'
+
+export class RouteDeployment {
+  readonly shape: RouteShape
+  readonly spoken: SpokenDialect
+  readonly folder = mkdtempSync(join(tmpdir(), 'wrenlane-routes-'))
+  readonly lines: string[] = []
+  readonly registries: (RegistryBox | null)[] = []
+  readonly gateways: GatewayBox[] = []
+  readonly endpoints: StandinEndpoint[] = []
+  #sequences = new Map<string, number>()
+  #beats: NodeJS.Timeout | null = null
+
+  constructor (shape: RouteShape) {
+    this.shape = shape
+    this.spoken = shape.spoken ?? native
+  }
+
+  /** Starts the boxes; the log is formed, no document is in force. */
+  static async start (shape: RouteShape): Promise<RouteDeployment> {
+    const place = new RouteDeployment(shape)
+    for (let i = 0; i < (shape.registries ?? 3); i++) await place.startRegistry(i, true)
+    for (let i = 0; i < (shape.gateways ?? 1); i++) await place.startGateway(i)
+    await until(() => place.registries.some(one => one?.keeperLog.isLeader === true), 'a leader')
+    return place
+  }
+
+  registryHost (i: number): string { return `127.${this.shape.number}.0.${i + 1}` }
+  gatewayHost (i: number): string { return `127.${this.shape.number}.1.${i + 1}` }
+  get endpointHost (): string { return `127.${this.shape.number}.2.1` }
+  get seeds (): string[] { return [0, 1, 2].slice(0, this.shape.registries ?? 3).map(i => `${this.registryHost(i)}:${operatorPort}`) }
+
+  async startRegistry (i: number, first: boolean): Promise<RegistryBox> {
+    const host = this.registryHost(i)
+    const box = new RegistryBox({
+      id: `registry-${i}`,
+      zone: zones[i % zones.length],
+      host,
+      linkPort,
+      seeds: this.seeds,
+      secretFile: '',
+      openLinks: true,
+      metricsPort: 0,
+      logLinesPerSecond: 1000,
+      statsd: null,
+      listen: `${host}:${operatorPort}`,
+      data: join(this.folder, `registry-${i}`),
+      first,
+      faults: 1,
+      heartbeatMs: 40,
+      electionMs: 200,
+      snapshotEvery: 20,
+      lostMs: 30_000,
+      maxBodyBytes: 2 ** 20,
+      ...this.shape.registry
+    }, { dialect: this.spoken.dialect, ...this.#around(`registry-${i}`) })
+    this.registries[i] = box
+    await box.start()
+    return box
+  }
+
+  async startGateway (i: number): Promise<GatewayBox> {
+    const host = this.gatewayHost(i)
+    const box = new GatewayBox({
+      id: `gateway-${i}`,
+      zone: zones[i % zones.length],
+      host,
+      linkPort,
+      seeds: this.seeds,
+      secretFile: '',
+      openLinks: true,
+      metricsPort: 0,
+      logLinesPerSecond: 1000,
+      statsd: null,
+      listen: `${host}:${callerPort}`,
+      ready: `${host}:${readyPort}`,
+      loadPort,
+      retries: { ratio: 0.2, extra: 50, windowSeconds: 10 },
+      drainSeconds: 8,
+      maxConnections: 1000,
+      ...this.shape.gateway
+    }, { dialect: this.spoken.dialect, ...this.#around(`gateway-${i}`) })
+    this.gateways[i] = box
+    await box.start()
+    return box
+  }
+
+  /** Starts an endpoint and has it register, again and again as real ones do. */
+  async addEndpoint (service: string, zone = zones[0]): Promise<StandinEndpoint> {
+    const endpoint = new StandinEndpoint(`endpoint-${this.shape.number}-${this.endpoints.length}`, this.spoken.endpointHeaders)
+    await endpoint.listen(this.endpointHost)
+    this.endpoints.push(endpoint)
+    await this.register(endpoint, service, 'ready', zone)
+    await until(() => this.gateways.every(gateway => gateway.fleet.findView(endpoint.id as never) !== undefined), `${endpoint.id} known to all gateways`)
+    return endpoint
+  }
+
+  async register (endpoint: StandinEndpoint, service: string, stage: string, zone = zones[0]): Promise<CallAnswer> {
+    const sequence = (this.#sequences.get(endpoint.id) ?? 0) + 1
+    this.#sequences.set(endpoint.id, sequence)
+    const body = JSON.stringify(this.spoken.composeRegistration(endpoint, service, zone, this.endpointHost, sequence, stage))
+    return await this.operate('PUT', `${this.spoken.paths.endpoints}${endpoint.id}`, body)
+  }
+
+  /** A call to a registry; the first that runs, where none is named. */
+  async operate (method: string, path: string, body = '', registry?: number): Promise<CallAnswer> {
+    const i = registry ?? this.registries.findIndex(one => one !== null)
+    return await call({ host: this.registryHost(i), port: operatorPort, method, path, headers: { 'content-type': 'application/json' }, body })
+  }
+
+  /** Puts a document in force on all gateways. */
+  async putDocument (document: object & { readonly version: number }): Promise<void> {
+    await until(async () => (await this.operate('PUT', this.spoken.paths.document, JSON.stringify(document))).status === 200, 'the document taken')
+    await until(() => this.gateways.every(gateway => (gateway.table?.version ?? 0) >= document.version), 'the document in force')
+  }
+
+  /** A caller's request to a gateway. */
+  async ask (path: string, more: { readonly requestId?: string, readonly method?: string, readonly body?: string, readonly gateway?: number, readonly headers?: Record<string, string>, readonly keyed?: boolean, readonly deadlineMs?: number, readonly agent?: Agent, readonly host?: string } = {}): Promise<CallAnswer> {
+    const headers = { host: more.host ?? 'camp.example', ...this.spoken.composeCall(more.requestId ?? `r${Math.random()}`, more.keyed === false ? null : key, more.deadlineMs ?? 5000), ...more.headers }
+    return await call({ host: this.gatewayHost(more.gateway ?? 0), port: callerPort, method: more.method ?? 'POST', path, headers, body: more.body ?? 'a body', agent: more.agent })
+  }
+
+  async isReady (gateway: number): Promise<number> {
+    return (await call({ host: this.gatewayHost(gateway), port: readyPort, method: 'GET', path: this.spoken.dialect.readyPath, headers: {}, body: '' })).status
+  }
+
+  async stop (): Promise<void> {
+    if (this.#beats !== null) clearInterval(this.#beats)
+    for (const gateway of this.gateways) gateway.kill()
+    for (const registry of this.registries) registry?.kill()
+    for (const endpoint of this.endpoints) endpoint.close()
+    rmSync(this.folder, { recursive: true, force: true, maxRetries: 3 })
+  }
+
+  #around (box: string) {
+    return { log: new EventLog(box, line => this.lines.push(line)), metrics: new Metrics(null, box), secret: null }
+  }
+}
+
+/** One HTTP exchange; resolves also where the answer breaks off. */
+export function call (what: { readonly host: string, readonly port: number, readonly method: string, readonly path: string, readonly headers: Record<string, string>, readonly body: string, readonly agent?: Agent }): Promise<CallAnswer> {
+  return new Promise(resolve => {
+    const { body, ...options } = what
+    const request = httpRequest({ ...options, agent: what.agent ?? false }, response => {
+      let text = ''
+      response.on('data', (chunk: Buffer) => { text += chunk.toString() })
+      response.on('error', () => {})
+      response.on('close', () => resolve({ status: response.statusCode ?? 0, headers: response.headers, body: text, isWhole: response.complete }))
+    })
+    request.on('error', () => resolve({ status: 0, headers: {}, body: '', isWhole: false }))
+    request.end(body === '' ? undefined : body)
+  })
+}
+
+/** A document, as far as tests look into it. */
+export interface TestDocument {
+  readonly version: number
+  readonly routes: readonly object[]
+  readonly services: readonly object[]
+  readonly workspaces: readonly object[]
+}
+
+/** A document of the native dialect with one route of each kind to the service `desk`. */
+export function composeDocument (version: number, more: object = {}): TestDocument {
+  const route = (name: string, kind: string, extra: object = {}) => ({
+    name, host: 'camp.example', prefix: `/${name}/`, kind, timeoutMs: 1500, targetMs: 300, mostAttempts: 2, services: [{ service: 'desk' }], ...extra
+  })
+  return {
+    version,
+    routes: [
+      route('once', 'once'),
+      route('again', 'repeatable'),
+      route('stream', 'events'),
+      route('resume', 'events', { resumable: true, pauseMs: 100 }),
+      route('public', 'repeatable', { public: true })
+    ],
+    services: [{ name: 'desk' }],
+    workspaces: [{ name: 'camp', keys: [key], priority: 1 }],
+    ...more
+  }
+}
