--- a/src/bin/wrenlane.ts
+++ b/src/bin/wrenlane.ts
@@ -3,7 +3,7 @@
 import { createHash, randomBytes } from 'node:crypto'
 import { userInfo } from 'node:os'
 import sade from 'sade'
-import { checkDocument, describeHost, describeName, describePort, describeText, entryFields, findKeyLines, findLine, formatMistake, intentFields, keeperFields, parseToml, standinFields } from '../config/index.js'
+import { checkDocument, describeHost, describeName, describePort, describeText, entryFields, gatewayFields, registryFields, findKeyLines, findLine, formatMistake, intentFields, keeperFields, parseToml, standinFields } from '../config/index.js'
 import type { FieldTable, KeeperAddress, Mistake } from '../config/index.js'
 import { parse } from 'smol-toml'
 import { brandId } from '../core/index.js'
@@ -42,6 +42,8 @@
 }
 
 const kinds: readonly { readonly name: string, readonly mark: string, readonly fields: FieldTable }[] = [
+  { name: 'gateway', mark: 'loadPort', fields: gatewayFields },
+  { name: 'registry', mark: 'linkPort', fields: registryFields },
   { name: 'entry', mark: 'listen', fields: entryFields },
   { name: 'keeper', mark: 'data', fields: keeperFields },
   { name: 'operator', mark: 'keepers', fields: operatorFields }
--- a/src/protocol/frame-splitter.ts
+++ b/src/protocol/frame-splitter.ts
@@ -6,25 +6,36 @@
   #size = 0
   #largest: number
 
-  /** `largest`: bytes of a frame beyond which `push` throws. */
+  /** `largest`: bytes of a frame beyond which `next` throws. */
   constructor (largest: number) {
     this.#largest = largest
   }
 
   /** Takes in bytes and returns the frames that are whole. */
   push (chunk: Buffer): Buffer[] {
-    this.#chunks.push(chunk)
-    this.#size += chunk.length
+    this.add(chunk)
     const frames: Buffer[] = []
-    while (this.#size >= lengthBytes) {
-      const length = this.#peekLength()
-      if (length > this.#largest) throw new RangeError(`frame of ${length} bytes; at most ${this.#largest} are allowed`)
-      if (this.#size < lengthBytes + length) break
-      frames.push(this.#take(lengthBytes + length).subarray(lengthBytes))
-    }
+    for (let frame = this.next(); frame !== null; frame = this.next()) frames.push(frame)
     return frames
   }
 
+  /** Takes in bytes. */
+  add (chunk: Buffer): void {
+    this.#chunks.push(chunk)
+    this.#size += chunk.length
+  }
+
+  /** The next frame that is whole; null where there is none yet. */
+  next (): Buffer | null {
+    if (this.#size < lengthBytes) return null
+    const length = this.#peekLength()
+    if (length > this.#largest) throw new RangeError(`frame of ${length} bytes; at most ${this.#largest} are allowed`)
+    return this.#size < lengthBytes + length ? null : this.#take(lengthBytes + length).subarray(lengthBytes)
+  }
+
+  /** Allows larger frames from the next one on. */
+  widen (largest: number): void { this.#largest = largest }
+
   #peekLength (): number {
     if (this.#chunks[0].length < lengthBytes) this.#join()
     return this.#chunks[0].readUInt32LE(0)
--- a/src/protocol/link.ts
+++ b/src/protocol/link.ts
@@ -151,19 +151,23 @@
   #read (chunk: Buffer): void {
     this.bytesIn += chunk.length
     this.#heardAt = performance.now()
-    let frames
-    try {
-      frames = this.#splitter.push(chunk)
-    } catch {
-      return this.#fail('too-large')
-    }
-    for (const frame of frames) {
-      if (this.#socket.destroyed) return
+    this.#splitter.add(chunk)
+    for (let frame = this.#nextFrame(); frame !== null; frame = this.#nextFrame()) {
       if (this.#in === null) this.#readHello(frame)
       else this.#readFrame(frame, this.#in)
     }
   }
 
+  #nextFrame (): Buffer | null {
+    if (this.#socket.destroyed) return null
+    try {
+      return this.#splitter.next()
+    } catch {
+      this.#fail('too-large')
+      return null
+    }
+  }
+
   #readHello (frame: Buffer): void {
     const hello = this.#decode(frame) as Hello | undefined
     if (hello === undefined || hello.v !== version || typeof hello.id !== 'string' || hello.nonce?.length !== nonceBytes) {
@@ -171,7 +175,8 @@
     }
     this.#peer = hello.id
     this.#setCodes(this.#host.secret, hello.nonce)
-    this.#splitter = this.#widen()
+    // Only a peer that has said hello may send large frames.
+    this.#splitter.widen(largestFrame)
     clearTimeout(this.#helloTimer)
     this.#startPulse()
     this.#host.noteOpen(this)
@@ -199,11 +204,6 @@
     }, pulse.everyMs / 2)
   }
 
-  // Only a peer that has said hello may send large frames.
-  #widen (): FrameSplitter {
-    return new FrameSplitter(largestFrame)
-  }
-
   #readFrame (frame: Buffer, code: FrameCode): void {
     if (frame.length < code.bytes) return this.#fail('bad-frame')
     const body = frame.subarray(code.bytes)
--- a/src/report/pages.ts
+++ b/src/report/pages.ts
@@ -1,4 +1,4 @@
-import { entryFields, intentFields, keeperFields, standinFields } from '../config/index.js'
+import { entryFields, gatewayFields, intentFields, keeperFields, registryFields, standinFields } from '../config/index.js'
 import { formatErrors, formatFields } from './tables.js'
 
 const errorsHead = `# Errors
@@ -21,6 +21,8 @@
     ['Intents: `wrenlane plan -f FILE`', formatFields(intentFields)],
     ['Settings of `wrenlane-entry`', formatFields(entryFields)],
     ['Settings of `wrenlane-keeper`', formatFields(keeperFields)],
+    ['Settings of `wrenlane-gateway`', formatFields(gatewayFields)],
+    ['Settings of `wrenlane-registry`', formatFields(registryFields)],
     ['Settings of `wrenlane-standin`', formatFields(standinFields)]
   ]
   return new Map([
--- a/test/layers.test.ts
+++ b/test/layers.test.ts
@@ -12,6 +12,8 @@
   protocol: ['runtime', 'core', 'coordination'],
   standin: ['config', 'protocol'],
   tasks: ['runtime', 'core', 'coordination', 'config', 'protocol'],
+  gateway: ['runtime', 'core', 'coordination', 'config', 'protocol'],
+  registry: ['runtime', 'core', 'coordination', 'config', 'protocol'],
   measure: ['runtime', 'core', 'standin'],
   proof: ['runtime', 'core', 'coordination'],
   capacity: ['runtime', 'core', 'coordination', 'protocol', 'tasks', 'standin'],
--- a/test/links.test.ts
+++ b/test/links.test.ts
@@ -55,6 +55,60 @@
   b.pool.close()
 })
 
+test('a large frame that comes together with the hello is taken', async () => {
+  const received: string[] = []
+  const server = createServer(socket => {
+    // The peer's hello and what it says next arrive in one piece.
+    socket.once('data', () => {
+      const hello = frameBytes([encodeValue({ v: 1, id: 'b', nonce: Buffer.alloc(16) })])
+      const large = frameBytes([encodeValue([1, 0, ['x'.repeat(5000)]])])
+      socket.write(Buffer.concat([hello, large]))
+    })
+    socket.on('error', () => {})
+  })
+  await new Promise<void>(resolve => server.listen(0, host, resolve))
+  const { port } = server.address() as { port: number }
+  const pool = new LinkPool<string>({
+    id: 'a',
+    secret: null,
+    clock: new HybridClock(Date.now),
+    receive: (_link, message) => { received.push(message) },
+    noteOpen: () => {},
+    noteClosed: () => {},
+    noteFault: fault => assert.fail(fault)
+  })
+  pool.dial(host, port)
+  await until(() => received.length === 1, 'the large message')
+  assert.equal(received[0].length, 5000)
+  pool.close()
+  server.close()
+})
+
+test('a link with heartbeats closes once its peer is silent', async () => {
+  const sockets: Socket[] = []
+  const server = createServer(socket => {
+    sockets.push(socket)
+    socket.write(frameBytes([encodeValue({ v: 1, id: 'b', nonce: Buffer.alloc(16) })]))
+    socket.on('error', () => {})
+  })
+  await new Promise<void>(resolve => server.listen(0, host, resolve))
+  const faults: string[] = []
+  const pool = new LinkPool<string>({
+    id: 'a',
+    secret: null,
+    pulse: { everyMs: 20, silentMs: 100 },
+    clock: new HybridClock(Date.now),
+    receive: () => {},
+    noteOpen: () => {},
+    noteClosed: () => {},
+    noteFault: fault => { faults.push(fault) }
+  })
+  pool.dial(host, (server.address() as { port: number }).port)
+  await until(() => faults.includes('silent'), 'the silence noticed')
+  pool.close()
+  server.close()
+})
+
 /** A forwarder that keeps and can change what the caller's side sends. */
 async function tamper (port: number, change: (chunk: Buffer, index: number) => Buffer[]): Promise<{ port: number, close: () => void }> {
   const sockets: Socket[] = []
--- /dev/null
+++ b/test/registry.test.ts
@@ -0,0 +1,140 @@
+import assert from 'node:assert/strict'
+import { rmSync } from 'node:fs'
+import { join } from 'node:path'
+import { test } from 'node:test'
+import { until } from './support/deployment.js'
+import { RouteDeployment, composeDocument } from './support/route-deployment.js'
+
+async function withPlace (number: number, run: (place: RouteDeployment) => Promise<void>, shape: { readonly registries?: number, readonly gateways?: number } = {}): Promise<void> {
+  const place = await RouteDeployment.start({ number, ...shape })
+  try {
+    await run(place)
+  } finally {
+    await place.stop()
+  }
+}
+
+function readVersion (body: string): number {
+  return (JSON.parse(body) as { version: number }).version
+}
+
+async function readNewest (place: RouteDeployment, registry?: number): Promise<number> {
+  let version = 0
+  await until(async () => {
+    const answer = await place.operate('GET', '/v1/routing', '', registry)
+    if (answer.status === 200) version = readVersion(answer.body)
+    return answer.status === 200
+  }, 'a document read')
+  return version
+}
+
+test('the seeds form one log at the first start, and others join it', () => withPlace(21, async place => {
+  await until(() => place.registries.every(one => (one?.keeperLog.replica?.members.learners.length ?? 0) === 1), 'the fourth let in')
+  for (const registry of place.registries) assert.equal(registry?.keeperLog.replica?.members.voters.length, 3)
+}, { registries: 4, gateways: 0 }))
+
+test('documents: the highest version wins, whatever the order, and is read back byte for byte from any registry', () => withPlace(22, async place => {
+  const put = (version: number, more: object = {}) => place.operate('PUT', '/v1/routing', JSON.stringify(composeDocument(version, more)), version % 3)
+  const cases: readonly (readonly [version: number, status: number, newest: number])[] = [[5, 200, 5], [3, 200, 5], [9, 200, 9], [9, 200, 9], [8, 200, 9]]
+  for (const [version, status, newest] of cases) {
+    await until(async () => (await put(version, { services: [{ name: 'desk' }, { name: `only-${version}` }] })).status === status, `version ${version} taken`)
+    assert.equal(await readNewest(place, 1), newest)
+  }
+  // Other content under the version held changes nothing.
+  assert.equal((await put(9, { services: [{ name: 'desk' }, { name: 'other' }] })).status, 200)
+  for (const registry of [0, 1, 2]) {
+    const { body } = await place.operate('GET', '/v1/routing', '', registry)
+    assert.equal(body, JSON.stringify(composeDocument(9, { services: [{ name: 'desk' }, { name: 'only-9' }] })))
+  }
+  // Racing operators, resent and reordered.
+  await Promise.all([12, 11, 14, 13, 14, 10, 12].map(async (version, i) => await place.operate('PUT', '/v1/routing', JSON.stringify(composeDocument(version)), i % 3)))
+  await until(async () => await readNewest(place) === 14, 'the highest in force')
+  await until(() => place.gateways.every(gateway => gateway.table?.version === 14), 'in force at the gateways')
+}))
+
+const invalid: readonly { name: string, text: string, status: number }[] = [
+  { name: 'cut short', text: JSON.stringify(composeDocument(50)).slice(0, -9), status: 400 },
+  { name: 'an unknown service', text: JSON.stringify(composeDocument(50, { services: [] })), status: 400 },
+  { name: 'no weight', text: JSON.stringify(composeDocument(50)).replace('{"service":"desk"}', '{"service":"desk","weight":0}'), status: 400 },
+  { name: 'no time-out', text: JSON.stringify(composeDocument(50)).replace('"timeoutMs":1500', '"timeoutMs":0'), status: 400 },
+  { name: 'the same place twice', text: JSON.stringify(composeDocument(50)).replace('"prefix":"/again/"', '"prefix":"/once/"'), status: 400 },
+  { name: 'a shared key', text: JSON.stringify(composeDocument(50, { workspaces: [{ name: 'a', keys: ['k'] }, { name: 'b', keys: ['k'] }] })), status: 400 },
+  { name: 'an old version that is invalid', text: JSON.stringify(composeDocument(1, { services: [] })), status: 400 },
+  { name: 'nothing at all', text: '', status: 400 },
+  { name: 'too much', text: 'x'.repeat(2 ** 20 + 1), status: 413 }
+]
+
+test('invalid documents are refused, and what is in force stays', () => withPlace(23, async place => {
+  await place.putDocument(composeDocument(2))
+  for (const { name, text, status } of invalid) {
+    assert.equal((await place.operate('PUT', '/v1/routing', text)).status, status, name)
+    assert.equal(await readNewest(place), 2, name)
+  }
+  assert.equal((await place.operate('PATCH', '/v1/routing', '{}')).status, 404)
+  assert.equal((await place.operate('PUT', '/v1/endpoints/e', '{"service":')).status, 400)
+}, { registries: 1 }))
+
+test('what was acknowledged outlives the loss of every registry at once, also of one disk', () => withPlace(24, async place => {
+  for (let version = 1; version <= 45; version += 4) {
+    await place.putDocument(composeDocument(version))
+    for (const registry of place.registries) registry?.kill()
+    if (version % 3 === 0) rmSync(join(place.folder, `registry-${version % 2}`), { recursive: true, force: true })
+    for (let i = 0; i < 3; i++) await place.startRegistry(i, false)
+    assert.equal(await readNewest(place), version)
+    // The next loss comes once an emptied disk is a member again.
+    await until(() => place.registries.some(one => one?.keeperLog.isLeader === true && one.keeperLog.replica?.members.voters.length === 3), 'three voters again')
+  }
+}))
+
+test('a registry that is gone for good is replaced by an empty one elsewhere', () => withPlace(25, async place => {
+  await place.putDocument(composeDocument(7))
+  place.registries[2]?.kill()
+  place.registries[2] = null
+  const fresh = await place.startRegistry(3, false)
+  const voters = () => place.registries.find(one => one?.keeperLog.isLeader === true)?.keeperLog.replica?.members.voters ?? []
+  await until(() => voters().includes(fresh.keeperLog.id) && voters().length === 3, 'the new one a voter')
+  assert.ok(!voters().some(id => id.startsWith(`${place.registryHost(2)}#`)))
+  // Now the next loss may come.
+  place.registries[1]?.kill()
+  place.registries[1] = null
+  await until(async () => (await place.operate('PUT', '/v1/routing', JSON.stringify(composeDocument(8)), 0)).status === 200, 'accepted again')
+  assert.equal(await readNewest(place, 3), 8)
+}))
+
+test('without a quorum nothing is acknowledged and nothing read, but gateways go on', () => withPlace(26, async place => {
+  await place.putDocument(composeDocument(3))
+  await place.addEndpoint('desk')
+  for (const i of [0, 1]) {
+    place.registries[i]?.kill()
+    place.registries[i] = null
+  }
+  assert.equal((await place.operate('PUT', '/v1/routing', JSON.stringify(composeDocument(4)), 2)).status, 503)
+  assert.equal((await place.operate('GET', '/v1/routing', '', 2)).status, 503)
+  assert.equal((await place.ask('/once/x')).status, 200)
+}))
+
+test('a gateway that starts late has the newest document before it calls itself ready', () => withPlace(27, async place => {
+  assert.equal(await place.isReady(0), 503)
+  assert.equal((await place.ask('/once/x')).status, 503)
+  await place.putDocument(composeDocument(3))
+  await place.addEndpoint('desk')
+  assert.equal(await place.isReady(0), 200)
+  const late = await place.startGateway(1)
+  await until(async () => await place.isReady(1) === 200, 'the late one ready')
+  assert.equal(late.table?.version, 3)
+  assert.equal((await place.ask('/once/x', { gateway: 1 })).status, 200)
+}))
+
+test('a planned stop of a gateway cuts nothing, and tells callers to go elsewhere', () => withPlace(28, async place => {
+  await place.putDocument(composeDocument(3))
+  const endpoint = await place.addEndpoint('desk')
+  endpoint.eventMs = 20
+  const running = Array.from({ length: 20 }, () => place.ask('/stream/events-40'))
+  await until(() => endpoint.runs.length === 20, 'all under way')
+  const stopped = place.gateways[0].stop()
+  assert.equal(await place.isReady(0), 503)
+  const late = await place.ask('/once/x')
+  assert.deepEqual([late.status, late.headers.connection], [200, 'close'])
+  for (const answer of await Promise.all(running)) assert.ok(answer.isWhole)
+  assert.equal(await stopped, 0)
+}, { registries: 1 }))
