Let homes yield to quick questions; free measured speeds of load

Change: the base is at most what quick questions leave; the time between events is divided by what the streams beside it stretch it; a lower quantile counts.

--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -41,7 +41,9 @@
 /** Part by which each event moves what is believed of the time between events. */
 const gapStep = 0.04
 /** The gaps that count: lower ones, as what is read unseen makes gaps longer. */
-const gapQuantile = 0.35
+const gapQuantile = 0.2
+/** Part by which each stream more stretches the time between events, as on the users' engines (0.53 to 0.71 in 100). */
+const crowdedShare = 0.006
 /** Events that must be seen before an engine's speed is judged. */
 const leastGaps = 40
 
@@ -170,7 +172,7 @@
     else if (tokens >= leastTokensToLearn) this.#pace.add(Math.max(0, took - overheadMs) / tokens / this.slowness)
   }
 
-  /** Time between events while no prompt is read beside them, as this box measured it, ms; null before enough was seen. */
+  /** Time between events of a stream that is alone and beside which no prompt is read, as this box measured it, ms; null before enough was seen. */
   get ownGapMs (): number | null { return this.#gaps >= leastGaps ? this.#gap?.value ?? null : null }
 
   /** The same, in the middle of what all boxes measured. */
@@ -184,8 +186,9 @@
   /** Notes the time between two events of a stream; counts only where nothing is being read here. */
   noteGap (gapMs: number, at: number): void {
     if (this.countAhead(Infinity, at) > 0) return
-    this.#gap ??= new RunningQuantile(gapMs, gapQuantile, gapStep)
-    this.#gap.add(gapMs)
+    const aloneMs = gapMs / (1 + this.running * crowdedShare)
+    this.#gap ??= new RunningQuantile(aloneMs, gapQuantile, gapStep)
+    this.#gap.add(aloneMs)
     this.#gaps += 1
   }
 
--- a/src/core/balance/reading-share.ts
+++ b/src/core/balance/reading-share.ts
@@ -60,13 +60,13 @@
   update (at: number, demand: ReadingDemand): ApartCount {
     const engines = demand.rates.length
     const wanted = computeShare(demand)
-    this.#moveBase(at, engines, wanted)
+    this.#moveBase(at, engines, wanted, Math.max(1, engines - countBrisk(demand)))
     this.#moveCount(at, Math.max(this.#base, wanted))
     this.#count = Math.min(this.#count, Math.max(1, engines - 1))
     return this.counts
   }
 
-  #moveBase (at: number, engines: number, wanted: number): void {
+  #moveBase (at: number, engines: number, wanted: number, room: number): void {
     const first = Math.ceil(engines * firstShare)
     const isAway = wanted > first + this.#moved || wanted < first + this.#moved - 1
     if (!isAway) this.#awaySince = null
@@ -75,7 +75,7 @@
       this.#moved += wanted > first + this.#moved ? 1 : -1
       this.#awaySince = at
     }
-    this.#base = Math.max(1, Math.min(engines - 1, first + this.#moved))
+    this.#base = Math.max(1, Math.min(engines - 1, room, first + this.#moved))
   }
 
   #moveCount (at: number, wanted: number): void {
@@ -98,14 +98,19 @@
   if (engines <= 1) return engines
   const needed = demand.patientRate / patientLoad + demand.waiting / clearWaitingS
   const patient = Math.max(countEngines(rates, needed), Math.ceil(demand.patientEngines))
-  const rate = rates[engines - 1]
-  const brisk = Math.max(demand.briskRate / rate / briskLoad, demand.briskEngines, engines * leastBriskShare, 1)
-  const room = engines - Math.ceil(brisk)
+  const brisk = countBrisk(demand)
+  const room = engines - brisk
   const fair = Math.round(engines * patient / (patient + brisk))
   const wanted = patient <= room ? patient : Math.max(room, Math.min(fair, patient))
   return Math.min(engines - 1, Math.max(1, wanted))
 }
 
+// Engines that the requests with short pauses need.
+function countBrisk ({ rates, briskRate, briskEngines }: ReadingDemand): number {
+  const rate = rates[rates.length - 1]
+  return Math.ceil(Math.max(briskRate / rate / briskLoad, briskEngines, rates.length * leastBriskShare, 1))
+}
+
 // The first engines that together read so much; one more than there are where they can't.
 function countEngines (rates: readonly number[], needed: number): number {
   let left = needed
