--- a/src/bin/timeline.ts
+++ b/src/bin/timeline.ts
@@ -36,6 +36,30 @@
   return event.fields.get('request') === request || event.fields.get('to') === request
 }
 
+/** Time before a request's end in which changes of what was believed may explain it, ms. */
+const explainMs = 15_000
+/** Events that change what a box believes of the endpoints, or routes by. */
+const beliefEvents = new Set(['endpoint', 'endpoint-reached', 'routes-in-force', 'registry-lost', 'registry-met', 'peer-silent'])
+
+/**
+ * The way from a request to its cause: its own lines, and before them what its
+ * box came to believe of the endpoints that it was sent to and of the others.
+ */
+export function explainRequest (texts: readonly string[], request: string): TimelineEvent[] {
+  const own = mergeEvents(texts, request)
+  const last = own.at(-1)
+  if (last === undefined) return []
+  const box = last.fields.get('box')
+  const attempts = last.fields.get('attempts') ?? ''
+  const explains = (event: TimelineEvent): boolean => {
+    if (!beliefEvents.has(event.fields.get('event') ?? '') || event.fields.get('box') !== box) return false
+    const age = Number(last.hlc.split('.')[0]) - Number(event.hlc.split('.')[0])
+    const endpoint = event.fields.get('endpoint')
+    return age >= 0 && age <= explainMs && (endpoint === undefined || attempts.includes(endpoint))
+  }
+  return [...mergeEvents(texts, null).filter(explains), ...own].sort((a, b) => compareTimes(a.hlc, b.hlc))
+}
+
 function compareTimes (a: string, b: string): number {
   const [ms, count] = a.split('.').map(Number)
   const [otherMs, otherCount] = b.split('.').map(Number)
--- a/src/bin/wrenlane.ts
+++ b/src/bin/wrenlane.ts
@@ -13,7 +13,7 @@
 import { OperatorClient, OperatorError } from './operator-client.js'
 import { endWith, failureExit, readNamed, readSecret, readSettings, readVersion, usageExit } from './program.js'
 import { composeReport, formatReport } from './status-report.js'
-import { mergeEvents } from './timeline.js'
+import { explainRequest, mergeEvents } from './timeline.js'
 
 interface Options {
   readonly settings: string
@@ -218,7 +218,8 @@
 }
 
 function showTimeline (paths: readonly string[], options: Options): void {
-  const events = mergeEvents(paths.map(readNamed), options.request ?? null)
+  const texts = paths.map(readNamed)
+  const events = options.request === undefined ? mergeEvents(texts, null) : explainRequest(texts, options.request)
   for (const event of events) {
     process.stdout.write(`${options.json === true ? JSON.stringify(Object.fromEntries(event.fields)) : event.line}\n`)
   }
--- /dev/null
+++ b/src/config/route-events.ts
@@ -0,0 +1,69 @@
+/**
+ * The events that gateways and registries write to their logs, each with its
+ * fields. `docs/LOGS.md` is made from this list; a test fails where it and the
+ * code part.
+ */
+
+/** An event and what its fields mean. */
+export interface LoggedEvent {
+  /** What happened, and who writes it. */
+  readonly about: string
+  readonly fields: Readonly<Record<string, string>>
+}
+
+const request = { request: 'the caller\'s id of the request' }
+const endpoint = { endpoint: 'the endpoint\'s id', service: 'its service' }
+
+/** Every event by its name. */
+export const routeEvents: Readonly<Record<string, LoggedEvent>> = {
+  exchange: {
+    about: 'A request that was let in has its final answer (gateway). `info` where it is `ok`, else `warn`.',
+    fields: {
+      ...request,
+      route: 'the route\'s name',
+      service: 'the service picked',
+      workspace: 'whose request it is',
+      outcome: '`ok`, `endpoint-status` (the endpoint\'s own failure, passed on), `left` (the caller was gone), `cut` (a begun answer broke off), else the kind of refusal as in ERRORS.md',
+      status: 'the status that the caller got; 0 for none',
+      version: 'the document that let it in',
+      waitedMs: 'from arrival to the first send',
+      firstMs: 'from arrival to the answer, or its first event',
+      totalMs: 'from arrival to the end',
+      events: 'events that were passed on',
+      pauseMs: 'the longest pause between them',
+      attempts: 'for each send, parted by `;`: ENDPOINT@ms after arrival, `expected` ms to the first event as decided, `of` so many candidates, `apart` engines set apart, `read` prompt tokens expected to be read, `home` 1 where the shared part lives there, and how the send ended'
+    }
+  },
+  refused: { about: 'A request was refused before it was let in (gateway).', fields: { ...request, kind: 'as in ERRORS.md', version: 'the document in force; 0 for none', text: 'why' } },
+  beliefs: { about: 'What the gateway believes of a service\'s engines, every 2 s.', fields: { service: 'the service', text: 'engines set apart and of these homes, agreed and own; ms a prompt token; tokens held in boxes; then for each engine ID (`*`: set apart)/running/tokens to be read/ms a token/ms between events/trust' } },
+  endpoint: { about: 'The directory changed (both).', fields: { ...endpoint, stage: '`ready`, `draining`, `gone` or `lost`', sequence: 'the number of the endpoint\'s word', zone: 'its zone' } },
+  'endpoint-reached': { about: 'A connection came about to an endpoint that had refused them (gateway).', fields: endpoint },
+  'routes-in-force': { about: 'A newer document is in force here (gateway).', fields: { version: 'its version', routes: 'how many', services: 'how many' } },
+  'document-not-read': { about: 'A document from a registry can\'t be read; the older one stays (gateway).', fields: { version: 'its version', error: 'why' } },
+  'document-put': { about: 'An operator\'s document was answered (registry).', fields: { version: 'its version', end: '`taken`, `held` or `unknown`', routes: 'how many', ms: 'how long it took' } },
+  'document-in-force': { about: 'A document is committed and applied here (registry).', fields: { version: 'its version', bytes: 'its size' } },
+  'call-refused': { about: 'A call with mistakes (registry).', fields: { call: 'which', mistakes: 'how many', first: 'the first of them' } },
+  'call-failed': { about: 'A fault of the registry itself in a call.', fields: { call: 'which', error: 'what' } },
+  role: { about: 'This replica leads, follows or stands for election (registry).', fields: { role: 'which', term: 'the term', leader: 'the leader\'s replica' } },
+  members: { about: 'The leader changed the members of the log (registry).', fields: { voters: 'those who vote', learners: 'those who don\'t', end: '`applied`, `lost` or why not' } },
+  'log-formed': { about: 'A new log was begun at the first start (registry).', fields: { voters: 'its first members' } },
+  'disk-refuses': { about: 'The disk takes no more; it is tried again, nothing is acknowledged meanwhile (registry).', fields: { error: 'why' } },
+  'disk-writes-again': { about: 'The disk takes writes again (registry).', fields: {} },
+  'disk-not-opened': { about: 'The data folder can\'t be opened; it is tried again (registry).', fields: { error: 'why' } },
+  'disk-failed': { about: 'The replica stopped for its disk (registry).', fields: { error: 'why' } },
+  'registry-met': { about: 'A link to a registry is open (gateway).', fields: { registry: 'its name' } },
+  'registry-lost': { about: 'A link to a registry ended (gateway).', fields: { registry: 'its name', left: 'links that are open' } },
+  'gateway-met': { about: 'A gateway presented itself (registry).', fields: { gateway: 'its name', version: 'the document that it has' } },
+  'gateway-lost': { about: 'The link of a gateway ended (registry).', fields: { gateway: 'its name' } },
+  'peer-silent': { about: 'A gateway says nothing; its work no longer counts (gateway).', fields: { peer: 'its name' } },
+  'link-fault': { about: 'A link was closed by this side (both).', fields: { fault: 'why; `silent`: no heartbeat', peer: 'the other box; empty before its hello' } },
+  'gateway-started': { about: 'A gateway serves.', fields: { listen: 'where', seeds: 'the registries that it was told of' } },
+  'gateway-leaving': { about: 'A planned stop has begun: readiness is red (gateway).', fields: { inFlight: 'requests under way' } },
+  'gateway-stopped': { about: 'A planned stop is over (gateway).', fields: { cut: 'requests that were cut', ms: 'how long it took' } },
+  'registry-started': { about: 'A registry serves.', fields: { replica: 'its replica', formed: 'whether its disk holds a log' } },
+  'registry-stopped': { about: 'A registry ended as planned.', fields: {} },
+  'settings-read': { about: 'The settings file was read again (both).', fields: { why: '`signal` or `change`', seeds: 'the seeds that it names' } },
+  'settings-refused': { about: 'The settings file has a mistake; what was in force stays (both).', fields: { why: '`signal` or `change`', mistake: 'which' } },
+  'lines-left-out': { about: 'Lines that are missing from this log in the last second (both).', fields: { overCap: 'over the cap on lines', dropped: 'as the reader was too slow' } },
+  violation: { about: 'What must always hold did not: a fault of the product (both).', fields: { rule: 'which', detail: 'what was seen' } }
+}
--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -41,11 +41,11 @@
 /** Part by which each event moves what is believed of the time between events. */
 const gapStep = 0.04
 /** The gaps that count: lower ones, as what is read unseen makes gaps longer. */
-const gapQuantile = 0.2
+const gapQuantile = 0.35
 /** Part by which each stream more stretches the time between events, as on the users' engines (0.53 to 0.71 in 100). */
 const crowdedShare = 0.006
 /** Events that must be seen before an engine's speed is judged. */
-const leastGaps = 40
+const leastGaps = 16
 
 export class EndpointView {
   readonly trust = new EndpointTrust()
@@ -60,6 +60,8 @@
   #peerGaps = new Map<BoxId, number>()
   /** How many times slower than the middle of its service it is; 1 where that isn't known. */
   slowness = 1
+  /** True for an engine of a slower kind than the middle one. */
+  isSlow = false
 
   /** `pace`: ms a prompt token at the service's engines, shared by their views. */
   constructor (record: EndpointRecord, memoryTokens: number, pace: RunningQuantile) {
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -85,8 +85,9 @@
 /** Times to come back, ms: a burst lasts some seconds. */
 const leastReturnMs = 300
 const mostReturnMs = 5000
-/** An engine whose events come so many times slower than those of the middle one is of a slower kind. */
-const slowTimes = 1.15
+/** An engine whose events come so many times slower than those of the middle one is of a slower kind, until they come nearer again. */
+const slowTimes = 1.16
+const nearTimes = 1.08
 /** One that is slower than this is in trouble rather than of a slower kind. */
 const troubledTimes = 2
 /** Fewer engines of known speed than this have no middle to speak of. */
@@ -416,7 +417,7 @@
   const ranked = [...engines].sort((a, b) => hashText(a.id) - hashText(b.id))
   const perZone = new Map<string, number>()
   const turns = ranked.map(view => {
-    const kind = view.slowness > slowTimes && view.slowness < troubledTimes ? 0 : 1
+    const kind = view.isSlow ? 0 : 1
     const key = `${kind} ${view.record.zone}`
     const turn = perZone.get(key) ?? 0
     perZone.set(key, turn + 1)
@@ -434,6 +435,7 @@
   engines.forEach((view, i) => {
     const gap = gaps[i]
     view.slowness = gap === null || middle === null ? 1 : Math.min(mostSlowness, Math.max(leastSlowness, gap / middle))
+    view.isSlow = view.slowness < troubledTimes && view.slowness > (view.isSlow ? nearTimes : slowTimes)
   })
 }
 
--- a/src/core/balance/reading-share.ts
+++ b/src/core/balance/reading-share.ts
@@ -44,7 +44,7 @@
 /** The share shrinks by one after so long, ms. */
 const shrinkAfterMs = 1500
 /** The base moves by one after so long on another side of what is wanted, ms. */
-const baseAfterMs = 8000
+const baseAfterMs = 10_000
 
 export class ReadingShare {
   #count = 0
@@ -68,7 +68,7 @@
 
   #moveBase (at: number, engines: number, wanted: number, room: number): void {
     const first = Math.ceil(engines * firstShare)
-    const isAway = wanted > first + this.#moved || wanted < first + this.#moved - 1
+    const isAway = wanted > first + this.#moved || wanted < first + this.#moved
     if (!isAway) this.#awaySince = null
     else this.#awaySince ??= at
     if (this.#awaySince !== null && at - this.#awaySince >= baseAfterMs) {
--- a/test/timeline.test.ts
+++ b/test/timeline.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { mergeEvents, parseEvent } from '../src/bin/timeline.js'
+import { explainRequest, mergeEvents, parseEvent } from '../src/bin/timeline.js'
 import { EventLog, HybridClock, formatTime } from '../src/runtime/index.js'
 
 test('a line holds its values through writing and reading', () => {
@@ -40,3 +40,22 @@
   clock.merge({ ms: 900, count: 4 })
   assert.equal(formatTime(clock.read()), '900.0005')
 })
+
+test('a request is told with what its box came to believe of the endpoints that it was sent to', () => {
+  const lines: string[] = []
+  let now = 1000
+  const log = new EventLog('gateway-1', line => lines.push(line), () => now)
+  const other = new EventLog('gateway-2', line => lines.push(line), () => now)
+  log.info('endpoint', { endpoint: 'e1', stage: 'ready' })
+  now = 30_000
+  log.info('endpoint', { endpoint: 'e1', stage: 'draining' })
+  log.info('endpoint', { endpoint: 'e2', stage: 'draining' })
+  other.info('endpoint', { endpoint: 'e1', stage: 'gone' })
+  log.info('routes-in-force', { version: 4 })
+  log.info('exchange', { request: 'r1', outcome: 'ok', attempts: 'e2@0:done' })
+  now = 31_000
+  log.warn('exchange', { request: 'r2', outcome: 'engine-failed', attempts: 'e1@0:broken' })
+  const told = explainRequest([lines.map(line => `  31.0 gateway-1 ${line}`).join('\n')], 'r2').map(event => `${event.fields.get('event')} ${event.fields.get('stage') ?? event.fields.get('outcome') ?? event.fields.get('version')}`)
+  assert.deepEqual(told, ['endpoint draining', 'routes-in-force 4', 'exchange engine-failed'])
+  assert.deepEqual(explainRequest([lines.join('\n')], 'nobody'), [])
+})
