Lose no word of an endpoint while a gateway presents itself; routes in npm start

Cause: a registry told the whole directory when a link opened and changes only to gateways that had presented themselves: what came between was lost until the endpoint's next change (seen in npm start). Change: the directory is told to a gateway once it has presented itself. wrenlane-local runs a registry, a gateway and two stand-in endpoints.

--- /dev/null
+++ b/src/bin/local-routes.ts
@@ -0,0 +1,87 @@
+/**
+ * The part of `wrenlane-local` that routes by a document: one registry, one
+ * gateway and two stand-in endpoints, in the product's own dialect.
+ */
+import { request as httpRequest } from 'node:http'
+import { join } from 'node:path'
+import { GatewayBox } from '../gateway/index.js'
+import { nativeDialect } from '../protocol/index.js'
+import { RegistryBox } from '../registry/index.js'
+import { EventLog, Metrics } from '../runtime/index.js'
+import { StandinEndpoint } from '../standin/index.js'
+
+/** What runs, and how to end it. */
+export interface LocalRoutes {
+  readonly url: string
+  readonly registry: string
+  stop (): Promise<number>
+}
+
+const host = '127.0.0.1'
+const zone = 'zone-a'
+const service = 'desk'
+const endpointHeaders = { requestId: 'x-wrenlane-request-id', expectedEndpoint: 'x-wrenlane-endpoint', notRun: 'x-wrenlane-not-run', mark: '', lastEvent: 'last-event-id' }
+/** How often the stand-ins say where they are, ms. */
+const beatMs = 1000
+/** The longest that the routes may take to be in force, ms. */
+const readyMs = 10_000
+
+const document = {
+  version: 1,
+  routes: [
+    { name: 'calls', host: 'localhost', prefix: '/calls/', kind: 'once', timeoutMs: 5000, targetMs: 500, services: [{ service }] },
+    { name: 'streams', host: 'localhost', prefix: '/streams/', kind: 'events', timeoutMs: 15_000, targetMs: 500, resumable: true, services: [{ service }] }
+  ],
+  services: [{ name: service }]
+}
+
+/** Starts everything on ports from `port` on; resolves once the routes are in force. */
+export async function startRoutes (port: number, data: string, write: (line: string) => void): Promise<LocalRoutes> {
+  const shared = { zone, host, linkPort: port + 1, seeds: [`${host}:${port + 2}`], secretFile: '', openLinks: true, metricsPort: 0, logLinesPerSecond: 200, statsd: null }
+  const surround = (id: string) => ({ dialect: nativeDialect, log: new EventLog(id, write), metrics: new Metrics(null, id), secret: null })
+  const registry = new RegistryBox({ ...shared, id: 'registry-1', listen: `${host}:${port + 2}`, data: join(data, 'registry-1'), first: true, faults: 0, heartbeatMs: 70, electionMs: 350, snapshotEvery: 100, lostMs: 30_000, maxBodyBytes: 2 ** 20 }, surround('registry-1'))
+  const gateway = new GatewayBox({ ...shared, id: 'gateway-1', listen: `${host}:${port}`, ready: `${host}:${port + 3}`, loadPort: port + 4, retries: { ratio: 0.1, extra: 20, windowSeconds: 10 }, drainSeconds: 10, maxConnections: 1000 }, surround('gateway-1'))
+  await registry.start()
+  await gateway.start()
+  const endpoints = [new StandinEndpoint('endpoint-1', endpointHeaders), new StandinEndpoint('endpoint-2', endpointHeaders)]
+  for (const endpoint of endpoints) await endpoint.listen(host)
+  const timer = startBeats(endpoints, port + 2)
+  const until = Date.now() + readyMs
+  while (!gateway.isReady && Date.now() < until) {
+    await call(port + 2, 'PUT', '/v1/routing', document)
+    await new Promise(resolve => setTimeout(resolve, 50))
+  }
+  return {
+    url: `http://localhost:${port}`,
+    registry: `http://${host}:${port + 2}`,
+    stop: async () => {
+      clearInterval(timer)
+      const cut = await gateway.stop()
+      await registry.stop()
+      for (const endpoint of endpoints) endpoint.close()
+      return cut
+    }
+  }
+}
+
+function startBeats (endpoints: readonly StandinEndpoint[], port: number): NodeJS.Timeout {
+  let sequence = 0
+  const beat = (): void => {
+    sequence += 1
+    for (const endpoint of endpoints) void call(port, 'PUT', `/v1/endpoints/${endpoint.id}`, { service, host, port: endpoint.port, zone, slots: 8, sequence, stage: 'ready' })
+  }
+  beat()
+  return setInterval(beat, beatMs)
+}
+
+// A registry that isn't there yet is called again.
+function call (port: number, method: string, path: string, body: object): Promise<void> {
+  return new Promise(resolve => {
+    const request = httpRequest({ host, port, method, path, headers: { 'content-type': 'application/json' } }, answer => {
+      answer.resume()
+      answer.on('close', resolve)
+    })
+    request.on('error', () => resolve())
+    request.end(JSON.stringify(body))
+  })
+}
--- a/src/bin/local.ts
+++ b/src/bin/local.ts
@@ -9,6 +9,7 @@
 import { EventLog, Metrics } from '../runtime/index.js'
 import { StandinEngine, StandinService } from '../standin/index.js'
 import { EntryBox, KeeperBox } from '../tasks/index.js'
+import { startRoutes } from './local-routes.js'
 import { OperatorClient } from './operator-client.js'
 import { endWith, failureExit, handleSignals, readNamed, readVersion, runProgram, usageExit } from './program.js'
 
@@ -53,11 +54,12 @@
   await service.listen()
   await configure(keepers, intent, composeEndpoints(port))
   await waitReady(entries)
+  const routes = await startRoutes(port + 50, data, write)
   const settings = writeOperatorSettings(keepers, data)
   const log = new EventLog('local', line => process.stdout.write(line + '\n'))
-  log.info('ready', { url: `http://${host}:${port}`, second: `http://${host}:${port + 1}`, keys: demoKeys, data, operator: settings })
+  log.info('ready', { url: `http://${host}:${port}`, second: `http://${host}:${port + 1}`, keys: demoKeys, data, operator: settings, routes: routes.url, registry: routes.registry })
   handleSignals(async () => {
-    const cut = await Promise.all(entries.map(entry => entry.stop()))
+    const cut = await Promise.all([...entries.map(entry => entry.stop()), routes.stop()])
     await Promise.all(boxes.map(box => box.stop()))
     for (const one of [...engines, service]) one.close()
     return cut.every(count => count === 0) ? 0 : 1
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -191,7 +191,8 @@
 
   #greet (link: Link<RouteMessage>): void {
     this.#sendHello(link)
-    link.send({ type: 'endpoints', records: this.#endpoints.records, whole: true })
+    // Between registries; a gateway gets them once it has presented itself.
+    if (this.#links.dialed.includes(link)) link.send({ type: 'endpoints', records: this.#endpoints.records, whole: true })
   }
 
   #sendHello (link: Link<RouteMessage>): void {
@@ -268,6 +269,8 @@
     const newest = this.#log?.state.routing.newest ?? null
     if (isNew || (newest !== null && newest.version > version)) link.send({ type: 'version', version: newest?.version ?? 0 })
     if (!isNew) return
+    // Changes are told only to gateways that are known: what came since the link opened is told here.
+    link.send({ type: 'endpoints', records: this.#endpoints.records, whole: true })
     this.#around.log.info('gateway-met', { gateway: address.id, version })
     this.#tellGateways(this.#composeBoxes())
   }
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -138,3 +138,16 @@
   for (const answer of await Promise.all(running)) assert.ok(answer.isWhole)
   assert.equal(await stopped, 0)
 }, { registries: 1 }))
+
+test('no word of an endpoint is lost that comes while a gateway presents itself', () => withPlace(29, async place => {
+  await place.putDocument(composeDocument(1))
+  for (let i = 0; i < 12; i++) {
+    place.gateways[0].kill()
+    const started = place.startGateway(0)
+    // Registers at another moment of the start each time; says it only once.
+    await new Promise(resolve => setTimeout(resolve, i))
+    const endpoint = await place.addEndpoint('desk')
+    await started
+    await until(() => place.gateways[0].fleet.findView(endpoint.id as never) !== undefined, 'the endpoint known')
+  }
+}, { registries: 1 }))
