Let quick questions go first where both sides want more engines

Change: long prompts get what quick questions leave, and never less than three tenths; the lower of two middle speeds counts.

--- a/src/core/balance/average.ts
+++ b/src/core/balance/average.ts
@@ -39,9 +39,9 @@
   }
 }
 
-/** The middle of some numbers; null for none. */
+/** The middle of some numbers, the lower of two; null for none. */
 export function findMiddle (values: readonly number[]): number | null {
   if (values.length === 0) return null
   const sorted = [...values].sort((a, b) => a - b)
-  return sorted[sorted.length >> 1]
+  return sorted[(sorted.length - 1) >> 1]
 }
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -58,7 +58,7 @@
 /** Part of an engine's memory that requests in flight may be expected to take. */
 const memoryLimit = 0.9
 /** Part of the places of the other engines that is planned for. */
-const plannedPlaces = 0.6
+const plannedPlaces = 0.75
 /** Part of the memory of engines set apart that is planned for. */
 const plannedMemory = 0.75
 /**
--- a/src/core/balance/reading-share.ts
+++ b/src/core/balance/reading-share.ts
@@ -34,11 +34,13 @@
 /** Load by reading that engines set apart are filled to: their requests bear waits of a second. */
 const patientLoad = 0.85
 /** Load by reading that the other engines bear: their prompts are short, and bursts of them must find room. */
-const briskLoad = 0.5
+const briskLoad = 0.6
 /** Tokens that wait already are to be read within this time, s. */
 const clearWaitingS = 2
 /** Part of the engines that are never set apart: quick questions go on in any burst. */
 const leastBriskShare = 0.2
+/** Part of the engines that requests which bear long pauses get in any burst of the others: they still finish. */
+const leastPatientShare = 0.3
 /** Part of the engines set apart before anything was seen: what long prompts came to on the users' quiet days. */
 const firstShare = 0.38
 /** The share shrinks by one after so long, ms. */
@@ -91,7 +93,10 @@
   }
 }
 
-/** The number of engines to set apart; at least one for each side where there are two. */
+/**
+ * The number of engines to set apart; at least one for each side where there are
+ * two. Where both sides want more than there is, quick questions go first.
+ */
 export function computeShare (demand: ReadingDemand): number {
   const { rates } = demand
   const engines = rates.length
@@ -99,10 +104,8 @@
   const needed = demand.patientRate / patientLoad + demand.waiting / clearWaitingS
   const patient = Math.max(countEngines(rates, needed), Math.ceil(demand.patientEngines))
   const brisk = countBrisk(demand)
-  const room = engines - brisk
-  const fair = Math.round(engines * patient / (patient + brisk))
-  const wanted = patient <= room ? patient : Math.max(room, Math.min(fair, patient))
-  return Math.min(engines - 1, Math.max(1, wanted))
+  const room = Math.max(engines - brisk, Math.ceil(engines * leastPatientShare))
+  return Math.min(engines - 1, Math.max(1, Math.min(patient, room)))
 }
 
 // Engines that the requests with short pauses need.
