End a box twice without harm; close a registry's files

Cause: the suite hung after registry.test.js: a gateway that had stopped threw when it was killed, so that what stood behind it was never ended; a closed store with patience would have tried its disk for ever.

--- a/src/coordination/log/log-store.ts
+++ b/src/coordination/log/log-store.ts
@@ -37,6 +37,7 @@
   #generation: number
   #length: number
   #patience: DiskPatience | null
+  #closed = false
 
   private constructor (folder: string, id: ReplicaId, list: EntryList, hard: HardState, file: FileHandle, generation: number, length: number, patience: DiskPatience | null) {
     this.folder = folder
@@ -104,13 +105,16 @@
         if (failed) patience.noteWell()
         return
       } catch (error) {
+        if (this.#closed) throw error
         if (!failed) patience.noteFault(error as Error)
         await new Promise(resolve => setTimeout(resolve, patience.retryMs))
       }
     }
   }
 
+  /** Closes the files; what could not be written by then is given up. */
   async close (): Promise<void> {
+    this.#closed = true
     await this.#file.close()
   }
 
--- a/src/gateway/load-exchange.ts
+++ b/src/gateway/load-exchange.ts
@@ -59,6 +59,7 @@
   #number = 0
   #saidAt = -Infinity
   #scheduled = false
+  #closed = false
   #timer: NodeJS.Timeout | null = null
 
   constructor (host: LoadExchangeHost) {
@@ -80,7 +81,10 @@
     })
   }
 
+  /** Ends the exchange; a second call does nothing. */
   close (): void {
+    if (this.#closed) return
+    this.#closed = true
     if (this.#timer !== null) clearInterval(this.#timer)
     this.#inbox.close()
     this.#socket.close()
@@ -139,7 +143,7 @@
 
   #send (): void {
     this.#scheduled = false
-    if (this.#peers.size === 0) return
+    if (this.#closed || this.#peers.size === 0) return
     this.#saidAt = this.#host.now()
     this.#number += 1
     const datagram: Datagram = [wireVersion, this.#host.id, this.#host.zone, this.#start, this.#number, this.#host.composeLoad()]
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -132,9 +132,9 @@
   /** Ends at once, as a crash does. */
   kill (): void {
     for (const timer of this.#timers) clearInterval(timer)
-    this.#log?.stop()
     this.#desk.close()
     this.#links.close()
+    this.#log?.close().catch((error: Error) => this.#around.log.warn('disk-not-closed', { error: error.message }))
   }
 
   get #opened (): { log: KeeperLog, calls: LeaderCalls } {
