Part the fleet into files of one job each

Change: choice, endpoint-weights, usable-endpoints, engines-apart, prompt-reading, agreed-share, service-state, peer-loads and return-time stand beside it; Fleet stays the one face. Figures moved as they were. Behaviour as before.

--- /dev/null
+++ b/src/core/balance/endpoint-weights.ts
@@ -0,0 +1,95 @@
+/**
+ * What counts against an endpoint, in ms: the time that a request is expected
+ * to take there, and what doubt, distance and lack of room are worth.
+ */
+import type { ZoneName } from '../ids.js'
+import type { EngineProfile } from '../routes/index.js'
+import { findMiddle } from './average.js'
+import type { EndpointView } from './endpoint-view.js'
+import { countShared } from './prompt-reading.js'
+import type { PromptCost, Work } from './work.js'
+import type { ZoneWatch } from './zone-watch.js'
+
+/** What an endpoint in another zone is worth less, ms: bytes between zones are priced. */
+const otherZoneMs = 8
+/** What a doubtful endpoint, or one in a zone that fell silent, is worth less, ms: about what a lost request costs. */
+const doubtMs = 400
+/** What each stream more slows the others, ms. */
+const crowdMs = 0.4
+/** What each request beyond the slots waits, ms: a slot comes free every so often. */
+const queueMs = 60
+/** What a request waits where memory is used up, ms. */
+const memoryMs = 1500
+/** Part of an engine's memory that requests in flight may be expected to take. */
+const memoryLimit = 0.9
+/**
+ * What reading a shared token again is worth, ms: an engine that holds a shared
+ * prompt is waited for up to this much longer than another one. On the users'
+ * sites reading 5,000 shared tokens again costs about what a late answer does.
+ */
+const rereadMs = 0.15
+/** An endpoint whose failures exceed the middle of its service's by so much is taken last. */
+const worseShare = 0.25
+/**
+ * Reading that may wait at an engine, ms. An engine reads prompts in the order in
+ * which they came, whatever their rank, so that what is less urgent waits here,
+ * where it can be passed; so much keeps an engine busy until the next word.
+ */
+const backlogMs = 220
+/** Part of its target that a request waits for the engine that holds its shared prompt, before it goes elsewhere. */
+const homeWaitShare = 0.3
+
+/** Where a box stands and which zones it hears. */
+export interface Standpoint {
+  readonly zone: ZoneName
+  readonly zones: ZoneWatch
+}
+
+/** A prompt that is to be read at an engine, and how long its request has waited for one. */
+export interface PromptCase {
+  readonly work: Work
+  readonly cost: PromptCost
+  readonly engine: EngineProfile
+  readonly waitedMs: number
+}
+
+/** Expected time of a plain call, ms: the usual time, longer where others run or wait. */
+export function weighPlain (view: EndpointView): number {
+  const { slots } = view.record
+  const running = view.running
+  const queued = Math.max(0, running + 1 - slots) / Math.max(1, slots)
+  return view.answerMs.value * (1 + queued + 0.5 * running / Math.max(1, slots))
+}
+
+/** Expected time until an engine's first event, ms, where it has to read `read` tokens. */
+export function weighEngine (view: EndpointView, { work, cost, engine, waitedMs }: PromptCase, read: number, at: number): number {
+  const running = view.running
+  const patience = Math.max(0, 1 - waitedMs / (work.targetMs * homeWaitShare))
+  const ms = (view.countAhead(work.priority, at) + read) * view.paceMs + running * crowdMs
+  const again = Math.max(0, read - (cost.promptTokens - countShared(cost))) * rereadMs * patience
+  const queued = Math.max(0, running + 1 - engine.slots) * queueMs
+  const short = view.memoryInUse + cost.promptTokens > engine.memoryTokens * memoryLimit ? memoryMs : 0
+  return ms + again + queued + short
+}
+
+/** What distance, silence and failures count against an endpoint, ms. `middle`: share of failures of the middle one beside it. */
+export function weighTrust (view: EndpointView, from: Standpoint, middle: number, at: number): number {
+  const zone = view.record.zone
+  let ms = zone === from.zone ? 0 : otherZoneMs
+  if (from.zones.isCut(zone, at)) ms += doubtMs
+  if (view.trust.look(at) !== 'good') ms += doubtMs
+  if (view.trust.failureShare > middle + worseShare) ms += doubtMs
+  return ms + Math.max(0, view.measureOverdue(at))
+}
+
+/** True where an engine can begin a prompt soon: what finds no room waits in the box, where it can be passed. */
+export function hasRoom (view: EndpointView, cost: PromptCost, engine: EngineProfile, at: number): boolean {
+  if (view.running >= engine.slots) return false
+  if (view.running > 0 && view.memoryInUse + cost.promptTokens > engine.memoryTokens * memoryLimit) return false
+  return view.countAhead(Infinity, at) * view.paceMs <= backlogMs
+}
+
+/** Share of failures of the middle one of some endpoints; 0 for none. */
+export function findMiddleFailures (views: readonly EndpointView[]): number {
+  return findMiddle(views.map(view => view.trust.failureShare)) ?? 0
+}
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -4,123 +4,41 @@
  * theirs. Where all boxes must agree (which engines are set apart for long
  * prompts, which of them holds a shared prompt) they do so by the same hash.
  */
-import { chooseByHash, hashText } from '../hash.js'
 import type { BoxId, EndpointId, ServiceName, ZoneName } from '../ids.js'
 import type { RoutedService } from '../routes/index.js'
-import { RunningQuantile, findMiddle } from './average.js'
-import { DemandMeter } from './demand-meter.js'
+import { agreeShare, countHeld } from './agreed-share.js'
+import { pickLeast } from './choice.js'
+import type { Choice, NoChoice } from './choice.js'
 import type { EndpointRecord } from './endpoint-record.js'
 import { EndpointView } from './endpoint-view.js'
+import { findMiddleFailures, hasRoom, weighEngine, weighPlain, weighTrust } from './endpoint-weights.js'
+import type { PromptCase, Standpoint } from './endpoint-weights.js'
+import { listApart } from './engines-apart.js'
 import type { BoxLoad, EngineGap } from './load-word.js'
-import { ReadingShare } from './reading-share.js'
-import type { ApartCount, ReadingDemand } from './reading-share.js'
-import type { PromptCost, Work } from './work.js'
+import { PeerLoads } from './peer-loads.js'
+import { countExpected, expectRead, findHome, isPatient } from './prompt-reading.js'
+import type { ApartCount } from './reading-share.js'
+import { chooseReturn } from './return-time.js'
+import { createPace, createState } from './service-state.js'
+import type { ServiceState } from './service-state.js'
+import { listUsable } from './usable-endpoints.js'
+import type { Work } from './work.js'
 import { ZoneWatch } from './zone-watch.js'
 
-/** A choice, with what decided it, for the log. */
-export interface Choice {
-  readonly view: EndpointView
-  /** Expected time to the answer, or to its first event, ms; what else counts against the endpoint included. */
-  readonly expectedMs: number
-  readonly readTokens: number
-  /** True where all boxes send prompts with the same shared part to this engine. */
-  readonly isHome: boolean
-  readonly candidates: number
-  /** Engines set apart for long prompts. */
-  readonly share: number
-}
-
-/** Why there is no choice: the service has no endpoint at all, none that isn't out, or none that has room now. */
-export type NoChoice = 'none-known' | 'none-usable' | 'later'
-
-/** Time to read a prompt token before any was measured, ms: a middling engine of the users' days. */
-const firstPaceMs = 0.024
-/** Prompts of which all tokens ahead were known are read the fastest; they tell the pace. */
-const paceQuantile = 0.3
-/** Part by which samples move what is believed of a service's time per token. */
-const paceStep = 0.05
-/** Tokens that an engine reads at a time, between the tokens of what runs there. */
-const pieceTokens = 1024
-/** Time of a step of an engine without reading, ms. */
-const stepMs = 4
-/** A pause must be this many times longer than one beside a long prompt to count as long. */
-const pauseMargin = 1.2
-/** What an endpoint in another zone is worth less, ms: bytes between zones are priced. */
-const otherZoneMs = 8
-/** What a doubtful endpoint, or one in a zone that fell silent, is worth less, ms: about what a lost request costs. */
-const doubtMs = 400
-/** What each stream more slows the others, ms. */
-const crowdMs = 0.4
-/** What each request beyond the slots waits, ms: a slot comes free every so often. */
-const queueMs = 60
-/** What a request waits where memory is used up, ms. */
-const memoryMs = 1500
-/** Part of an engine's memory that requests in flight may be expected to take. */
-const memoryLimit = 0.9
-/** Part of the places of the other engines that is planned for. */
-const plannedPlaces = 0.75
-/** Part of the memory of engines set apart that is planned for. */
-const plannedMemory = 0.75
-/**
- * What reading a shared token again is worth, ms: an engine that holds a shared
- * prompt is waited for up to this much longer than another one. On the users'
- * sites reading 5,000 shared tokens again costs about what a late answer does.
- */
-const rereadMs = 0.15
-/** Part of the shared tokens that an engine is believed to hold of a prompt that all boxes send there. */
-const homeShare = 0.7
-/** An endpoint whose failures exceed the middle of its service's by so much is taken last. */
-const worseShare = 0.25
-/**
- * Reading that may wait at an engine, ms. An engine reads prompts in the order in
- * which they came, whatever their rank, so that what is less urgent waits here,
- * where it can be passed; so much keeps an engine busy until the next word.
- */
-const backlogMs = 220
-/** Part of its target that a request waits for the engine that holds its shared prompt, before it goes elsewhere. */
-const homeWaitShare = 0.3
-/** A request whose expected wait exceeds this part of its target, and so much, is refused at once, with a time to come back. */
-const refuseShare = 0.8
-const leastRefusedMs = 1000
-/** Times to come back, ms: a burst lasts some seconds. */
-const leastReturnMs = 300
-const mostReturnMs = 5000
-/** An engine whose events come so many times slower than those of the middle one is of a slower kind, until they come nearer again. */
-const slowTimes = 1.16
-const nearTimes = 1.08
-/** One that is slower than this is in trouble rather than of a slower kind. */
-const troubledTimes = 2
-/** Fewer engines of known speed than this have no middle to speak of. */
-const leastKnownSpeeds = 3
-/** Bounds on how much slower an engine is believed to be than the middle one. */
-const leastSlowness = 0.85
-const mostSlowness = 10
-/** At least this part of a service's endpoints is used, however often their answers break. */
-const leastUsed = 0.6
 /** A zone counts as cut off after so long without a word, ms: three words of the slowest peer. */
 const zoneSilentMs = 800
 
-interface ServiceState {
-  readonly service: RoutedService
-  readonly share: ReadingShare
-  readonly pace: RunningQuantile
-  readonly patient: DemandMeter
-  readonly brisk: DemandMeter
-  /** Tokens of requests that wait in this box, by priority. */
-  readonly held: Map<number, number>
-}
-
 export class Fleet {
   readonly zones: ZoneWatch
-  #zone: ZoneName
+  #standpoint: Standpoint
   #services = new Map<ServiceName, ServiceState>()
   #views = new Map<EndpointId, EndpointView>()
   #byService = new Map<ServiceName, EndpointView[]>()
-  #peers = new Map<BoxId, BoxLoad>()
+  #peers = new PeerLoads()
 
   constructor (zone: ZoneName) {
-    this.#zone = zone
     this.zones = new ZoneWatch(zone, zoneSilentMs)
+    this.#standpoint = { zone, zones: this.zones }
   }
 
   get views (): IterableIterator<EndpointView> { return this.#views.values() }
@@ -149,7 +67,7 @@
 
   /** Takes in what a peer has at the endpoints. */
   notePeer (box: BoxId, load: BoxLoad): void {
-    const before = this.#peers.get(box)
+    const before = this.#peers.listEndpoints(box)
     this.#peers.set(box, load)
     const told = new Set<EndpointId>()
     for (const one of load.loads) {
@@ -157,13 +75,13 @@
       this.#views.get(one.endpoint)?.notePeer(box, one)
     }
     for (const [endpoint, gapMs] of load.gaps) this.#views.get(endpoint)?.notePeerGap(box, gapMs)
-    for (const one of before?.loads ?? []) if (!told.has(one.endpoint)) this.#views.get(one.endpoint)?.dropPeer(box)
+    for (const one of before) if (!told.has(one.endpoint)) this.#views.get(one.endpoint)?.dropPeer(box)
   }
 
   /** Forgets a peer that has fallen silent. */
   dropPeer (box: BoxId): void {
-    for (const one of this.#peers.get(box)?.loads ?? []) this.#views.get(one.endpoint)?.dropPeer(box)
-    this.#peers.delete(box)
+    for (const one of this.#peers.listEndpoints(box)) this.#views.get(one.endpoint)?.dropPeer(box)
+    this.#peers.drop(box)
   }
 
   /** What this box tells its peers. */
@@ -201,8 +119,9 @@
     const patient = this.#isPatient(work, state)
     const side = patient ? apart.slice(0, count.count) : apart.slice(count.count)
     const homes = patient ? apart.slice(0, count.base) : side
-    const choice = this.#chooseEngine(side.length > 0 ? side : usable, homes, work, work.cost, state, count.count, at, draw, waitedMs)
-    return patient && !this.#hasRoom(choice.view, work.cost, state, at) ? 'later' : choice
+    const prompt: PromptCase = { work, cost: work.cost, engine, waitedMs }
+    const choice = this.#chooseEngine(side.length > 0 ? side : usable, homes, prompt, count.count, at, draw)
+    return patient && !hasRoom(choice.view, work.cost, engine, at) ? 'later' : choice
   }
 
   /** What is believed of each service's engines at present, in words, for the log. */
@@ -212,7 +131,7 @@
       const views = this.#byService.get(name) ?? []
       if (state.service.engine === null || views.length === 0) continue
       const { count, base } = this.#agreeShare(state, views, at)
-      const engines = listApart(views).map((view, i) => `${view.id}${i < count ? '*' : ''}/${view.running}/${Math.round(view.countAhead(Infinity, at))}/${view.paceMs.toFixed(4)}/${view.gapMs?.toFixed(1) ?? '-'}/${view.trust.look(at)}`)
+      const engines = listApart(views).map((view, i) => describeEngine(view, i < count, at))
       told.push({ service: name, text: `apart=${count} base=${base} own=${state.share.counts.count} pace=${state.pace.value.toFixed(4)} held=${this.#countHeld(state, Infinity)} ${engines.join(' ')}` })
     }
     return told
@@ -229,11 +148,8 @@
 
   /** Boxes, this one included, in which requests of the service wait. */
   countHolders (service: ServiceName): number {
-    let holders = (this.#services.get(service)?.held.size ?? 0) > 0 ? 1 : 0
-    for (const peer of this.#peers.values()) {
-      if (peer.demands.some(demand => demand.service === service && demand.held.length > 0)) holders += 1
-    }
-    return holders
+    const own = (this.#services.get(service)?.held.size ?? 0) > 0 ? 1 : 0
+    return own + this.#peers.countHolders(service)
   }
 
   /** When a request had better come back, ms, as too much waits before it; null where it is taken. */
@@ -249,8 +165,7 @@
       rate += 1 / view.paceMs
     }
     const waitMs = rate === 0 ? 0 : tokens / rate
-    if (waitMs < Math.max(leastRefusedMs, work.targetMs * refuseShare)) return null
-    return Math.min(mostReturnMs, Math.max(leastReturnMs, waitMs))
+    return chooseReturn(waitMs, work.targetMs)
   }
 
   /** Notes that a request arrived, for the measure of demand. */
@@ -265,124 +180,39 @@
     return isPatient(work, state.service.engine?.tokensPerEvent ?? 1, state.pace.value)
   }
 
-  #hasRoom (view: EndpointView, cost: PromptCost, state: ServiceState, at: number): boolean {
-    const { engine } = state.service
-    if (engine === null) return true
-    if (view.running >= engine.slots) return false
-    if (view.running > 0 && view.memoryInUse + cost.promptTokens > engine.memoryTokens * memoryLimit) return false
-    return view.countAhead(Infinity, at) * view.paceMs <= backlogMs
-  }
-
-  // Tokens that wait in the boxes, of requests that go before one of this priority.
-  #countHeld (state: ServiceState, priority: number): number {
-    let tokens = 0
-    for (const [theirs, held] of state.held) if (theirs <= priority) tokens += held
-    for (const peer of this.#peers.values()) {
-      for (const demand of peer.demands) {
-        if (demand.service !== state.service.name) continue
-        for (const [theirs, held] of demand.held) if (theirs <= priority) tokens += held
-      }
-    }
-    return tokens
-  }
-
   #createView (record: EndpointRecord): EndpointView {
     const state = this.#services.get(record.service)
     return new EndpointView(record, state?.service.engine?.memoryTokens ?? 0, state?.pace ?? createPace())
   }
 
-  // The largest share that any box would have: all must send long prompts to the same engines.
   #agreeShare (state: ServiceState, engines: readonly EndpointView[], at: number): ApartCount {
-    let { count, base } = state.share.update(at, this.#measureDemand(state, engines, at))
-    for (const peer of this.#peers.values()) {
-      for (const demand of peer.demands) {
-        if (demand.service !== state.service.name) continue
-        count = Math.max(count, demand.apart)
-        base = Math.max(base, demand.base)
-      }
-    }
-    const most = Math.max(1, engines.length - 1)
-    return { count: Math.min(count, most), base: Math.min(base, count, most) }
+    return agreeShare(state, this.#peers.listDemands(state.service.name), engines, at)
   }
 
-  #measureDemand (state: ServiceState, engines: readonly EndpointView[], at: number): ReadingDemand {
-    const { service } = state
-    let patientRate = state.patient.rate(at)
-    let briskRate = state.brisk.rate(at)
-    for (const peer of this.#peers.values()) {
-      for (const demand of peer.demands) {
-        if (demand.service !== service.name) continue
-        patientRate += demand.patient
-        briskRate += demand.brisk
-      }
-    }
-    let waiting = this.#countHeld(state, Infinity)
-    let memory = 0
-    const apart = listApart(engines)
-    const { count } = state.share.counts
-    for (const view of apart.slice(0, count)) {
-      waiting += view.countAhead(Infinity, at)
-      memory += view.memoryInUse
-    }
-    const brisk = apart.slice(count).reduce((sum, view) => sum + view.running, 0)
-    const slots = service.engine?.slots ?? Infinity
-    return {
-      rates: apart.map(view => 1000 / view.paceMs),
-      patientRate,
-      briskRate,
-      waiting,
-      patientEngines: memory / ((service.engine?.memoryTokens ?? Infinity) * plannedMemory),
-      briskEngines: brisk / (slots * plannedPlaces)
-    }
+  // Tokens that wait in the boxes, of requests that go before one of this priority.
+  #countHeld (state: ServiceState, priority: number): number {
+    return countHeld(state, this.#peers.listDemands(state.service.name), priority)
   }
 
   #choosePlain (usable: readonly EndpointView[], at: number, draw: number): Choice {
     const middle = findMiddleFailures(usable)
-    const rate = (view: EndpointView): number => {
-      const { slots } = view.record
-      const running = view.running
-      const queued = Math.max(0, running + 1 - slots) / Math.max(1, slots)
-      return view.answerMs.value * (1 + queued + 0.5 * running / Math.max(1, slots)) + this.#weighTrust(view, middle, at)
-    }
-    return pickLeast(usable, rate, () => 0, 0, draw)
+    const weigh = (view: EndpointView): number => weighPlain(view) + weighTrust(view, this.#standpoint, middle, at)
+    return pickLeast({ views: usable, weigh, countRead: () => 0, share: 0 }, draw)
   }
 
-  #chooseEngine (side: readonly EndpointView[], homes: readonly EndpointView[], work: Work, cost: PromptCost, state: ServiceState, share: number, at: number, draw: number, waitedMs: number): Choice {
+  #chooseEngine (side: readonly EndpointView[], homes: readonly EndpointView[], prompt: PromptCase, share: number, at: number, draw: number): Choice {
+    const { cost } = prompt
     const home = findHome(cost, homes)
     const middle = findMiddleFailures(side)
-    const slots = state.service.engine?.slots ?? 1
-    const memory = (state.service.engine?.memoryTokens ?? Infinity) * memoryLimit
-    const shared = countShared(cost)
-    const patience = Math.max(0, 1 - waitedMs / (work.targetMs * homeWaitShare))
     const countRead = (view: EndpointView): number => expectRead(view, cost, view.id === home)
-    const rate = (view: EndpointView): number => {
-      const running = view.running
-      const read = countRead(view)
-      const ms = (view.countAhead(work.priority, at) + read) * view.paceMs + running * crowdMs
-      const again = Math.max(0, read - (cost.promptTokens - shared)) * rereadMs * patience
-      const queued = Math.max(0, running + 1 - slots) * queueMs
-      const short = view.memoryInUse + cost.promptTokens > memory ? memoryMs : 0
-      return ms + again + queued + short + this.#weighTrust(view, middle, at)
-    }
-    return pickLeast(side, rate, countRead, share, draw, home)
+    const weigh = (view: EndpointView): number => weighEngine(view, prompt, countRead(view), at) + weighTrust(view, this.#standpoint, middle, at)
+    return pickLeast({ views: side, weigh, countRead, share, home }, draw)
   }
-
-  #weighTrust (view: EndpointView, middle: number, at: number): number {
-    const zone = view.record.zone
-    let ms = zone === this.#zone ? 0 : otherZoneMs
-    if (this.zones.isCut(zone, at)) ms += doubtMs
-    if (view.trust.look(at) !== 'good') ms += doubtMs
-    if (view.trust.failureShare > middle + worseShare) ms += doubtMs
-    return ms + Math.max(0, view.measureOverdue(at))
-  }
-}
-
-function createPace (): RunningQuantile {
-  return new RunningQuantile(firstPaceMs, paceQuantile, paceStep)
 }
 
-function createState (service: RoutedService): ServiceState {
-  return { service, share: new ReadingShare(), pace: createPace(), patient: new DemandMeter(), brisk: new DemandMeter(), held: new Map() }
+// An engine's name, with a star where it is set apart, then running, tokens ahead, pace, time between events and trust.
+function describeEngine (view: EndpointView, isApart: boolean, at: number): string {
+  return `${view.id}${isApart ? '*' : ''}/${view.running}/${Math.round(view.countAhead(Infinity, at))}/${view.paceMs.toFixed(4)}/${view.gapMs?.toFixed(1) ?? '-'}/${view.trust.look(at)}`
 }
 
 function groupByService (views: Iterable<EndpointView>): Map<ServiceName, EndpointView[]> {
@@ -394,84 +224,3 @@
   }
   return groups
 }
-
-/** True where a request's pauses stay in time even beside a prompt that is being read. */
-export function isPatient (work: Work, tokensPerEvent: number, paceMs: number): boolean {
-  const besideReadingMs = tokensPerEvent * (pieceTokens * paceMs + stepMs)
-  return work.pauseMs === null || work.pauseMs >= besideReadingMs * pauseMargin
-}
-
-// Endpoints that aren't out. Where most are out for broken answers, the fault is
-// of the service rather than of some of them: those are used all the same.
-function listUsable (ready: readonly EndpointView[], at: number): EndpointView[] {
-  const reachable = ready.filter(view => view.trust.isReachable)
-  const good = reachable.filter(view => view.trust.look(at) !== 'out')
-  return good.length >= ready.length * leastUsed ? good : reachable
-}
-
-// The order in which engines are set apart, the same at every box: those of a
-// slower kind first, as beside their reading no pause is short; of each kind one
-// of each zone in turn, by a hash.
-function listApart (engines: readonly EndpointView[]): EndpointView[] {
-  setSlowness(engines)
-  const ranked = [...engines].sort((a, b) => hashText(a.id) - hashText(b.id))
-  const perZone = new Map<string, number>()
-  const turns = ranked.map(view => {
-    const kind = view.isSlow ? 0 : 1
-    const key = `${kind} ${view.record.zone}`
-    const turn = perZone.get(key) ?? 0
-    perZone.set(key, turn + 1)
-    return { view, kind, turn }
-  })
-  turns.sort((a, b) => a.kind - b.kind || a.turn - b.turn)
-  return turns.map(one => one.view)
-}
-
-// Compares the engines' speeds with their middle one's.
-function setSlowness (engines: readonly EndpointView[]): void {
-  const gaps = engines.map(view => view.gapMs)
-  const known = gaps.filter(gap => gap !== null)
-  const middle = known.length < leastKnownSpeeds ? null : findMiddle(known)
-  engines.forEach((view, i) => {
-    const gap = gaps[i]
-    view.slowness = gap === null || middle === null ? 1 : Math.min(mostSlowness, Math.max(leastSlowness, gap / middle))
-    view.isSlow = view.slowness < troubledTimes && view.slowness > (view.isSlow ? nearTimes : slowTimes)
-  })
-}
-
-// Tokens that are expected to be read for a prompt, wherever it goes.
-function countExpected (cost: PromptCost): number {
-  return Math.round(cost.promptTokens - countShared(cost) * homeShare)
-}
-
-function countShared (cost: PromptCost): number {
-  let tokens = 0
-  for (let i = 0; i + 1 < cost.parts.length; i++) tokens += cost.parts[i].tokens
-  return tokens
-}
-
-// The engine to which all boxes send prompts that share their longest part.
-function findHome (cost: PromptCost, engines: readonly EndpointView[]): EndpointId | undefined {
-  const shared = cost.parts.at(-2)
-  return shared === undefined ? undefined : chooseByHash(shared.id, engines.map(view => view.id))
-}
-
-function expectRead (view: EndpointView, cost: PromptCost, isHome: boolean): number {
-  const held = view.prompts.countHeld(cost.parts)
-  return cost.promptTokens - Math.max(held, isHome ? countShared(cost) * homeShare : 0)
-}
-
-function findMiddleFailures (views: readonly EndpointView[]): number {
-  return findMiddle(views.map(view => view.trust.failureShare)) ?? 0
-}
-
-/** Endpoints that differ by less are alike, ms: less than a word between boxes takes. */
-const alikeMs = 3
-
-function pickLeast (views: readonly EndpointView[], rate: (view: EndpointView) => number, countRead: (view: EndpointView) => number, share: number, draw: number, home?: EndpointId): Choice {
-  const rated = views.map(view => ({ view, ms: rate(view) }))
-  const least = rated.reduce((ms, one) => Math.min(ms, one.ms), Infinity)
-  const alike = rated.filter(one => one.ms <= least + alikeMs)
-  const { view, ms } = alike[Math.floor(draw * alike.length)]
-  return { view, expectedMs: ms, readTokens: countRead(view), isHome: view.id === home, candidates: views.length, share }
-}
--- a/src/core/balance/load-word.ts
+++ b/src/core/balance/load-word.ts
@@ -1,3 +1,4 @@
+/** What boxes tell each other of their work: at each endpoint, of each service, and the speed of engines. */
 import type { EndpointId, ServiceName } from '../ids.js'
 
 /** Prompt tokens that wait to be read, by the priority of their requests. */
--- a/src/core/balance/work.ts
+++ b/src/core/balance/work.ts
@@ -1,3 +1,4 @@
+/** A request as the balancer sees it: what it asks for and what it is expected to cost. */
 import type { ServiceName } from '../ids.js'
 
 /** A part of a prompt that other requests may share, by its id. */
