--- a/src/gateway/caller-door.ts
+++ b/src/gateway/caller-door.ts
@@ -6,6 +6,7 @@
 import { pickService, rankRequest } from '../core/index.js'
 import type { CallerLimits, KeyedWorkspace, Route, RouteTable, Work } from '../core/index.js'
 import type { CallerWords, Dialect } from '../protocol/index.js'
+import { listen } from '../runtime/index.js'
 import { sendRefusal } from './answers.js'
 import type { Refusal } from './answers.js'
 import type { Exchange } from './exchange.js'
@@ -26,6 +27,8 @@
   noteRefused (words: CallerWords | null, refusal: Refusal): void
 }
 
+/** Connections that may wait to be accepted: what Node asks for by itself. */
+const callerBacklog = 511
 /** A box without a document learns one within moments, ms. */
 const noDocumentRetryMs = 300
 /** A caller that meets a stopping box finds another at once, ms. */
@@ -57,14 +60,9 @@
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => refuseBroken(error, socket as Socket))
   }
 
+  /** Listens; resolves with the port. */
   listen (address: Address): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject)
-      this.#server.listen({ ...address, backlog: 511 }, () => {
-        const bound = this.#server.address()
-        resolve(typeof bound === 'object' && bound !== null ? bound.port : address.port)
-      })
-    })
+    return listen(this.#server, { ...address, backlog: callerBacklog })
   }
 
   /** Puts the limits of a new document in force. */
--- a/src/gateway/ready-door.ts
+++ b/src/gateway/ready-door.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http'
 import type { Server } from 'node:http'
 import type { Address } from '../config/index.js'
+import { listen } from '../runtime/index.js'
 
 /** Tells a balancer whether this box may be given callers, on an address of its own. */
 export class ReadyDoor {
@@ -15,14 +16,9 @@
     })
   }
 
+  /** Listens; resolves with the port. */
   listen (address: Address): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject)
-      this.#server.listen(address.port, address.host, () => {
-        const bound = this.#server.address()
-        resolve(typeof bound === 'object' && bound !== null ? bound.port : address.port)
-      })
-    })
+    return listen(this.#server, { host: address.host, port: address.port })
   }
 
   close (): void {
--- a/src/protocol/link-pool.ts
+++ b/src/protocol/link-pool.ts
@@ -1,6 +1,7 @@
 /** The links of one box: those it accepts and those it opens and keeps open. */
 import { createServer, connect } from 'node:net'
 import type { Server, Socket } from 'node:net'
+import { listen } from '../runtime/index.js'
 import { Link } from './link.js'
 import type { LinkHost } from './link.js'
 
@@ -67,13 +68,7 @@
   listen (host: string, port: number): Promise<number> {
     const server = createServer(socket => this.#accept(socket, 'listener'))
     this.#server = server
-    return new Promise((resolve, reject) => {
-      server.once('error', reject)
-      server.listen(port, host, () => {
-        const address = server.address()
-        resolve(typeof address === 'object' && address !== null ? address.port : port)
-      })
-    })
+    return listen(server, { host, port })
   }
 
   /** Opens a link and opens it again whenever it breaks, until `hangUp`. */
--- a/src/registry/operator-desk.ts
+++ b/src/registry/operator-desk.ts
@@ -7,6 +7,7 @@
 import type { EndpointRecord } from '../core/index.js'
 import { DocumentError } from '../protocol/index.js'
 import type { Dialect, PutEnd } from '../protocol/index.js'
+import { listen } from '../runtime/index.js'
 import type { EventLog } from '../runtime/index.js'
 
 /** What the desk needs of its box. */
@@ -48,14 +49,9 @@
     this.#server.on('clientError', (_error, socket) => socket.destroy())
   }
 
+  /** Listens; resolves with the port. */
   listen (address: Address): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject)
-      this.#server.listen(address.port, address.host, () => {
-        const bound = this.#server.address()
-        resolve(typeof bound === 'object' && bound !== null ? bound.port : address.port)
-      })
-    })
+    return listen(this.#server, { host: address.host, port: address.port })
   }
 
   close (): void {
--- a/src/runtime/metrics-door.ts
+++ b/src/runtime/metrics-door.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http'
 import type { Server } from 'node:http'
 import { performance } from 'node:perf_hooks'
+import { listen } from './listen.js'
 import type { Metrics } from './metrics.js'
 
 /** How often the process looks at itself, ms. */
@@ -22,11 +23,9 @@
     this.#timer = setInterval(() => this.#lookAtSelf(), selfEveryMs).unref()
   }
 
-  listen (host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject)
-      this.#server.listen(port, host, resolve)
-    })
+  /** Listens; resolves with the port. */
+  listen (host: string, port: number): Promise<number> {
+    return listen(this.#server, { host, port })
   }
 
   close (): void {
--- a/src/tasks/caller-server.ts
+++ b/src/tasks/caller-server.ts
@@ -7,6 +7,7 @@
 import { brandId, lookUpError } from '../core/index.js'
 import type { ClassName, RequestClass, RequestId, ServiceName } from '../core/index.js'
 import { digestPrefix, estimatePrompt, isBadChat, parseChat } from '../protocol/index.js'
+import { listen } from '../runtime/index.js'
 import { classHeader, formatError, requestIdHeader, sendFault } from './answers.js'
 import type { ChatOrder } from './chat-exchange.js'
 import { Fault, toFault } from './fault.js'
@@ -51,13 +52,7 @@
   /** Listens; resolves with the port. */
   listen (): Promise<number> {
     const { host, port } = this.#host.settings.listen
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject)
-      this.#server.listen(port, host, () => {
-        const address = this.#server.address()
-        resolve(typeof address === 'object' && address !== null ? address.port : port)
-      })
-    })
+    return listen(this.#server, { host, port })
   }
 
   /** Accepts no more connections; those that are idle are closed. */
