Part the exchange's summary, headers and log line from exchange and gateway box

Cause: exchange.ts and gateway-box.ts held several jobs each. Change: exchange-summary, pass-headers and exchange-report stand beside them. Behaviour as before.

--- /dev/null
+++ b/src/gateway/exchange-report.ts
@@ -0,0 +1,35 @@
+/** What an ended exchange leaves behind: its line in the log and its figures in the metrics. */
+import type { EventLog, Metrics } from '../runtime/index.js'
+import type { Attempt, ExchangeSummary } from './exchange-summary.js'
+
+/** Logs how an exchange went, and counts it. */
+export function tellEnd (summary: ExchangeSummary, log: EventLog, metrics: Metrics): void {
+  const { order, outcome, attempts, firstMs, totalMs } = summary
+  const route = order.route.name
+  metrics.count('exchange', { route, outcome })
+  metrics.time('exchange', totalMs, { route })
+  if (firstMs !== null) metrics.time('first', firstMs, { route })
+  if (summary.longestPauseMs > 0) metrics.time('pause', summary.longestPauseMs, { route })
+  const fields = {
+    request: order.words.requestId,
+    route,
+    service: order.service,
+    workspace: order.workspace?.name,
+    outcome,
+    status: summary.status,
+    version: order.version,
+    waitedMs: attempts.length === 0 ? undefined : Math.round(attempts[0].sentAt - order.arrivedAt),
+    firstMs: firstMs === null ? undefined : Math.round(firstMs),
+    totalMs: Math.round(totalMs),
+    events: summary.events,
+    pauseMs: Math.round(summary.longestPauseMs),
+    attempts: attempts.map(one => formatAttempt(one, order.arrivedAt)).join(';')
+  }
+  if (outcome === 'ok') log.info('exchange', fields)
+  else log.warn('exchange', fields)
+}
+
+// The endpoint, when it was sent there, ms after arrival, what decided for it, and how it ended.
+function formatAttempt (one: Attempt, arrivedAt: number): string {
+  return `${one.endpoint}@${Math.round(one.sentAt - arrivedAt)}:expected=${one.expectedMs}:of=${one.candidates}:apart=${one.share}:read=${one.readTokens}:home=${one.isHome ? 1 : 0}:${one.end}`
+}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -7,14 +7,15 @@
 import type { ServerResponse } from 'node:http'
 import type { EndpointId, EndpointView, ErrorKind, Fleet, Placed } from '../core/index.js'
 import type { Dialect } from '../protocol/index.js'
-import { copyHeaders } from '../protocol/index.js'
 import { sendRefusal } from './answers.js'
 import type { EndpointAgent } from './endpoint-agent.js'
 import { EndpointCall } from './endpoint-call.js'
 import type { AnswerHead, CallFailure } from './endpoint-call.js'
 import { EventCutter } from './event-cutter.js'
 import type { NumberedEvent } from './event-cutter.js'
+import type { Attempt, ExchangeSummary } from './exchange-summary.js'
 import type { Order } from './order.js'
+import { passHeaders } from './pass-headers.js'
 
 /** What an exchange needs of its box. */
 export interface ExchangeHost {
@@ -35,32 +36,6 @@
   noteEnd (exchange: Exchange, summary: ExchangeSummary): void
 }
 
-/** What became of one send. */
-export interface Attempt {
-  readonly endpoint: EndpointId
-  readonly expectedMs: number
-  readonly candidates: number
-  readonly share: number
-  /** Prompt tokens that the endpoint was expected to read, and whether it is the home of the shared ones. */
-  readonly readTokens: number
-  readonly isHome: boolean
-  readonly sentAt: number
-  end: string
-}
-
-/** How an exchange went, for log and metrics. */
-export interface ExchangeSummary {
-  readonly order: Order
-  /** `ok`, `left` where the caller was gone, `cut` where a begun answer broke off, else why it was refused. */
-  readonly outcome: ErrorKind | 'ok' | 'endpoint-status' | 'left' | 'cut'
-  readonly status: number
-  readonly attempts: readonly Attempt[]
-  readonly firstMs: number | null
-  readonly totalMs: number
-  readonly events: number
-  readonly longestPauseMs: number
-}
-
 type Phase = 'waiting' | 'relaying' | 'ended'
 
 interface Sent {
@@ -403,10 +378,3 @@
     })
   }
 }
-
-// The endpoint's own headers, but for the framing of its connection.
-function passHeaders (head: AnswerHead, length: number | null): string[] {
-  const headers = copyHeaders(head.rawHeaders, name => name === 'content-length')
-  if (length !== null && head.status !== 204 && head.status !== 304) headers.push('Content-Length', String(length))
-  return headers
-}
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -16,7 +16,9 @@
 import { EndpointAgent } from './endpoint-agent.js'
 import { EndpointProber } from './endpoint-prober.js'
 import { Exchange } from './exchange.js'
-import type { ExchangeHost, ExchangeSummary } from './exchange.js'
+import type { ExchangeHost } from './exchange.js'
+import { tellEnd } from './exchange-report.js'
+import type { ExchangeSummary } from './exchange-summary.js'
 import { LoadExchange } from './load-exchange.js'
 import type { Order } from './order.js'
 import { ReadyDoor } from './ready-door.js'
@@ -279,33 +281,6 @@
     this.#busyAt = performance.now()
     this.#exchanges.delete(exchange)
     this.#door.release(exchange)
-    this.#tellEnd(summary)
-  }
-
-  #tellEnd (summary: ExchangeSummary): void {
-    const { order, outcome, attempts, firstMs, totalMs } = summary
-    const route = order.route.name
-    const { metrics, log } = this.#around
-    metrics.count('exchange', { route, outcome })
-    metrics.time('exchange', totalMs, { route })
-    if (firstMs !== null) metrics.time('first', firstMs, { route })
-    if (summary.longestPauseMs > 0) metrics.time('pause', summary.longestPauseMs, { route })
-    const fields = {
-      request: order.words.requestId,
-      route,
-      service: order.service,
-      workspace: order.workspace?.name,
-      outcome,
-      status: summary.status,
-      version: order.version,
-      waitedMs: attempts.length === 0 ? undefined : Math.round(attempts[0].sentAt - order.arrivedAt),
-      firstMs: firstMs === null ? undefined : Math.round(firstMs),
-      totalMs: Math.round(totalMs),
-      events: summary.events,
-      pauseMs: Math.round(summary.longestPauseMs),
-      attempts: attempts.map(one => `${one.endpoint}@${Math.round(one.sentAt - order.arrivedAt)}:expected=${one.expectedMs}:of=${one.candidates}:apart=${one.share}:read=${one.readTokens}:home=${one.isHome ? 1 : 0}:${one.end}`).join(';')
-    }
-    if (outcome === 'ok') log.info('exchange', fields)
-    else log.warn('exchange', fields)
+    tellEnd(summary, this.#around.log, this.#around.metrics)
   }
 }
