Part the tending of members from the registry box

Cause: registry-box.ts held the upkeep of the log's members beside its own work. Behaviour as before.

--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -6,14 +6,15 @@
 import { performance } from 'node:perf_hooks'
 import { parseAddress } from '../config/index.js'
 import type { RegistrySettings } from '../config/index.js'
-import { KeeperLog, getReplicaHost, planMembers } from '../coordination/index.js'
-import type { KeeperSight, MemberWish, Members, ReplicaId } from '../coordination/index.js'
+import { KeeperLog, getReplicaHost } from '../coordination/index.js'
+import type { Members, ReplicaId } from '../coordination/index.js'
 import type { BoxId, EndpointRecord } from '../core/index.js'
 import { LinkPool } from '../protocol/index.js'
 import type { Dialect, GatewayAddress, Link, RouteMessage } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import { EndpointDesk } from './endpoint-desk.js'
 import { LeaderCalls } from './leader-calls.js'
+import { MemberTender } from './member-tender.js'
 import { OperatorDesk } from './operator-desk.js'
 
 /** What a registry is given beside its settings. */
@@ -25,11 +26,6 @@
   readonly secret: string | null
 }
 
-interface Sight {
-  readonly zone: string
-  heardAt: number
-}
-
 /** Signs of life between registries, and the pace of the members' upkeep, ms. */
 const helloMs = 250
 /** How often the boxes in touch, and who was heard from, are told, ms. */
@@ -37,16 +33,10 @@
 /** Heartbeats of links, ms: an eighth of what makes a box count as out of touch on the users' days. */
 const pulse = { everyMs: 400, silentMs: 1500 }
 const dialing = { connectMs: 500, longestRetryMs: 500 }
-/** A silent voter gives way to a spare after this, ms: longer than a restart, shorter than the time in which the next loss may come. */
-const replaceMs = 2500
-/** A learner, or a registry that is no seed, is forgotten after this, ms. */
-const forgetMs = 60_000
 /** Pause before a disk that refuses is tried again, ms. */
 const diskRetryMs = 150
 /** The second part of the ids of the replicas that begin a log. */
 const firstDisk = 'first'
-/** The fewest voters that bear a loss. */
-const leastVoters = 3
 
 export class RegistryBox {
   #settings: RegistrySettings
@@ -58,10 +48,9 @@
   #calls: LeaderCalls | null = null
   #hosts = new Set<string>()
   #seeds: readonly string[] = []
-  #sights = new Map<ReplicaId, Sight>()
+  #members: MemberTender
   #gateways = new Map<Link<RouteMessage>, GatewayAddress>()
   #toldVersion = 0
-  #changing = false
   #timers: NodeJS.Timeout[] = []
   port = 0
 
@@ -79,6 +68,7 @@
       noteClosed: link => this.#noteClosed(link),
       noteFault: (fault, peer) => log.warn('link-fault', { fault, peer })
     }, dialing)
+    this.#members = new MemberTender({ zone: settings.zone, faults: settings.faults, log, now: () => performance.now() })
     this.#endpoints = new EndpointDesk({
       log,
       lostMs: settings.lostMs,
@@ -202,7 +192,7 @@
 
   #noteHello (message: Extract<RouteMessage, { type: 'registry-hello' }>): void {
     const host = getReplicaHost(message.replica)
-    this.#sights.set(message.replica, { zone: message.zone, heardAt: performance.now() })
+    this.#members.noteHeard(message.replica, message.zone)
     this.#meet(host)
     for (const other of message.registries) this.#meet(other)
   }
@@ -216,7 +206,7 @@
 
   #tick (): void {
     for (const link of this.#links.dialed) this.#sendHello(link)
-    void this.#tendMembers()
+    if (this.#log !== null) void this.#members.tend(this.#log)
   }
 
   #tell (): void {
@@ -232,10 +222,7 @@
   }
 
   #forgetSilent (): void {
-    const now = performance.now()
-    for (const [replica, { heardAt }] of this.#sights) {
-      if (now - heardAt < forgetMs) continue
-      this.#sights.delete(replica)
+    for (const replica of this.#members.forgetSilent()) {
       const host = getReplicaHost(replica)
       if (this.#seeds.includes(host)) continue
       this.#hosts.delete(host)
@@ -320,31 +307,6 @@
     this.#tellRegistries(message)
   }
 
-  // The members of the log, looked after by the leader.
-
-  get #wish (): MemberWish {
-    const { faults } = this.#settings
-    return { voters: Math.max(leastVoters, 2 * faults + 1), perZone: Math.max(1, faults), replaceMs, forgetMs }
-  }
-
-  async #tendMembers (): Promise<void> {
-    const replica = this.#log?.replica
-    if (replica?.isLeader !== true || this.#changing || !replica.node.isSettled) return
-    const next = planMembers({ members: replica.members, self: replica.id, commit: replica.node.commitIndex, sights: this.#listSights(replica.node.matches) }, this.#wish)
-    if (next === null) return
-    this.#changing = true
-    const end = await replica.changeMembers(next)
-    this.#changing = false
-    this.#around.log.info('members', { voters: next.voters.join(','), learners: next.learners.join(','), end: end.type === 'rejected' ? end.fault : end.type })
-  }
-
-  #listSights (matches: ReadonlyMap<ReplicaId, number>): KeeperSight[] {
-    const now = performance.now()
-    const sights: KeeperSight[] = [{ replica: this.#opened.log.id, zone: this.#settings.zone, silentMs: 0, match: matches.get(this.#opened.log.id) ?? 0 }]
-    for (const [replica, { zone, heardAt }] of this.#sights) sights.push({ replica, zone, silentMs: now - heardAt, match: matches.get(replica) ?? 0 })
-    return sights
-  }
-
   #noteViolation (rule: string, detail: string): void {
     this.#around.metrics.count('violation', { rule })
     this.#around.log.error('violation', { rule, detail })
