Order the engines once for a choice; take out what nothing calls

Cause: read once more as a whole. The order in which engines are set apart was worked out up to three times for each choice; some getters had no caller. Change: the order is handed on; the dead code is gone. Behaviour as before: the order depends on nothing that the calls between changed. A retry that is counted twice after an endpoint's own 500 was seen and is listed as open.

--- a/src/core/balance/agreed-share.ts
+++ b/src/core/balance/agreed-share.ts
@@ -3,7 +3,6 @@
  * measure and what its peers tell of theirs.
  */
 import type { EndpointView } from './endpoint-view.js'
-import { listApart } from './engines-apart.js'
 import type { ServiceDemand } from './load-word.js'
 import type { ApartCount, ReadingDemand } from './reading-share.js'
 import type { ServiceState } from './service-state.js'
@@ -13,14 +12,14 @@
 /** Part of the memory of engines set apart that is planned for. */
 const plannedMemory = 0.75
 
-/** The largest share that any box would have: all must send long prompts to the same engines. `peers`: what each tells of the service. */
-export function agreeShare (state: ServiceState, peers: readonly ServiceDemand[], engines: readonly EndpointView[], at: number): ApartCount {
-  let { count, base } = state.share.update(at, measureDemand(state, peers, engines, at))
+/** The largest share that any box would have: all must send long prompts to the same engines. `peers`: what each tells of the service; `apart`: the engines in the order in which they are set apart. */
+export function agreeShare (state: ServiceState, peers: readonly ServiceDemand[], apart: readonly EndpointView[], at: number): ApartCount {
+  let { count, base } = state.share.update(at, measureDemand(state, peers, apart, at))
   for (const demand of peers) {
     count = Math.max(count, demand.apart)
     base = Math.max(base, demand.base)
   }
-  const most = Math.max(1, engines.length - 1)
+  const most = Math.max(1, apart.length - 1)
   return { count: Math.min(count, most), base: Math.min(base, count, most) }
 }
 
@@ -34,7 +33,7 @@
   return tokens
 }
 
-function measureDemand (state: ServiceState, peers: readonly ServiceDemand[], engines: readonly EndpointView[], at: number): ReadingDemand {
+function measureDemand (state: ServiceState, peers: readonly ServiceDemand[], apart: readonly EndpointView[], at: number): ReadingDemand {
   const { engine } = state.service
   let patientRate = state.patient.rate(at)
   let briskRate = state.brisk.rate(at)
@@ -44,7 +43,6 @@
   }
   let waiting = countHeld(state, peers, Infinity)
   let memory = 0
-  const apart = listApart(engines)
   const { count } = state.share.counts
   for (const view of apart.slice(0, count)) {
     waiting += view.countAhead(Infinity, at)
--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -73,7 +73,6 @@
   get id (): EndpointId { return this.record.id }
   /** Time to read a prompt token, ms. */
   get paceMs (): number { return this.#pace.value * this.slowness }
-  get ownRunning (): number { return this.#placed.size }
 
   /** Requests in flight, those of other boxes included. */
   get running (): number {
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -114,8 +114,8 @@
     const state = this.#services.get(work.service)
     const engine = state?.service.engine ?? null
     if (work.cost === null || engine === null || state === undefined) return this.#choosePlain(usable, at, draw)
-    const count = this.#agreeShare(state, usable, at)
     const apart = listApart(usable)
+    const count = this.#agreeShare(state, apart, at)
     const patient = this.#isPatient(work, state)
     const side = patient ? apart.slice(0, count.count) : apart.slice(count.count)
     const homes = patient ? apart.slice(0, count.base) : side
@@ -130,8 +130,9 @@
     for (const [name, state] of this.#services) {
       const views = this.#byService.get(name) ?? []
       if (state.service.engine === null || views.length === 0) continue
-      const { count, base } = this.#agreeShare(state, views, at)
-      const engines = listApart(views).map((view, i) => describeEngine(view, i < count, at))
+      const apart = listApart(views)
+      const { count, base } = this.#agreeShare(state, apart, at)
+      const engines = apart.map((view, i) => describeEngine(view, i < count, at))
       told.push({ service: name, text: `apart=${count} base=${base} own=${state.share.counts.count} pace=${state.pace.value.toFixed(4)} held=${this.#countHeld(state, Infinity)} ${engines.join(' ')}` })
     }
     return told
@@ -157,7 +158,8 @@
     const state = this.#services.get(work.service)
     if (state?.service.engine == null || work.cost === null || !this.#isPatient(work, state)) return null
     const usable = listUsable((this.#byService.get(work.service) ?? []).filter(view => view.record.stage === 'ready'), at)
-    const side = listApart(usable).slice(0, Math.max(1, this.#agreeShare(state, usable, at).count))
+    const apart = listApart(usable)
+    const side = apart.slice(0, Math.max(1, this.#agreeShare(state, apart, at).count))
     let tokens = this.#countHeld(state, work.priority)
     let rate = 0
     for (const view of side) {
@@ -185,8 +187,9 @@
     return new EndpointView(record, state?.service.engine?.memoryTokens ?? 0, state?.pace ?? createPace())
   }
 
-  #agreeShare (state: ServiceState, engines: readonly EndpointView[], at: number): ApartCount {
-    return agreeShare(state, this.#peers.listDemands(state.service.name), engines, at)
+  // `apart`: the engines in the order in which they are set apart.
+  #agreeShare (state: ServiceState, apart: readonly EndpointView[], at: number): ApartCount {
+    return agreeShare(state, this.#peers.listDemands(state.service.name), apart, at)
   }
 
   // Tokens that wait in the boxes, of requests that go before one of this priority.
--- a/src/gateway/caller-door.ts
+++ b/src/gateway/caller-door.ts
@@ -77,11 +77,6 @@
     if (socket !== undefined) this.#running.get(socket)?.delete(exchange)
   }
 
-  /** Connections of callers, at rest or not. */
-  countConnections (): Promise<number> {
-    return new Promise(resolve => this.#server.getConnections((error, count) => resolve(error === null ? count : 0)))
-  }
-
   close (): void {
     this.#server.close()
     this.#server.closeAllConnections()
--- a/src/standin/standin-endpoint.ts
+++ b/src/standin/standin-endpoint.ts
@@ -5,7 +5,6 @@
  */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { listenOn, readBody } from './http-tools.js'
 
@@ -66,21 +65,13 @@
   port = 0
   #headers: EndpointHeaders
   #server: Server
-  #sockets = new Set<Socket>()
 
   constructor (id: string, headers: EndpointHeaders) {
     this.id = id
     this.#headers = headers
     this.#server = createServer((request, response) => { void this.#serve(request, response) })
-    this.#server.on('connection', socket => {
-      this.#sockets.add(socket)
-      socket.on('close', () => this.#sockets.delete(socket))
-    })
   }
 
-  /** Connections that are open. */
-  get connections (): number { return this.#sockets.size }
-
   async listen (host: string, port = 0): Promise<number> {
     this.port = await listenOn(this.#server, host, port)
     return this.port
--- a/test/support/route-deployment.ts
+++ b/test/support/route-deployment.ts
@@ -76,7 +76,6 @@
   readonly gateways: GatewayBox[] = []
   readonly endpoints: StandinEndpoint[] = []
   #sequences = new Map<string, number>()
-  #beats: NodeJS.Timeout | null = null
 
   constructor (shape: RouteShape) {
     this.shape = shape
@@ -192,7 +191,6 @@
   }
 
   async stop (): Promise<void> {
-    if (this.#beats !== null) clearInterval(this.#beats)
     for (const gateway of this.gateways) gateway.kill()
     for (const registry of this.registries) registry?.kill()
     for (const endpoint of this.endpoints) endpoint.close()
