Tell loads to hubs in place of every box to every box

Change: gateways tell two registries chosen alike by all; the first of them tells everybody the totals, no more often than its gateways allow; a box takes its own last word off. The retry budget counts gateways by what registries told in the last 20 s.

--- a/src/bin/timeline.ts
+++ b/src/bin/timeline.ts
@@ -39,7 +39,7 @@
 /** Time before a request's end in which changes of what was believed may explain it, ms. */
 const explainMs = 15_000
 /** Events that change what a box believes of the endpoints, or routes by. */
-const beliefEvents = new Set(['endpoint', 'endpoint-reached', 'routes-in-force', 'registry-lost', 'registry-met', 'peer-silent'])
+const beliefEvents = new Set(['endpoint', 'endpoint-reached', 'routes-in-force', 'registry-lost', 'registry-met', 'hub-chosen', 'hubs-silent'])
 
 /**
  * The way from a request to its cause: its own lines, and before them what its
--- a/src/bin/wrenlane.ts
+++ b/src/bin/wrenlane.ts
@@ -42,7 +42,7 @@
 }
 
 const kinds: readonly { readonly name: string, readonly mark: string, readonly fields: FieldTable }[] = [
-  { name: 'gateway', mark: 'loadPort', fields: gatewayFields },
+  { name: 'gateway', mark: 'ready', fields: gatewayFields },
   { name: 'registry', mark: 'linkPort', fields: registryFields },
   { name: 'entry', mark: 'listen', fields: entryFields },
   { name: 'keeper', mark: 'data', fields: keeperFields },
--- a/src/config/route-settings.ts
+++ b/src/config/route-settings.ts
@@ -20,6 +20,7 @@
   zone: describeName('Availability zone of this box.'),
   host: describeHost('IP number under which other boxes reach this one.'),
   linkPort: describePort('Port of the links between boxes, the same on all of them.'),
+  loadPort: describePort('UDP port on which gateways and registries tell each other loads, the same on all of them.'),
   seeds: { type: 'list', least: 0, of: hostPort('A registry.'), about: 'Addresses for operators of a few registries, to find the others by; links go to the same host at `linkPort`.' },
   secretFile: describeText('File with the secret that boxes share, at least 16 characters; empty for none.', ''),
   openLinks: { type: 'switch', about: 'Whether links go without authentication where there is no secret. Only for a network that nobody else can reach.', fallback: false },
@@ -33,7 +34,6 @@
   ...shared,
   listen: hostPort('Where callers arrive.'),
   ready: hostPort('Where the balancer asks whether this box is ready.'),
-  loadPort: describePort('UDP port on which gateways tell each other their loads.'),
   retries: {
     type: 'table',
     about: 'What all gateways together may send a second time, for each service.',
@@ -67,6 +67,7 @@
   readonly zone: string
   readonly host: string
   readonly linkPort: number
+  readonly loadPort: number
   readonly seeds: readonly string[]
   readonly secretFile: string
   readonly openLinks: boolean
@@ -79,7 +80,6 @@
 export interface GatewaySettings extends RouteBoxSettings {
   readonly listen: string
   readonly ready: string
-  readonly loadPort: number
   readonly retries: { readonly ratio: number, readonly extra: number, readonly windowSeconds: number }
   readonly drainSeconds: number
   readonly maxConnections: number
--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -2,8 +2,8 @@
  * One endpoint as this box sees it: its newest record, what this box has
  * running there, what the other boxes say they have, and how it performs.
  */
-import type { BoxId, EndpointId } from '../ids.js'
-import { FadingAverage, RunningQuantile, findMiddle } from './average.js'
+import type { EndpointId } from '../ids.js'
+import { FadingAverage, RunningQuantile } from './average.js'
 import type { EndpointRecord } from './endpoint-record.js'
 import { EndpointTrust } from './endpoint-trust.js'
 import type { EndpointLoad } from './load-word.js'
@@ -56,8 +56,10 @@
   #gap: RunningQuantile | null = null
   #gaps = 0
   #placed = new Set<Placed>()
-  #peers = new Map<BoxId, EndpointLoad>()
-  #peerGaps = new Map<BoxId, number>()
+  /** What the other boxes have here. */
+  #others: EndpointLoad | null = null
+  /** The time between events in the middle of what all boxes measured. */
+  #toldGapMs: number | null = null
   /** How many times slower than the middle of its service it is; 1 where that isn't known. */
   slowness = 1
   /** True for an engine of a slower kind than the middle one. */
@@ -76,16 +78,13 @@
 
   /** Requests in flight, those of other boxes included. */
   get running (): number {
-    let running = this.#placed.size
-    for (const peer of this.#peers.values()) running += peer.running
-    return running
+    return this.#placed.size + (this.#others?.running ?? 0)
   }
 
   /** Memory that requests in flight are expected to take, tokens. */
   get memoryInUse (): number {
-    let tokens = 0
+    let tokens = this.#others?.memory ?? 0
     for (const placed of this.#placed) tokens += placed.memory
-    for (const peer of this.#peers.values()) tokens += peer.memory
     return tokens
   }
 
@@ -115,14 +114,12 @@
       else behind += left
       largest = Math.max(largest, left)
     }
-    for (const peer of this.#peers.values()) {
-      for (const [theirs, tokens] of peer.waiting) {
-        if (theirs <= priority) before += tokens
-        else behind += tokens
-      }
-      largest = Math.max(largest, peer.largest)
+    if (this.#others === null) return { before, behind, largest }
+    for (const [theirs, tokens] of this.#others.waiting) {
+      if (theirs <= priority) before += tokens
+      else behind += tokens
     }
-    return { before, behind, largest }
+    return { before, behind, largest: Math.max(largest, this.#others.largest) }
   }
 
   // What is still to be read of a prompt, if it was read as fast as expected.
@@ -176,13 +173,11 @@
   /** Time between events of a stream that is alone and beside which no prompt is read, as this box measured it, ms; null before enough was seen. */
   get ownGapMs (): number | null { return this.#gaps >= leastGaps ? this.#gap?.value ?? null : null }
 
-  /** The same, in the middle of what all boxes measured. */
-  get gapMs (): number | null {
-    const own = this.ownGapMs
-    return findMiddle(own === null ? [...this.#peerGaps.values()] : [own, ...this.#peerGaps.values()])
-  }
+  /** The same, in the middle of what all boxes measured; this box's own measure before any was told. */
+  get gapMs (): number | null { return this.#toldGapMs ?? this.ownGapMs }
 
-  notePeerGap (box: BoxId, gapMs: number): void { this.#peerGaps.set(box, gapMs) }
+  /** Takes the middle of what all boxes measured. */
+  noteGapOfAll (gapMs: number): void { this.#toldGapMs = gapMs }
 
   /** Notes the time between two events of a stream; counts only where nothing is being read here. */
   noteGap (gapMs: number, at: number): void {
@@ -195,12 +190,8 @@
 
   remove (placed: Placed): void { this.#placed.delete(placed) }
 
-  notePeer (box: BoxId, load: EndpointLoad): void { this.#peers.set(box, load) }
-
-  dropPeer (box: BoxId): void {
-    this.#peers.delete(box)
-    this.#peerGaps.delete(box)
-  }
+  /** Takes what the other boxes have here; null for nothing. */
+  noteOthers (load: EndpointLoad | null): void { this.#others = load }
 
   /** What this box tells others of its work here; null where it has none. */
   composeLoad (at: number): EndpointLoad | null {
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -4,7 +4,7 @@
  * theirs. Where all boxes must agree (which engines are set apart for long
  * prompts, which of them holds a shared prompt) they do so by the same hash.
  */
-import type { BoxId, EndpointId, ServiceName, ZoneName } from '../ids.js'
+import type { EndpointId, ServiceName, ZoneName } from '../ids.js'
 import type { RoutedService } from '../routes/index.js'
 import { agreeShare, countHeld } from './agreed-share.js'
 import { pickLeast } from './choice.js'
@@ -14,8 +14,7 @@
 import { findMiddleFailures, hasRoom, weighEngine, weighPlain, weighTrust } from './endpoint-weights.js'
 import type { PromptCase, Standpoint } from './endpoint-weights.js'
 import { listApart } from './engines-apart.js'
-import type { BoxLoad, EngineGap } from './load-word.js'
-import { PeerLoads } from './peer-loads.js'
+import type { BoxLoad, EngineGap, LoadTotals, ServiceTotal } from './load-word.js'
 import { countExpected, expectRead, findHome, isPatient } from './prompt-reading.js'
 import type { ApartCount } from './reading-share.js'
 import { chooseReturn } from './return-time.js'
@@ -34,7 +33,7 @@
   #services = new Map<ServiceName, ServiceState>()
   #views = new Map<EndpointId, EndpointView>()
   #byService = new Map<ServiceName, EndpointView[]>()
-  #peers = new PeerLoads()
+  #others = new Map<ServiceName, ServiceTotal>()
 
   constructor (zone: ZoneName) {
     this.zones = new ZoneWatch(zone, zoneSilentMs)
@@ -65,26 +64,16 @@
     this.#byService = groupByService(this.#views.values())
   }
 
-  /** Takes in what a peer has at the endpoints. */
-  notePeer (box: BoxId, load: BoxLoad): void {
-    const before = this.#peers.listEndpoints(box)
-    this.#peers.set(box, load)
-    const told = new Set<EndpointId>()
-    for (const one of load.loads) {
-      told.add(one.endpoint)
-      this.#views.get(one.endpoint)?.notePeer(box, one)
-    }
-    for (const [endpoint, gapMs] of load.gaps) this.#views.get(endpoint)?.notePeerGap(box, gapMs)
-    for (const one of before) if (!told.has(one.endpoint)) this.#views.get(one.endpoint)?.dropPeer(box)
-  }
-
-  /** Forgets a peer that has fallen silent. */
-  dropPeer (box: BoxId): void {
-    for (const one of this.#peers.listEndpoints(box)) this.#views.get(one.endpoint)?.dropPeer(box)
-    this.#peers.drop(box)
+  /** Takes in what the other boxes have; `noTotals` where no hub is heard. */
+  noteOthers (others: LoadTotals, at: number): void {
+    const loads = new Map(others.loads.map(load => [load.endpoint, load]))
+    for (const view of this.#views.values()) view.noteOthers(loads.get(view.id) ?? null)
+    for (const [endpoint, gapMs] of others.gaps) this.#views.get(endpoint)?.noteGapOfAll(gapMs)
+    this.#others = new Map(others.demands.map(demand => [demand.service, demand]))
+    for (const zone of others.zones) this.zones.noteHeard(zone, at)
   }
 
-  /** What this box tells its peers. */
+  /** What this box tells its hub. */
   composeLoad (at: number): BoxLoad {
     const loads = []
     const gaps: EngineGap[] = []
@@ -150,7 +139,12 @@
   /** Boxes, this one included, in which requests of the service wait. */
   countHolders (service: ServiceName): number {
     const own = (this.#services.get(service)?.held.size ?? 0) > 0 ? 1 : 0
-    return own + this.#peers.countHolders(service)
+    return own + (this.#others.get(service)?.holders ?? 0)
+  }
+
+  /** Engines of a service that are set apart for long prompts, as last agreed. */
+  countApart (service: ServiceName): number {
+    return Math.max(this.#services.get(service)?.share.counts.count ?? 0, this.#others.get(service)?.apart ?? 0)
   }
 
   /** When a request had better come back, ms, as too much waits before it; null where it is taken. */
@@ -189,14 +183,16 @@
 
   // `apart`: the engines in the order in which they are set apart.
   #agreeShare (state: ServiceState, apart: readonly EndpointView[], at: number): ApartCount {
-    return agreeShare(state, this.#peers.listDemands(state.service.name), apart, at)
+    return agreeShare(state, this.#findOthers(state), apart, at)
   }
 
   // Tokens that wait in the boxes, of requests that go before one of this priority.
   #countHeld (state: ServiceState, priority: number): number {
-    return countHeld(state, this.#peers.listDemands(state.service.name), priority)
+    return countHeld(state, this.#findOthers(state), priority)
   }
 
+  #findOthers (state: ServiceState): ServiceTotal | null { return this.#others.get(state.service.name) ?? null }
+
   #choosePlain (usable: readonly EndpointView[], at: number, draw: number): Choice {
     const middle = findMiddleFailures(usable)
     const weigh = (view: EndpointView): number => weighPlain(view) + weighTrust(view, this.#standpoint, middle, at)
--- a/src/core/balance/load-word.ts
+++ b/src/core/balance/load-word.ts
@@ -1,10 +1,13 @@
-/** What boxes tell each other of their work: at each endpoint, of each service, and the speed of engines. */
-import type { EndpointId, ServiceName } from '../ids.js'
+/**
+ * What boxes tell of their work: at each endpoint, of each service, and the
+ * speed of engines. Each box tells a hub; the hub tells all boxes the totals.
+ */
+import type { EndpointId, ServiceName, ZoneName } from '../ids.js'
 
 /** Prompt tokens that wait to be read, by the priority of their requests. */
 export type WaitingTokens = readonly (readonly [priority: number, tokens: number])[]
 
-/** What one box has at one endpoint. */
+/** What one box, or all of them, have at one endpoint. */
 export interface EndpointLoad {
   readonly endpoint: EndpointId
   /** Requests in flight. */
@@ -16,26 +19,44 @@
   readonly largest: number
 }
 
-/** Time between events at an engine while it reads no prompt, as one box measured it, ms. */
+/** Time between events at an engine while it reads no prompt, ms: as one box measured it, or the middle of what all did. */
 export type EngineGap = readonly [endpoint: EndpointId, gapMs: number]
 
-/** Prompt tokens a second that arrive at one box for a service. */
+/** Prompt tokens a second that arrive for a service, at one box or at all of them. */
 export interface ServiceDemand {
   readonly service: ServiceName
   /** Of requests that bear long pauses. */
   readonly patient: number
   /** Of requests whose pauses must stay short. */
   readonly brisk: number
-  /** Engines that the box would set apart for long prompts, and those of them that are homes of shared prompts. */
+  /** Engines that the box would set apart for long prompts, and those of them that are homes of shared prompts; of several boxes the most. */
   readonly apart: number
   readonly base: number
-  /** Tokens of requests that wait in the box itself. */
+  /** Tokens of requests that wait in the boxes themselves. */
   readonly held: WaitingTokens
 }
 
-/** What a box tells its peers of its work. */
+/** What a box tells its hub of its work. */
 export interface BoxLoad {
   readonly loads: readonly EndpointLoad[]
   readonly demands: readonly ServiceDemand[]
   readonly gaps: readonly EngineGap[]
 }
+
+/** The demand for a service over several boxes. */
+export interface ServiceTotal extends ServiceDemand {
+  /** Boxes in which requests of the service wait. */
+  readonly holders: number
+}
+
+/** What a hub tells of the work of all boxes that it hears. */
+export interface LoadTotals {
+  readonly loads: readonly EndpointLoad[]
+  readonly demands: readonly ServiceTotal[]
+  readonly gaps: readonly EngineGap[]
+  /** Zones from which a box was heard just now. */
+  readonly zones: readonly ZoneName[]
+}
+
+/** Nothing at all: what is known of the others where no hub is heard. */
+export const noTotals: LoadTotals = { loads: [], demands: [], gaps: [], zones: [] }
--- /dev/null
+++ b/src/core/balance/others-load.ts
@@ -0,0 +1,40 @@
+/** What the other boxes have: the hub's totals less this box's own part of them. */
+import type { BoxLoad, EndpointLoad, LoadTotals, ServiceDemand, ServiceTotal } from './load-word.js'
+import { addWaiting } from './load-book.js'
+
+/**
+ * Takes a box's own word off totals that hold it. Where `own` is null the totals
+ * are taken as they are: the box then counts its own work twice for a moment.
+ */
+export function subtractOwn (totals: LoadTotals, own: BoxLoad | null): LoadTotals {
+  if (own === null) return totals
+  const ownLoads = new Map(own.loads.map(load => [load.endpoint, load]))
+  const ownDemands = new Map(own.demands.map(demand => [demand.service, demand]))
+  return {
+    ...totals,
+    loads: totals.loads.map(load => subtractLoad(load, ownLoads.get(load.endpoint))).filter(load => load.running > 0),
+    demands: totals.demands.map(demand => subtractDemand(demand, ownDemands.get(demand.service)))
+  }
+}
+
+function subtractLoad (sum: EndpointLoad, own: EndpointLoad | undefined): EndpointLoad {
+  if (own === undefined) return sum
+  return {
+    ...sum,
+    running: sum.running - own.running,
+    memory: Math.max(0, sum.memory - own.memory),
+    waiting: addWaiting(sum.waiting, own.waiting, -1)
+  }
+}
+
+// The largest share stays: it may be this box's own, which it agrees to anyway.
+function subtractDemand (sum: ServiceTotal, own: ServiceDemand | undefined): ServiceTotal {
+  if (own === undefined) return sum
+  return {
+    ...sum,
+    patient: Math.max(0, sum.patient - own.patient),
+    brisk: Math.max(0, sum.brisk - own.brisk),
+    held: addWaiting(sum.held, own.held, -1),
+    holders: sum.holders - (own.held.length > 0 ? 1 : 0)
+  }
+}
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -7,9 +7,9 @@
 import { parseAddress } from '../config/index.js'
 import type { GatewaySettings } from '../config/index.js'
 import type { VersionedText } from '../coordination/index.js'
-import { EndpointDirectory, Fleet, RetryPurse, RouteTable, brandId } from '../core/index.js'
+import { EndpointDirectory, Fleet, RecentMost, RetryPurse, RouteTable, brandId } from '../core/index.js'
 import type { BoxId, EndpointRecord, ServiceName, ZoneName } from '../core/index.js'
-import type { CallerWords, Dialect, GatewayAddress } from '../protocol/index.js'
+import type { CallerWords, Dialect } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import type { Refusal } from './answers.js'
 import { CallerDoor } from './caller-door.js'
@@ -19,7 +19,7 @@
 import type { ExchangeHost } from './exchange.js'
 import { tellEnd } from './exchange-report.js'
 import type { ExchangeSummary } from './exchange-summary.js'
-import { LoadExchange } from './load-exchange.js'
+import { LoadReporter } from './load-reporter.js'
 import type { Order } from './order.js'
 import { ReadyDoor } from './ready-door.js'
 import { RegistryFollower } from './registry-follower.js'
@@ -42,6 +42,8 @@
 const lagMs = 2600
 /** How often the log tells what is believed of the engines, ms. */
 const beliefsMs = 2000
+/** Gateways share the retry budget; one that nobody counted for so long no longer does, ms: longer than cuts of the users' days. */
+const gatewayCountMs = 20_000
 /** The box stops once nothing has been in flight for so long, ms. */
 const quietMs = 400
 /** Time kept at the end of a planned stop to end what is left, ms. */
@@ -55,11 +57,12 @@
   #table: RouteTable | null = null
   #tableAt = 0
   #purses = new Map<ServiceName, RetryPurse>()
+  #gatewayCount = new RecentMost(gatewayCountMs)
   #agent = new EndpointAgent()
   #exchanges = new Set<Exchange>()
   #door: CallerDoor
   #ready: ReadyDoor
-  #loads: LoadExchange
+  #loads: LoadReporter
   #follower: RegistryFollower
   #exchangeHost: ExchangeHost
   #line: WaitingLine
@@ -81,31 +84,33 @@
     const id = brandId<BoxId>(settings.id)
     this.#fleet = new Fleet(zone)
     const now = (): number => performance.now()
-    this.#loads = new LoadExchange({
+    this.#loads = new LoadReporter({
       id,
       zone,
+      log,
+      hubPort: settings.loadPort,
       now,
+      listHubs: () => this.#follower.listNear(),
       composeLoad: () => this.#fleet.composeLoad(now()),
-      notePeer: (box, load) => {
-        this.#fleet.notePeer(box, load)
+      takeOthers: (others, intervalMs) => {
+        this.#fleet.noteOthers(others, now())
+        this.#line.setStaleness(intervalMs)
         this.#line.look()
-      },
-      dropPeer: box => this.#losePeer(box),
-      noteZone: heard => this.#fleet.zones.noteHeard(heard, now())
+      }
     })
-    const address: GatewayAddress = { id, zone, host: settings.host, port: settings.loadPort }
     this.#follower = new RegistryFollower({
       log,
       secret,
       linkPort: settings.linkPort,
-      address,
+      id,
+      zone,
       now,
       takeDocument: document => this.#adopt(document),
       takeRecords: records => this.#takeRecords(records),
-      takeGateways: gateways => this.#loads.setPeers(gateways),
+      takeGatewayCount: count => this.#gatewayCount.note(now(), count),
       noteZone: heard => this.#fleet.zones.noteHeard(heard, now())
     })
-    this.#line = new WaitingLine({ now, draw: Math.random, countHolders: service => this.#fleet.countHolders(service) })
+    this.#line = new WaitingLine({ now, draw: Math.random, countHolders: service => this.#fleet.countHolders(service), countApart: service => this.#fleet.countApart(service) })
     this.#prober = new EndpointProber(log, now)
     this.#exchangeHost = {
       dialect,
@@ -134,10 +139,10 @@
 
   /** Begins to serve; callers are refused until there are routes. */
   async start (): Promise<void> {
-    const { listen, ready, host, loadPort, seeds } = this.#settings
+    const { listen, ready, host, seeds } = this.#settings
     this.port = await this.#door.listen(parseAddress(listen))
     this.readyPort = await this.#ready.listen(parseAddress(ready))
-    await this.#loads.listen(host, loadPort)
+    await this.#loads.open(host)
     this.#follower.start(seeds)
     this.#timer = setInterval(() => this.#sweep(), sweepMs)
     this.#teller = setInterval(() => this.#tellBeliefs(), beliefsMs)
@@ -228,11 +233,6 @@
     for (const { id, service, stage, sequence, zone } of changed) this.#around.log.info('endpoint', { endpoint: id, service, stage, sequence, zone })
   }
 
-  #losePeer (box: BoxId): void {
-    this.#fleet.dropPeer(box)
-    this.#around.log.warn('peer-silent', { peer: box })
-  }
-
   // Requests.
 
   #begin (order: Order, response: ServerResponse): Exchange {
@@ -259,7 +259,8 @@
   }
 
   #takeRetry (order: Order): boolean {
-    return this.#purses.get(order.service)?.take(performance.now(), this.#loads.boxCount) ?? false
+    const now = performance.now()
+    return this.#purses.get(order.service)?.take(now, this.#gatewayCount.find(now, 1)) ?? false
   }
 
   #sweep (): void {
--- a/src/gateway/registry-follower.ts
+++ b/src/gateway/registry-follower.ts
@@ -6,9 +6,9 @@
 import { parseAddress } from '../config/index.js'
 import type { VersionedText } from '../coordination/index.js'
 import { brandId } from '../core/index.js'
-import type { EndpointRecord, ZoneName } from '../core/index.js'
+import type { BoxId, EndpointRecord, ZoneName } from '../core/index.js'
 import { LinkPool } from '../protocol/index.js'
-import type { GatewayAddress, Link, RouteMessage } from '../protocol/index.js'
+import type { Link, RouteMessage } from '../protocol/index.js'
 import { Inbox } from '../runtime/index.js'
 import type { EventLog } from '../runtime/index.js'
 
@@ -17,11 +17,13 @@
   readonly log: EventLog
   readonly secret: string | null
   readonly linkPort: number
-  readonly address: GatewayAddress
+  readonly id: BoxId
+  readonly zone: ZoneName
   now (): number
   takeDocument (document: VersionedText): void
   takeRecords (records: readonly EndpointRecord[]): void
-  takeGateways (gateways: readonly GatewayAddress[]): void
+  /** Takes how many gateways a registry is in touch with. */
+  takeGatewayCount (count: number): void
   noteZone (zone: ZoneName): void
 }
 
@@ -34,6 +36,8 @@
 /** Heartbeats of links, ms: two of them missing show a cut zone. */
 const pulse = { everyMs: 300, silentMs: 1500 }
 const dialing = { connectMs: 500, longestRetryMs: 500 }
+/** A registry that was silent for so long may be cut off, ms: two heartbeats and a little. */
+const nearMs = 700
 /** How often the follower looks at its links, ms. */
 const tickMs = 100
 /** A registry that was asked for a document and did not send it in this time is passed over, ms. */
@@ -60,7 +64,7 @@
   constructor (host: FollowerHost) {
     this.#host = host
     this.#links = new LinkPool<RouteMessage>({
-      id: host.address.id,
+      id: host.id,
       secret: host.secret,
       pulse,
       clock: host.log.clock,
@@ -75,6 +79,12 @@
   /** Registries in touch. */
   get linkCount (): number { return this.#links.dialed.length }
 
+  /** Hosts of the registries that were heard from just now. */
+  listNear (): string[] {
+    const since = this.#host.now() - nearMs
+    return this.#links.listHeard(since)
+  }
+
   start (seeds: readonly string[]): void {
     this.setSeeds(seeds)
     this.#timer = setInterval(() => this.#inbox.post({ type: 'tick' }), tickMs)
@@ -100,7 +110,7 @@
   #take (input: Input): void {
     switch (input.type) {
       case 'open':
-        input.link.send({ type: 'gateway-hello', address: this.#host.address, version: this.#version })
+        input.link.send({ type: 'gateway-hello', gateway: this.#host.id, version: this.#version })
         this.#host.log.info('registry-met', { registry: input.link.peer })
         return
       case 'closed':
@@ -126,7 +136,7 @@
       case 'endpoints': return this.#host.takeRecords(message.records)
       case 'boxes':
         for (const host of message.registries) this.#meet(host)
-        return this.#host.takeGateways(message.gateways)
+        return this.#host.takeGatewayCount(message.gateways)
       default: return this.#host.log.error('violation', { rule: 'messages-for-gateways', detail: message.type })
     }
   }
@@ -136,7 +146,7 @@
     this.#version = document.version
     this.#asked = null
     this.#host.takeDocument(document)
-    for (const link of this.#links.dialed) link.send({ type: 'gateway-hello', address: this.#host.address, version: this.#version })
+    for (const link of this.#links.dialed) link.send({ type: 'gateway-hello', gateway: this.#host.id, version: this.#version })
     this.#ask()
   }
 
@@ -161,7 +171,7 @@
 
   // The own zone's first: bytes between zones are dear. A second try goes to another.
   #chooseHolder (holders: readonly Link<RouteMessage>[]): Link<RouteMessage> {
-    const near = holders.find(link => this.#zones.get(link) === this.#host.address.zone)
+    const near = holders.find(link => this.#zones.get(link) === this.#host.zone)
     if (near !== undefined && this.#asked === null) return near
     return holders[Math.floor(this.#host.now()) % holders.length]
   }
--- a/src/gateway/waiting-line.ts
+++ b/src/gateway/waiting-line.ts
@@ -12,10 +12,14 @@
   draw (): number
   /** Boxes in which requests of the service wait, this one included. */
   countHolders (service: ServiceName): number
+  /** Engines of the service that are set apart for what waits. */
+  countApart (service: ServiceName): number
 }
 
 /** How often the line is looked at while something waits, ms: a few times in the reading of one prompt. */
 const lookMs = 15
+/** Turns for each engine set apart: those that wait want different engines, though not evenly. */
+const turnShare = 0.5
 /** Requests that are tried at one look; those behind them would find no room either. */
 const mostTries = 12
 
@@ -23,11 +27,15 @@
   #host: LineHost
   #waiting: Exchange[] = []
   #timer: NodeJS.Timeout | null = null
+  #stalenessMs = 0
 
   constructor (host: LineHost) {
     this.#host = host
   }
 
+  /** Takes how old the other boxes' work is when it is told, ms. */
+  setStaleness (ms: number): void { this.#stalenessMs = ms }
+
   get length (): number { return this.#waiting.length }
 
   add (exchange: Exchange): void {
@@ -45,16 +53,24 @@
 
   /**
    * Tries those that wait. Boxes that see the same engine come free would all
-   * fill it: where several wait, one of them at a time goes ahead, by lot.
+   * fill it before they hear of each other: where several wait, about one of
+   * them for each engine goes ahead in the time that a word takes, by lot.
    */
   look (): void {
     if (this.#waiting.length === 0) return
     const now = this.#host.now()
     const ordered = [...this.#waiting].sort((a, b) => compare(a, b, now))
-    if (this.#host.draw() * this.#host.countHolders(ordered[0].order.service) >= 1) return
+    if (!this.#drawTurn(ordered[0].order.service)) return
     for (const exchange of ordered.slice(0, mostTries)) exchange.tryPlace()
   }
 
+  #drawTurn (service: ServiceName): boolean {
+    const holders = this.#host.countHolders(service)
+    if (holders <= 1) return true
+    const looksPerWord = Math.max(1, this.#stalenessMs / lookMs)
+    return this.#host.draw() * holders * looksPerWord < Math.max(1, this.#host.countApart(service) * turnShare)
+  }
+
   close (): void {
     if (this.#timer !== null) clearInterval(this.#timer)
     this.#timer = null
--- a/src/protocol/link-pool.ts
+++ b/src/protocol/link-pool.ts
@@ -91,6 +91,11 @@
     return [...this.#dialed.values()].flatMap(({ link }) => link?.isOpen === true ? [link] : [])
   }
 
+  /** Hosts that were dialed, whose link is open and was heard on since a time on the process's rising clock, ms. */
+  listHeard (since: number): string[] {
+    return [...this.#dialed.values()].flatMap(({ host, link }) => link?.isOpen === true && link.heardAt >= since ? [host] : [])
+  }
+
   hangUp (host: string, port: number): void {
     const key = `${host}:${port}`
     const dialed = this.#dialed.get(key)
--- a/src/protocol/link.ts
+++ b/src/protocol/link.ts
@@ -56,7 +56,9 @@
   'type', 'shard', 'word', 'submission', 'request', 'attempt', 'box', 'class', 'workspace', 'model', 'promptTokens',
   'prefix', 'deadline', 'exclude', 'resumed', 'leftMs', 'answer', 'engine', 'priority', 'how', 'tokens', 'reason',
   'retryAfterMs', 'lowerCouldYield', 'loads', 'demands', 'from', 'news', 'digest', 'number', 'id', 'incarnation',
-  'zone', 'host', 'port', 'state', 'version', 'message', 'entries', 'index', 'term', 'time', 'content', 'command'
+  'zone', 'host', 'port', 'state', 'version', 'message', 'entries', 'index', 'term', 'time', 'content', 'command',
+  'endpoint', 'running', 'memory', 'waiting', 'largest', 'service', 'patient', 'brisk', 'apart', 'base', 'held', 'holders',
+  'gaps', 'zones'
 ]
 
 const codec = new Encoder({
--- /dev/null
+++ b/src/protocol/load-datagram.ts
@@ -0,0 +1,79 @@
+/**
+ * The datagrams by which gateways tell hubs their work, and hubs tell gateways
+ * the totals. Each is whole, so that a lost one costs only time.
+ */
+import type { BoxId, BoxLoad, LoadTotals, ZoneName } from '../core/index.js'
+import { decodeValue, encodeValue } from './link.js'
+
+/** A gateway's word to a hub. */
+export interface LoadWord {
+  readonly box: BoxId
+  readonly zone: ZoneName
+  /** Drawn at the start of the process: numbers begin anew with it. */
+  readonly start: number
+  readonly number: number
+  /** True where the box wants the totals of this hub. */
+  readonly wantsTotals: boolean
+  readonly load: BoxLoad
+}
+
+/** A hub's word to a gateway. */
+export interface TotalsWord {
+  readonly start: number
+  readonly number: number
+  /** The number of the gateway's own word that is in the totals. */
+  readonly ownNumber: number
+  /** How often the hub tells changes, ms. */
+  readonly intervalMs: number
+  readonly totals: LoadTotals
+}
+
+const wireVersion = 2
+
+/** Encodes a gateway's word. */
+export function encodeLoadWord ({ box, zone, start, number, wantsTotals, load }: LoadWord): Buffer {
+  return encodeValue([wireVersion, box, zone, start, number, wantsTotals, load])
+}
+
+/** Decodes a gateway's word; null for bytes that are none. */
+export function decodeLoadWord (bytes: Uint8Array): LoadWord | null {
+  const fields = decodeFields(bytes, 7)
+  if (fields === null) return null
+  const [, box, zone, start, number, wantsTotals, load] = fields as [number, BoxId, ZoneName, number, number, boolean, BoxLoad]
+  return hasLists(load, ['loads', 'demands', 'gaps']) ? { box, zone, start, number, wantsTotals, load } : null
+}
+
+/** Encodes the part of a hub's word that is the same for all gateways. */
+export function encodeTotals (totals: LoadTotals): Buffer { return encodeValue(totals) }
+
+/** Encodes a hub's word to one gateway, around totals that are encoded already. */
+export function encodeTotalsWord (word: Omit<TotalsWord, 'totals'>, totals: Buffer): Buffer {
+  return encodeValue([wireVersion, word.start, word.number, word.ownNumber, word.intervalMs, totals])
+}
+
+/** Decodes a hub's word; null for bytes that are none. */
+export function decodeTotalsWord (bytes: Uint8Array): TotalsWord | null {
+  const fields = decodeFields(bytes, 6)
+  if (fields === null || !(fields[5] instanceof Uint8Array)) return null
+  const [, start, number, ownNumber, intervalMs, encoded] = fields as [number, number, number, number, number, Uint8Array]
+  const totals = decodeOrNull(encoded) as LoadTotals
+  return hasLists(totals, ['loads', 'demands', 'gaps', 'zones']) ? { start, number, ownNumber, intervalMs, totals } : null
+}
+
+function decodeFields (bytes: Uint8Array, length: number): unknown[] | null {
+  const fields = decodeOrNull(bytes)
+  return Array.isArray(fields) && fields.length === length && fields[0] === wireVersion ? fields : null
+}
+
+// Null for bytes that are no value of ours: whatever reaches the port is data from the network.
+function decodeOrNull (bytes: Uint8Array): unknown {
+  try {
+    return decodeValue(bytes)
+  } catch {
+    return null
+  }
+}
+
+function hasLists (value: unknown, keys: readonly string[]): boolean {
+  return typeof value === 'object' && value !== null && keys.every(key => Array.isArray((value as Record<string, unknown>)[key]))
+}
--- a/src/protocol/route-message.ts
+++ b/src/protocol/route-message.ts
@@ -3,16 +3,7 @@
  * registries among themselves, gateways with registries.
  */
 import type { RaftMessage, ReplicaId, VersionedText } from '../coordination/index.js'
-import type { BoxId, EndpointId, EndpointRecord, ZoneName } from '../core/index.js'
-
-/** Where a gateway is reached by its peers. */
-export interface GatewayAddress {
-  readonly id: BoxId
-  readonly host: string
-  /** UDP port on which it takes its peers' loads. */
-  readonly port: number
-  readonly zone: ZoneName
-}
+import type { BoxId, EndpointId, EndpointRecord } from '../core/index.js'
 
 /** How a document that a registry passed to the leader ended; `unknown`: it may be in force or not. */
 export type PutEnd = 'taken' | 'held' | 'unknown'
@@ -23,7 +14,7 @@
   /** A registry presents itself; told again and again as a sign of life. */
   | { readonly type: 'registry-hello', readonly replica: ReplicaId, readonly zone: string, readonly registries: readonly string[] }
   /** A gateway presents itself, with the version that it has in force. */
-  | { readonly type: 'gateway-hello', readonly address: GatewayAddress, readonly version: number }
+  | { readonly type: 'gateway-hello', readonly gateway: BoxId, readonly version: number }
   /** Passes a document, or the wish to read it, to the leader. */
   | { readonly type: 'put', readonly call: number, readonly document: VersionedText }
   | { readonly type: 'put-end', readonly call: number, readonly end: PutEnd | 'not-leader' }
@@ -39,5 +30,5 @@
   | { readonly type: 'endpoints', readonly records: readonly EndpointRecord[], readonly whole: boolean }
   /** Endpoints that were heard from, with the sequence of the newest word. */
   | { readonly type: 'heard', readonly words: readonly (readonly [EndpointId, number])[] }
-  /** The registries and gateways that the sender is in touch with. */
-  | { readonly type: 'boxes', readonly registries: readonly string[], readonly gateways: readonly GatewayAddress[] }
+  /** The registries that the sender knows, and how many gateways it is in touch with. */
+  | { readonly type: 'boxes', readonly registries: readonly string[], readonly gateways: number }
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -10,10 +10,11 @@
 import type { Members, ReplicaId } from '../coordination/index.js'
 import type { BoxId, EndpointRecord } from '../core/index.js'
 import { LinkPool } from '../protocol/index.js'
-import type { Dialect, GatewayAddress, Link, RouteMessage } from '../protocol/index.js'
+import type { Dialect, Link, RouteMessage } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import { EndpointDesk } from './endpoint-desk.js'
 import { LeaderCalls } from './leader-calls.js'
+import { LoadHub } from './load-hub.js'
 import { MemberTender } from './member-tender.js'
 import { OperatorDesk } from './operator-desk.js'
 
@@ -49,7 +50,10 @@
   #hosts = new Set<string>()
   #seeds: readonly string[] = []
   #members: MemberTender
-  #gateways = new Map<Link<RouteMessage>, GatewayAddress>()
+  #gateways = new Map<Link<RouteMessage>, BoxId>()
+  #hub: LoadHub
+  /** A gateway came that the others haven't been told of. */
+  #hasNewGateways = false
   #toldVersion = 0
   #timers: NodeJS.Timeout[] = []
   port = 0
@@ -76,6 +80,7 @@
       spread: records => this.#tellAll({ type: 'endpoints', records, whole: false }),
       spreadHeard: words => this.#tellRegistries({ type: 'heard', words })
     })
+    this.#hub = new LoadHub({ log, now: () => performance.now() })
     this.#desk = new OperatorDesk({
       dialect,
       log,
@@ -91,9 +96,10 @@
 
   /** Opens the disk and begins to serve. */
   async start (): Promise<void> {
-    const { listen, host, linkPort, seeds } = this.#settings
+    const { listen, host, linkPort, loadPort, seeds } = this.#settings
     this.setSeeds(seeds)
     await this.#links.listen(host, linkPort)
+    await this.#hub.listen(host, loadPort)
     this.#log = await this.#openLog()
     this.#calls = new LeaderCalls({ log: this.#log, findLink: replica => this.#links.find(getReplicaHost(replica), linkPort) })
     await this.#begin(this.#log)
@@ -123,6 +129,7 @@
   kill (): void {
     for (const timer of this.#timers) clearInterval(timer)
     this.#desk.close()
+    this.#hub.close()
     this.#links.close()
     this.#log?.close().catch((error: Error) => this.#around.log.warn('disk-not-closed', { error: error.message }))
   }
@@ -201,11 +208,13 @@
     const gateway = this.#gateways.get(link)
     if (gateway === undefined) return
     this.#gateways.delete(link)
-    this.#around.log.info('gateway-lost', { gateway: gateway.id })
+    this.#around.log.info('gateway-lost', { gateway })
   }
 
   #tick (): void {
     for (const link of this.#links.dialed) this.#sendHello(link)
+    if (this.#hasNewGateways) this.#tellGateways(this.#composeBoxes())
+    this.#hasNewGateways = false
     if (this.#log !== null) void this.#members.tend(this.#log)
   }
 
@@ -216,9 +225,7 @@
   }
 
   #composeBoxes (): RouteMessage {
-    const gateways = new Map<BoxId, GatewayAddress>()
-    for (const gateway of this.#gateways.values()) gateways.set(gateway.id, gateway)
-    return { type: 'boxes', registries: [this.#settings.host, ...this.#hosts], gateways: [...gateways.values()] }
+    return { type: 'boxes', registries: [this.#settings.host, ...this.#hosts], gateways: new Set(this.#gateways.values()).size }
   }
 
   #forgetSilent (): void {
@@ -250,16 +257,17 @@
     }
   }
 
-  #noteGateway (link: Link<RouteMessage>, { address, version }: Extract<RouteMessage, { type: 'gateway-hello' }>): void {
+  #noteGateway (link: Link<RouteMessage>, { gateway, version }: Extract<RouteMessage, { type: 'gateway-hello' }>): void {
     const isNew = !this.#gateways.has(link)
-    this.#gateways.set(link, address)
+    this.#gateways.set(link, gateway)
     const newest = this.#log?.state.routing.newest ?? null
     if (isNew || (newest !== null && newest.version > version)) link.send({ type: 'version', version: newest?.version ?? 0 })
     if (!isNew) return
     // Changes are told only to gateways that are known: what came since the link opened is told here.
     link.send({ type: 'endpoints', records: this.#endpoints.records, whole: true })
-    this.#around.log.info('gateway-met', { gateway: address.id, version })
-    this.#tellGateways(this.#composeBoxes())
+    link.send(this.#composeBoxes())
+    this.#hasNewGateways = true
+    this.#around.log.info('gateway-met', { gateway, version })
   }
 
   async #answerPut (link: Link<RouteMessage>, { call, document }: Extract<RouteMessage, { type: 'put' }>): Promise<void> {
--- a/test/balance.test.ts
+++ b/test/balance.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { EndpointDirectory, EndpointTrust, Fleet, PromptMemory, ReadingShare, RetryPurse, ZoneWatch, brandId, computeShare } from '../src/core/index.js'
-import type { EndpointRecord, EndpointStage, ReadingDemand, RoutedService, ServiceName, Work, ZoneName } from '../src/core/index.js'
+import { EndpointDirectory, EndpointTrust, Fleet, LoadBook, PromptMemory, ReadingShare, RecentMost, RetryPurse, ZoneWatch, brandId, computeShare, noTotals, subtractOwn } from '../src/core/index.js'
+import type { BoxLoad, EndpointRecord, EndpointStage, ReadingDemand, RoutedService, ServiceName, Work, ZoneName } from '../src/core/index.js'
 
 const desk = brandId<ServiceName>('desk')
 
@@ -222,14 +222,59 @@
   assert.equal(fleet.findReturn({ ...long, priority: 1 }, 0), null)
 })
 
-test('a peer\'s work counts, until the peer falls silent', () => {
+// Loads over several boxes.
+
+function createLoad (running: number, more: Partial<BoxLoad> = {}): BoxLoad {
+  return { loads: [{ endpoint: brandId('e1'), running, memory: 10 * running, waiting: [[1, 100 * running]], largest: 100 * running }], demands: [], gaps: [], ...more }
+}
+
+test('the others\' work counts, until nobody tells it any more', () => {
   const fleet = createFleet([createRecord('e1'), createRecord('e2')])
-  fleet.notePeer(brandId('peer'), { loads: [{ endpoint: brandId('e1'), running: 9, memory: 0, waiting: [], largest: 0 }], demands: [], gaps: [] })
+  fleet.noteOthers({ ...createLoad(9), demands: [], zones: [] }, 0)
   assert.equal(fleet.findView(brandId('e1'))?.running, 9)
-  fleet.dropPeer(brandId('peer'))
+  fleet.noteOthers(noTotals, 10)
   assert.equal(fleet.findView(brandId('e1'))?.running, 0)
 })
 
+test('the totals of a hub hold every box until it falls silent, and the zones heard just now', () => {
+  const book = new LoadBook()
+  book.note(brandId('a'), nameZone('zone-a'), createLoad(2), 0)
+  book.note(brandId('b'), nameZone('zone-b'), createLoad(3), 1000)
+  const totals = book.sum(1100)
+  assert.deepEqual(totals.loads, [{ endpoint: 'e1', running: 5, memory: 50, waiting: [[1, 500]], largest: 300 }])
+  assert.deepEqual(totals.zones, ['zone-b'])
+  assert.deepEqual(book.forgetSilent(1600), ['a'])
+  assert.deepEqual(book.sum(1600).loads[0].running, 3)
+})
+
+test('what is left of a hub\'s totals without a box\'s own word is what the others told', () => {
+  const load = fc.record({ running: fc.integer({ min: 1, max: 9 }), held: fc.integer({ min: 0, max: 900 }), apart: fc.integer({ min: 1, max: 5 }) })
+  fc.assert(fc.property(fc.array(load, { minLength: 2, maxLength: 9 }), told => {
+    const words = told.map(({ running, held, apart }) => createLoad(running, {
+      demands: [{ service: desk, patient: 10 * running, brisk: running, apart, base: 1, held: held === 0 ? [] : [[2, held]] }],
+      gaps: [[brandId('e1'), running]]
+    }))
+    const sumOf = (some: readonly BoxLoad[]) => {
+      const book = new LoadBook()
+      some.forEach((word, i) => book.note(brandId(`box-${i}`), nameZone('zone-a'), word, 0))
+      return book.sum(0)
+    }
+    const left = subtractOwn(sumOf(words), words[0])
+    const others = sumOf(words.slice(1))
+    assert.deepEqual([left.loads[0].running, left.loads[0].memory, left.loads[0].waiting], [others.loads[0].running, others.loads[0].memory, others.loads[0].waiting])
+    const [mine, theirs] = [left.demands[0], others.demands[0]]
+    assert.deepEqual([mine.patient, mine.brisk, mine.held, mine.holders], [theirs.patient, theirs.brisk, theirs.held, theirs.holders])
+    assert.ok(mine.apart >= theirs.apart)
+  }))
+})
+
+test('the largest of the last while is found, older ones are not', () => {
+  const most = new RecentMost(100)
+  assert.equal(most.find(0, 7), 7)
+  for (const [at, value] of [[0, 9], [50, 4], [60, 5]] as const) most.note(at, value)
+  assert.deepEqual([most.find(90, 1), most.find(120, 1), most.find(161, 1)], [9, 5, 1])
+})
+
 test('a zone counts as cut off once it spoke and fell silent, the own one never', () => {
   const watch = new ZoneWatch(brandId('zone-a'), 500)
   assert.equal(watch.isCut(brandId('zone-b'), 10_000), false)
--- a/test/support/route-deployment.ts
+++ b/test/support/route-deployment.ts
@@ -103,6 +103,7 @@
       zone: zones[i % zones.length],
       host,
       linkPort,
+      loadPort,
       seeds: this.seeds,
       secretFile: '',
       openLinks: true,
