Run nothing of a request that was told that it came too late

Change: such a connection is read no more; a broken request behind one that is being answered ends the connection in place of writing into the answer.

--- a/src/gateway/caller-door.ts
+++ b/src/gateway/caller-door.ts
@@ -49,6 +49,8 @@
   #server: Server
   #running = new WeakMap<Socket, Set<Exchange>>()
   #sockets = new WeakMap<Exchange, Socket>()
+  /** Connections on which bytes that are no request were answered: nothing more is read from them. */
+  #refused = new WeakSet<Socket>()
 
   constructor (host: DoorHost, maxConnections: number) {
     this.#host = host
@@ -57,7 +59,7 @@
     })
     this.#server.maxConnections = maxConnections
     this.#server.on('connection', socket => this.#watch(socket))
-    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => refuseBroken(error, socket as Socket))
+    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => this.#refuseBroken(error, socket as Socket))
   }
 
   /** Listens; resolves with the port. */
@@ -94,6 +96,8 @@
   }
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    // The rest of a request that was refused as too slow may still come.
+    if (this.#refused.has(request.socket)) return
     const arrivedAt = this.#host.now()
     request.on('error', () => {})
     response.on('error', () => {})
@@ -159,6 +163,27 @@
     sendRefusal(response, refusal, this.#host.dialect)
     this.#host.noteRefused(words, refusal)
   }
+
+  // Bytes that are no request are answered once, and their connection is closed.
+  // An answer that is under way there is not written into.
+  #refuseBroken (error: NodeJS.ErrnoException, socket: Socket): void {
+    this.#refused.add(socket)
+    const isBusy = (this.#running.get(socket)?.size ?? 0) > 0
+    if (!socket.writable || isBusy || error.code === 'ECONNRESET') {
+      socket.destroy()
+      return
+    }
+    socket.write(`HTTP/1.1 ${statusOfBroken(error.code)}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`)
+    socket.destroySoon()
+  }
+}
+
+function statusOfBroken (code: string | undefined): string {
+  switch (code) {
+    case 'HPE_HEADER_OVERFLOW': return '431 Request Header Fields Too Large'
+    case 'ERR_HTTP_REQUEST_TIMEOUT': return '408 Request Timeout'
+    default: return '400 Bad Request'
+  }
 }
 
 // Null where the caller left before its body was whole.
@@ -176,13 +201,3 @@
     request.on('close', () => { if (!request.complete) resolve(null) })
   })
 }
-
-/** Bytes that are no request are answered once, and their connection is closed. */
-function refuseBroken (error: NodeJS.ErrnoException, socket: Socket): void {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy()
-    return
-  }
-  const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request'
-  socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`)
-}
--- a/test/routes-path.test.ts
+++ b/test/routes-path.test.ts
@@ -71,6 +71,25 @@
   })
 }
 
+test('a request whose headers come too late is told that it did not run, and does not, though its rest comes', async () => {
+  const { connect } = await import('node:net')
+  await place.putDocument(composeDocument(2, { limits: { headerMs: 200 } }))
+  const socket = connect({ host: place.gatewayHost(0), port: 7003, allowHalfOpen: true })
+  let answer = ''
+  socket.on('data', (chunk: Buffer) => { answer += chunk.toString() })
+  socket.on('error', () => {})
+  const headers = { host: 'camp.example', ...place.spoken.composeCall('late headers', 'test-key', 5000) }
+  const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`)
+  socket.write(`POST /once/x HTTP/1.1\r\n${lines.join('')}`)
+  // The rest comes just as the answer does.
+  await until(() => answer.startsWith('HTTP/1.1 408'), 'the answer')
+  socket.write('content-length: 0\r\n\r\n')
+  await place.ask('/once/x')
+  await settle()
+  assert.equal(countRuns('late headers'), 0)
+  socket.destroy()
+})
+
 test('a public route needs no key', async () => {
   assert.equal((await place.ask('/public/x', { keyed: false })).status, 200)
 })
