Name the line of an unknown list of tables

Cause: lines of [[name]] were noted by number alone, and of tables around a header not at all, so that check told no line for them. Three cases in the table of broken files; two failed before.

--- a/src/config/key-lines.ts
+++ b/src/config/key-lines.ts
@@ -10,7 +10,9 @@
     const header = headerPattern.exec(line)
     if (header !== null) {
       table = joinParts(header[2])
-      if (header[1] !== undefined) table = countTable(table, counts)
+      noteTable(lines, table, i + 1)
+      if (header[1] === undefined) return
+      table = countTable(table, counts)
       noteLine(lines, table, i + 1)
       return
     }
@@ -41,6 +43,11 @@
   return `${table}.${count}`
 }
 
+// A header begins the tables around its own too, where none of them has a line yet.
+function noteTable (lines: Map<string, number>, path: string, line: number): void {
+  for (let at = path; at !== ''; at = at.slice(0, Math.max(0, at.lastIndexOf('.')))) noteLine(lines, at, line)
+}
+
 function noteLine (lines: Map<string, number>, path: string, line: number): void {
   if (!lines.has(path)) lines.set(path, line)
 }
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -40,6 +40,9 @@
 const broken: { name: string, text: string, found: RegExp }[] = [
   { name: 'what is no TOML', text: 'id = \nzone', found: /allowed: a TOML file/ },
   { name: 'a missing key', text: 'zone = "a"', found: /id: found nothing; allowed: .*required/ },
+  { name: 'an unknown table', text: 'id = "a"\n\n[nowhere]\nx = 1', found: /^f:3: nowhere: found an unknown key/ },
+  { name: 'an unknown list of tables', text: 'id = "a"\n\n[[nowhere]]\nx = 1\n[[nowhere]]\nx = 2', found: /^f:3: nowhere: found an unknown key/ },
+  { name: 'an unknown table around another', text: 'id = "a"\n[nowhere.deep]\nx = 1', found: /^f:2: nowhere: found an unknown key/ },
   { name: 'an unknown key far from any', text: 'qqqqqqqqqqq = 1', found: /one of id, zone/ }
 ]
 
