--- a/src/bin/soak.ts
+++ b/src/bin/soak.ts
@@ -1,8 +1,11 @@
 #!/usr/bin/env node
 /** `npm run soak`: random histories for as long as is asked, with every invariant checked. */
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
 import { performance } from 'node:perf_hooks'
 import sade from 'sade'
 import { RaftHistory, SchedulerHistory } from '../proof/index.js'
+import { SoakHistory } from '../soak/index.js'
 import { endWith, failureExit, readVersion, usageExit } from './program.js'
 
 interface Options {
@@ -10,6 +13,8 @@
   readonly seconds: string | number
   readonly seed: string | number
   readonly steps: string | number
+  readonly gateways: string | number
+  readonly registries: string | number
 }
 
 interface Found {
@@ -17,41 +22,65 @@
 }
 
 /** One history of each part, by seed. */
-const parts: Readonly<Record<string, (seed: number, steps: number) => Found>> = {
-  coordination: (seed, steps) => new RaftHistory(seed, seed % 3 === 0 ? 5 : 3).run(steps),
-  decisions: (seed, steps) => new SchedulerHistory(seed, 1 + seed % 6).run(steps)
+const parts: Readonly<Record<string, (seed: number, options: Options) => Found | Promise<Found>>> = {
+  coordination: (seed, { steps }) => new RaftHistory(seed, seed % 3 === 0 ? 5 : 3).run(Number(steps)),
+  decisions: (seed, { steps }) => new SchedulerHistory(seed, 1 + seed % 6).run(Number(steps)),
+  processes: runProcesses
 }
+/** Parts that `all` runs: processes are asked for by name, as they need many ports and some memory. */
+const usualParts = ['coordination', 'decisions']
+/** Steps are a tenth of a second of faults where processes are played. */
+const stepMs = 100
+const endpoints = 4
 
 sade('soak', true)
   .version(readVersion())
   .describe('Runs random histories and checks every invariant. A seed that fails replays the same with --seconds 0.')
-  .option('--part', `One of ${Object.keys(parts).join(', ')}, or all`, 'all')
+  .option('--part', `One of ${Object.keys(parts).join(', ')}, or all (${usualParts.join(' and ')})`, 'all')
   .option('--seconds', 'How long; 0 runs the one seed', 10)
   .option('--seed', 'First seed', 1)
-  .option('--steps', 'Random steps of each history', 1500)
+  .option('--steps', 'Random steps of each history; of processes, tenths of a second', 1500)
+  .option('--gateways', 'Gateways, of processes', 3)
+  .option('--registries', 'Registries, of processes', 3)
   .action((options: Options) => run(options))
   .parse(process.argv)
 
-function run (options: Options): void {
+async function run (options: Options): Promise<void> {
   const [seconds, first, steps] = [options.seconds, options.seed, options.steps].map(Number)
   if (!(seconds >= 0) || !Number.isInteger(first) || !(steps > 0)) endWith(usageExit, '--seconds, --seed and --steps take numbers from 0')
-  const names = options.part === 'all' ? Object.keys(parts) : [options.part]
+  const names = options.part === 'all' ? usualParts : [options.part]
   for (const name of names) {
     if (!Object.hasOwn(parts, name)) endWith(usageExit, `--part does not know ${JSON.stringify(name)}; it knows ${Object.keys(parts).join(', ')}, all`)
   }
-  for (const name of names) soak(name, seconds / names.length, first, steps)
+  for (const name of names) await soak(name, seconds / names.length, first, options)
 }
 
-function soak (name: string, seconds: number, first: number, steps: number): void {
+async function soak (name: string, seconds: number, first: number, options: Options): Promise<void> {
   const until = performance.now() + seconds * 1000
   let seed = first
   do {
-    const { violations } = parts[name](seed, steps)
+    const { violations } = await parts[name](seed, options)
     if (violations.length > 0) {
-      process.stdout.write(`part=${name} seed=${seed} steps=${steps} violations=${JSON.stringify(violations)}\n`)
-      endWith(failureExit, `replay with: npm run soak -- --part ${name} --seed ${seed} --steps ${steps} --seconds 0`)
+      process.stdout.write(`part=${name} seed=${seed} steps=${options.steps} violations=${JSON.stringify(violations)}\n`)
+      endWith(failureExit, `replay with: npm run soak -- --part ${name} --seed ${seed} --steps ${options.steps} --seconds 0`)
     }
     seed += 1
   } while (performance.now() < until)
-  process.stdout.write(`part=${name} seeds=${first}..${seed - 1} histories=${seed - first} steps=${steps} violations=0\n`)
+  process.stdout.write(`part=${name} seeds=${first}..${seed - 1} histories=${seed - first} steps=${options.steps} violations=0\n`)
+}
+
+async function runProcesses (seed: number, options: Options): Promise<Found> {
+  const shape = { gateways: Number(options.gateways), registries: Number(options.registries), endpoints }
+  const { violations, calls, served, faults, logs } = await new SoakHistory(seed, Number(options.steps) * stepMs, shape).run()
+  process.stdout.write(`seed=${seed} calls=${calls} served=${served} faults=${faults} violations=${violations.length}\n`)
+  if (violations.length > 0) keepLogs(seed, logs)
+  return { violations }
+}
+
+// The logs of a history that failed, for whoever traces it.
+function keepLogs (seed: number, logs: ReadonlyMap<string, readonly string[]>): void {
+  const folder = join('data', `soak-${seed}`)
+  mkdirSync(folder, { recursive: true })
+  for (const [name, lines] of logs) writeFileSync(join(folder, `${name}.log`), `${lines.join('\n')}\n`)
+  process.stdout.write(`logs of seed ${seed}: ${folder}\n`)
 }
--- a/src/config/route-settings.ts
+++ b/src/config/route-settings.ts
@@ -51,6 +51,7 @@
 export const registryFields: FieldTable = {
   ...shared,
   listen: hostPort('Where operators and endpoints call.'),
+  bind: describeText('IP number on which links are accepted, where others reach this box by way of another one; empty for `host`.', ''),
   data: describeText('Folder for everything that must last.'),
   first: { type: 'switch', about: 'True only when the whole system starts for the first time: the seeds then begin the log.', fallback: false },
   faults: whole('Boxes with a disk that may be lost at once.', 'boxes', 0, 10, 1),
@@ -88,6 +89,7 @@
 /** What a registry is told. */
 export interface RegistrySettings extends RouteBoxSettings {
   readonly listen: string
+  readonly bind: string
   readonly data: string
   readonly first: boolean
   readonly faults: number
--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -2,6 +2,7 @@
  * One endpoint as this box sees it: its newest record, what this box has
  * running there, what the other boxes say they have, and how it performs.
  */
+import { hashText } from '../hash.js'
 import type { EndpointId } from '../ids.js'
 import { FadingAverage, RunningQuantile } from './average.js'
 import type { EndpointRecord } from './endpoint-record.js'
@@ -48,6 +49,8 @@
 const leastGaps = 16
 
 export class EndpointView {
+  /** Of its id: the same at every box. */
+  readonly hash: number
   readonly trust = new EndpointTrust()
   readonly prompts: PromptMemory
   readonly answerMs = new FadingAverage(firstAnswerMs, gainOfNewest)
@@ -68,6 +71,7 @@
   /** `pace`: ms a prompt token at the service's engines, shared by their views. */
   constructor (record: EndpointRecord, memoryTokens: number, pace: RunningQuantile) {
     this.record = record
+    this.hash = hashText(record.id)
     this.prompts = new PromptMemory(memoryTokens * cacheShare)
     this.#pace = pace
   }
--- a/src/core/balance/engines-apart.ts
+++ b/src/core/balance/engines-apart.ts
@@ -2,7 +2,6 @@
  * The order in which engines are set apart for long prompts, and how much slower
  * each is than the middle one of its service.
  */
-import { hashText } from '../hash.js'
 import { findMiddle } from './average.js'
 import type { EndpointView } from './endpoint-view.js'
 
@@ -24,7 +23,7 @@
  */
 export function listApart (engines: readonly EndpointView[]): EndpointView[] {
   setSlowness(engines)
-  const ranked = [...engines].sort((a, b) => hashText(a.id) - hashText(b.id))
+  const ranked = [...engines].sort((a, b) => a.hash - b.hash)
   const perZone = new Map<string, number>()
   const turns = ranked.map(view => {
     const kind = view.isSlow ? 0 : 1
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -27,6 +27,20 @@
 /** A zone counts as cut off after so long without a word, ms: three words of the slowest peer. */
 const zoneSilentMs = 800
 
+/** For so long it is not worked out anew which endpoints may be used and how they are parted, ms: it costs more than a choice. */
+const outlookMs = 8
+
+/** Which endpoints of a service may be used, and how they are parted. */
+interface Outlook {
+  readonly at: number
+  readonly usable: readonly EndpointView[]
+  /** Engines in the order in which they are set apart; none of a plain service. */
+  readonly apart: readonly EndpointView[]
+  readonly count: ApartCount
+}
+
+const noneApart: ApartCount = { count: 0, base: 0 }
+
 export class Fleet {
   readonly zones: ZoneWatch
   #standpoint: Standpoint
@@ -34,6 +48,7 @@
   #views = new Map<EndpointId, EndpointView>()
   #byService = new Map<ServiceName, EndpointView[]>()
   #others = new Map<ServiceName, ServiceTotal>()
+  #outlooks = new Map<ServiceName, Outlook>()
 
   constructor (zone: ZoneName) {
     this.zones = new ZoneWatch(zone, zoneSilentMs)
@@ -51,6 +66,7 @@
       states.set(service.name, known === undefined ? createState(service) : { ...known, service })
     }
     this.#services = states
+    this.#outlooks.clear()
   }
 
   /** Takes in newer records of the directory. */
@@ -62,6 +78,7 @@
       else this.#views.set(record.id, this.#createView(record))
     }
     this.#byService = groupByService(this.#views.values())
+    this.#outlooks.clear()
   }
 
   /** Takes in what the other boxes have; `noTotals` where no hub is heard. */
@@ -96,20 +113,17 @@
    */
   choose (work: Work, tried: readonly EndpointId[], at: number, draw: number, waitedMs = 0): Choice | NoChoice {
     const all = this.#byService.get(work.service) ?? []
-    const ready = all.filter(view => view.record.stage === 'ready' && !tried.includes(view.id))
-    if (ready.length === 0) return all.length === 0 ? 'none-known' : 'none-usable'
-    const usable = listUsable(ready, at)
-    if (usable.length === 0) return 'none-usable'
+    const { usable, apart, count } = this.#look(work.service, at)
+    const left = usable.filter(view => !tried.includes(view.id))
+    if (left.length === 0) return all.length === 0 ? 'none-known' : 'none-usable'
     const state = this.#services.get(work.service)
     const engine = state?.service.engine ?? null
-    if (work.cost === null || engine === null || state === undefined) return this.#choosePlain(usable, at, draw)
-    const apart = listApart(usable)
-    const count = this.#agreeShare(state, apart, at)
+    if (work.cost === null || engine === null || state === undefined) return this.#choosePlain(left, at, draw)
     const patient = this.#isPatient(work, state)
-    const side = patient ? apart.slice(0, count.count) : apart.slice(count.count)
+    const side = (patient ? apart.slice(0, count.count) : apart.slice(count.count)).filter(view => !tried.includes(view.id))
     const homes = patient ? apart.slice(0, count.base) : side
     const prompt: PromptCase = { work, cost: work.cost, engine, waitedMs }
-    const choice = this.#chooseEngine(side.length > 0 ? side : usable, homes, prompt, count.count, at, draw)
+    const choice = this.#chooseEngine(side.length > 0 ? side : left, homes, prompt, count.count, at, draw)
     return patient && !hasRoom(choice.view, work.cost, engine, at) ? 'later' : choice
   }
 
@@ -151,9 +165,8 @@
   findReturn (work: Work, at: number): number | null {
     const state = this.#services.get(work.service)
     if (state?.service.engine == null || work.cost === null || !this.#isPatient(work, state)) return null
-    const usable = listUsable((this.#byService.get(work.service) ?? []).filter(view => view.record.stage === 'ready'), at)
-    const apart = listApart(usable)
-    const side = apart.slice(0, Math.max(1, this.#agreeShare(state, apart, at).count))
+    const { apart, count } = this.#look(work.service, at)
+    const side = apart.slice(0, Math.max(1, count.count))
     let tokens = this.#countHeld(state, work.priority)
     let rate = 0
     for (const view of side) {
@@ -181,6 +194,20 @@
     return new EndpointView(record, state?.service.engine?.memoryTokens ?? 0, state?.pace ?? createPace())
   }
 
+  // The endpoints that may be used and how they are parted, as of some ms ago.
+  #look (service: ServiceName, at: number): Outlook {
+    const known = this.#outlooks.get(service)
+    if (known !== undefined && at - known.at < outlookMs) return known
+    const ready = (this.#byService.get(service) ?? []).filter(view => view.record.stage === 'ready')
+    const usable = listUsable(ready, at)
+    const state = this.#services.get(service)
+    const apart = state?.service.engine == null ? [] : listApart(usable)
+    const count = state === undefined || apart.length === 0 ? noneApart : this.#agreeShare(state, apart, at)
+    const outlook: Outlook = { at, usable, apart, count }
+    this.#outlooks.set(service, outlook)
+    return outlook
+  }
+
   // `apart`: the engines in the order in which they are set apart.
   #agreeShare (state: ServiceState, apart: readonly EndpointView[], at: number): ApartCount {
     return agreeShare(state, this.#findOthers(state), apart, at)
--- a/src/core/balance/load-book.ts
+++ b/src/core/balance/load-book.ts
@@ -1,10 +1,11 @@
 /**
- * A hub's book of what each box last told of its work, and its totals. Boxes
- * that fall silent no longer count.
+ * A hub's book of what each of its boxes last told of its work, and of the sums
+ * that other hubs told of theirs. Whoever falls silent no longer counts.
  */
 import type { BoxId, EndpointId, ServiceName, ZoneName } from '../ids.js'
 import { findMiddle } from './average.js'
-import type { BoxLoad, EndpointLoad, EngineGap, LoadTotals, ServiceDemand, ServiceTotal, WaitingTokens } from './load-word.js'
+import { noTotals } from './load-word.js'
+import type { BoxLoad, EndpointLoad, EngineGap, LoadTotals, ServiceTotal, WaitingTokens } from './load-word.js'
 
 /** A box that was silent for so long has nothing at the endpoints, ms: six of its words. */
 const silentMs = 1500
@@ -17,37 +18,72 @@
   readonly at: number
 }
 
+interface ToldSum {
+  readonly sum: LoadTotals
+  readonly at: number
+}
+
 export class LoadBook {
   #told = new Map<BoxId, Told>()
-
-  /** Boxes that count. */
-  get size (): number { return this.#told.size }
+  #sums = new Map<BoxId, ToldSum>()
 
   /** Takes a box's newest word. */
   note (box: BoxId, zone: ZoneName, load: BoxLoad, at: number): void {
     this.#told.set(box, { zone, load, at })
   }
 
-  /** Forgets boxes that have fallen silent; returns them. */
+  /** Takes another hub's newest sum. */
+  noteSum (hub: BoxId, sum: LoadTotals, at: number): void {
+    this.#sums.set(hub, { sum, at })
+  }
+
+  /** Forgets boxes and hubs that have fallen silent; returns them. */
   forgetSilent (at: number): BoxId[] {
-    const silent = [...this.#told].filter(([, told]) => at - told.at > silentMs).map(([box]) => box)
-    for (const box of silent) this.#told.delete(box)
+    const silent: BoxId[] = []
+    for (const told of [this.#told, this.#sums]) {
+      for (const [box, word] of told) {
+        if (at - word.at <= silentMs) continue
+        told.delete(box)
+        silent.push(box)
+      }
+    }
     return silent
   }
 
-  /** Adds up what all boxes told. */
-  sum (at: number): LoadTotals {
-    const loads = new Map<EndpointId, EndpointLoad>()
-    const demands = new Map<ServiceName, ServiceTotal>()
-    const gaps = new Map<EndpointId, number[]>()
-    const zones = new Set<ZoneName>()
+  /** Adds up what this hub's own boxes told. */
+  sumOwn (at: number): LoadTotals {
+    const sum = new LoadSum()
     for (const { zone, load, at: toldAt } of this.#told.values()) {
-      if (at - toldAt <= zoneSilentMs) zones.add(zone)
-      for (const one of load.loads) loads.set(one.endpoint, addLoad(loads.get(one.endpoint), one))
-      for (const one of load.demands) demands.set(one.service, addDemand(demands.get(one.service), one))
-      for (const [endpoint, gapMs] of load.gaps) gaps.set(endpoint, [...gaps.get(endpoint) ?? [], gapMs])
+      const demands = load.demands.map(demand => ({ ...demand, holders: demand.held.length > 0 ? 1 : 0 }))
+      sum.add({ loads: load.loads, demands, gaps: load.gaps, zones: at - toldAt <= zoneSilentMs ? [zone] : [] })
     }
-    return { loads: [...loads.values()], demands: [...demands.values()], gaps: findMiddles(gaps), zones: [...zones] }
+    return sum.totals
+  }
+
+  /** Adds what other hubs told to the sum of the own boxes. */
+  sumAll (own: LoadTotals, at: number): LoadTotals {
+    const sum = new LoadSum()
+    sum.add(own)
+    for (const { sum: told, at: toldAt } of this.#sums.values()) sum.add(at - toldAt <= zoneSilentMs ? told : { ...told, zones: noTotals.zones })
+    return sum.totals
+  }
+}
+
+class LoadSum {
+  #loads = new Map<EndpointId, EndpointLoad>()
+  #demands = new Map<ServiceName, ServiceTotal>()
+  #gaps = new Map<EndpointId, number[]>()
+  #zones = new Set<ZoneName>()
+
+  get totals (): LoadTotals {
+    return { loads: [...this.#loads.values()], demands: [...this.#demands.values()], gaps: findMiddles(this.#gaps), zones: [...this.#zones] }
+  }
+
+  add ({ loads, demands, gaps, zones }: LoadTotals): void {
+    for (const one of loads) this.#loads.set(one.endpoint, addLoad(this.#loads.get(one.endpoint), one))
+    for (const one of demands) this.#demands.set(one.service, addDemand(this.#demands.get(one.service), one))
+    for (const [endpoint, gapMs] of gaps) this.#gaps.set(endpoint, [...this.#gaps.get(endpoint) ?? [], gapMs])
+    for (const zone of zones) this.#zones.add(zone)
   }
 }
 
@@ -62,9 +98,8 @@
   }
 }
 
-function addDemand (sum: ServiceTotal | undefined, one: ServiceDemand): ServiceTotal {
-  const holders = one.held.length > 0 ? 1 : 0
-  if (sum === undefined) return { ...one, holders }
+function addDemand (sum: ServiceTotal | undefined, one: ServiceTotal): ServiceTotal {
+  if (sum === undefined) return one
   return {
     service: one.service,
     patient: sum.patient + one.patient,
@@ -72,7 +107,7 @@
     apart: Math.max(sum.apart, one.apart),
     base: Math.max(sum.base, one.base),
     held: addWaiting(sum.held, one.held, 1),
-    holders: sum.holders + holders
+    holders: sum.holders + one.holders
   }
 }
 
--- a/src/core/hash.ts
+++ b/src/core/hash.ts
@@ -19,11 +19,3 @@
   }
   return best
 }
-
-/** The candidates in the order of rendezvous hashing with `key`, the same for everybody who knows the same ones. */
-export function rankByHash (key: string, candidates: readonly string[]): string[] {
-  return candidates
-    .map(candidate => ({ candidate, hash: hashText(`${key}|${candidate}`) }))
-    .sort((a, b) => b.hash - a.hash)
-    .map(({ candidate }) => candidate)
-}
--- a/src/gateway/load-reporter.ts
+++ b/src/gateway/load-reporter.ts
@@ -1,18 +1,17 @@
 /**
- * Tells this box's work to two hubs, soon after each change and now and then
- * without one, and takes the totals of the first of them; where that one falls
- * silent, of the other. All gateways choose the same hubs, as far as they reach
- * them.
+ * Tells this box's work to a hub, soon after each change and now and then
+ * without one, and takes the totals from there. The hub is a registry of the own
+ * zone where one can be reached; where it falls silent, another.
  */
 import { createSocket } from 'node:dgram'
 import type { Socket } from 'node:dgram'
 import { randomInt } from 'node:crypto'
-import { noTotals, rankByHash, subtractOwn } from '../core/index.js'
+import { chooseByHash, noTotals, subtractOwn } from '../core/index.js'
 import type { BoxId, BoxLoad, LoadTotals, ZoneName } from '../core/index.js'
 import { decodeTotalsWord, encodeLoadWord } from '../protocol/index.js'
-import type { TotalsWord } from '../protocol/index.js'
 import { Inbox } from '../runtime/index.js'
 import type { EventLog } from '../runtime/index.js'
+import type { ReachedRegistry } from './registry-follower.js'
 
 /** What the reporter needs of its box. */
 export interface LoadReporterHost {
@@ -22,14 +21,17 @@
   /** UDP port of hubs. */
   readonly hubPort: number
   now (): number
-  /** Hosts of the registries that can be reached just now. */
-  listHubs (): readonly string[]
+  /** Registries that can be reached just now. */
+  listHubs (): readonly ReachedRegistry[]
   composeLoad (): BoxLoad
   /** Takes what all other boxes have; `intervalMs`: how often that is told. */
   takeOthers (others: LoadTotals, intervalMs: number): void
 }
 
 interface Hub {
+  readonly host: string
+  /** When the first word went there. */
+  readonly chosenAt: number
   start: number
   number: number
   heardAt: number
@@ -45,12 +47,12 @@
 const gatherShare = 0.4
 /** Without a change a word goes out this often, ms. */
 const beatMs = 250
-/** A hub's totals are taken as long as it was heard in this time, ms: two of its beats and a little. */
+/** A hub that was silent for so long is left for another, ms: two of its beats and a little. */
 const hubSilentMs = 450
+/** It is passed over for so long, ms: its own restart takes about a second. */
+const passOverMs = 1500
 /** After so long without a word of any hub the others' work no longer counts, ms. */
 const forgetMs = 1500
-/** Hubs that are told at once. */
-const hubsTold = 2
 /** Own words that are kept, to be taken off totals that hold them: those of a second at the fastest pace. */
 const mostKept = 128
 /** Datagrams that wait to be read; more are dropped, as the network may. */
@@ -62,11 +64,11 @@
   #host: LoadReporterHost
   #socket: Socket = createSocket('udp4')
   #inbox = new Inbox<Input>(mostWaiting)
-  #hubs = new Map<string, Hub>()
+  #hub: Hub | null = null
+  #passedOver = new Map<string, number>()
   #start = randomInt(starts)
   #number = 0
   #kept = new Map<number, BoxLoad>()
-  #source = ''
   #intervalMs = 0
   #saidAt = -Infinity
   #heardAt = -Infinity
@@ -114,61 +116,56 @@
   }
 
   #receive (bytes: Buffer, from: string): void {
+    const hub = this.#hub
+    if (hub === null || hub.host !== from) return
     const word = decodeTotalsWord(bytes)
-    if (word === null) return
-    const known = this.#hubs.get(from)
-    if (known !== undefined && known.start === word.start && known.number >= word.number) return
+    if (word === null || (hub.start === word.start && hub.number >= word.number)) return
     const now = this.#host.now()
-    this.#hubs.set(from, { start: word.start, number: word.number, heardAt: now })
-    if (this.#chooseSource(now) === from) this.#adopt(from, word, now)
-  }
-
-  #adopt (from: string, word: TotalsWord, now: number): void {
-    if (this.#source !== from) this.#host.log.info('hub-chosen', { hub: from, before: this.#source })
-    this.#source = from
+    Object.assign(hub, { start: word.start, number: word.number, heardAt: now })
     this.#heardAt = now
     this.#intervalMs = word.intervalMs
     this.#host.takeOthers(subtractOwn(word.totals, this.#kept.get(word.ownNumber) ?? null), word.intervalMs)
   }
 
-  // The first of the hubs told that is heard.
-  #chooseSource (now: number): string | undefined {
-    return this.#listTold().find(host => now - (this.#hubs.get(host)?.heardAt ?? -Infinity) <= hubSilentMs)
-  }
-
-  #listTold (): string[] {
-    return rankByHash('hub', this.#host.listHubs()).slice(0, hubsTold)
-  }
-
   #tick (): void {
     const now = this.#host.now()
+    this.#reviewHub(now)
     if (this.#heardAt > -Infinity && now - this.#heardAt > forgetMs) {
       this.#heardAt = -Infinity
-      this.#host.log.warn('hubs-silent', { hub: this.#source })
-      this.#source = ''
+      this.#host.log.warn('hubs-silent', { hub: this.#hub?.host ?? '' })
       this.#host.takeOthers(noTotals, 0)
     }
     if (now - this.#saidAt >= beatMs) this.#send()
   }
 
+  // Leaves a hub that is silent, and one of another zone where one of the own zone can be reached again.
+  #reviewHub (now: number): void {
+    const hub = this.#hub
+    if (hub !== null && now - Math.max(hub.heardAt, hub.chosenAt) > hubSilentMs) this.#passedOver.set(hub.host, now + passOverMs)
+    const best = this.#findHub(now)
+    if (best === hub?.host || best === undefined) return
+    this.#host.log.info('hub-chosen', { hub: best, before: hub?.host ?? '' })
+    this.#hub = { host: best, chosenAt: now, start: 0, number: 0, heardAt: -Infinity }
+    this.#send()
+  }
+
+  // The one that all gateways of the zone find, as far as they reach it.
+  #findHub (now: number): string | undefined {
+    const reached = this.#host.listHubs().filter(({ host }) => (this.#passedOver.get(host) ?? 0) <= now)
+    const near = reached.filter(({ zone }) => zone === this.#host.zone)
+    return chooseByHash('hub', (near.length > 0 ? near : reached).map(({ host }) => host))
+  }
+
   #send (): void {
     this.#isScheduled = false
-    if (this.#closed) return
-    const now = this.#host.now()
-    this.#saidAt = now
-    const told = this.#listTold()
-    if (told.length === 0) return
+    if (this.#closed || this.#hub === null) return
+    this.#saidAt = this.#host.now()
     const load = this.#host.composeLoad()
     this.#number += 1
     this.#keep(load)
     const { id, zone, hubPort } = this.#host
-    const source = this.#chooseSource(now)
-    const word = { box: id, zone, start: this.#start, number: this.#number, load }
-    told.forEach((host, i) => {
-      // The second hub's totals are wanted only where the first one's don't come.
-      const wantsTotals = i === 0 || source !== told[0]
-      this.#socket.send(encodeLoadWord({ ...word, wantsTotals }), hubPort, host, () => {})
-    })
+    const word = encodeLoadWord({ box: id, zone, start: this.#start, number: this.#number, load })
+    this.#socket.send(word, hubPort, this.#hub.host, () => {})
   }
 
   #keep (load: BoxLoad): void {
--- a/src/gateway/registry-follower.ts
+++ b/src/gateway/registry-follower.ts
@@ -27,6 +27,13 @@
   noteZone (zone: ZoneName): void
 }
 
+/** A registry that can be reached. */
+export interface ReachedRegistry {
+  readonly host: string
+  /** Null before it said so. */
+  readonly zone: ZoneName | null
+}
+
 type Input =
   | { readonly type: 'message', readonly link: Link<RouteMessage>, readonly message: RouteMessage }
   | { readonly type: 'open', readonly link: Link<RouteMessage> }
@@ -79,10 +86,10 @@
   /** Registries in touch. */
   get linkCount (): number { return this.#links.dialed.length }
 
-  /** Hosts of the registries that were heard from just now. */
-  listNear (): string[] {
+  /** Registries that were heard from just now. */
+  listNear (): ReachedRegistry[] {
     const since = this.#host.now() - nearMs
-    return this.#links.listHeard(since)
+    return this.#links.listHeard(since).map(({ host, link }) => ({ host, zone: this.#zones.get(link) ?? null }))
   }
 
   start (seeds: readonly string[]): void {
--- a/src/protocol/link-pool.ts
+++ b/src/protocol/link-pool.ts
@@ -91,9 +91,9 @@
     return [...this.#dialed.values()].flatMap(({ link }) => link?.isOpen === true ? [link] : [])
   }
 
-  /** Hosts that were dialed, whose link is open and was heard on since a time on the process's rising clock, ms. */
-  listHeard (since: number): string[] {
-    return [...this.#dialed.values()].flatMap(({ host, link }) => link?.isOpen === true && link.heardAt >= since ? [host] : [])
+  /** Hosts that were dialed, with their links that are open and were heard on since a time on the process's rising clock, ms. */
+  listHeard (since: number): { readonly host: string, readonly link: Link<Message> }[] {
+    return [...this.#dialed.values()].flatMap(({ host, link }) => link?.isOpen === true && link.heardAt >= since ? [{ host, link }] : [])
   }
 
   hangUp (host: string, port: number): void {
--- a/src/protocol/load-datagram.ts
+++ b/src/protocol/load-datagram.ts
@@ -1,6 +1,7 @@
 /**
- * The datagrams by which gateways tell hubs their work, and hubs tell gateways
- * the totals. Each is whole, so that a lost one costs only time.
+ * The datagrams by which gateways tell hubs their work, hubs tell each other
+ * the sums of theirs, and gateways the totals. Each is whole, so that a lost one
+ * costs only time.
  */
 import type { BoxId, BoxLoad, LoadTotals, ZoneName } from '../core/index.js'
 import { decodeValue, encodeValue } from './link.js'
@@ -12,11 +13,18 @@
   /** Drawn at the start of the process: numbers begin anew with it. */
   readonly start: number
   readonly number: number
-  /** True where the box wants the totals of this hub. */
-  readonly wantsTotals: boolean
   readonly load: BoxLoad
 }
 
+/** A hub's word to another hub. */
+export interface HubWord {
+  readonly hub: BoxId
+  readonly start: number
+  readonly number: number
+  /** What the gateways of this hub have. */
+  readonly sum: LoadTotals
+}
+
 /** A hub's word to a gateway. */
 export interface TotalsWord {
   readonly start: number
@@ -31,19 +39,33 @@
 const wireVersion = 2
 
 /** Encodes a gateway's word. */
-export function encodeLoadWord ({ box, zone, start, number, wantsTotals, load }: LoadWord): Buffer {
-  return encodeValue([wireVersion, box, zone, start, number, wantsTotals, load])
+export function encodeLoadWord ({ box, zone, start, number, load }: LoadWord): Buffer {
+  return encodeValue([wireVersion, box, zone, start, number, load])
 }
 
 /** Decodes a gateway's word; null for bytes that are none. */
 export function decodeLoadWord (bytes: Uint8Array): LoadWord | null {
-  const fields = decodeFields(bytes, 7)
+  const fields = decodeFields(bytes, 6)
   if (fields === null) return null
-  const [, box, zone, start, number, wantsTotals, load] = fields as [number, BoxId, ZoneName, number, number, boolean, BoxLoad]
-  return hasLists(load, ['loads', 'demands', 'gaps']) ? { box, zone, start, number, wantsTotals, load } : null
+  const [, box, zone, start, number, load] = fields as [number, BoxId, ZoneName, number, number, BoxLoad]
+  return hasLists(load, ['loads', 'demands', 'gaps']) ? { box, zone, start, number, load } : null
 }
 
-/** Encodes the part of a hub's word that is the same for all gateways. */
+/** Encodes a hub's word to another hub, around a sum that is encoded already. */
+export function encodeHubWord ({ hub, start, number }: Omit<HubWord, 'sum'>, sum: Buffer): Buffer {
+  return encodeValue([wireVersion, hub, start, number, sum])
+}
+
+/** Decodes a hub's word to another hub; null for bytes that are none. */
+export function decodeHubWord (bytes: Uint8Array): HubWord | null {
+  const fields = decodeFields(bytes, 5)
+  if (fields === null || !(fields[4] instanceof Uint8Array)) return null
+  const [, hub, start, number, encoded] = fields as [number, BoxId, number, number, Uint8Array]
+  const sum = decodeTotals(encoded)
+  return sum === null ? null : { hub, start, number, sum }
+}
+
+/** Encodes the part of a hub's words that is the same for all that they go to. */
 export function encodeTotals (totals: LoadTotals): Buffer { return encodeValue(totals) }
 
 /** Encodes a hub's word to one gateway, around totals that are encoded already. */
@@ -56,8 +78,13 @@
   const fields = decodeFields(bytes, 6)
   if (fields === null || !(fields[5] instanceof Uint8Array)) return null
   const [, start, number, ownNumber, intervalMs, encoded] = fields as [number, number, number, number, number, Uint8Array]
-  const totals = decodeOrNull(encoded) as LoadTotals
-  return hasLists(totals, ['loads', 'demands', 'gaps', 'zones']) ? { start, number, ownNumber, intervalMs, totals } : null
+  const totals = decodeTotals(encoded)
+  return totals === null ? null : { start, number, ownNumber, intervalMs, totals }
+}
+
+function decodeTotals (bytes: Uint8Array): LoadTotals | null {
+  const totals = decodeOrNull(bytes) as LoadTotals
+  return hasLists(totals, ['loads', 'demands', 'gaps', 'zones']) ? totals : null
 }
 
 function decodeFields (bytes: Uint8Array, length: number): unknown[] | null {
--- a/src/registry/load-hub.ts
+++ b/src/registry/load-hub.ts
@@ -1,21 +1,25 @@
 /**
- * A hub of loads: gateways tell it their work by datagrams, and it tells them
- * the totals. Every registry is ready to be one; gateways choose. The work of a
- * hub grows with its gateways, a gateway's doesn't.
+ * A hub of loads: gateways tell it their work by datagrams, hubs tell each other
+ * the sums of theirs, and each tells its gateways the totals. Every registry is
+ * ready to be one; gateways choose one of their own zone, so that little crosses
+ * between zones. The work of a hub grows with its gateways, a gateway's doesn't.
  */
 import { createSocket } from 'node:dgram'
 import type { Socket } from 'node:dgram'
 import { randomInt } from 'node:crypto'
 import { LoadBook } from '../core/index.js'
-import type { BoxId } from '../core/index.js'
-import { decodeLoadWord, encodeTotals, encodeTotalsWord } from '../protocol/index.js'
+import type { BoxId, LoadTotals } from '../core/index.js'
+import { decodeHubWord, decodeLoadWord, encodeHubWord, encodeTotals, encodeTotalsWord } from '../protocol/index.js'
 import { Inbox } from '../runtime/index.js'
 import type { EventLog } from '../runtime/index.js'
 
 /** What the hub needs of its box. */
 export interface LoadHubHost {
+  readonly id: BoxId
   readonly log: EventLog
   now (): number
+  /** Hosts of the other registries. */
+  listOthers (): readonly string[]
 }
 
 interface Teller {
@@ -23,7 +27,12 @@
   port: number
   start: number
   number: number
-  wantsTotals: boolean
+}
+
+interface OtherHub {
+  readonly start: number
+  readonly number: number
+  readonly host: string
 }
 
 type Input =
@@ -39,6 +48,8 @@
 const mostIntervalMs = 300
 /** Without a change the totals are told this often, ms: they are also the sign that the hub lives. */
 const beatMs = 200
+/** Hubs without gateways of their own are told this often, ms: one of them may be chosen at any time. */
+const idleHubMs = 500
 /** Datagrams that wait to be read; more are dropped, as the network may. */
 const mostWaiting = 5000
 /** Starts are drawn below this. */
@@ -50,6 +61,9 @@
   #inbox = new Inbox<Input>(mostWaiting)
   #book = new LoadBook()
   #tellers = new Map<BoxId, Teller>()
+  #others = new Map<BoxId, OtherHub>()
+  #port = 0
+  #allToldAt = -Infinity
   #start = randomInt(starts)
   #number = 0
   #toldAt = -Infinity
@@ -64,11 +78,9 @@
     this.#inbox.run(input => this.#take(input))
   }
 
-  /** Gateways that tell this hub their work. */
-  get gatewayCount (): number { return this.#tellers.size }
-
   listen (host: string, port: number): Promise<number> {
     this.#timer = setInterval(() => this.#inbox.post({ type: 'tick' }), beatMs / 2)
+    this.#port = port
     return new Promise((resolve, reject) => {
       this.#socket.once('error', reject)
       this.#socket.bind(port, host, () => resolve(this.#socket.address().port))
@@ -98,20 +110,28 @@
 
   #receive (bytes: Buffer, host: string, port: number): void {
     const word = decodeLoadWord(bytes)
-    if (word === null) return
-    const { box, zone, start, number, wantsTotals, load } = word
-    const known = this.#tellers.get(box)
-    if (known !== undefined && known.start === start && known.number >= number) return
-    this.#tellers.set(box, { host, port, start, number, wantsTotals })
+    if (word === null) return this.#receiveSum(bytes, host)
+    const { box, zone, start, number, load } = word
+    if (!isNewer(word, this.#tellers.get(box))) return
+    this.#tellers.set(box, { host, port, start, number })
     this.#book.note(box, zone, load, this.#host.now())
     this.#schedule()
   }
 
+  #receiveSum (bytes: Buffer, host: string): void {
+    const word = decodeHubWord(bytes)
+    if (word === null || !isNewer(word, this.#others.get(word.hub))) return
+    const { hub, start, number, sum } = word
+    this.#others.set(hub, { start, number, host })
+    this.#book.noteSum(hub, sum, this.#host.now())
+    if (this.#tellers.size > 0) this.#schedule()
+  }
+
   #tick (): void {
     const now = this.#host.now()
     for (const box of this.#book.forgetSilent(now)) {
-      this.#tellers.delete(box)
-      this.#host.log.warn('gateway-silent', { gateway: box })
+      this.#others.delete(box)
+      if (this.#tellers.delete(box)) this.#host.log.warn('gateway-silent', { gateway: box })
     }
     if (now - this.#toldAt >= beatMs) this.#tell()
   }
@@ -130,11 +150,29 @@
     const now = this.#host.now()
     this.#toldAt = now
     this.#number += 1
-    const totals = encodeTotals(this.#book.sum(now))
+    const own = this.#book.sumOwn(now)
+    this.#tellHubs(own, now)
+    const totals = encodeTotals(this.#book.sumAll(own, now))
     const word = { start: this.#start, number: this.#number, intervalMs: this.#intervalMs }
-    for (const { host, port, number, wantsTotals } of this.#tellers.values()) {
-      // A datagram that can't be sent is as good as lost.
-      if (wantsTotals) this.#socket.send(encodeTotalsWord({ ...word, ownNumber: number }, totals), port, host, () => {})
+    for (const { host, port, number } of this.#tellers.values()) {
+      this.#send(encodeTotalsWord({ ...word, ownNumber: number }, totals), port, host)
     }
   }
+
+  // Hubs that have gateways at once, the others now and then.
+  #tellHubs (own: LoadTotals, now: number): void {
+    const tellsAll = now - this.#allToldAt >= idleHubMs
+    if (tellsAll) this.#allToldAt = now
+    const hosts = tellsAll ? this.#host.listOthers() : [...this.#others.values()].map(other => other.host)
+    if (hosts.length === 0) return
+    const bytes = encodeHubWord({ hub: this.#host.id, start: this.#start, number: this.#number }, encodeTotals(own))
+    for (const host of hosts) this.#send(bytes, this.#port, host)
+  }
+
+  // A datagram that can't be sent is as good as lost.
+  #send (bytes: Buffer, port: number, host: string): void { this.#socket.send(bytes, port, host, () => {}) }
+}
+
+function isNewer (word: { readonly start: number, readonly number: number }, known: { readonly start: number, readonly number: number } | undefined): boolean {
+  return known === undefined || known.start !== word.start || known.number < word.number
 }
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -8,6 +8,7 @@
 import type { RegistrySettings } from '../config/index.js'
 import { KeeperLog, getReplicaHost } from '../coordination/index.js'
 import type { Members, ReplicaId } from '../coordination/index.js'
+import { brandId } from '../core/index.js'
 import type { BoxId, EndpointRecord } from '../core/index.js'
 import { LinkPool } from '../protocol/index.js'
 import type { Dialect, Link, RouteMessage } from '../protocol/index.js'
@@ -80,7 +81,7 @@
       spread: records => this.#tellAll({ type: 'endpoints', records, whole: false }),
       spreadHeard: words => this.#tellRegistries({ type: 'heard', words })
     })
-    this.#hub = new LoadHub({ log, now: () => performance.now() })
+    this.#hub = new LoadHub({ id: brandId(settings.id), log, now: () => performance.now(), listOthers: () => [...this.#hosts] })
     this.#desk = new OperatorDesk({
       dialect,
       log,
@@ -96,9 +97,9 @@
 
   /** Opens the disk and begins to serve. */
   async start (): Promise<void> {
-    const { listen, host, linkPort, loadPort, seeds } = this.#settings
+    const { listen, host, bind, linkPort, loadPort, seeds } = this.#settings
     this.setSeeds(seeds)
-    await this.#links.listen(host, linkPort)
+    await this.#links.listen(bind === '' ? host : bind, linkPort)
     await this.#hub.listen(host, loadPort)
     this.#log = await this.#openLog()
     this.#calls = new LeaderCalls({ log: this.#log, findLink: replica => this.#links.find(getReplicaHost(replica), linkPort) })
--- /dev/null
+++ b/src/soak/fault-draw.ts
@@ -0,0 +1,89 @@
+/** The faults of one history, drawn from its seed before it begins: a history is told apart by its seed alone. */
+
+/** How a proxy treats connections: passes them on, late, resets them, or passes nothing on in one way or both. */
+export type ProxyMode = 'pass' | 'delay' | 'reset' | 'one-way' | 'silent'
+
+/** What is done to one process from outside it. */
+export type ProcessFault =
+  /** Stands still for a while, then goes on. */
+  | { readonly type: 'pause', readonly ms: number }
+  /** Ends at once, and starts again. */
+  | { readonly type: 'kill', readonly ms: number }
+  /** Ends as planned, and starts again. */
+  | { readonly type: 'stop', readonly ms: number }
+  /** Is told to read its settings again. */
+  | { readonly type: 'reload' }
+  /** Ends at once and starts again with an empty disk. */
+  | { readonly type: 'wipe', readonly ms: number }
+  /** Ends at once, and its last record is found torn. */
+  | { readonly type: 'tear', readonly ms: number }
+
+/** One fault. `box`, `registry` and `endpoint` count from 0. */
+export type SoakFault =
+  | { readonly on: 'gateway', readonly box: number, readonly what: ProcessFault }
+  | { readonly on: 'registry', readonly box: number, readonly what: ProcessFault }
+  | { readonly on: 'registries', readonly ms: number }
+  | { readonly on: 'link', readonly registry: number, readonly mode: ProxyMode, readonly ms: number }
+  | { readonly on: 'road', readonly endpoint: number, readonly mode: ProxyMode, readonly ms: number }
+  | { readonly on: 'endpoint', readonly endpoint: number, readonly fault: 'full' | 'error' | 'lose' | 'hang' | 'break' | 'surplus', readonly ms: number }
+  | { readonly on: 'drain', readonly endpoint: number, readonly ms: number }
+
+/** A fault and when it begins, ms from the start. */
+export interface TimedFault {
+  readonly at: number
+  readonly fault: SoakFault
+}
+
+/** What a history is played on. */
+export interface SoakShape {
+  readonly registries: number
+  readonly gateways: number
+  readonly endpoints: number
+}
+
+const modes: readonly ProxyMode[] = ['delay', 'reset', 'one-way', 'silent']
+const endpointFaults = ['full', 'error', 'lose', 'hang', 'break', 'surplus'] as const
+/** The first faults come after this, ms: kept connections are then open. */
+const calmMs = 1000
+/** Pauses between the beginnings of faults, ms: they overlap more often than not. */
+const leastPauseMs = 150
+const mostPauseMs = 1500
+/** How long faults last, ms. */
+const leastMs = 200
+const mostMs = 2500
+/** A lost disk is followed by another loss only after its registry has caught up, ms. */
+const wipeRestMs = 6000
+
+/** Draws the faults of a history of `lengthMs`. `random` gives numbers from 0 up to 1. */
+export function drawFaults (random: () => number, shape: SoakShape, lengthMs: number): TimedFault[] {
+  const faults: TimedFault[] = []
+  let at = calmMs
+  let wipedAt = -Infinity
+  while (at < lengthMs) {
+    const mayWipe = at - wipedAt > wipeRestMs
+    const fault = drawFault(random, shape, mayWipe)
+    if (fault.on === 'registry' && fault.what.type === 'wipe') wipedAt = at
+    faults.push({ at: Math.round(at), fault })
+    at += draw(random, leastPauseMs, mostPauseMs)
+  }
+  return faults
+}
+
+function drawFault (random: () => number, shape: SoakShape, mayWipe: boolean): SoakFault {
+  const ms = Math.round(draw(random, leastMs, mostMs))
+  const kind = random()
+  if (kind < 0.3) return { on: 'gateway', box: pickNumber(random, shape.gateways), what: pick(random, [{ type: 'pause', ms }, { type: 'kill', ms }, { type: 'stop', ms }, { type: 'stop', ms }, { type: 'reload' }]) }
+  if (kind < 0.5) {
+    const faults: readonly ProcessFault[] = [{ type: 'pause', ms }, { type: 'kill', ms }, { type: 'stop', ms }, { type: 'tear', ms }, { type: mayWipe ? 'wipe' : 'kill', ms }]
+    return { on: 'registry', box: pickNumber(random, shape.registries), what: pick(random, faults) }
+  }
+  if (kind < 0.55) return { on: 'registries', ms }
+  if (kind < 0.65) return { on: 'link', registry: pickNumber(random, shape.registries), mode: pick(random, modes), ms }
+  if (kind < 0.8) return { on: 'road', endpoint: pickNumber(random, shape.endpoints), mode: pick(random, modes), ms }
+  if (kind < 0.92) return { on: 'endpoint', endpoint: pickNumber(random, shape.endpoints), fault: pick(random, endpointFaults), ms }
+  return { on: 'drain', endpoint: pickNumber(random, shape.endpoints), ms }
+}
+
+function draw (random: () => number, least: number, most: number): number { return least + random() * (most - least) }
+function pickNumber (random: () => number, count: number): number { return Math.floor(random() * count) }
+function pick<T> (random: () => number, of: readonly T[]): T { return of[pickNumber(random, of.length)] }
--- /dev/null
+++ b/src/soak/promise-watch.ts
@@ -0,0 +1,117 @@
+/**
+ * Checks what callers and endpoints see against what the product promises. It
+ * knows no state of the product: only calls, their ends, and runs.
+ */
+import type { EndpointRun } from '../standin/index.js'
+import { composeEvent, composeWhole } from '../standin/index.js'
+import type { Disturbances } from './disturbances.js'
+import type { HttpEnd } from './soak-stage.js'
+
+/** A call of one caller through one gateway. */
+export interface WatchedCall {
+  readonly id: string
+  readonly gateway: string
+  /** Counts the starts of the gateway's process. */
+  readonly life: number
+  /** `once` and `stream` run at most once, `again` may be repeated, `resume` continued. */
+  readonly kind: 'once' | 'again' | 'stream' | 'resume'
+  readonly path: string
+  readonly body: string
+  readonly version: number
+  readonly sentAt: number
+  readonly endedAt: number
+  readonly end: HttpEnd
+}
+
+/** Statuses that promise that the request did not run and never will. */
+const promising = new Set([408, 421, 429, 503])
+/** The longest that a request is held by its route, ms. */
+export const holdMs = 1500
+/** A final answer comes within this of the end of a request's time, ms. */
+const lateMs = 700
+/** A document is in force so long after it was acknowledged, ms. */
+const inForceMs = 4000
+/** What counts as calm for promises bound by time: nothing disturbed for so long before, ms. */
+const calmMs = 4000
+/** An endpoint that said it is leaving gets nothing new so long after, ms. */
+const drainMs = 2000
+
+export class PromiseWatch {
+  readonly violations: string[] = []
+  readonly calls: WatchedCall[] = []
+  #disturbances: Disturbances
+  #newest = new Map<string, number>()
+
+  constructor (disturbances: Disturbances) {
+    this.#disturbances = disturbances
+  }
+
+  violate (rule: string, detail: string): void { this.violations.push(`${rule}: ${detail}`) }
+
+  /** Checks a call as far as its own end tells. */
+  note (call: WatchedCall): void {
+    this.calls.push(call)
+    this.#checkAnswer(call)
+    this.#checkTime(call)
+  }
+
+  /** Checks a try of a path that only one version knows. `ackedAt` of that version, and of the next one, if any. */
+  noteVersionTry (call: WatchedCall, ackedAt: number, nextAckedAt: number | null): void {
+    const life = `${call.gateway} ${call.life}`
+    const seen = this.#newest.get(life) ?? 0
+    const { status } = call.end
+    if (status === 200) {
+      if (call.version < seen) this.violate('a document reverted', `${life} used ${call.version} after ${seen}`)
+      this.#newest.set(life, Math.max(seen, call.version))
+    }
+    if (!this.#isCalm(call, call.sentAt)) return
+    if (status === 404 && call.sentAt - ackedAt > inForceMs && (nextAckedAt === null || call.endedAt < nextAckedAt)) this.violate('a document is not in force', `${call.version} at ${life}, ${Math.round(call.sentAt - ackedAt)} ms after its acknowledgement`)
+    if (status === 200 && nextAckedAt !== null && call.sentAt - nextAckedAt > inForceMs) this.violate('an older document is still in force', `${call.version} at ${life}`)
+  }
+
+  /** Checks a run that an endpoint began so long after a registry took its word that it is leaving, ms. */
+  noteRunWhileLeaving (run: EndpointRun, sinceMs: number, at: number): void {
+    if (sinceMs > drainMs && !this.#disturbances.touches(['registry', 'gateway', 'link', 'road'], at - calmMs, at)) this.violate('a leaving endpoint got new work', `${run.requestId} after ${Math.round(sinceMs)} ms`)
+  }
+
+  /** Checks all calls against what ran, once nothing runs any more. */
+  settle (runs: readonly EndpointRun[]): void {
+    const counts = new Map<string, number>()
+    for (const run of runs) counts.set(run.requestId, (counts.get(run.requestId) ?? 0) + 1)
+    for (const call of this.calls) {
+      const ran = counts.get(call.id) ?? 0
+      const mayRepeat = call.kind === 'again' || call.kind === 'resume'
+      if (!mayRepeat && ran > 1) this.violate('a call that may not be repeated ran again', `${call.id} ran ${ran} times`)
+      if (promising.has(call.end.status) && ran > 0) this.violate('what was told not to have run, ran', `${call.id} got ${call.end.status} and ran ${ran} times`)
+      if (ran > 0 && call.end.status === 0 && this.#isPlannedStopAlone(call)) this.violate('a planned stop cut a request', `${call.id}: ${call.end.error}`)
+    }
+  }
+
+  #checkAnswer (call: WatchedCall): void {
+    const { status, isWhole, body } = call.end
+    if (status !== 200) return
+    const expected = composeExpected(call)
+    if (isWhole ? body !== expected : !expected.startsWith(body)) this.violate('an answer is not its request\'s own', `${call.id} got ${JSON.stringify(body.slice(0, 200))}`)
+  }
+
+  #checkTime (call: WatchedCall): void {
+    const tookMs = call.endedAt - call.sentAt
+    if (tookMs > holdMs + lateMs && this.#isCalm(call, call.endedAt)) this.violate('no final answer in time', `${call.id} took ${Math.round(tookMs)} ms`)
+  }
+
+  #isCalm (call: WatchedCall, until: number): boolean {
+    return !this.#disturbances.touches([call.gateway, 'registry', 'link'], call.sentAt - calmMs, until)
+  }
+
+  // Nothing but the stop of its gateway can have ended the call.
+  #isPlannedStopAlone (call: WatchedCall): boolean {
+    const from = call.sentAt - calmMs
+    return this.#disturbances.touches([`stop ${call.gateway}`], from, call.endedAt) && !this.#disturbances.touches([call.gateway, 'road', 'endpoint'], from, call.endedAt)
+  }
+}
+
+function composeExpected ({ id, kind, path, body }: WatchedCall): string {
+  if (kind === 'once' || kind === 'again') return composeWhole({ requestId: id, method: 'POST', path, body })
+  const count = Number(/events-(\d+)/.exec(path)?.[1] ?? 0)
+  return Array.from({ length: count }, (_, i) => composeEvent(path, i + 1)).join('')
+}
--- /dev/null
+++ b/src/soak/soak-stage.ts
@@ -0,0 +1,194 @@
+/**
+ * What a history is played on: registries and gateways as processes, stand-in
+ * endpoints behind proxies, and proxies before the registries' links. All of it
+ * stands on loopback addresses that the history's number tells apart.
+ */
+import { appendFileSync, mkdirSync, mkdtempSync, readdirSync, rmSync, writeFileSync } from 'node:fs'
+import { request as httpRequest } from 'node:http'
+import type { RequestOptions } from 'node:http'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { stringify } from 'smol-toml'
+import { StandinEndpoint } from '../standin/index.js'
+import { FaultProxy } from './fault-proxy.js'
+import type { SoakShape } from './fault-draw.js'
+import { ProgramProcess } from './program-process.js'
+
+/** A registry's or a gateway's process, and where it is reached. */
+export interface StagedBox {
+  readonly name: string
+  readonly host: string
+  readonly process: ProgramProcess
+  /** Null for a gateway. */
+  readonly data: string | null
+}
+
+/** A stand-in endpoint and the proxy before it. */
+export interface StagedEndpoint {
+  readonly standin: StandinEndpoint
+  readonly road: FaultProxy
+  readonly port: number
+  stage: 'ready' | 'draining'
+  sequence: number
+}
+
+/** The end of a call over HTTP; status 0 where no answer began. */
+export interface HttpEnd {
+  readonly status: number
+  readonly body: string
+  readonly isWhole: boolean
+  /** Why no answer began. */
+  readonly error: string
+}
+
+export const callerPort = 7003
+const linkPort = 7000
+const loadPort = 7001
+const operatorPort = 7002
+const readyPort = 7004
+const zones = ['zone-a', 'zone-b', 'zone-c']
+const endpointHeaders = { requestId: 'x-wrenlane-request-id', expectedEndpoint: 'x-wrenlane-endpoint', notRun: 'x-wrenlane-not-run', mark: '', lastEvent: 'last-event-id' }
+const programs = fileURLToPath(new URL('../bin/', import.meta.url))
+/** How often endpoints say where they are, ms. */
+const beatMs = 400
+/** A call to a registry is given up after this, ms. */
+const operatorMs = 1000
+/** Loopback networks that histories use: the second part of their addresses. */
+const firstNetwork = 40
+const networks = 80
+/** A torn record: some bytes of one that was being written when the power went. */
+const tornBytes = Buffer.from([0, 0, 1, 42, 7, 7, 7])
+
+export class SoakStage {
+  readonly folder = mkdtempSync(join(tmpdir(), 'wrenlane-soak-'))
+  readonly registries: StagedBox[] = []
+  readonly gateways: StagedBox[] = []
+  readonly endpoints: StagedEndpoint[] = []
+  readonly links: FaultProxy[] = []
+  #shape: SoakShape
+  #network: number
+  #noteEnd: (name: string, code: number | null) => void
+  #beats: NodeJS.Timeout | null = null
+
+  constructor (shape: SoakShape, number: number, noteEnd: (name: string, code: number | null) => void) {
+    this.#shape = shape
+    this.#network = firstNetwork + number % networks
+    this.#noteEnd = noteEnd
+  }
+
+  async start (): Promise<void> {
+    for (let i = 0; i < this.#shape.registries; i++) await this.#stageRegistry(i)
+    for (let i = 0; i < this.#shape.gateways; i++) this.#stageGateway(i)
+    for (let i = 0; i < this.#shape.endpoints; i++) await this.#stageEndpoint(i)
+    for (const box of [...this.registries, ...this.gateways]) box.process.start()
+    this.#beats = setInterval(() => { for (const endpoint of this.endpoints) void this.register(endpoint) }, beatMs)
+  }
+
+  async stop (): Promise<void> {
+    if (this.#beats !== null) clearInterval(this.#beats)
+    for (const { process } of [...this.gateways, ...this.registries]) await process.kill()
+    for (const { standin, road } of this.endpoints) {
+      road.close()
+      standin.close()
+    }
+    for (const link of this.links) link.close()
+    rmSync(this.folder, { recursive: true, force: true, maxRetries: 3 })
+  }
+
+  /** Empties a registry's disk; its process must have ended. */
+  wipe (registry: number): void {
+    const { data } = this.registries[registry]
+    if (data !== null) rmSync(data, { recursive: true, force: true })
+    this.#writeRegistry(registry, false)
+  }
+
+  /** Leaves a torn record at the end of a registry's newest file; its process must have ended. */
+  tear (registry: number): void {
+    const { data } = this.registries[registry]
+    if (data === null) return
+    const newest = readdirSync(data).filter(name => name.endsWith('.log')).sort().at(-1)
+    if (newest !== undefined) appendFileSync(join(data, newest), tornBytes)
+  }
+
+  /** Has an endpoint say where it is; resolves with true once a registry took its word. */
+  async register (endpoint: StagedEndpoint): Promise<boolean> {
+    endpoint.sequence += 1
+    const { standin, port, stage, sequence } = endpoint
+    const body = JSON.stringify({ service: 'desk', host: this.#hostOf(2, 0), port, zone: zones[0], slots: 64, sequence, stage })
+    for (let i = 0; i < this.registries.length; i++) {
+      const { status } = await this.operate((sequence + i) % this.registries.length, 'PUT', `/v1/endpoints/${standin.id}`, body)
+      if (status === 200) return true
+    }
+    return false
+  }
+
+  /** A call to a registry. */
+  operate (registry: number, method: string, path: string, body = ''): Promise<HttpEnd> {
+    return callHttp({ host: this.registries[registry].host, port: operatorPort, method, path, headers: { 'content-type': 'application/json' }, timeout: operatorMs }, body)
+  }
+
+  async isReady (gateway: number): Promise<boolean> {
+    return (await callHttp({ host: this.gateways[gateway].host, port: readyPort, path: '/readyz', timeout: operatorMs }, '')).status === 200
+  }
+
+  #hostOf (part: number, i: number): string { return `127.${this.#network}.${part}.${i + 1}` }
+
+  get #seeds (): string[] { return Array.from({ length: Math.min(3, this.#shape.registries) }, (_, i) => `${this.#hostOf(0, i)}:${operatorPort}`) }
+
+  async #stageRegistry (i: number): Promise<void> {
+    const name = `registry-${i}`
+    const host = this.#hostOf(0, i)
+    const link = new FaultProxy(this.#hostOf(3, i), () => linkPort)
+    await link.listen(host, linkPort)
+    this.links.push(link)
+    const data = join(this.folder, name)
+    const process = new ProgramProcess(join(programs, 'registry.js'), `${data}.toml`, code => this.#noteEnd(name, code))
+    this.registries.push({ name, host, process, data })
+    this.#writeRegistry(i, true)
+  }
+
+  #writeRegistry (i: number, first: boolean): void {
+    const { name, host, data } = this.registries[i]
+    const faults = (this.#shape.registries - 1) >> 1
+    mkdirSync(this.folder, { recursive: true })
+    writeFileSync(`${data}.toml`, stringify({ ...this.#shared(name, host, i), bind: this.#hostOf(3, i), listen: `${host}:${operatorPort}`, data: data ?? '', first, faults }))
+  }
+
+  #stageGateway (i: number): void {
+    const name = `gateway-${i}`
+    const host = this.#hostOf(1, i)
+    const settings = join(this.folder, `${name}.toml`)
+    const retries = { ratio: 0.2, extra: 50, windowSeconds: 10 }
+    writeFileSync(settings, stringify({ ...this.#shared(name, host, i), listen: `${host}:${callerPort}`, ready: `${host}:${readyPort}`, drainSeconds: 6, retries }))
+    const process = new ProgramProcess(join(programs, 'gateway.js'), settings, code => this.#noteEnd(name, code))
+    this.gateways.push({ name, host, process, data: null })
+  }
+
+  #shared (id: string, host: string, i: number): Record<string, unknown> {
+    return { id, zone: zones[i % zones.length], host, linkPort, loadPort, seeds: this.#seeds, openLinks: true }
+  }
+
+  async #stageEndpoint (i: number): Promise<void> {
+    const host = this.#hostOf(2, 0)
+    const standin = new StandinEndpoint(`endpoint-${this.#network}-${i}`, endpointHeaders)
+    await standin.listen(host)
+    const road = new FaultProxy(host, () => standin.port)
+    this.endpoints.push({ standin, road, port: await road.listen(host), stage: 'ready', sequence: 0 })
+  }
+}
+
+/** One HTTP exchange; resolves also where the answer breaks off or none comes. */
+export function callHttp (options: RequestOptions, body: string): Promise<HttpEnd> {
+  return new Promise(resolve => {
+    const request = httpRequest({ agent: false, ...options }, response => {
+      let text = ''
+      response.on('data', (chunk: Buffer) => { text += chunk.toString() })
+      response.on('error', () => {})
+      response.on('close', () => resolve({ status: response.statusCode ?? 0, body: text, isWhole: response.complete, error: '' }))
+    })
+    request.on('timeout', () => request.destroy(new Error('no answer in time')))
+    request.on('error', (error: NodeJS.ErrnoException) => resolve({ status: 0, body: '', isWhole: false, error: error.code ?? error.message }))
+    request.end(body === '' ? undefined : body)
+  })
+}
--- a/test/balance.test.ts
+++ b/test/balance.test.ts
@@ -240,11 +240,23 @@
   const book = new LoadBook()
   book.note(brandId('a'), nameZone('zone-a'), createLoad(2), 0)
   book.note(brandId('b'), nameZone('zone-b'), createLoad(3), 1000)
-  const totals = book.sum(1100)
+  const totals = book.sumOwn(1100)
   assert.deepEqual(totals.loads, [{ endpoint: 'e1', running: 5, memory: 50, waiting: [[1, 500]], largest: 300 }])
   assert.deepEqual(totals.zones, ['zone-b'])
   assert.deepEqual(book.forgetSilent(1600), ['a'])
-  assert.deepEqual(book.sum(1600).loads[0].running, 3)
+  assert.deepEqual(book.sumOwn(1600).loads[0].running, 3)
+})
+
+test('the totals hold what other hubs told, until they fall silent', () => {
+  const [here, there] = [new LoadBook(), new LoadBook()]
+  here.note(brandId('a'), nameZone('zone-a'), createLoad(2), 0)
+  there.note(brandId('b'), nameZone('zone-b'), createLoad(3), 0)
+  here.noteSum(brandId('hub-b'), there.sumOwn(0), 0)
+  const all = here.sumAll(here.sumOwn(0), 0)
+  assert.deepEqual([all.loads[0].running, all.zones], [5, ['zone-a', 'zone-b']])
+  assert.deepEqual(here.sumAll(here.sumOwn(600), 600).zones, [])
+  assert.deepEqual(here.forgetSilent(1600), ['a', 'hub-b'])
+  assert.deepEqual(here.sumAll(here.sumOwn(1600), 1600).loads, [])
 })
 
 test('what is left of a hub\'s totals without a box\'s own word is what the others told', () => {
@@ -257,7 +269,7 @@
     const sumOf = (some: readonly BoxLoad[]) => {
       const book = new LoadBook()
       some.forEach((word, i) => book.note(brandId(`box-${i}`), nameZone('zone-a'), word, 0))
-      return book.sum(0)
+      return book.sumOwn(0)
     }
     const left = subtractOwn(sumOf(words), words[0])
     const others = sumOf(words.slice(1))
--- a/test/layers.test.ts
+++ b/test/layers.test.ts
@@ -16,6 +16,7 @@
   registry: ['runtime', 'core', 'coordination', 'config', 'protocol'],
   measure: ['runtime', 'core', 'standin'],
   proof: ['runtime', 'core', 'coordination'],
+  soak: ['runtime', 'standin'],
   capacity: ['runtime', 'core', 'coordination', 'protocol', 'tasks', 'standin'],
   report: ['core', 'config', 'measure']
 }
--- a/test/support/route-deployment.ts
+++ b/test/support/route-deployment.ts
@@ -111,6 +111,7 @@
       logLinesPerSecond: 1000,
       statsd: null,
       listen: `${host}:${operatorPort}`,
+      bind: '',
       data: join(this.folder, `registry-${i}`),
       first,
       faults: 1,
