--- a/src/core/balance/endpoint-weights.ts
+++ b/src/core/balance/endpoint-weights.ts
@@ -25,9 +25,10 @@
 /**
  * What reading a shared token again is worth, ms: an engine that holds a shared
  * prompt is waited for up to this much longer than another one. On the users'
- * sites reading 5,000 shared tokens again costs about what a late answer does.
+ * sites reading 5,000 shared tokens again costs about what a late answer does,
+ * so that a prompt waits for its engine about as long as its target.
  */
-const rereadMs = 0.15
+const rereadMs = 0.4
 /** An endpoint whose failures exceed the middle of its service's by so much is taken last. */
 const worseShare = 0.25
 /**
@@ -37,12 +38,19 @@
  */
 const backlogMs = 220
 /** Part of its target that a request waits for the engine that holds its shared prompt, before it goes elsewhere. */
-const homeWaitShare = 0.3
+const homeWaitShare = 1
+/**
+ * What a connection that must first be opened is worth, ms: two journeys and the
+ * endpoint's work on it, and as much again for the place that it takes there.
+ */
+const connectMs = 8
 
 /** Where a box stands and which zones it hears. */
 export interface Standpoint {
   readonly zone: ZoneName
   readonly zones: ZoneWatch
+  /** True where a connection to an endpoint is open and at rest. */
+  readonly isConnected: (view: EndpointView) => boolean
 }
 
 /** A prompt that is to be read at an engine, and how long its request has waited for one. */
@@ -72,10 +80,11 @@
   return ms + again + queued + short
 }
 
-/** What distance, silence and failures count against an endpoint, ms. `middle`: share of failures of the middle one beside it. */
+/** What distance, a missing connection, silence and failures count against an endpoint, ms. `middle`: share of failures of the middle one beside it. */
 export function weighTrust (view: EndpointView, from: Standpoint, middle: number, at: number): number {
   const zone = view.record.zone
   let ms = zone === from.zone ? 0 : otherZoneMs
+  if (!from.isConnected(view)) ms += connectMs
   if (from.zones.isCut(zone, at)) ms += doubtMs
   if (view.trust.look(at) !== 'good') ms += doubtMs
   if (view.trust.failureShare > middle + worseShare) ms += doubtMs
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -15,7 +15,7 @@
 import type { PromptCase, Standpoint } from './endpoint-weights.js'
 import { listApart } from './engines-apart.js'
 import type { BoxLoad, EngineGap, LoadTotals, ServiceTotal } from './load-word.js'
-import { countExpected, expectRead, findHome, isPatient } from './prompt-reading.js'
+import { countExpected, expectRead, findHomes, isPatient } from './prompt-reading.js'
 import type { ApartCount } from './reading-share.js'
 import { chooseReturn } from './return-time.js'
 import { createPace, createState } from './service-state.js'
@@ -50,9 +50,10 @@
   #others = new Map<ServiceName, ServiceTotal>()
   #outlooks = new Map<ServiceName, Outlook>()
 
-  constructor (zone: ZoneName) {
+  /** `isConnected`: whether a connection to an endpoint is open and at rest. */
+  constructor (zone: ZoneName, isConnected: (view: EndpointView) => boolean = () => true) {
     this.zones = new ZoneWatch(zone, zoneSilentMs)
-    this.#standpoint = { zone, zones: this.zones }
+    this.#standpoint = { zone, zones: this.zones, isConnected }
   }
 
   get views (): IterableIterator<EndpointView> { return this.#views.values() }
@@ -228,11 +229,11 @@
 
   #chooseEngine (side: readonly EndpointView[], homes: readonly EndpointView[], prompt: PromptCase, share: number, at: number, draw: number): Choice {
     const { cost } = prompt
-    const home = findHome(cost, homes)
+    const chosen = findHomes(cost, homes)
     const middle = findMiddleFailures(side)
-    const countRead = (view: EndpointView): number => expectRead(view, cost, view.id === home)
+    const countRead = (view: EndpointView): number => expectRead(view, cost, chosen)
     const weigh = (view: EndpointView): number => weighEngine(view, prompt, countRead(view), at) + weighTrust(view, this.#standpoint, middle, at)
-    return pickLeast({ views: side, weigh, countRead, share, home }, draw)
+    return pickLeast({ views: side, weigh, countRead, share, home: chosen[0] }, draw)
   }
 }
 
--- a/src/core/balance/prompt-reading.ts
+++ b/src/core/balance/prompt-reading.ts
@@ -15,6 +15,8 @@
 const pauseMargin = 1.2
 /** Part of the shared tokens that an engine is believed to hold of a prompt that all boxes send there. */
 const homeShare = 0.7
+/** The same of the first home and of the second, to which some are sent when the first has much to read. */
+const homeShares = [homeShare, 0.3]
 
 /** True where a request's pauses stay in time even beside a prompt that is being read. */
 export function isPatient (work: Work, tokensPerEvent: number, paceMs: number): boolean {
@@ -34,14 +36,19 @@
   return tokens
 }
 
-/** The engine to which all boxes send prompts that share their longest part. */
-export function findHome (cost: PromptCost, engines: readonly EndpointView[]): EndpointId | undefined {
+/** The engines to which all boxes send prompts that share their longest part: the first, and the one that takes what it can't. */
+export function findHomes (cost: PromptCost, engines: readonly EndpointView[]): EndpointId[] {
   const shared = cost.parts.at(-2)
-  return shared === undefined ? undefined : chooseByHash(shared.id, engines.map(view => view.id))
+  if (shared === undefined) return []
+  const ids = engines.map(view => view.id)
+  const first = chooseByHash(shared.id, ids)
+  const second = chooseByHash(shared.id, ids.filter(id => id !== first))
+  return [first, second].filter(id => id !== undefined)
 }
 
-/** Tokens that the engine is expected to read; its home is believed to hold most of the shared part. */
-export function expectRead (view: EndpointView, cost: PromptCost, isHome: boolean): number {
+/** Tokens that the engine is expected to read; homes are believed to hold a part of what is shared, the first one most of it. */
+export function expectRead (view: EndpointView, cost: PromptCost, homes: readonly EndpointId[]): number {
   const held = view.prompts.countHeld(cost.parts)
-  return cost.promptTokens - Math.max(held, isHome ? countShared(cost) * homeShare : 0)
+  const believed = countShared(cost) * (homeShares[homes.indexOf(view.id)] ?? 0)
+  return cost.promptTokens - Math.max(held, believed)
 }
--- a/src/gateway/endpoint-agent.ts
+++ b/src/gateway/endpoint-agent.ts
@@ -32,6 +32,11 @@
     super({ keepAlive: true, scheduling: 'lifo' })
   }
 
+  /** True where a connection to an address is open and at rest. */
+  isConnected (host: string, port: number): boolean {
+    return (this.freeSockets[this.getName({ host, port })]?.length ?? 0) > 0
+  }
+
   override createConnection (options: ClientRequestArgs, callback?: (error: Error | null, stream: Duplex) => void): Duplex | null | undefined {
     const stream = super.createConnection(options, callback)
     if (stream instanceof Socket) watchReset(stream)
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -82,7 +82,7 @@
     const { dialect, log, secret } = around
     const zone = brandId<ZoneName>(settings.zone)
     const id = brandId<BoxId>(settings.id)
-    this.#fleet = new Fleet(zone)
+    this.#fleet = new Fleet(zone, ({ record }) => this.#agent.isConnected(record.host, record.port))
     const now = (): number => performance.now()
     this.#loads = new LoadReporter({
       id,
