End a begun stream whose continuation is no stream; pay once for a second send

Cause: a resumable stream whose second endpoint answered 500 was finished as a whole answer: a second head, and the process ended. A second send after an endpoint's own 500 asked the retry budget twice.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -190,11 +190,13 @@
     if (!isAnswer) return this.#moveOn(sent, 'broken', `not an answer of an endpoint (${head.status})`)
     if (head.status >= 500) {
       view.trust.noteFailure()
-      if (this.#mayRepeat && this.#isAnotherAllowed()) return this.#moveOn(sent, 'failed', String(head.status))
+      if (this.#mayRepeat && this.#isAnotherAllowed()) return this.#sendElsewhere(sent, `failed ${head.status}`)
     } else {
       view.trust.noteGood()
     }
     const isStream = this.order.route.kind === 'events' && head.status === 200
+    // What has begun can only go on as a stream.
+    if (this.#phase === 'relaying' && !isStream) return this.cut()
     if (isStream) sent.cutter = new EventCutter()
     else this.#noteFirst(sent)
   }
@@ -289,15 +291,22 @@
     this.#moveOn(sent, failure, reason)
   }
 
+  // The endpoint ran the request and said so; another may be asked as well.
+  #sendElsewhere (sent: Sent, how: string): void {
+    this.#mayHaveRun = true
+    this.#dropSent(sent, how)
+    this.#send()
+  }
+
   // Leaves an endpoint, and goes to another where that is allowed.
-  #moveOn (sent: Sent, failure: CallFailure | 'failed', reason: string): void {
+  #moveOn (sent: Sent, failure: CallFailure, reason: string): void {
     const at = this.#host.now()
     if (failure === 'unreachable') {
       this.#unreachable += 1
       sent.view.trust.noteUnreachable(at)
     } else {
       this.#mayHaveRun = true
-      if (failure === 'broken') sent.view.trust.noteBroken(at)
+      sent.view.trust.noteBroken(at)
     }
     this.#dropSent(sent, `${failure} ${reason}`)
     const mayGoOn = failure === 'unreachable' ? !this.#mayHaveRun || this.#mayRepeat : this.#mayRepeat
--- a/test/routes-path.test.ts
+++ b/test/routes-path.test.ts
@@ -147,6 +147,36 @@
   }
 })
 
+test('a stream whose continuation fails at the other endpoint ends as one that broke off', async () => {
+  // Until the one that breaks is chosen first: the balancer parts equals by lot.
+  for (let i = 0, isCovered = false; !isCovered; i++) {
+    const requestId = `broken twice ${i}`
+    first.fault = { type: 'break', afterEvents: 3 }
+    second.fault = { type: 'error' }
+    const answer = await place.ask('/resume/events-8', { requestId })
+    first.fault = second.fault = { type: 'none' }
+    isCovered = first.runs.some(run => run.requestId === requestId && run.headers['last-event-id'] === undefined) && answer.status === 200
+    if (isCovered) assert.deepEqual([answer.isWhole, answer.body], [false, composeStream('/resume/events-8', 1, 3)])
+    await settle()
+  }
+  assert.equal((await place.ask('/once/x')).status, 200)
+})
+
+test('a second send after an endpoint\'s own failure takes one from the retry budget', async () => {
+  const tight = await RouteDeployment.start({ number: 12, registries: 1, gateways: 1, gateway: { retries: { ratio: 0, extra: 2.5, windowSeconds: 60 } } })
+  try {
+    await tight.putDocument(composeDocument(1))
+    const endpoints = [await tight.addEndpoint('desk'), await tight.addEndpoint('desk')]
+    for (const endpoint of endpoints) endpoint.fault = { type: 'error' }
+    const statuses = []
+    for (let i = 0; i < 3; i++) statuses.push((await tight.ask('/again/x', { requestId: `budget ${i}` })).status)
+    assert.deepEqual(statuses, [500, 500, 500])
+    assert.deepEqual([0, 1, 2].map(i => endpoints.flatMap(one => one.runs).filter(run => run.requestId === `budget ${i}`).length), [2, 2, 1])
+  } finally {
+    await tight.stop()
+  }
+})
+
 test('a surplus answer on a kept connection is never given to the next caller', async () => {
   first.fault = { type: 'surplus' }
   second.fault = { type: 'surplus' }
