--- a/src/bin/soak.ts
+++ b/src/bin/soak.ts
@@ -71,7 +71,12 @@
 
 async function runProcesses (seed: number, options: Options): Promise<Found> {
   const shape = { gateways: Number(options.gateways), registries: Number(options.registries), endpoints }
-  const { violations, calls, served, faults, logs } = await new SoakHistory(seed, Number(options.steps) * stepMs, shape).run()
+  const history = new SoakHistory(seed, Number(options.steps) * stepMs, shape)
+  // Whoever ends the soak ends what it started.
+  const end = (): void => { void history.stop().then(() => process.exit(failureExit)) }
+  process.once('SIGTERM', end).once('SIGINT', end)
+  const { violations, calls, served, faults, logs } = await history.run()
+  process.off('SIGTERM', end).off('SIGINT', end)
   process.stdout.write(`seed=${seed} calls=${calls} served=${served} faults=${faults} violations=${violations.length}\n`)
   if (violations.length > 0) keepLogs(seed, logs)
   return { violations }
--- a/src/soak/soak-history.ts
+++ b/src/soak/soak-history.ts
@@ -49,6 +49,7 @@
   #watch = new PromiseWatch(this.#disturbances)
   #stage: SoakStage
   #lives = new Map<string, number>()
+  #stopping = new Set<StagedBox>()
   #sent = 0
   #version = 0
   /** When each version was acknowledged. */
@@ -88,6 +89,9 @@
     }
   }
 
+  /** Ends everything that the history started. */
+  stop (): Promise<void> { return this.#stage.stop() }
+
   // Callers and the operator.
 
   async #keepCalling (gateway: number): Promise<void> {
@@ -190,6 +194,8 @@
   async #disturb (box: StagedBox, what: ProcessFault, registry: number): Promise<void> {
     if (!box.process.isRunning) return
     if (what.type === 'reload') return box.process.signal('SIGHUP')
+    // A second signal to end asks a program to end at once.
+    if (what.type === 'stop' && this.#stopping.has(box)) return
     // A planned stop is no disturbance of what its gateway promises.
     const isPlanned = what.type === 'stop' && registry < 0
     const over = this.#disturbances.begin(isPlanned ? `stop ${box.name}` : box.name, performance.now())
@@ -200,8 +206,10 @@
         box.process.signal('SIGCONT')
         break
       case 'stop':
+        this.#stopping.add(box)
         box.process.signal('SIGTERM')
         while (box.process.isRunning) await sleep(20)
+        this.#stopping.delete(box)
         await sleep(what.ms)
         break
       case 'kill':
--- a/test/soak-processes.test.ts
+++ b/test/soak-processes.test.ts
@@ -5,6 +5,7 @@
 /** Short histories over processes; those that ever failed stand here with their cause. */
 const histories: readonly { seed: number, seconds: number, gateways: number, registries: number, why: string }[] = [
   { seed: 1, seconds: 6, gateways: 3, registries: 3, why: 'a signal to read settings ended a gateway that was still starting' },
+  { seed: 27, seconds: 6, gateways: 3, registries: 3, why: 'a second signal to end, which asks for an end at once, was taken for a planned stop' },
   { seed: 7, seconds: 6, gateways: 2, registries: 5, why: 'five registries' }
 ]
 
