--- a/src/gateway/load-reporter.ts
+++ b/src/gateway/load-reporter.ts
@@ -3,13 +3,12 @@
  * without one, and takes the totals from there. The hub is a registry of the own
  * zone where one can be reached; where it falls silent, another.
  */
-import { createSocket } from 'node:dgram'
-import type { Socket } from 'node:dgram'
 import { randomInt } from 'node:crypto'
 import { chooseByHash, noTotals, subtractOwn } from '../core/index.js'
 import type { BoxId, BoxLoad, LoadTotals, ZoneName } from '../core/index.js'
-import { decodeTotalsWord, encodeLoadWord } from '../protocol/index.js'
-import { Inbox } from '../runtime/index.js'
+import { decodeTotalsWord, encodeLoadWord, isNewerWord, startLimit } from '../protocol/index.js'
+import type { WordNumber } from '../protocol/index.js'
+import { DatagramPort, Inbox } from '../runtime/index.js'
 import type { EventLog } from '../runtime/index.js'
 import type { ReachedRegistry } from './registry-follower.js'
 
@@ -28,12 +27,13 @@
   takeOthers (others: LoadTotals, intervalMs: number): void
 }
 
+/** The hub that this box tells its work. */
 interface Hub {
   readonly host: string
   /** When the first word went there. */
   readonly chosenAt: number
-  start: number
-  number: number
+  /** Its newest word; undefined before the first. */
+  newest: WordNumber | undefined
   heardAt: number
 }
 
@@ -57,16 +57,14 @@
 const mostKept = 128
 /** Datagrams that wait to be read; more are dropped, as the network may. */
 const mostWaiting = 2000
-/** Starts are drawn below this. */
-const starts = 2 ** 31
 
 export class LoadReporter {
   #host: LoadReporterHost
-  #socket: Socket = createSocket('udp4')
+  #datagrams: DatagramPort
   #inbox = new Inbox<Input>(mostWaiting)
   #hub: Hub | null = null
   #passedOver = new Map<string, number>()
-  #start = randomInt(starts)
+  #start = randomInt(startLimit)
   #number = 0
   #kept = new Map<number, BoxLoad>()
   #intervalMs = 0
@@ -78,18 +76,17 @@
 
   constructor (host: LoadReporterHost) {
     this.#host = host
-    this.#socket.on('message', (bytes, from) => this.#inbox.offer({ type: 'datagram', bytes, host: from.address }))
-    this.#socket.on('error', error => host.log.warn('load-port-fault', { error: error.message }))
+    this.#datagrams = new DatagramPort({
+      receive: (bytes, from) => this.#inbox.offer({ type: 'datagram', bytes, host: from }),
+      noteFault: error => host.log.warn('load-port-fault', { error: error.message })
+    })
     this.#inbox.run(input => this.#take(input))
   }
 
   /** Begins to tell; hubs answer to whatever port the words come from. */
-  open (host: string): Promise<void> {
+  async open (host: string): Promise<void> {
     this.#timer = setInterval(() => this.#inbox.post({ type: 'tick' }), beatMs / 2)
-    return new Promise((resolve, reject) => {
-      this.#socket.once('error', reject)
-      this.#socket.bind(0, host, () => resolve())
-    })
+    await this.#datagrams.open(host, 0)
   }
 
   /** Ends the reporter; a second call does nothing. */
@@ -98,7 +95,7 @@
     this.#closed = true
     if (this.#timer !== null) clearInterval(this.#timer)
     this.#inbox.close()
-    this.#socket.close()
+    this.#datagrams.close()
   }
 
   /** The work of this box has changed. */
@@ -119,9 +116,10 @@
     const hub = this.#hub
     if (hub === null || hub.host !== from) return
     const word = decodeTotalsWord(bytes)
-    if (word === null || (hub.start === word.start && hub.number >= word.number)) return
+    if (word === null || !isNewerWord(word, hub.newest)) return
     const now = this.#host.now()
-    Object.assign(hub, { start: word.start, number: word.number, heardAt: now })
+    hub.newest = { start: word.start, number: word.number }
+    hub.heardAt = now
     this.#heardAt = now
     this.#intervalMs = word.intervalMs
     this.#host.takeOthers(subtractOwn(word.totals, this.#kept.get(word.ownNumber) ?? null), word.intervalMs)
@@ -145,7 +143,7 @@
     const best = this.#findHub(now)
     if (best === hub?.host || best === undefined) return
     this.#host.log.info('hub-chosen', { hub: best, before: hub?.host ?? '' })
-    this.#hub = { host: best, chosenAt: now, start: 0, number: 0, heardAt: -Infinity }
+    this.#hub = { host: best, chosenAt: now, newest: undefined, heardAt: -Infinity }
     this.#send()
   }
 
@@ -165,7 +163,7 @@
     this.#keep(load)
     const { id, zone, hubPort } = this.#host
     const word = encodeLoadWord({ box: id, zone, start: this.#start, number: this.#number, load })
-    this.#socket.send(word, hubPort, this.#hub.host, () => {})
+    this.#datagrams.send(word, this.#hub.host, hubPort)
   }
 
   #keep (load: BoxLoad): void {
--- a/src/protocol/load-datagram.ts
+++ b/src/protocol/load-datagram.ts
@@ -1,34 +1,35 @@
 /**
- * The datagrams by which gateways tell hubs their work, hubs tell each other
- * the sums of theirs, and gateways the totals. Each is whole, so that a lost one
- * costs only time.
+ * The datagrams about loads: a gateway tells a hub its work, a hub tells the
+ * other hubs the sum of its gateways' work, and its gateways the totals of all.
+ * Each is whole, so that a lost one costs only time.
  */
 import type { BoxId, BoxLoad, LoadTotals, ZoneName } from '../core/index.js'
 import { decodeValue, encodeValue } from './link.js'
 
+/** Tells a sender's words apart: a later one replaces those before it. */
+export interface WordNumber {
+  /** Drawn at the start of the sender's process: numbers begin anew with it. */
+  readonly start: number
+  /** Rises by one with each word. */
+  readonly number: number
+}
+
 /** A gateway's word to a hub. */
-export interface LoadWord {
+export interface LoadWord extends WordNumber {
   readonly box: BoxId
   readonly zone: ZoneName
-  /** Drawn at the start of the process: numbers begin anew with it. */
-  readonly start: number
-  readonly number: number
   readonly load: BoxLoad
 }
 
 /** A hub's word to another hub. */
-export interface HubWord {
+export interface HubWord extends WordNumber {
   readonly hub: BoxId
-  readonly start: number
-  readonly number: number
   /** What the gateways of this hub have. */
   readonly sum: LoadTotals
 }
 
 /** A hub's word to a gateway. */
-export interface TotalsWord {
-  readonly start: number
-  readonly number: number
+export interface TotalsWord extends WordNumber {
   /** The number of the gateway's own word that is in the totals. */
   readonly ownNumber: number
   /** How often the hub tells changes, ms. */
@@ -37,6 +38,13 @@
 }
 
 const wireVersion = 2
+/** Starts are drawn below this. */
+export const startLimit = 2 ** 31
+
+/** True for a word that is later than the one known, or the first of another start. */
+export function isNewerWord (word: WordNumber, known: WordNumber | undefined): boolean {
+  return known === undefined || known.start !== word.start || known.number < word.number
+}
 
 /** Encodes a gateway's word. */
 export function encodeLoadWord ({ box, zone, start, number, load }: LoadWord): Buffer {
@@ -73,7 +81,7 @@
   return encodeValue([wireVersion, word.start, word.number, word.ownNumber, word.intervalMs, totals])
 }
 
-/** Decodes a hub's word; null for bytes that are none. */
+/** Decodes a hub's word to a gateway; null for bytes that are none. */
 export function decodeTotalsWord (bytes: Uint8Array): TotalsWord | null {
   const fields = decodeFields(bytes, 6)
   if (fields === null || !(fields[5] instanceof Uint8Array)) return null
--- a/src/registry/load-hub.ts
+++ b/src/registry/load-hub.ts
@@ -1,16 +1,15 @@
 /**
- * A hub of loads: gateways tell it their work by datagrams, hubs tell each other
- * the sums of theirs, and each tells its gateways the totals. Every registry is
+ * A hub of loads: gateways tell it their work by datagrams, it tells the other
+ * hubs the sum of that, and its gateways the totals of all. Every registry is
  * ready to be one; gateways choose one of their own zone, so that little crosses
  * between zones. The work of a hub grows with its gateways, a gateway's doesn't.
  */
-import { createSocket } from 'node:dgram'
-import type { Socket } from 'node:dgram'
 import { randomInt } from 'node:crypto'
 import { LoadBook } from '../core/index.js'
 import type { BoxId, LoadTotals } from '../core/index.js'
-import { decodeHubWord, decodeLoadWord, encodeHubWord, encodeTotals, encodeTotalsWord } from '../protocol/index.js'
-import { Inbox } from '../runtime/index.js'
+import { decodeHubWord, decodeLoadWord, encodeHubWord, encodeTotals, encodeTotalsWord, isNewerWord, startLimit } from '../protocol/index.js'
+import type { WordNumber } from '../protocol/index.js'
+import { DatagramPort, Inbox } from '../runtime/index.js'
 import type { EventLog } from '../runtime/index.js'
 
 /** What the hub needs of its box. */
@@ -22,16 +21,14 @@
   listOthers (): readonly string[]
 }
 
-interface Teller {
-  host: string
-  port: number
-  start: number
-  number: number
+/** A gateway that tells this hub its work: its newest word, and where it came from. */
+interface Teller extends WordNumber {
+  readonly host: string
+  readonly port: number
 }
 
-interface OtherHub {
-  readonly start: number
-  readonly number: number
+/** Another hub's newest word, and where it came from. */
+interface OtherHub extends WordNumber {
   readonly host: string
 }
 
@@ -52,19 +49,18 @@
 const idleHubMs = 500
 /** Datagrams that wait to be read; more are dropped, as the network may. */
 const mostWaiting = 5000
-/** Starts are drawn below this. */
-const starts = 2 ** 31
 
 export class LoadHub {
   #host: LoadHubHost
-  #socket: Socket = createSocket('udp4')
+  #datagrams: DatagramPort
   #inbox = new Inbox<Input>(mostWaiting)
   #book = new LoadBook()
   #tellers = new Map<BoxId, Teller>()
   #others = new Map<BoxId, OtherHub>()
+  /** On which all hubs listen. */
   #port = 0
   #allToldAt = -Infinity
-  #start = randomInt(starts)
+  #start = randomInt(startLimit)
   #number = 0
   #toldAt = -Infinity
   #isScheduled = false
@@ -73,18 +69,18 @@
 
   constructor (host: LoadHubHost) {
     this.#host = host
-    this.#socket.on('message', (bytes, from) => this.#inbox.offer({ type: 'datagram', bytes, host: from.address, port: from.port }))
-    this.#socket.on('error', error => host.log.warn('load-port-fault', { error: error.message }))
+    this.#datagrams = new DatagramPort({
+      receive: (bytes, from, port) => this.#inbox.offer({ type: 'datagram', bytes, host: from, port }),
+      noteFault: error => host.log.warn('load-port-fault', { error: error.message })
+    })
     this.#inbox.run(input => this.#take(input))
   }
 
+  /** Begins to listen; resolves with the port. */
   listen (host: string, port: number): Promise<number> {
     this.#timer = setInterval(() => this.#inbox.post({ type: 'tick' }), beatMs / 2)
     this.#port = port
-    return new Promise((resolve, reject) => {
-      this.#socket.once('error', reject)
-      this.#socket.bind(port, host, () => resolve(this.#socket.address().port))
-    })
+    return this.#datagrams.open(host, port)
   }
 
   /** Ends the hub; a second call does nothing. */
@@ -93,7 +89,7 @@
     this.#closed = true
     if (this.#timer !== null) clearInterval(this.#timer)
     this.#inbox.close()
-    this.#socket.close()
+    this.#datagrams.close()
   }
 
   get #intervalMs (): number {
@@ -112,7 +108,7 @@
     const word = decodeLoadWord(bytes)
     if (word === null) return this.#receiveSum(bytes, host)
     const { box, zone, start, number, load } = word
-    if (!isNewer(word, this.#tellers.get(box))) return
+    if (!isNewerWord(word, this.#tellers.get(box))) return
     this.#tellers.set(box, { host, port, start, number })
     this.#book.note(box, zone, load, this.#host.now())
     this.#schedule()
@@ -120,7 +116,7 @@
 
   #receiveSum (bytes: Buffer, host: string): void {
     const word = decodeHubWord(bytes)
-    if (word === null || !isNewer(word, this.#others.get(word.hub))) return
+    if (word === null || !isNewerWord(word, this.#others.get(word.hub))) return
     const { hub, start, number, sum } = word
     this.#others.set(hub, { start, number, host })
     this.#book.noteSum(hub, sum, this.#host.now())
@@ -155,24 +151,17 @@
     const totals = encodeTotals(this.#book.sumAll(own, now))
     const word = { start: this.#start, number: this.#number, intervalMs: this.#intervalMs }
     for (const { host, port, number } of this.#tellers.values()) {
-      this.#send(encodeTotalsWord({ ...word, ownNumber: number }, totals), port, host)
+      this.#datagrams.send(encodeTotalsWord({ ...word, ownNumber: number }, totals), host, port)
     }
   }
 
-  // Hubs that have gateways at once, the others now and then.
+  // Hubs that have gateways are told at once, the others now and then.
   #tellHubs (own: LoadTotals, now: number): void {
     const tellsAll = now - this.#allToldAt >= idleHubMs
     if (tellsAll) this.#allToldAt = now
     const hosts = tellsAll ? this.#host.listOthers() : [...this.#others.values()].map(other => other.host)
     if (hosts.length === 0) return
     const bytes = encodeHubWord({ hub: this.#host.id, start: this.#start, number: this.#number }, encodeTotals(own))
-    for (const host of hosts) this.#send(bytes, this.#port, host)
+    for (const host of hosts) this.#datagrams.send(bytes, host, this.#port)
   }
-
-  // A datagram that can't be sent is as good as lost.
-  #send (bytes: Buffer, port: number, host: string): void { this.#socket.send(bytes, port, host, () => {}) }
-}
-
-function isNewer (word: { readonly start: number, readonly number: number }, known: { readonly start: number, readonly number: number } | undefined): boolean {
-  return known === undefined || known.start !== word.start || known.number < word.number
 }
