Part the sums of loads from the hub's book; say what hubs tell where peers stood

Names that needed explaining (a share's counts called count) and comments that spoke of boxes telling each other are put right. No behaviour changes.

--- a/src/core/balance/agreed-share.ts
+++ b/src/core/balance/agreed-share.ts
@@ -12,7 +12,11 @@
 /** Part of the memory of engines set apart that is planned for. */
 const plannedMemory = 0.75
 
-/** The largest share that any box would have: all must send long prompts to the same engines. `others`: what is told of the service, null for nothing; `apart`: the engines in the order in which they are set apart. */
+/**
+ * The largest share that any box would have: all must send long prompts to the
+ * same engines. `others`: what is told of the service, null for nothing;
+ * `apart`: the engines in the order in which they are set apart.
+ */
 export function agreeShare (state: ServiceState, others: ServiceTotal | null, apart: readonly EndpointView[], at: number): ApartCount {
   const own = state.share.update(at, measureDemand(state, others, apart, at))
   const count = Math.max(own.count, others?.apart ?? 0)
--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -1,6 +1,6 @@
 /**
  * One endpoint as this box sees it: its newest record, what this box has
- * running there, what the other boxes say they have, and how it performs.
+ * running there, what its hub tells that the other boxes have, and how it performs.
  */
 import { hashText } from '../hash.js'
 import type { EndpointId } from '../ids.js'
@@ -197,7 +197,7 @@
   /** Takes what the other boxes have here; null for nothing. */
   noteOthers (load: EndpointLoad | null): void { this.#others = load }
 
-  /** What this box tells others of its work here; null where it has none. */
+  /** What this box tells its hub of its work here; null where it has none. */
   composeLoad (at: number): EndpointLoad | null {
     if (this.#placed.size === 0) return null
     const waiting = new Map<number, number>()
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -1,7 +1,7 @@
 /**
  * The endpoints as one box believes them to be, and the choice among them. Each
- * box decides alone, on its own work and on what the others last told of
- * theirs. Where all boxes must agree (which engines are set apart for long
+ * box decides alone, on its own work and on what its hub last told of the
+ * others'. Where all boxes must agree (which engines are set apart for long
  * prompts, which of them holds a shared prompt) they do so by the same hash.
  */
 import type { EndpointId, ServiceName, ZoneName } from '../ids.js'
@@ -14,7 +14,7 @@
 import { findMiddleFailures, hasRoom, weighEngine, weighPlain, weighTrust } from './endpoint-weights.js'
 import type { PromptCase, Standpoint } from './endpoint-weights.js'
 import { listApart } from './engines-apart.js'
-import type { BoxLoad, EngineGap, LoadTotals, ServiceTotal } from './load-word.js'
+import type { BoxLoad, EngineGap, LoadTotals, ServiceDemand, ServiceTotal } from './load-word.js'
 import { countExpected, expectRead, findHomes, isPatient } from './prompt-reading.js'
 import type { ApartCount } from './reading-share.js'
 import { chooseReturn } from './return-time.js'
@@ -24,7 +24,7 @@
 import type { Work } from './work.js'
 import { ZoneWatch } from './zone-watch.js'
 
-/** A zone counts as cut off after so long without a word, ms: three words of the slowest peer. */
+/** A zone counts as cut off after so long without a word, ms: two heartbeats of a registry there, or some totals that name it. */
 const zoneSilentMs = 800
 
 /** For so long it is not worked out anew which endpoints may be used and how they are parted, ms: it costs more than a choice. */
@@ -36,9 +36,10 @@
   readonly usable: readonly EndpointView[]
   /** Engines in the order in which they are set apart; none of a plain service. */
   readonly apart: readonly EndpointView[]
-  readonly count: ApartCount
+  readonly counts: ApartCount
 }
 
+/** Of a plain service, or one without an engine that may be used. */
 const noneApart: ApartCount = { count: 0, base: 0 }
 
 export class Fleet {
@@ -100,11 +101,7 @@
       if (load !== null) loads.push(load)
       if (view.ownGapMs !== null) gaps.push([view.id, Math.round(view.ownGapMs * 10) / 10])
     }
-    const demands = []
-    for (const [service, { patient, brisk, share, held }] of this.#services) {
-      const demand = { service, patient: Math.round(patient.rate(at)), brisk: Math.round(brisk.rate(at)), apart: share.counts.count, base: share.counts.base, held: [...held] }
-      if (demand.patient > 0 || demand.brisk > 0) demands.push(demand)
-    }
+    const demands = [...this.#services.values()].map(state => composeDemand(state, at)).filter(({ patient, brisk }) => patient > 0 || brisk > 0)
     return { loads, demands, gaps }
   }
 
@@ -114,21 +111,21 @@
    */
   choose (work: Work, tried: readonly EndpointId[], at: number, draw: number, waitedMs = 0): Choice | NoChoice {
     const all = this.#byService.get(work.service) ?? []
-    const { usable, apart, count } = this.#look(work.service, at)
+    const { usable, apart, counts } = this.#look(work.service, at)
     const left = usable.filter(view => !tried.includes(view.id))
     if (left.length === 0) return all.length === 0 ? 'none-known' : 'none-usable'
     const state = this.#services.get(work.service)
     const engine = state?.service.engine ?? null
     if (work.cost === null || engine === null || state === undefined) return this.#choosePlain(left, at, draw)
     const patient = this.#isPatient(work, state)
-    const side = (patient ? apart.slice(0, count.count) : listBrisk(apart, count.count, engine)).filter(view => !tried.includes(view.id))
-    const homes = patient ? apart.slice(0, count.base) : side
+    const side = (patient ? apart.slice(0, counts.count) : listBrisk(apart, counts.count, engine)).filter(view => !tried.includes(view.id))
+    const homes = patient ? apart.slice(0, counts.base) : side
     const prompt: PromptCase = { work, cost: work.cost, engine, waitedMs }
-    const choice = this.#chooseEngine(side.length > 0 ? side : left, homes, prompt, count.count, at, draw)
+    const choice = this.#chooseEngine(side.length > 0 ? side : left, homes, prompt, counts.count, at, draw)
     return patient && !hasRoom(choice.view, work.cost, engine, at) ? 'later' : choice
   }
 
-  /** What is believed of each service's engines at present, in words, for the log. */
+  /** What is believed of each service's engines at present, for the log. */
   describe (at: number): { readonly service: ServiceName, readonly text: string }[] {
     const told = []
     for (const [name, state] of this.#services) {
@@ -137,7 +134,8 @@
       const apart = listApart(views)
       const { count, base } = this.#agreeShare(state, apart, at)
       const engines = apart.map((view, i) => describeEngine(view, i < count, at))
-      told.push({ service: name, text: `apart=${count} base=${base} own=${state.share.counts.count} pace=${state.pace.value.toFixed(4)} held=${this.#countHeld(state, Infinity)} ${engines.join(' ')}` })
+      const words = [`apart=${count}`, `base=${base}`, `own=${state.share.counts.count}`, `pace=${state.pace.value.toFixed(4)}`, `held=${this.#countHeld(state, Infinity)}`, ...engines]
+      told.push({ service: name, text: words.join(' ') })
     }
     return told
   }
@@ -166,8 +164,8 @@
   findReturn (work: Work, at: number): number | null {
     const state = this.#services.get(work.service)
     if (state?.service.engine == null || work.cost === null || !this.#isPatient(work, state)) return null
-    const { apart, count } = this.#look(work.service, at)
-    const side = apart.slice(0, Math.max(1, count.count))
+    const { apart, counts } = this.#look(work.service, at)
+    const side = apart.slice(0, Math.max(1, counts.count))
     let tokens = this.#countHeld(state, work.priority)
     let rate = 0
     for (const view of side) {
@@ -203,8 +201,8 @@
     const usable = listUsable(ready, at)
     const state = this.#services.get(service)
     const apart = state?.service.engine == null ? [] : listApart(usable)
-    const count = state === undefined || apart.length === 0 ? noneApart : this.#agreeShare(state, apart, at)
-    const outlook: Outlook = { at, usable, apart, count }
+    const counts = state === undefined || apart.length === 0 ? noneApart : this.#agreeShare(state, apart, at)
+    const outlook: Outlook = { at, usable, apart, counts }
     this.#outlooks.set(service, outlook)
     return outlook
   }
@@ -237,6 +235,11 @@
   }
 }
 
+function composeDemand ({ service, patient, brisk, share, held }: ServiceState, at: number): ServiceDemand {
+  const { count, base } = share.counts
+  return { service: service.name, patient: Math.round(patient.rate(at)), brisk: Math.round(brisk.rate(at)), apart: count, base, held: [...held] }
+}
+
 // Engines for requests whose pauses must stay short; all of them where none of those has a slot free.
 function listBrisk (apart: readonly EndpointView[], count: number, { slots }: EngineProfile): readonly EndpointView[] {
   const side = apart.slice(count)
--- /dev/null
+++ b/src/core/balance/load-sum.ts
@@ -0,0 +1,59 @@
+/** Sums of loads over boxes or hubs. */
+import type { EndpointId, ServiceName, ZoneName } from '../ids.js'
+import { findMiddle } from './average.js'
+import type { EndpointLoad, EngineGap, LoadTotals, ServiceTotal, WaitingTokens } from './load-word.js'
+
+/** Adds up totals: work is summed, shares are the largest of any, gaps the middle of all. */
+export class LoadSum {
+  #loads = new Map<EndpointId, EndpointLoad>()
+  #demands = new Map<ServiceName, ServiceTotal>()
+  #gaps = new Map<EndpointId, number[]>()
+  #zones = new Set<ZoneName>()
+
+  get totals (): LoadTotals {
+    return { loads: [...this.#loads.values()], demands: [...this.#demands.values()], gaps: findMiddles(this.#gaps), zones: [...this.#zones] }
+  }
+
+  /** Adds what one box, or one hub, tells. */
+  add ({ loads, demands, gaps, zones }: LoadTotals): void {
+    for (const one of loads) this.#loads.set(one.endpoint, addLoad(this.#loads.get(one.endpoint), one))
+    for (const one of demands) this.#demands.set(one.service, addDemand(this.#demands.get(one.service), one))
+    for (const [endpoint, gapMs] of gaps) this.#gaps.set(endpoint, [...this.#gaps.get(endpoint) ?? [], gapMs])
+    for (const zone of zones) this.#zones.add(zone)
+  }
+}
+
+function addLoad (sum: EndpointLoad | undefined, one: EndpointLoad): EndpointLoad {
+  if (sum === undefined) return one
+  return {
+    endpoint: one.endpoint,
+    running: sum.running + one.running,
+    memory: sum.memory + one.memory,
+    waiting: addWaiting(sum.waiting, one.waiting, 1),
+    largest: Math.max(sum.largest, one.largest)
+  }
+}
+
+function addDemand (sum: ServiceTotal | undefined, one: ServiceTotal): ServiceTotal {
+  if (sum === undefined) return one
+  return {
+    service: one.service,
+    patient: sum.patient + one.patient,
+    brisk: sum.brisk + one.brisk,
+    apart: Math.max(sum.apart, one.apart),
+    base: Math.max(sum.base, one.base),
+    held: addWaiting(sum.held, one.held, 1),
+    holders: sum.holders + one.holders
+  }
+}
+
+function findMiddles (gaps: ReadonlyMap<EndpointId, readonly number[]>): EngineGap[] {
+  return [...gaps].map(([endpoint, measured]) => [endpoint, findMiddle(measured) ?? 0])
+}
+
+/** Adds tokens to others, or takes them off where `sign` is -1; what would be below nothing is left out. */
+export function addWaiting (sum: WaitingTokens, more: WaitingTokens, sign: 1 | -1): WaitingTokens {
+  const tokens = new Map(sum)
+  for (const [priority, amount] of more) tokens.set(priority, (tokens.get(priority) ?? 0) + sign * amount)
+  return [...tokens].filter(([, amount]) => amount > 0)
+}
--- a/src/core/balance/others-load.ts
+++ b/src/core/balance/others-load.ts
@@ -1,6 +1,6 @@
 /** What the other boxes have: the hub's totals less this box's own part of them. */
+import { addWaiting } from './load-sum.js'
 import type { BoxLoad, EndpointLoad, LoadTotals, ServiceDemand, ServiceTotal } from './load-word.js'
-import { addWaiting } from './load-book.js'
 
 /**
  * Takes a box's own word off totals that hold it. Where `own` is null the totals
--- a/src/core/balance/recent-most.ts
+++ b/src/core/balance/recent-most.ts
@@ -1,4 +1,4 @@
-/** The largest of what was noted over the last while. */
+/** The largest of the values noted within the last `windowMs`. */
 export class RecentMost {
   #windowMs: number
   #noted: { readonly at: number, readonly value: number }[] = []
@@ -7,12 +7,13 @@
     this.#windowMs = windowMs
   }
 
+  // A value is dropped once a later one is as large: it can't be the largest any more.
   note (at: number, value: number): void {
     this.#noted = this.#noted.filter(one => one.value > value && at - one.at <= this.#windowMs)
     this.#noted.push({ at, value })
   }
 
-  /** `fallback` where nothing was noted for so long. */
+  /** The largest; `fallback` where nothing was noted for so long. */
   find (at: number, fallback: number): number {
     const recent = this.#noted.filter(one => at - one.at <= this.#windowMs).map(one => one.value)
     return recent.length === 0 ? fallback : Math.max(...recent)
--- a/src/core/balance/zone-watch.ts
+++ b/src/core/balance/zone-watch.ts
@@ -2,8 +2,8 @@
 
 /**
  * Whether a zone can be reached, from when anything was last heard from there.
- * Boxes speak to each other several times a second, so that a cut shows sooner
- * here than in requests that stay unanswered.
+ * Links carry heartbeats and hubs tell totals several times a second, so that a
+ * cut shows sooner here than in requests that stay unanswered.
  */
 export class ZoneWatch {
   #own: ZoneName
