--- a/src/gateway/caller-door.ts
+++ b/src/gateway/caller-door.ts
@@ -30,9 +30,20 @@
   noteRefused (words: CallerWords | null, refusal: Refusal): void
 }
 
+/** What a request was let in on: its route, whose it is, and the routes in force when it came. */
+interface Admission {
+  readonly table: RouteTable
+  readonly route: Route
+  readonly workspace: KeyedWorkspace | null
+}
+
 /** Connections that may wait to be accepted: what Node asks for by itself. */
 const callerBacklog = 511
-/** A request that comes before the first document waits for it up to this, ms: a box that starts beside running registries has it within 100 ms, one that starts with them within 600. */
+/**
+ * A request that comes before the first document waits for it up to this, ms: a
+ * box that starts beside running registries has it within 100 ms, one that
+ * starts with them within 600.
+ */
 const noDocumentHoldMs = 700
 /** What has waited so long may come back after this, ms. */
 const noDocumentRetryMs = 300
@@ -44,6 +55,8 @@
 const mostHeaderBytes = 64 * 1024
 /** How long a caller may take over a whole request, ms. */
 const requestMs = 60_000
+/** How often connections are checked against that, ms. */
+const checkMs = 1000
 /** After a body is refused, what still comes is read past for so long, ms, so that the caller can read the answer. */
 const restMs = 500
 /** Longest a request is held where a caller names a longer time than any route should, ms. */
@@ -59,7 +72,7 @@
 
   constructor (host: DoorHost, maxConnections: number) {
     this.#host = host
-    this.#server = createServer({ maxHeaderSize: mostHeaderBytes, requestTimeout: requestMs, connectionsCheckingInterval: 1000 }, (request, response) => {
+    this.#server = createServer({ maxHeaderSize: mostHeaderBytes, requestTimeout: requestMs, connectionsCheckingInterval: checkMs }, (request, response) => {
       void this.#serve(request, response)
     })
     this.#server.maxConnections = maxConnections
@@ -78,12 +91,13 @@
     this.#server.headersTimeout = limits.headerMs
   }
 
-  /** The exchange that runs on a connection is over. */
+  /** Takes word that the exchange that ran on a connection is over. */
   release (exchange: Exchange): void {
     const socket = this.#sockets.get(exchange)
     if (socket !== undefined) this.#running.get(socket)?.delete(exchange)
   }
 
+  /** Ends the server and whatever connections are left. */
   close (): void {
     this.#server.close()
     this.#server.closeAllConnections()
@@ -110,14 +124,17 @@
     const words = this.#host.dialect.readCaller(request.headers)
     if (this.#host.table === null) await Promise.race([this.#host.routed, sleep(noDocumentHoldMs, undefined, { ref: false })])
     if (request.destroyed) return
-    const table = this.#host.table
-    const found = this.#admit(request, words, table)
-    if ('kind' in found || table === null) return this.#refuse(request, response, words, found as Refusal)
-    const body = await readBody(request, table.document.limits.bodyBytes)
+    const admission = this.#admit(request, words)
+    if ('kind' in admission) return this.#refuse(request, response, words, admission)
+    const { bodyBytes } = admission.table.document.limits
+    const body = await readBody(request, bodyBytes)
     if (body === null) return
-    if (body === 'too-large') return this.#refuse(request, response, words, { kind: 'body-too-large', text: `a body has at most ${table.document.limits.bodyBytes} bytes` })
+    if (body === 'too-large') return this.#refuse(request, response, words, { kind: 'body-too-large', text: `a body has at most ${bodyBytes} bytes` })
     if (request.socket.destroyed) return
-    const order = this.#compose(request, body, words, found, table, arrivedAt)
+    this.#begin(request, response, this.#compose(request, body, words, admission, arrivedAt))
+  }
+
+  #begin (request: IncomingMessage, response: ServerResponse, order: Order): void {
     const exchange = this.#host.begin(order, response)
     if (exchange.isEnded) return
     this.#sockets.set(exchange, request.socket)
@@ -125,14 +142,15 @@
   }
 
   // The route and the workspace, or why there is none.
-  #admit (request: IncomingMessage, words: CallerWords, table: RouteTable | null): { route: Route, workspace: KeyedWorkspace | null } | Refusal {
+  #admit (request: IncomingMessage, words: CallerWords): Admission | Refusal {
+    const { table } = this.#host
     if (table === null) return { kind: 'no-document', text: 'this box has no routes yet', retryAfterMs: noDocumentRetryMs }
     const route = table.findRoute(request.headers.host ?? '', request.url ?? '/')
     if (route === undefined) return { kind: 'unknown-path', text: 'no route leads there' }
     if (!this.#canFinish(route)) return { kind: 'draining', text: 'this box is stopping', retryAfterMs: drainRetryMs }
     const workspace = words.key === null ? undefined : table.findWorkspace(words.key)
     if (workspace === undefined && table.needsKeys && !route.isPublic) return { kind: 'bad-key', text: 'the key is missing or opens no workspace' }
-    return { route, workspace: workspace ?? null }
+    return { table, route, workspace: workspace ?? null }
   }
 
   // A box that is leaving takes only what it will surely finish.
@@ -142,7 +160,7 @@
     return left > (route.kind === 'events' ? Math.min(route.timeoutMs, streamMs) : route.timeoutMs)
   }
 
-  #compose (request: IncomingMessage, body: Buffer, words: CallerWords, { route, workspace }: { route: Route, workspace: KeyedWorkspace | null }, table: RouteTable, arrivedAt: number): Order {
+  #compose (request: IncomingMessage, body: Buffer, words: CallerWords, { table, route, workspace }: Admission, arrivedAt: number): Order {
     const service = pickService(route, this.#host.draw())
     const work: Work = { service, priority: rankRequest(route, workspace, table.ranksPerRoute), cost: words.cost, pauseMs: route.pauseMs, targetMs: route.targetMs }
     const holdMs = Math.min(route.timeoutMs, words.deadlineMs ?? longestHoldMs)
@@ -162,6 +180,7 @@
     }
   }
 
+  // Answers at once; of a body that still comes, the rest is read past for a while.
   #refuse (request: IncomingMessage, response: ServerResponse, words: CallerWords, refusal: Refusal): void {
     if (!request.complete) {
       request.resume()
@@ -180,12 +199,12 @@
       socket.destroy()
       return
     }
-    socket.write(`HTTP/1.1 ${statusOfBroken(error.code)}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`)
+    socket.write(`HTTP/1.1 ${pickBrokenStatus(error.code)}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`)
     socket.destroySoon()
   }
 }
 
-function statusOfBroken (code: string | undefined): string {
+function pickBrokenStatus (code: string | undefined): string {
   switch (code) {
     case 'HPE_HEADER_OVERFLOW': return '431 Request Header Fields Too Large'
     case 'ERR_HTTP_REQUEST_TIMEOUT': return '408 Request Timeout'
--- a/src/gateway/waiting-line.ts
+++ b/src/gateway/waiting-line.ts
@@ -33,22 +33,23 @@
     this.#host = host
   }
 
+  /** Requests that wait. */
+  get length (): number { return this.#waiting.length }
+
   /** Takes how old the other boxes' work is when it is told, ms. */
   setStaleness (ms: number): void { this.#stalenessMs = ms }
 
-  get length (): number { return this.#waiting.length }
-
+  /** Lets a request wait until it is taken out with `remove`. */
   add (exchange: Exchange): void {
     this.#waiting.push(exchange)
     this.#timer ??= setInterval(() => this.look(), lookMs)
   }
 
+  /** Takes a request out; does nothing for one that doesn't wait. */
   remove (exchange: Exchange): void {
     const at = this.#waiting.indexOf(exchange)
     if (at >= 0) this.#waiting.splice(at, 1)
-    if (this.#waiting.length > 0 || this.#timer === null) return
-    clearInterval(this.#timer)
-    this.#timer = null
+    if (this.#waiting.length === 0) this.close()
   }
 
   /**
@@ -64,17 +65,19 @@
     for (const exchange of ordered.slice(0, mostTries)) exchange.tryPlace()
   }
 
+  /** Stops looking; whatever waits is left as it is. */
+  close (): void {
+    if (this.#timer !== null) clearInterval(this.#timer)
+    this.#timer = null
+  }
+
+  // The share of turns is the engines' over the boxes', spread over the looks of the time that a word takes.
   #drawTurn (service: ServiceName): boolean {
     const holders = this.#host.countHolders(service)
     if (holders <= 1) return true
     const looksPerWord = Math.max(1, this.#stalenessMs / lookMs)
     return this.#host.draw() * holders * looksPerWord < Math.max(1, this.#host.countApart(service) * turnShare)
   }
-
-  close (): void {
-    if (this.#timer !== null) clearInterval(this.#timer)
-    this.#timer = null
-  }
 }
 
 function compare (a: Exchange, b: Exchange, now: number): number {
