--- a/src/soak/fault-draw.ts
+++ b/src/soak/fault-draw.ts
@@ -1,9 +1,9 @@
-/** The faults of one history, drawn from its seed before it begins: a history is told apart by its seed alone. */
+/** The faults of one history, drawn from its seed before it begins: the same seed gives the same faults. */
 
 /** How a proxy treats connections: passes them on, late, resets them, or passes nothing on in one way or both. */
 export type ProxyMode = 'pass' | 'delay' | 'reset' | 'one-way' | 'silent'
 
-/** What is done to one process from outside it. */
+/** What is done to one process from outside it; `ms`: how long it stands still, or stays away once it has ended. */
 export type ProcessFault =
   /** Stands still for a while, then goes on. */
   | { readonly type: 'pause', readonly ms: number }
@@ -18,6 +18,11 @@
   /** Ends at once, and its last record is found torn. */
   | { readonly type: 'tear', readonly ms: number }
 
+const endpointFaults = ['full', 'error', 'lose', 'hang', 'break', 'surplus'] as const
+
+/** How an endpoint treats its requests. */
+export type EndpointFault = typeof endpointFaults[number]
+
 /** One fault. `box`, `registry` and `endpoint` count from 0. */
 export type SoakFault =
   | { readonly on: 'gateway', readonly box: number, readonly what: ProcessFault }
@@ -25,7 +30,7 @@
   | { readonly on: 'registries', readonly ms: number }
   | { readonly on: 'link', readonly registry: number, readonly mode: ProxyMode, readonly ms: number }
   | { readonly on: 'road', readonly endpoint: number, readonly mode: ProxyMode, readonly ms: number }
-  | { readonly on: 'endpoint', readonly endpoint: number, readonly fault: 'full' | 'error' | 'lose' | 'hang' | 'break' | 'surplus', readonly ms: number }
+  | { readonly on: 'endpoint', readonly endpoint: number, readonly fault: EndpointFault, readonly ms: number }
   | { readonly on: 'drain', readonly endpoint: number, readonly ms: number }
 
 /** A fault and when it begins, ms from the start. */
@@ -42,7 +47,6 @@
 }
 
 const modes: readonly ProxyMode[] = ['delay', 'reset', 'one-way', 'silent']
-const endpointFaults = ['full', 'error', 'lose', 'hang', 'break', 'surplus'] as const
 /** The first faults come after this, ms: kept connections are then open. */
 const calmMs = 1000
 /** Pauses between the beginnings of faults, ms: they overlap more often than not. */
@@ -72,11 +76,8 @@
 function drawFault (random: () => number, shape: SoakShape, mayWipe: boolean): SoakFault {
   const ms = Math.round(draw(random, leastMs, mostMs))
   const kind = random()
-  if (kind < 0.3) return { on: 'gateway', box: pickNumber(random, shape.gateways), what: pick(random, [{ type: 'pause', ms }, { type: 'kill', ms }, { type: 'stop', ms }, { type: 'stop', ms }, { type: 'reload' }]) }
-  if (kind < 0.5) {
-    const faults: readonly ProcessFault[] = [{ type: 'pause', ms }, { type: 'kill', ms }, { type: 'stop', ms }, { type: 'tear', ms }, { type: mayWipe ? 'wipe' : 'kill', ms }]
-    return { on: 'registry', box: pickNumber(random, shape.registries), what: pick(random, faults) }
-  }
+  if (kind < 0.3) return { on: 'gateway', box: pickNumber(random, shape.gateways), what: pick(random, listGatewayFaults(ms)) }
+  if (kind < 0.5) return { on: 'registry', box: pickNumber(random, shape.registries), what: pick(random, listRegistryFaults(ms, mayWipe)) }
   if (kind < 0.55) return { on: 'registries', ms }
   if (kind < 0.65) return { on: 'link', registry: pickNumber(random, shape.registries), mode: pick(random, modes), ms }
   if (kind < 0.8) return { on: 'road', endpoint: pickNumber(random, shape.endpoints), mode: pick(random, modes), ms }
@@ -84,6 +85,15 @@
   return { on: 'drain', endpoint: pickNumber(random, shape.endpoints), ms }
 }
 
+// Planned stops come twice as often as each of the others.
+function listGatewayFaults (ms: number): ProcessFault[] {
+  return [{ type: 'pause', ms }, { type: 'kill', ms }, { type: 'stop', ms }, { type: 'stop', ms }, { type: 'reload' }]
+}
+
+function listRegistryFaults (ms: number, mayWipe: boolean): ProcessFault[] {
+  return [{ type: 'pause', ms }, { type: 'kill', ms }, { type: 'stop', ms }, { type: 'tear', ms }, { type: mayWipe ? 'wipe' : 'kill', ms }]
+}
+
 function draw (random: () => number, least: number, most: number): number { return least + random() * (most - least) }
 function pickNumber (random: () => number, count: number): number { return Math.floor(random() * count) }
 function pick<T> (random: () => number, of: readonly T[]): T { return of[pickNumber(random, of.length)] }
--- a/src/soak/fault-proxy.ts
+++ b/src/soak/fault-proxy.ts
@@ -1,6 +1,7 @@
 /** A TCP proxy on loopback that misbehaves on command. */
 import { connect, createServer } from 'node:net'
 import type { Server, Socket } from 'node:net'
+import { listen } from '../runtime/index.js'
 import type { ProxyMode } from './fault-draw.js'
 
 /** How late a delaying proxy passes bytes on, ms. */
@@ -11,18 +12,14 @@
   #sockets = new Set<Socket>()
   #mode: ProxyMode = 'pass'
 
+  /** Connections are passed on to `host`, at the port that `port` gives then. */
   constructor (host: string, port: () => number) {
     this.#server = createServer(inner => this.#join(inner, connect(port(), host)))
   }
 
+  /** Begins to take connections, on any free port where `port` is 0; resolves with it. */
   listen (host: string, port = 0): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject)
-      this.#server.listen(port, host, () => {
-        const address = this.#server.address()
-        resolve(typeof address === 'object' && address !== null ? address.port : port)
-      })
-    })
+    return listen(this.#server, { host, port })
   }
 
   /** Treats connections so from now on; those that stand are reset for `reset`, and after silence, as their bytes are lost. */
@@ -32,6 +29,7 @@
     if (mode === 'reset' || isOver) for (const socket of this.#sockets) socket.resetAndDestroy()
   }
 
+  /** Ends the proxy and its connections. */
   close (): void {
     this.#server.close()
     for (const socket of this.#sockets) socket.destroy()
--- a/src/soak/program-process.ts
+++ b/src/soak/program-process.ts
@@ -6,6 +6,7 @@
 const mostLines = 4000
 
 export class ProgramProcess {
+  /** The newest lines of its log. */
   readonly lines: string[] = []
   #program: string
   #settings: string
@@ -22,6 +23,7 @@
 
   get isRunning (): boolean { return this.#child !== null }
 
+  /** Starts the process; does nothing where it runs. */
   start (): void {
     if (this.#child !== null) return
     this.#isEndWanted = false
--- a/src/soak/promise-watch.ts
+++ b/src/soak/promise-watch.ts
@@ -5,7 +5,7 @@
 import type { EndpointRun } from '../standin/index.js'
 import { composeEvent, composeWhole } from '../standin/index.js'
 import type { Disturbances } from './disturbances.js'
-import type { HttpEnd } from './soak-stage.js'
+import type { HttpEnd } from './http-call.js'
 
 /** A call of one caller through one gateway. */
 export interface WatchedCall {
@@ -46,6 +46,7 @@
     this.#disturbances = disturbances
   }
 
+  /** Notes that a promise was broken. */
   violate (rule: string, detail: string): void { this.violations.push(`${rule}: ${detail}`) }
 
   /** Checks a call as far as its own end tells. */
@@ -55,7 +56,10 @@
     this.#checkTime(call)
   }
 
-  /** Checks a try of a path that only one version knows. `ackedAt` of that version, and of the next one, if any. */
+  /**
+   * Checks a try of a path that only one version knows. `ackedAt`: when that
+   * version was acknowledged; `nextAckedAt`: when a later one was, null for none.
+   */
   noteVersionTry (call: WatchedCall, ackedAt: number, nextAckedAt: number | null): void {
     const life = `${call.gateway} ${call.life}`
     const seen = this.#newest.get(life) ?? 0
@@ -65,13 +69,16 @@
       this.#newest.set(life, Math.max(seen, call.version))
     }
     if (!this.#isCalm(call, call.sentAt)) return
-    if (status === 404 && call.sentAt - ackedAt > inForceMs && (nextAckedAt === null || call.endedAt < nextAckedAt)) this.violate('a document is not in force', `${call.version} at ${life}, ${Math.round(call.sentAt - ackedAt)} ms after its acknowledgement`)
+    const sinceMs = call.sentAt - ackedAt
+    const isNewest = nextAckedAt === null || call.endedAt < nextAckedAt
+    if (status === 404 && sinceMs > inForceMs && isNewest) this.violate('a document is not in force', `${call.version} at ${life}, ${Math.round(sinceMs)} ms after its acknowledgement`)
     if (status === 200 && nextAckedAt !== null && call.sentAt - nextAckedAt > inForceMs) this.violate('an older document is still in force', `${call.version} at ${life}`)
   }
 
-  /** Checks a run that an endpoint began so long after a registry took its word that it is leaving, ms. */
+  /** Checks a run that an endpoint began `sinceMs` after a registry took its word that it is leaving. */
   noteRunWhileLeaving (run: EndpointRun, sinceMs: number, at: number): void {
-    if (sinceMs > drainMs && !this.#disturbances.touches(['registry', 'gateway', 'link', 'road'], at - calmMs, at)) this.violate('a leaving endpoint got new work', `${run.requestId} after ${Math.round(sinceMs)} ms`)
+    const isCalm = !this.#disturbances.touches(['registry', 'gateway', 'link', 'road'], at - calmMs, at)
+    if (sinceMs > drainMs && isCalm) this.violate('a leaving endpoint got new work', `${run.requestId} after ${Math.round(sinceMs)} ms`)
   }
 
   /** Checks all calls against what ran, once nothing runs any more. */
@@ -99,6 +106,7 @@
     if (tookMs > holdMs + lateMs && this.#isCalm(call, call.endedAt)) this.violate('no final answer in time', `${call.id} took ${Math.round(tookMs)} ms`)
   }
 
+  // Nothing that the call depends on was disturbed from a while before it.
   #isCalm (call: WatchedCall, until: number): boolean {
     return !this.#disturbances.touches([call.gateway, 'registry', 'link'], call.sentAt - calmMs, until)
   }
@@ -106,10 +114,12 @@
   // Nothing but the stop of its gateway can have ended the call.
   #isPlannedStopAlone (call: WatchedCall): boolean {
     const from = call.sentAt - calmMs
-    return this.#disturbances.touches([`stop ${call.gateway}`], from, call.endedAt) && !this.#disturbances.touches([call.gateway, 'road', 'endpoint'], from, call.endedAt)
+    const isStopped = this.#disturbances.touches([`stop ${call.gateway}`], from, call.endedAt)
+    return isStopped && !this.#disturbances.touches([call.gateway, 'road', 'endpoint'], from, call.endedAt)
   }
 }
 
+// What a whole answer to the call says.
 function composeExpected ({ id, kind, path, body }: WatchedCall): string {
   if (kind === 'once' || kind === 'again') return composeWhole({ requestId: id, method: 'POST', path, body })
   const count = Number(/events-(\d+)/.exec(path)?.[1] ?? 0)
--- a/src/soak/soak-callers.ts
+++ b/src/soak/soak-callers.ts
@@ -6,9 +6,10 @@
 import { Agent } from 'node:http'
 import { performance } from 'node:perf_hooks'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { callHttp } from './http-call.js'
 import { holdMs } from './promise-watch.js'
 import type { PromiseWatch, WatchedCall } from './promise-watch.js'
-import { callHttp, callerPort } from './soak-stage.js'
+import { callerPort } from './soak-stage.js'
 import type { SoakStage } from './soak-stage.js'
 
 /** What callers and the operator need of their history. */
--- a/src/soak/soak-stage.ts
+++ b/src/soak/soak-stage.ts
@@ -4,8 +4,6 @@
  * stands on loopback addresses that the history's number tells apart.
  */
 import { appendFileSync, existsSync, mkdirSync, mkdtempSync, readdirSync, rmSync, writeFileSync } from 'node:fs'
-import { request as httpRequest } from 'node:http'
-import type { RequestOptions } from 'node:http'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -13,6 +11,8 @@
 import { StandinEndpoint } from '../standin/index.js'
 import { FaultProxy } from './fault-proxy.js'
 import type { SoakShape } from './fault-draw.js'
+import { callHttp } from './http-call.js'
+import type { HttpEnd } from './http-call.js'
 import { ProgramProcess } from './program-process.js'
 
 /** A registry's or a gateway's process, and where it is reached. */
@@ -33,16 +33,9 @@
   sequence: number
 }
 
-/** The end of a call over HTTP; status 0 where no answer began. */
-export interface HttpEnd {
-  readonly status: number
-  readonly body: string
-  readonly isWhole: boolean
-  /** Why no answer began. */
-  readonly error: string
-}
-
+/** Where gateways take callers. */
 export const callerPort = 7003
+/** The other ports, the same on every address. */
 const linkPort = 7000
 const loadPort = 7001
 const operatorPort = 7002
@@ -50,6 +43,8 @@
 const zones = ['zone-a', 'zone-b', 'zone-c']
 const endpointHeaders = { requestId: 'x-wrenlane-request-id', expectedEndpoint: 'x-wrenlane-endpoint', notRun: 'x-wrenlane-not-run', mark: '', lastEvent: 'last-event-id' }
 const programs = fileURLToPath(new URL('../bin/', import.meta.url))
+/** Registries that boxes are told of at their start. */
+const mostSeeds = 3
 /** How often endpoints say where they are, ms. */
 const beatMs = 400
 /** A call to a registry is given up after this, ms. */
@@ -77,6 +72,7 @@
     this.#noteEnd = noteEnd
   }
 
+  /** Starts everything; resolves before the boxes serve. `stop` must be called also where this rejects. */
   async start (): Promise<void> {
     for (let i = 0; i < this.#shape.registries; i++) await this.#stageRegistry(i)
     for (let i = 0; i < this.#shape.gateways; i++) this.#stageGateway(i)
@@ -85,6 +81,7 @@
     this.#beats = setInterval(() => { for (const endpoint of this.endpoints) void this.register(endpoint) }, beatMs)
   }
 
+  /** Ends everything that was started and removes its files. */
   async stop (): Promise<void> {
     if (this.#beats !== null) clearInterval(this.#beats)
     for (const { process } of [...this.gateways, ...this.registries]) await process.kill()
@@ -116,7 +113,7 @@
   async register (endpoint: StagedEndpoint): Promise<boolean> {
     endpoint.sequence += 1
     const { standin, port, stage, sequence } = endpoint
-    const body = JSON.stringify({ service: 'desk', host: this.#hostOf(2, 0), port, zone: zones[0], slots: 64, sequence, stage })
+    const body = JSON.stringify({ service: 'desk', host: this.#formHost(2, 0), port, zone: zones[0], slots: 64, sequence, stage })
     for (let i = 0; i < this.registries.length; i++) {
       const { status } = await this.operate((sequence + i) % this.registries.length, 'PUT', `/v1/endpoints/${standin.id}`, body)
       if (status === 200) return true
@@ -126,21 +123,27 @@
 
   /** A call to a registry. */
   operate (registry: number, method: string, path: string, body = ''): Promise<HttpEnd> {
-    return callHttp({ host: this.registries[registry].host, port: operatorPort, method, path, headers: { 'content-type': 'application/json' }, timeout: operatorMs }, body)
+    const { host } = this.registries[registry]
+    return callHttp({ host, port: operatorPort, method, path, headers: { 'content-type': 'application/json' }, timeout: operatorMs }, body)
   }
 
+  /** True where a gateway says that it is ready. */
   async isReady (gateway: number): Promise<boolean> {
-    return (await callHttp({ host: this.gateways[gateway].host, port: readyPort, path: '/readyz', timeout: operatorMs }, '')).status === 200
+    const { status } = await callHttp({ host: this.gateways[gateway].host, port: readyPort, path: '/readyz', timeout: operatorMs }, '')
+    return status === 200
   }
 
-  #hostOf (part: number, i: number): string { return `127.${this.#network}.${part}.${i + 1}` }
+  // The i-th address of a part: 0 registries, 1 gateways, 2 endpoints, 3 the proxies before registries' links.
+  #formHost (part: number, i: number): string { return `127.${this.#network}.${part}.${i + 1}` }
 
-  get #seeds (): string[] { return Array.from({ length: Math.min(3, this.#shape.registries) }, (_, i) => `${this.#hostOf(0, i)}:${operatorPort}`) }
+  get #seeds (): string[] {
+    return Array.from({ length: Math.min(mostSeeds, this.#shape.registries) }, (_, i) => `${this.#formHost(0, i)}:${operatorPort}`)
+  }
 
   async #stageRegistry (i: number): Promise<void> {
     const name = `registry-${i}`
-    const host = this.#hostOf(0, i)
-    const link = new FaultProxy(this.#hostOf(3, i), () => linkPort)
+    const host = this.#formHost(0, i)
+    const link = new FaultProxy(this.#formHost(3, i), () => linkPort)
     await link.listen(host, linkPort)
     this.links.push(link)
     const data = join(this.folder, name)
@@ -149,47 +152,33 @@
     this.#writeRegistry(i, true)
   }
 
+  // `first`: whether the registry may begin a log. One that lost its disk waits to be let in.
   #writeRegistry (i: number, first: boolean): void {
     const { name, host, data } = this.registries[i]
     const faults = (this.#shape.registries - 1) >> 1
     mkdirSync(this.folder, { recursive: true })
-    writeFileSync(`${data}.toml`, stringify({ ...this.#shared(name, host, i), bind: this.#hostOf(3, i), listen: `${host}:${operatorPort}`, data: data ?? '', first, faults }))
+    writeFileSync(`${data}.toml`, stringify({ ...this.#composeShared(name, host, i), bind: this.#formHost(3, i), listen: `${host}:${operatorPort}`, data: data ?? '', first, faults }))
   }
 
   #stageGateway (i: number): void {
     const name = `gateway-${i}`
-    const host = this.#hostOf(1, i)
+    const host = this.#formHost(1, i)
     const settings = join(this.folder, `${name}.toml`)
     const retries = { ratio: 0.2, extra: 50, windowSeconds: 10 }
-    writeFileSync(settings, stringify({ ...this.#shared(name, host, i), listen: `${host}:${callerPort}`, ready: `${host}:${readyPort}`, drainSeconds: 6, retries }))
+    writeFileSync(settings, stringify({ ...this.#composeShared(name, host, i), listen: `${host}:${callerPort}`, ready: `${host}:${readyPort}`, drainSeconds: 6, retries }))
     const process = new ProgramProcess(join(programs, 'gateway.js'), settings, code => this.#noteEnd(name, code))
     this.gateways.push({ name, host, process, data: null })
   }
 
-  #shared (id: string, host: string, i: number): Record<string, unknown> {
+  #composeShared (id: string, host: string, i: number): Record<string, unknown> {
     return { id, zone: zones[i % zones.length], host, linkPort, loadPort, seeds: this.#seeds, openLinks: true }
   }
 
   async #stageEndpoint (i: number): Promise<void> {
-    const host = this.#hostOf(2, 0)
+    const host = this.#formHost(2, 0)
     const standin = new StandinEndpoint(`endpoint-${this.#network}-${i}`, endpointHeaders)
     await standin.listen(host)
     const road = new FaultProxy(host, () => standin.port)
     this.endpoints.push({ standin, road, port: await road.listen(host), stage: 'ready', sequence: 0 })
   }
 }
-
-/** One HTTP exchange; resolves also where the answer breaks off or none comes. */
-export function callHttp (options: RequestOptions, body: string): Promise<HttpEnd> {
-  return new Promise(resolve => {
-    const request = httpRequest({ agent: false, ...options }, response => {
-      let text = ''
-      response.on('data', (chunk: Buffer) => { text += chunk.toString() })
-      response.on('error', () => {})
-      response.on('close', () => resolve({ status: response.statusCode ?? 0, body: text, isWhole: response.complete, error: '' }))
-    })
-    request.on('timeout', () => request.destroy(new Error('no answer in time')))
-    request.on('error', (error: NodeJS.ErrnoException) => resolve({ status: 0, body: '', isWhole: false, error: error.code ?? error.message }))
-    request.end(body === '' ? undefined : body)
-  })
-}
