--- a/src/bin/soak.ts
+++ b/src/bin/soak.ts
@@ -17,6 +17,7 @@
   readonly registries: string | number
 }
 
+/** What is asked of any history: the promises that it found broken. */
 interface Found {
   readonly violations: readonly string[]
 }
@@ -29,8 +30,9 @@
 }
 /** Parts that `all` runs: processes are asked for by name, as they need many ports and some memory. */
 const usualParts = ['coordination', 'decisions']
-/** Steps are a tenth of a second of faults where processes are played. */
+/** A step of a history over processes is a tenth of a second of faults, ms. */
 const stepMs = 100
+/** Endpoints of a history over processes. */
 const endpoints = 4
 
 sade('soak', true)
@@ -45,6 +47,7 @@
   .action((options: Options) => run(options))
   .parse(process.argv)
 
+// Ends the program where the options make no sense.
 async function run (options: Options): Promise<void> {
   const [seconds, first, steps] = [options.seconds, options.seed, options.steps].map(Number)
   if (!(seconds >= 0) || !Number.isInteger(first) || !(steps > 0)) endWith(usageExit, '--seconds, --seed and --steps take numbers from 0')
@@ -52,10 +55,11 @@
   for (const name of names) {
     if (!Object.hasOwn(parts, name)) endWith(usageExit, `--part does not know ${JSON.stringify(name)}; it knows ${Object.keys(parts).join(', ')}, all`)
   }
-  for (const name of names) await soak(name, seconds / names.length, first, options)
+  for (const name of names) await runPart(name, seconds / names.length, first, options)
 }
 
-async function soak (name: string, seconds: number, first: number, options: Options): Promise<void> {
+// Runs histories of one part, from the first seed on, until the time is over or one fails.
+async function runPart (name: string, seconds: number, first: number, options: Options): Promise<void> {
   const until = performance.now() + seconds * 1000
   let seed = first
   do {
--- a/src/config/route-settings.ts
+++ b/src/config/route-settings.ts
@@ -20,7 +20,7 @@
   zone: describeName('Availability zone of this box.'),
   host: describeHost('IP number under which other boxes reach this one.'),
   linkPort: describePort('Port of the links between boxes, the same on all of them.'),
-  loadPort: describePort('UDP port on which gateways and registries tell each other loads, the same on all of them.'),
+  loadPort: describePort('UDP port on which registries, as hubs, hear of loads: the same on all of them, and the one that gateways send to.'),
   seeds: { type: 'list', least: 0, of: hostPort('A registry.'), about: 'Addresses for operators of a few registries, to find the others by; links go to the same host at `linkPort`.' },
   secretFile: describeText('File with the secret that boxes share, at least 16 characters; empty for none.', ''),
   openLinks: { type: 'switch', about: 'Whether links go without authentication where there is no secret. Only for a network that nobody else can reach.', fallback: false },
--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -41,7 +41,7 @@
 const silentMs = 500
 /** Part by which each event moves what is believed of the time between events. */
 const gapStep = 0.04
-/** The gaps that count: the lowest, as what is read unseen makes gaps longer: at 0.35 engines that read much passed for slow ones. */
+/** The gaps that count are the lowest, as what is read unseen makes gaps longer: at 0.35 engines that read much passed for slow ones. */
 const gapQuantile = 0.1
 /** Part by which each stream more stretches the time between events, as on the users' engines (0.53 to 0.71 in 100). */
 const crowdedShare = 0.006
@@ -174,7 +174,10 @@
     else if (tokens >= leastTokensToLearn) this.#pace.add(Math.max(0, took - overheadMs) / tokens / this.slowness)
   }
 
-  /** Time between events of a stream that is alone and beside which no prompt is read, as this box measured it, ms; null before enough was seen. */
+  /**
+   * Time between events of a stream that is alone and beside which no prompt is
+   * read, as this box measured it, ms; null before enough was seen.
+   */
   get ownGapMs (): number | null { return this.#gaps >= leastGaps ? this.#gap?.value ?? null : null }
 
   /** The same, in the middle of what all boxes measured; this box's own measure before any was told. */
--- a/src/core/balance/load-word.ts
+++ b/src/core/balance/load-word.ts
@@ -29,8 +29,9 @@
   readonly patient: number
   /** Of requests whose pauses must stay short. */
   readonly brisk: number
-  /** Engines that the box would set apart for long prompts, and those of them that are homes of shared prompts; of several boxes the most. */
+  /** Engines that the box would set apart for long prompts; of several boxes the most. */
   readonly apart: number
+  /** Those of them that are homes of shared prompts; of several boxes the most. */
   readonly base: number
   /** Tokens of requests that wait in the boxes themselves. */
   readonly held: WaitingTokens
--- a/src/gateway/load-reporter.ts
+++ b/src/gateway/load-reporter.ts
@@ -98,7 +98,7 @@
     this.#datagrams.close()
   }
 
-  /** The work of this box has changed. */
+  /** Takes word that the work of this box has changed. */
   noteChange (): void {
     if (this.#isScheduled) return
     this.#isScheduled = true
@@ -127,7 +127,7 @@
 
   #tick (): void {
     const now = this.#host.now()
-    this.#reviewHub(now)
+    this.#updateHub(now)
     if (this.#heardAt > -Infinity && now - this.#heardAt > forgetMs) {
       this.#heardAt = -Infinity
       this.#host.log.warn('hubs-silent', { hub: this.#hub?.host ?? '' })
@@ -137,7 +137,7 @@
   }
 
   // Leaves a hub that is silent, and one of another zone where one of the own zone can be reached again.
-  #reviewHub (now: number): void {
+  #updateHub (now: number): void {
     const hub = this.#hub
     if (hub !== null && now - Math.max(hub.heardAt, hub.chosenAt) > hubSilentMs) this.#passedOver.set(hub.host, now + passOverMs)
     const best = this.#findHub(now)
@@ -147,7 +147,7 @@
     this.#send()
   }
 
-  // The one that all gateways of the zone find, as far as they reach it.
+  // The host that all gateways of the zone find, as far as they reach it; undefined where no registry is reached.
   #findHub (now: number): string | undefined {
     const reached = this.#host.listHubs().filter(({ host }) => (this.#passedOver.get(host) ?? 0) <= now)
     const near = reached.filter(({ zone }) => zone === this.#host.zone)
--- a/src/registry/directory-file.ts
+++ b/src/registry/directory-file.ts
@@ -21,7 +21,7 @@
     this.#log = log
   }
 
-  /** What was saved last; nothing where it can't be read. */
+  /** What was saved last; nothing where it can't be read, and of a file that holds more than records, those alone. */
   async load (): Promise<EndpointRecord[]> {
     try {
       const records = JSON.parse(await readFile(join(this.#folder, fileName), 'utf8')) as EndpointRecord[]
@@ -55,6 +55,9 @@
 
 // Endpoints that are gone are left out; what a torn file may hold is data from outside.
 function isRecord (one: Partial<EndpointRecord> | null): one is EndpointRecord {
-  return one !== null && typeof one === 'object' && typeof one.id === 'string' && typeof one.service === 'string' && typeof one.host === 'string' &&
-    Number.isInteger(one.port) && typeof one.zone === 'string' && Number.isInteger(one.slots) && Number.isInteger(one.sequence) && (one.stage === 'ready' || one.stage === 'draining')
+  if (one === null || typeof one !== 'object') return false
+  const { id, service, host, zone, port, slots, sequence, stage } = one
+  const hasTexts = [id, service, host, zone].every(text => typeof text === 'string')
+  const hasNumbers = [port, slots, sequence].every(number => Number.isInteger(number))
+  return hasTexts && hasNumbers && (stage === 'ready' || stage === 'draining')
 }
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -60,6 +60,7 @@
   #hub: LoadHub
   /** A gateway came that the others haven't been told of. */
   #hasNewGateways = false
+  /** The newest version that gateways were told of. */
   #toldVersion = 0
   #timers: NodeJS.Timeout[] = []
   port = 0
--- a/src/soak/disturbances.ts
+++ b/src/soak/disturbances.ts
@@ -10,7 +10,7 @@
   }
 
   /** True where one of the parts (by the beginning of its name) was disturbed at any time between two. */
-  touches (parts: readonly string[], from: number, to: number): boolean {
+  hasTouched (parts: readonly string[], from: number, to: number): boolean {
     return this.#spans.some(span => span.from <= to && span.to >= from && parts.some(part => span.part.startsWith(part)))
   }
 }
--- a/src/soak/fault-player.ts
+++ b/src/soak/fault-player.ts
@@ -79,7 +79,7 @@
   // `registry`: the box's number among the registries; null for a gateway.
   async #disturb (box: StagedBox, what: ProcessFault, registry: number | null): Promise<void> {
     if (!box.process.isRunning) return
-    if (what.type === 'reload') return box.process.signal('SIGHUP')
+    if (what.type === 'reload') return box.process.sendSignal('SIGHUP')
     // A second signal to end asks a program to end at once.
     if (what.type === 'stop' && this.#stopping.has(box)) return
     // A planned stop is no disturbance of what its gateway promises.
@@ -95,9 +95,9 @@
   async #perform (box: StagedBox, what: Exclude<ProcessFault, { type: 'reload' }>, registry: number | null): Promise<void> {
     switch (what.type) {
       case 'pause':
-        box.process.signal('SIGSTOP')
+        box.process.sendSignal('SIGSTOP')
         await sleep(what.ms)
-        return box.process.signal('SIGCONT')
+        return box.process.sendSignal('SIGCONT')
       case 'stop':
         await this.#stop(box)
         return await sleep(what.ms)
@@ -114,7 +114,7 @@
   // Resolves once the process is gone.
   async #stop (box: StagedBox): Promise<void> {
     this.#stopping.add(box)
-    box.process.signal('SIGTERM')
+    box.process.sendSignal('SIGTERM')
     while (box.process.isRunning) await sleep(goneEveryMs)
     this.#stopping.delete(box)
   }
--- a/src/soak/program-process.ts
+++ b/src/soak/program-process.ts
@@ -37,7 +37,7 @@
   }
 
   /** Sends a signal; one that ends the process is taken as wanted. */
-  signal (name: NodeJS.Signals): void {
+  sendSignal (name: NodeJS.Signals): void {
     if (name === 'SIGTERM' || name === 'SIGKILL') this.#isEndWanted = true
     this.#child?.kill(name)
   }
@@ -47,7 +47,7 @@
     const child = this.#child
     if (child === null) return
     const gone = new Promise(resolve => child.once('exit', resolve))
-    this.signal('SIGKILL')
+    this.sendSignal('SIGKILL')
     await gone
   }
 
--- a/src/soak/promise-watch.ts
+++ b/src/soak/promise-watch.ts
@@ -77,7 +77,7 @@
 
   /** Checks a run that an endpoint began `sinceMs` after a registry took its word that it is leaving. */
   noteRunWhileLeaving (run: EndpointRun, sinceMs: number, at: number): void {
-    const isCalm = !this.#disturbances.touches(['registry', 'gateway', 'link', 'road'], at - calmMs, at)
+    const isCalm = !this.#disturbances.hasTouched(['registry', 'gateway', 'link', 'road'], at - calmMs, at)
     if (sinceMs > drainMs && isCalm) this.violate('a leaving endpoint got new work', `${run.requestId} after ${Math.round(sinceMs)} ms`)
   }
 
@@ -108,14 +108,14 @@
 
   // Nothing that the call depends on was disturbed from a while before it.
   #isCalm (call: WatchedCall, until: number): boolean {
-    return !this.#disturbances.touches([call.gateway, 'registry', 'link'], call.sentAt - calmMs, until)
+    return !this.#disturbances.hasTouched([call.gateway, 'registry', 'link'], call.sentAt - calmMs, until)
   }
 
   // Nothing but the stop of its gateway can have ended the call.
   #isPlannedStopAlone (call: WatchedCall): boolean {
     const from = call.sentAt - calmMs
-    const isStopped = this.#disturbances.touches([`stop ${call.gateway}`], from, call.endedAt)
-    return isStopped && !this.#disturbances.touches([call.gateway, 'road', 'endpoint'], from, call.endedAt)
+    const isStopped = this.#disturbances.hasTouched([`stop ${call.gateway}`], from, call.endedAt)
+    return isStopped && !this.#disturbances.hasTouched([call.gateway, 'road', 'endpoint'], from, call.endedAt)
   }
 }
 
--- a/src/soak/soak-callers.ts
+++ b/src/soak/soak-callers.ts
@@ -78,7 +78,7 @@
     const version = this.#version
     const text = JSON.stringify(composeDocument(version))
     for (let tries = 0; tries < mostPuts; tries++) {
-      const { status } = await stage.operate((version + tries) % stage.registries.length, 'PUT', '/v1/routing', text)
+      const { status } = await stage.ask((version + tries) % stage.registries.length, 'PUT', '/v1/routing', text)
       if (status === 200) {
         this.#acked.set(version, performance.now())
         return true
--- a/src/soak/soak-history.ts
+++ b/src/soak/soak-history.ts
@@ -89,7 +89,7 @@
 
   // The version of the document in force; null where it can't be read.
   async #read (): Promise<number | null> {
-    const { status, body } = await this.#stage.operate(0, 'GET', '/v1/routing')
+    const { status, body } = await this.#stage.ask(0, 'GET', '/v1/routing')
     return status === 200 ? (JSON.parse(body) as { version: number }).version : null
   }
 
--- a/src/soak/soak-stage.ts
+++ b/src/soak/soak-stage.ts
@@ -74,9 +74,9 @@
 
   /** Starts everything; resolves before the boxes serve. `stop` must be called also where this rejects. */
   async start (): Promise<void> {
-    for (let i = 0; i < this.#shape.registries; i++) await this.#stageRegistry(i)
-    for (let i = 0; i < this.#shape.gateways; i++) this.#stageGateway(i)
-    for (let i = 0; i < this.#shape.endpoints; i++) await this.#stageEndpoint(i)
+    for (let i = 0; i < this.#shape.registries; i++) await this.#addRegistry(i)
+    for (let i = 0; i < this.#shape.gateways; i++) this.#addGateway(i)
+    for (let i = 0; i < this.#shape.endpoints; i++) await this.#addEndpoint(i)
     for (const box of [...this.registries, ...this.gateways]) box.process.start()
     this.#beats = setInterval(() => { for (const endpoint of this.endpoints) void this.register(endpoint) }, beatMs)
   }
@@ -115,14 +115,14 @@
     const { standin, port, stage, sequence } = endpoint
     const body = JSON.stringify({ service: 'desk', host: this.#formHost(2, 0), port, zone: zones[0], slots: 64, sequence, stage })
     for (let i = 0; i < this.registries.length; i++) {
-      const { status } = await this.operate((sequence + i) % this.registries.length, 'PUT', `/v1/endpoints/${standin.id}`, body)
+      const { status } = await this.ask((sequence + i) % this.registries.length, 'PUT', `/v1/endpoints/${standin.id}`, body)
       if (status === 200) return true
     }
     return false
   }
 
-  /** A call to a registry. */
-  operate (registry: number, method: string, path: string, body = ''): Promise<HttpEnd> {
+  /** Calls a registry as an operator or an endpoint does. */
+  ask (registry: number, method: string, path: string, body = ''): Promise<HttpEnd> {
     const { host } = this.registries[registry]
     return callHttp({ host, port: operatorPort, method, path, headers: { 'content-type': 'application/json' }, timeout: operatorMs }, body)
   }
@@ -140,7 +140,7 @@
     return Array.from({ length: Math.min(mostSeeds, this.#shape.registries) }, (_, i) => `${this.#formHost(0, i)}:${operatorPort}`)
   }
 
-  async #stageRegistry (i: number): Promise<void> {
+  async #addRegistry (i: number): Promise<void> {
     const name = `registry-${i}`
     const host = this.#formHost(0, i)
     const link = new FaultProxy(this.#formHost(3, i), () => linkPort)
@@ -160,7 +160,7 @@
     writeFileSync(`${data}.toml`, stringify({ ...this.#composeShared(name, host, i), bind: this.#formHost(3, i), listen: `${host}:${operatorPort}`, data: data ?? '', first, faults }))
   }
 
-  #stageGateway (i: number): void {
+  #addGateway (i: number): void {
     const name = `gateway-${i}`
     const host = this.#formHost(1, i)
     const settings = join(this.folder, `${name}.toml`)
@@ -174,7 +174,7 @@
     return { id, zone: zones[i % zones.length], host, linkPort, loadPort, seeds: this.#seeds, openLinks: true }
   }
 
-  async #stageEndpoint (i: number): Promise<void> {
+  async #addEndpoint (i: number): Promise<void> {
     const host = this.#formHost(2, 0)
     const standin = new StandinEndpoint(`endpoint-${this.#network}-${i}`, endpointHeaders)
     await standin.listen(host)
