--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -1,6 +1,6 @@
 /**
  * One endpoint as this box sees it: its newest record, what this box has
- * running there, what the other boxes say they have, and how it performs.
+ * running there, what its hub tells that the other boxes have, and how it performs.
  */
 import { hashText } from '../hash.js'
 import type { EndpointId } from '../ids.js'
@@ -41,7 +41,7 @@
 const silentMs = 500
 /** Part by which each event moves what is believed of the time between events. */
 const gapStep = 0.04
-/** The gaps that count: the lowest, as what is read unseen makes gaps longer: at 0.35 engines that read much passed for slow ones. */
+/** The gaps that count are the lowest, as what is read unseen makes gaps longer: at 0.35 engines that read much passed for slow ones. */
 const gapQuantile = 0.1
 /** Part by which each stream more stretches the time between events, as on the users' engines (0.53 to 0.71 in 100). */
 const crowdedShare = 0.006
@@ -174,7 +174,10 @@
     else if (tokens >= leastTokensToLearn) this.#pace.add(Math.max(0, took - overheadMs) / tokens / this.slowness)
   }
 
-  /** Time between events of a stream that is alone and beside which no prompt is read, as this box measured it, ms; null before enough was seen. */
+  /**
+   * Time between events of a stream that is alone and beside which no prompt is
+   * read, as this box measured it, ms; null before enough was seen.
+   */
   get ownGapMs (): number | null { return this.#gaps >= leastGaps ? this.#gap?.value ?? null : null }
 
   /** The same, in the middle of what all boxes measured; this box's own measure before any was told. */
@@ -197,7 +200,7 @@
   /** Takes what the other boxes have here; null for nothing. */
   noteOthers (load: EndpointLoad | null): void { this.#others = load }
 
-  /** What this box tells others of its work here; null where it has none. */
+  /** What this box tells its hub of its work here; null where it has none. */
   composeLoad (at: number): EndpointLoad | null {
     if (this.#placed.size === 0) return null
     const waiting = new Map<number, number>()
--- a/src/soak/program-process.ts
+++ b/src/soak/program-process.ts
@@ -6,6 +6,7 @@
 const mostLines = 4000
 
 export class ProgramProcess {
+  /** The newest lines of its log. */
   readonly lines: string[] = []
   #program: string
   #settings: string
@@ -22,6 +23,7 @@
 
   get isRunning (): boolean { return this.#child !== null }
 
+  /** Starts the process; does nothing where it runs. */
   start (): void {
     if (this.#child !== null) return
     this.#isEndWanted = false
@@ -35,7 +37,7 @@
   }
 
   /** Sends a signal; one that ends the process is taken as wanted. */
-  signal (name: NodeJS.Signals): void {
+  sendSignal (name: NodeJS.Signals): void {
     if (name === 'SIGTERM' || name === 'SIGKILL') this.#isEndWanted = true
     this.#child?.kill(name)
   }
@@ -45,7 +47,7 @@
     const child = this.#child
     if (child === null) return
     const gone = new Promise(resolve => child.once('exit', resolve))
-    this.signal('SIGKILL')
+    this.sendSignal('SIGKILL')
     await gone
   }
 
