--- a/test/early-signals.test.ts
+++ b/test/early-signals.test.ts
@@ -16,7 +16,14 @@
   })
 }
 
-test('programs that route by a document take the signal before anything else is loaded', () => {
+for (const program of ['gateway', 'registry']) {
+  test(`the ${program} loads nothing before it takes the signal`, () => {
+    const imports = readFileSync(`src/bin/${program}.ts`, 'utf8').match(/^import .*$/gm) ?? []
+    assert.deepEqual(imports, ["import './early-signals.js'"])
+  })
+}
+
+test('the platform\'s programs, which are one file each, run it before the rest', () => {
   const [first] = readFileSync('src/bin/route-program.ts', 'utf8').match(/^import .*$/m) ?? []
   assert.match(first ?? '', /early-signals/)
 })
