--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -49,6 +49,9 @@
 /** Time kept at the end of a planned stop to end what is left, ms. */
 const endMs = 300
 
+/** Rising time of this process, ms. */
+function now (): number { return performance.now() }
+
 export class GatewayBox {
   #settings: GatewaySettings
   #around: GatewaySurroundings
@@ -81,58 +84,25 @@
   constructor (settings: GatewaySettings, around: GatewaySurroundings) {
     this.#settings = settings
     this.#around = around
-    const { dialect, log, secret } = around
-    const zone = brandId<ZoneName>(settings.zone)
-    const id = brandId<BoxId>(settings.id)
-    this.#fleet = new Fleet(zone, ({ record }) => this.#agent.isConnected(record.host, record.port))
-    const now = (): number => performance.now()
-    this.#loads = new LoadReporter({
-      id,
-      zone,
-      log,
-      hubPort: settings.loadPort,
-      now,
-      listHubs: () => this.#follower.listNear(),
-      composeLoad: () => this.#fleet.composeLoad(now()),
-      takeOthers: (others, intervalMs) => {
-        this.#fleet.noteOthers(others, now())
-        this.#line.setStaleness(intervalMs)
-        this.#line.look()
-      }
-    })
-    this.#follower = new RegistryFollower({
-      log,
-      secret,
-      linkPort: settings.linkPort,
-      id,
-      zone,
+    const { dialect, log } = around
+    this.#fleet = new Fleet(brandId<ZoneName>(settings.zone), ({ record }) => this.#agent.isConnected(record.host, record.port))
+    this.#loads = this.#createReporter()
+    this.#follower = this.#createFollower()
+    this.#line = new WaitingLine({
       now,
-      takeDocument: document => this.#adopt(document),
-      takeRecords: records => this.#takeRecords(records),
-      takeGatewayCount: count => this.#gatewayCount.note(now(), count),
-      noteZone: heard => this.#fleet.zones.noteHeard(heard, now())
+      draw: Math.random,
+      countHolders: service => this.#fleet.countHolders(service),
+      countApart: service => this.#fleet.countApart(service)
     })
-    this.#line = new WaitingLine({ now, draw: Math.random, countHolders: service => this.#fleet.countHolders(service), countApart: service => this.#fleet.countApart(service) })
     this.#prober = new EndpointProber(log, now)
-    this.#exchangeHost = {
-      dialect,
-      fleet: this.#fleet,
-      agent: this.#agent,
-      now,
-      draw: Math.random,
-      takeRetry: order => this.#takeRetry(order),
-      noteLoad: () => this.#loads.noteChange(),
-      hold: exchange => this.#hold(exchange),
-      unhold: exchange => this.#unhold(exchange),
-      noteEnd: (exchange, summary) => this.#noteEnd(exchange, summary)
-    }
+    this.#exchangeHost = this.#createExchangeHost()
     this.#door = this.#createDoor()
     this.#ready = new ReadyDoor(dialect.readyPath, () => this.isReady)
   }
 
   get isReady (): boolean {
     if (this.#table === null || this.#leaving) return false
-    return this.#directory.records.some(record => record.stage === 'ready') || performance.now() - this.#tableAt > endpointsMs
+    return this.#directory.records.some(record => record.stage === 'ready') || now() - this.#tableAt > endpointsMs
   }
 
   get inFlight (): number { return this.#exchanges.size }
@@ -157,15 +127,15 @@
   /** Stops without cutting a request: callers that still come are served until it is quiet. Returns what had to be cut. */
   async stop (): Promise<number> {
     this.#leaving = true
-    const startedAt = performance.now()
+    const startedAt = now()
     const until = startedAt + this.#settings.drainSeconds * 1000 - endMs
     this.#leavesAt = until
     this.#around.log.info('gateway-leaving', { inFlight: this.inFlight })
-    while (performance.now() < until && !this.#isQuiet(startedAt)) await new Promise(resolve => setTimeout(resolve, sweepMs))
+    while (now() < until && !this.#isQuiet(startedAt)) await new Promise(resolve => setTimeout(resolve, sweepMs))
     const cut = this.inFlight
     for (const exchange of [...this.#exchanges]) exchange.cut()
     this.kill()
-    this.#around.log.info('gateway-stopped', { cut, ms: Math.round(performance.now() - startedAt) })
+    this.#around.log.info('gateway-stopped', { cut, ms: Math.round(now() - startedAt) })
     return cut
   }
 
@@ -182,8 +152,58 @@
   }
 
   #isQuiet (startedAt: number): boolean {
-    const now = performance.now()
-    return now - startedAt > lagMs && this.inFlight === 0 && now - this.#busyAt > quietMs
+    const at = now()
+    return at - startedAt > lagMs && this.inFlight === 0 && at - this.#busyAt > quietMs
+  }
+
+  #createReporter (): LoadReporter {
+    const { id, zone, loadPort } = this.#settings
+    return new LoadReporter({
+      id: brandId<BoxId>(id),
+      zone: brandId<ZoneName>(zone),
+      log: this.#around.log,
+      hubPort: loadPort,
+      now,
+      listHubs: () => this.#follower.listNear(),
+      composeLoad: () => this.#fleet.composeLoad(now()),
+      takeOthers: (others, intervalMs) => {
+        this.#fleet.noteOthers(others, now())
+        this.#line.setStaleness(intervalMs)
+        this.#line.look()
+      }
+    })
+  }
+
+  #createFollower (): RegistryFollower {
+    const { id, zone, linkPort } = this.#settings
+    const { log, secret } = this.#around
+    return new RegistryFollower({
+      log,
+      secret,
+      linkPort,
+      id: brandId<BoxId>(id),
+      zone: brandId<ZoneName>(zone),
+      now,
+      takeDocument: document => this.#adopt(document),
+      takeRecords: records => this.#takeRecords(records),
+      takeGatewayCount: count => this.#gatewayCount.note(now(), count),
+      noteZone: heard => this.#fleet.zones.noteHeard(heard, now())
+    })
+  }
+
+  #createExchangeHost (): ExchangeHost {
+    return {
+      dialect: this.#around.dialect,
+      fleet: this.#fleet,
+      agent: this.#agent,
+      now,
+      draw: Math.random,
+      takeRetry: order => this.#takeRetry(order),
+      noteLoad: () => this.#loads.noteChange(),
+      hold: exchange => this.#hold(exchange),
+      unhold: exchange => this.#unhold(exchange),
+      noteEnd: (exchange, summary) => this.#noteEnd(exchange, summary)
+    }
   }
 
   #createDoor (): CallerDoor {
@@ -193,8 +213,8 @@
       get table () { return box.#table },
       routed: this.#routed,
       get isLeaving () { return box.#leaving },
-      get leavesInMs () { return box.#leavesAt === null ? null : box.#leavesAt - performance.now() },
-      now: () => performance.now(),
+      get leavesInMs () { return box.#leavesAt === null ? null : box.#leavesAt - now() },
+      now,
       draw: Math.random,
       makeRequestId: () => this.#makeRequestId(),
       begin: (order, response) => this.#begin(order, response),
@@ -218,7 +238,7 @@
     }
     this.#table = table
     this.#noteRouted()
-    this.#tableAt = performance.now()
+    this.#tableAt = now()
     const { services, routes, limits } = table.document
     this.#fleet.configure(services)
     this.#door.setLimits(limits)
@@ -240,10 +260,10 @@
   // Requests.
 
   #begin (order: Order, response: ServerResponse): Exchange {
-    const now = performance.now()
-    this.#busyAt = now
-    this.#purses.get(order.service)?.noteRequest(now)
-    this.#fleet.noteArrival(order.work, now)
+    const at = now()
+    this.#busyAt = at
+    this.#purses.get(order.service)?.noteRequest(at)
+    this.#fleet.noteArrival(order.work, at)
     const exchange = new Exchange(this.#exchangeHost, order, response)
     this.#exchanges.add(exchange)
     exchange.start()
@@ -263,18 +283,18 @@
   }
 
   #takeRetry (order: Order): boolean {
-    const now = performance.now()
-    return this.#purses.get(order.service)?.take(now, this.#gatewayCount.find(now, 1)) ?? false
+    const at = now()
+    return this.#purses.get(order.service)?.take(at, this.#gatewayCount.find(at, 1)) ?? false
   }
 
   #sweep (): void {
-    const now = performance.now()
-    for (const exchange of this.#exchanges) exchange.check(now)
+    const at = now()
+    for (const exchange of this.#exchanges) exchange.check(at)
     this.#prober.look(this.#fleet.views)
   }
 
   #tellBeliefs (): void {
-    for (const { service, text } of this.#fleet.describe(performance.now())) this.#around.log.info('beliefs', { service, text })
+    for (const { service, text } of this.#fleet.describe(now())) this.#around.log.info('beliefs', { service, text })
   }
 
   #noteRefused (words: CallerWords | null, refusal: Refusal): void {
@@ -283,7 +303,7 @@
   }
 
   #noteEnd (exchange: Exchange, summary: ExchangeSummary): void {
-    this.#busyAt = performance.now()
+    this.#busyAt = now()
     this.#exchanges.delete(exchange)
     this.#door.release(exchange)
     tellEnd(summary, this.#around.log, this.#around.metrics)
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -44,6 +44,9 @@
 /** The second part of the ids of the replicas that begin a log. */
 const firstDisk = 'first'
 
+/** Rising time of this process, ms. */
+function now (): number { return performance.now() }
+
 export class RegistryBox {
   #settings: RegistrySettings
   #around: RegistrySurroundings
@@ -68,38 +71,13 @@
   constructor (settings: RegistrySettings, around: RegistrySurroundings) {
     this.#settings = settings
     this.#around = around
-    const { log, dialect } = around
-    this.#links = new LinkPool<RouteMessage>({
-      id: settings.id,
-      secret: around.secret,
-      pulse,
-      clock: log.clock,
-      receive: (link, message) => this.#receive(link, message),
-      noteOpen: link => this.#greet(link),
-      noteClosed: link => this.#noteClosed(link),
-      noteFault: (fault, peer) => log.warn('link-fault', { fault, peer })
-    }, dialing)
-    this.#members = new MemberTender({ zone: settings.zone, faults: settings.faults, log, now: () => performance.now() })
-    this.#endpoints = new EndpointDesk({
-      log,
-      lostMs: settings.lostMs,
-      now: () => performance.now(),
-      spread: records => {
-        this.#tellAll({ type: 'endpoints', records, whole: false })
-        void this.#directoryFile.save(this.#endpoints.records)
-      },
-      spreadHeard: words => this.#tellRegistries({ type: 'heard', words })
-    })
-    this.#hub = new LoadHub({ id: brandId(settings.id), log, now: () => performance.now(), listOthers: () => [...this.#hosts] })
+    const { log } = around
+    this.#links = this.#createLinks()
+    this.#members = new MemberTender({ zone: settings.zone, faults: settings.faults, log, now })
+    this.#endpoints = this.#createEndpointDesk()
+    this.#hub = new LoadHub({ id: brandId(settings.id), log, now, listOthers: () => [...this.#hosts] })
     this.#directoryFile = new DirectoryFile(join(settings.data, directoryFolder), log)
-    this.#desk = new OperatorDesk({
-      dialect,
-      log,
-      put: document => this.#opened.calls.put(document),
-      read: () => this.#opened.calls.read(),
-      noteEndpoint: word => this.#endpoints.note(word),
-      noteCall: (call, status, ms) => around.metrics.time('registry-call', ms, { call, status: String(status) })
-    }, settings.maxBodyBytes)
+    this.#desk = this.#createOperatorDesk()
   }
 
   get keeperLog (): KeeperLog { return this.#opened.log }
@@ -147,6 +125,47 @@
     this.#log?.close().catch((error: Error) => this.#around.log.warn('disk-not-closed', { error: error.message }))
   }
 
+  // What the registry is made of.
+
+  #createLinks (): LinkPool<RouteMessage> {
+    const { log, secret } = this.#around
+    return new LinkPool<RouteMessage>({
+      id: this.#settings.id,
+      secret,
+      pulse,
+      clock: log.clock,
+      receive: (link, message) => this.#receive(link, message),
+      noteOpen: link => this.#greet(link),
+      noteClosed: link => this.#noteClosed(link),
+      noteFault: (fault, peer) => log.warn('link-fault', { fault, peer })
+    }, dialing)
+  }
+
+  #createEndpointDesk (): EndpointDesk {
+    return new EndpointDesk({
+      log: this.#around.log,
+      lostMs: this.#settings.lostMs,
+      now,
+      spread: records => {
+        this.#tellAll({ type: 'endpoints', records, whole: false })
+        void this.#directoryFile.save(this.#endpoints.records)
+      },
+      spreadHeard: words => this.#tellRegistries({ type: 'heard', words })
+    })
+  }
+
+  #createOperatorDesk (): OperatorDesk {
+    const { dialect, log, metrics } = this.#around
+    return new OperatorDesk({
+      dialect,
+      log,
+      put: document => this.#opened.calls.put(document),
+      read: () => this.#opened.calls.read(),
+      noteEndpoint: word => this.#endpoints.note(word),
+      noteCall: (call, status, ms) => metrics.time('registry-call', ms, { call, status: String(status) })
+    }, this.#settings.maxBodyBytes)
+  }
+
   get #opened (): { log: KeeperLog, calls: LeaderCalls } {
     if (this.#log === null || this.#calls === null) throw new Error('the registry has not started')
     return { log: this.#log, calls: this.#calls }
