--- /dev/null
+++ b/test/load-datagrams.test.ts
@@ -0,0 +1,53 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { brandId, noTotals } from '../src/core/index.js'
+import type { BoxId, BoxLoad, EndpointId, LoadTotals, ServiceName, ZoneName } from '../src/core/index.js'
+import { decodeHubWord, decodeLoadWord, decodeTotalsWord, encodeHubWord, encodeLoadWord, encodeTotals, encodeTotalsWord, encodeValue, isNewerWord } from '../src/protocol/index.js'
+
+const newer: readonly { name: string, word: [number, number], known: [number, number] | null, isNewer: boolean }[] = [
+  { name: 'the first of all', word: [7, 1], known: null, isNewer: true },
+  { name: 'the next', word: [7, 3], known: [7, 2], isNewer: true },
+  { name: 'one after a gap', word: [7, 9], known: [7, 2], isNewer: true },
+  { name: 'the same again', word: [7, 2], known: [7, 2], isNewer: false },
+  { name: 'one that was overtaken', word: [7, 1], known: [7, 2], isNewer: false },
+  { name: 'the first of another start', word: [3, 1], known: [7, 2], isNewer: true }
+]
+
+for (const { name, word: [start, number], known, isNewer } of newer) {
+  test(`a word about loads, ${name}, ${isNewer ? 'replaces' : 'does not replace'} the known one`, () => {
+    assert.equal(isNewerWord({ start, number }, known === null ? undefined : { start: known[0], number: known[1] }), isNewer)
+  })
+}
+
+const endpoint = brandId<EndpointId>('e-1')
+const demand = { service: brandId<ServiceName>('desk'), patient: 9, brisk: 4, apart: 2, base: 1, held: [[1, 80]] as const }
+const load: BoxLoad = { loads: [{ endpoint, running: 2, memory: 700, waiting: [[0, 40]], largest: 40 }], demands: [demand], gaps: [[endpoint, 11.5]] }
+const totals: LoadTotals = { ...load, demands: [{ ...demand, holders: 1 }], zones: [brandId<ZoneName>('zone-a')] }
+const loadWord = { box: brandId<BoxId>('gateway-1'), zone: brandId<ZoneName>('zone-a'), start: 5, number: 6, load }
+const hubWord = { hub: brandId<BoxId>('registry-1'), start: 5, number: 6 }
+const totalsWord = { start: 5, number: 6, ownNumber: 4, intervalMs: 10 }
+
+test('words about loads come out as they went in, and none is taken for another', () => {
+  const told = encodeLoadWord(loadWord)
+  const toHub = encodeHubWord(hubWord, encodeTotals(totals))
+  const toGateway = encodeTotalsWord(totalsWord, encodeTotals(totals))
+  assert.deepEqual([told, toHub, toGateway].map(decodeLoadWord), [loadWord, null, null])
+  assert.deepEqual([told, toHub, toGateway].map(decodeHubWord), [null, { ...hubWord, sum: totals }, null])
+  assert.deepEqual([told, toHub, toGateway].map(decodeTotalsWord), [null, null, { ...totalsWord, totals }])
+})
+
+const foreign: readonly { name: string, bytes: Uint8Array }[] = [
+  { name: 'nothing', bytes: Buffer.alloc(0) },
+  { name: 'noise', bytes: Buffer.from([0xff, 0x00, 0x13, 0x37]) },
+  { name: 'half a word', bytes: encodeLoadWord(loadWord).subarray(0, 20) },
+  { name: 'another version', bytes: encodeValue([1, 'gateway-1', 'zone-a', 5, 6, load]) },
+  { name: 'a load without lists', bytes: encodeValue([2, 'gateway-1', 'zone-a', 5, 6, { loads: 1 }]) },
+  { name: 'totals that are no value', bytes: encodeTotalsWord(totalsWord, Buffer.from([0xff])) },
+  { name: 'totals without zones', bytes: encodeTotalsWord(totalsWord, encodeValue({ ...noTotals, zones: null })) }
+]
+
+for (const { name, bytes } of foreign) {
+  test(`a datagram with ${name} is no word about loads`, () => {
+    assert.deepEqual([decodeLoadWord(bytes), decodeHubWord(bytes), decodeTotalsWord(bytes)], [null, null, null])
+  })
+}
