--- a/src/bin/soak.ts
+++ b/src/bin/soak.ts
@@ -51,6 +51,7 @@
 async function run (options: Options): Promise<void> {
   const [seconds, first, steps] = [options.seconds, options.seed, options.steps].map(Number)
   if (!(seconds >= 0) || !Number.isInteger(first) || !(steps > 0)) endWith(usageExit, '--seconds, --seed and --steps take numbers from 0')
+  if (![options.gateways, options.registries].every(count => Number.isInteger(Number(count)) && Number(count) > 0)) endWith(usageExit, '--gateways and --registries take whole numbers from 1')
   const names = options.part === 'all' ? usualParts : [options.part]
   for (const name of names) {
     if (!Object.hasOwn(parts, name)) endWith(usageExit, `--part does not know ${JSON.stringify(name)}; it knows ${Object.keys(parts).join(', ')}, all`)
@@ -66,7 +67,7 @@
     const { violations } = await parts[name](seed, options)
     if (violations.length > 0) {
       process.stdout.write(`part=${name} seed=${seed} steps=${options.steps} violations=${JSON.stringify(violations)}\n`)
-      endWith(failureExit, `replay with: npm run soak -- --part ${name} --seed ${seed} --steps ${options.steps} --seconds 0`)
+      endWith(failureExit, `replay with: npm run soak -- --part ${name} --seed ${seed} --steps ${options.steps} --gateways ${options.gateways} --registries ${options.registries} --seconds 0`)
     }
     seed += 1
   } while (performance.now() < until)
