Add wrenlane losses: where service is lost, by route, moment and reason

Exchange lines now carry the targets that they were held to, so that a table of losses can be made from logs alone; each exchange counts once, under the first thing that went wrong.

--- /dev/null
+++ b/src/bin/losses.ts
@@ -0,0 +1,77 @@
+/**
+ * Where service is lost, by kind of request, reason and moment, from the
+ * gateways' `event=exchange` lines. Each exchange counts once, under the first
+ * thing that went wrong with it, so that the reasons add up to the whole.
+ */
+import { mergeEvents } from './timeline.js'
+import type { TimelineEvent } from './timeline.js'
+
+/**
+ * How an exchange ended for its caller. `late`: the first event, or the whole
+ * answer, came after the target; `pause`: a pause between events was too long;
+ * `refused`: told that it did not run; `left`: the caller went first; `broken`: the
+ * endpoint's answer broke off or failed; `silent`: nothing came in its time.
+ */
+export type LossReason = 'in-time' | 'late' | 'pause' | 'refused' | 'left' | 'broken' | 'silent'
+
+/** Every reason, in the order in which a table shows them. */
+export const lossReasons: readonly LossReason[] = ['in-time', 'late', 'pause', 'refused', 'left', 'broken', 'silent']
+
+/** Exchanges of one route that ended within one span of time, by reason. */
+export interface LossRow {
+  readonly route: string
+  /** Start of the span, s after the first exchange's end. */
+  readonly second: number
+  readonly counts: Readonly<Record<LossReason, number>>
+}
+
+/** Outcomes that tell the caller that the request did not run. */
+const refusals = new Set(['overloaded', 'no-engine', 'no-document', 'draining'])
+
+/** Sorts exchanges by route, span and reason; `spanS`: length of a span, s. */
+export function countLosses (texts: readonly string[], spanS: number): LossRow[] {
+  const exchanges = mergeEvents(texts, null).filter(event => event.fields.get('event') === 'exchange')
+  const startMs = exchanges.length === 0 ? 0 : readMs(exchanges[0])
+  const rows = new Map<string, LossRow & { counts: Record<LossReason, number> }>()
+  for (const event of exchanges) {
+    const route = event.fields.get('route') ?? ''
+    const second = Math.floor((readMs(event) - startMs) / 1000 / spanS) * spanS
+    const key = `${route} ${second}`
+    const row = rows.get(key) ?? { route, second, counts: createCounts() }
+    row.counts[findReason(event)] += 1
+    rows.set(key, row)
+  }
+  return [...rows.values()].sort((a, b) => a.route.localeCompare(b.route) || a.second - b.second)
+}
+
+/** Writes rows as a table; shares of each row's exchanges in 100. */
+export function formatLosses (rows: readonly LossRow[]): string {
+  const head = ['route', 'second', 'exchanges', ...lossReasons]
+  const lines = rows.map(({ route, second, counts }) => {
+    const all = lossReasons.reduce((sum, reason) => sum + counts[reason], 0)
+    return [route, String(second), String(all), ...lossReasons.map(reason => counts[reason] === 0 ? '-' : `${(100 * counts[reason] / all).toFixed(1)}`)]
+  })
+  const widths = head.map((name, i) => Math.max(name.length, ...lines.map(line => line[i].length)))
+  return [head, ...lines].map(line => line.map((cell, i) => i === 0 ? cell.padEnd(widths[i]) : cell.padStart(widths[i])).join('  ')).join('\n')
+}
+
+function createCounts (): Record<LossReason, number> {
+  return { 'in-time': 0, late: 0, pause: 0, refused: 0, left: 0, broken: 0, silent: 0 }
+}
+
+function findReason ({ fields }: TimelineEvent): LossReason {
+  const outcome = fields.get('outcome') ?? ''
+  if (outcome === 'left') return 'left'
+  if (outcome === 'engine-timeout') return 'silent'
+  if (refusals.has(outcome)) return 'refused'
+  if (outcome !== 'ok') return 'broken'
+  if (readNumber(fields, 'firstMs', 0) > readNumber(fields, 'targetMs', Infinity)) return 'late'
+  return readNumber(fields, 'pauseMs', 0) > readNumber(fields, 'pauseLimitMs', Infinity) ? 'pause' : 'in-time'
+}
+
+function readNumber (fields: ReadonlyMap<string, string>, name: string, fallback: number): number {
+  const value = Number(fields.get(name) ?? NaN)
+  return Number.isFinite(value) ? value : fallback
+}
+
+function readMs ({ hlc }: TimelineEvent): number { return Number(hlc.split('.')[0]) }
--- a/src/bin/wrenlane.ts
+++ b/src/bin/wrenlane.ts
@@ -12,6 +12,7 @@
 import type { KeeperReply, KeeperStatus } from '../protocol/index.js'
 import { OperatorClient, OperatorError } from './operator-client.js'
 import { endWith, failureExit, readNamed, readSecret, readSettings, readVersion, usageExit } from './program.js'
+import { countLosses, formatLosses } from './losses.js'
 import { composeReport, formatReport } from './status-report.js'
 import { explainRequest, mergeEvents } from './timeline.js'
 
@@ -21,6 +22,7 @@
   readonly file?: string
   readonly number?: string
   readonly request?: string
+  readonly seconds?: number
   readonly undo?: boolean
 }
 
@@ -79,6 +81,10 @@
   .option('--request', 'Follow one request')
   .action((path: string, options: Options & { _: string[] }) => showTimeline([path, ...options._], options))
 
+program.command('losses <file>', 'Say where service is lost, by route, moment and reason, from logs of gateways')
+  .option('--seconds', 'Length of a span of time', 5)
+  .action((path: string, options: Options & { _: string[] }) => showLosses([path, ...options._], options))
+
 program.command('key', 'Make a workspace key and its digest')
   .action((options: Options) => makeKey(options))
 
@@ -225,6 +231,13 @@
   }
 }
 
+function showLosses (paths: readonly string[], options: Options): void {
+  const spanS = Number(options.seconds)
+  if (!(spanS > 0)) return endWith(usageExit, '--seconds: a number of seconds above 0')
+  const rows = countLosses(paths.map(readNamed), spanS)
+  show(options, rows, formatLosses(rows))
+}
+
 function makeKey (options: Options): void {
   const key = `wl-${randomBytes(24).toString('base64url')}`
   const digest = createHash('sha256').update(key).digest('hex')
--- a/src/config/route-events.ts
+++ b/src/config/route-events.ts
@@ -28,9 +28,11 @@
       version: 'the document that let it in',
       waitedMs: 'from arrival to the first send',
       firstMs: 'from arrival to the answer, or its first event',
+      targetMs: 'the route\'s target for that',
       totalMs: 'from arrival to the end',
       events: 'events that were passed on',
       pauseMs: 'the longest pause between them',
+      pauseLimitMs: 'the longest that its route allows',
       attempts: 'for each send, parted by `;`: ENDPOINT@ms after arrival, `expected` ms to the first event as decided, `of` so many candidates, `apart` engines set apart, `read` prompt tokens expected to be read, `home` 1 where the shared part lives there, and how the send ended'
     }
   },
--- a/src/gateway/exchange-report.ts
+++ b/src/gateway/exchange-report.ts
@@ -20,9 +20,11 @@
     version: order.version,
     waitedMs: attempts.length === 0 ? undefined : Math.round(attempts[0].sentAt - order.arrivedAt),
     firstMs: firstMs === null ? undefined : Math.round(firstMs),
+    targetMs: order.work.targetMs,
     totalMs: Math.round(totalMs),
     events: summary.events,
     pauseMs: Math.round(summary.longestPauseMs),
+    pauseLimitMs: order.work.pauseMs ?? undefined,
     attempts: attempts.map(one => formatAttempt(one, order.arrivedAt)).join(';')
   }
   if (outcome === 'ok') log.info('exchange', fields)
--- a/test/timeline.test.ts
+++ b/test/timeline.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { countLosses, formatLosses, lossReasons } from '../src/bin/losses.js'
+import type { LossReason } from '../src/bin/losses.js'
 import { explainRequest, mergeEvents, parseEvent } from '../src/bin/timeline.js'
 import { EventLog, HybridClock, formatTime } from '../src/runtime/index.js'
 
@@ -59,3 +61,30 @@
   assert.deepEqual(told, ['endpoint draining', 'routes-in-force 4', 'exchange engine-failed'])
   assert.deepEqual(explainRequest([lines.join('\n')], 'nobody'), [])
 })
+
+const ended: readonly { readonly fields: Record<string, string | number>, readonly reason: LossReason }[] = [
+  { fields: { outcome: 'ok', firstMs: 90, targetMs: 100, pauseMs: 40, pauseLimitMs: 50 }, reason: 'in-time' },
+  { fields: { outcome: 'ok', firstMs: 90, targetMs: 100 }, reason: 'in-time' },
+  { fields: { outcome: 'ok', firstMs: 190, targetMs: 100, pauseMs: 70, pauseLimitMs: 50 }, reason: 'late' },
+  { fields: { outcome: 'ok', firstMs: 90, targetMs: 100, pauseMs: 70, pauseLimitMs: 50 }, reason: 'pause' },
+  { fields: { outcome: 'overloaded' }, reason: 'refused' },
+  { fields: { outcome: 'left' }, reason: 'left' },
+  { fields: { outcome: 'cut' }, reason: 'broken' },
+  { fields: { outcome: 'engine-failed' }, reason: 'broken' },
+  { fields: { outcome: 'engine-timeout' }, reason: 'silent' }
+]
+
+test('each exchange is counted once, by route, span and the first thing that went wrong', () => {
+  const lines: string[] = []
+  let now = 1000
+  const log = new EventLog('gateway-1', line => lines.push(line), () => now)
+  for (const { fields } of ended) log.info('exchange', { route: 'questions', ...fields })
+  now = 7000
+  log.info('exchange', { route: 'drafts', outcome: 'ok' })
+  log.info('refused', { route: 'drafts' })
+  const rows = countLosses([lines.join('\n')], 5)
+  assert.deepEqual(rows.map(({ route, second }) => [route, second]), [['drafts', 5], ['questions', 0]])
+  for (const reason of lossReasons) assert.equal(rows[1].counts[reason], ended.filter(one => one.reason === reason).length, reason)
+  assert.match(formatLosses(rows), /questions +0 +9/)
+  assert.deepEqual(countLosses([''], 5), [])
+})
