Share the pause beside reading between boxes

Change: boxes tell the pause that they saw in the last 5 s, all go by the middle; the guess before any was seen is a third longer, for the step itself.

--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -213,7 +213,7 @@
 
   /** Notes the time between two events of a stream: beside reading, or where nothing is being read here. */
   noteGap (gapMs: number, at: number): void {
-    if (this.countAhead(Infinity, at) > 0) return this.#readingPause.add(gapMs, this.slowness)
+    if (this.countAhead(Infinity, at) > 0) return this.#readingPause.add(gapMs, this.slowness, at)
     const aloneMs = gapMs / (1 + this.running * crowdedShare)
     this.#gap ??= new RunningQuantile(aloneMs, gapQuantile, gapStep)
     this.#gap.add(aloneMs)
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -109,7 +109,7 @@
       prompts.push(...view.listRead(at))
       if (view.ownGapMs !== null) gaps.push([view.id, Math.round(view.ownGapMs * 10) / 10])
     }
-    const demands = [...this.#services.values()].map(state => composeDemand(state, at)).filter(({ patient, brisk }) => patient > 0 || brisk > 0)
+    const demands = [...this.#services.values()].map(state => composeDemand(state, at)).filter(({ patient, brisk, readingPauseMs }) => patient > 0 || brisk > 0 || readingPauseMs !== null)
     return { loads, demands, gaps, prompts }
   }
 
@@ -125,7 +125,7 @@
     const state = this.#services.get(work.service)
     const engine = state?.service.engine ?? null
     if (work.cost === null || engine === null || state === undefined) return this.#choosePlain(left, at, draw)
-    const patient = this.#isPatient(work, state)
+    const patient = this.#isPatient(work, state, at)
     const side = (patient ? apart.slice(0, counts.count) : listBrisk(apart, counts.count, engine)).filter(view => !tried.includes(view.id))
     const homes = patient ? apart.slice(0, counts.base) : side
     const prompt: PromptCase = { work, cost: work.cost, engine, waitedMs }
@@ -142,7 +142,7 @@
       const apart = listApart(views)
       const { count, base } = this.#agreeShare(state, apart, at)
       const engines = apart.map((view, i) => describeEngine(view, i < count, at))
-      const words = [`apart=${count}`, `base=${base}`, `own=${state.share.counts.count}`, `pace=${state.pace.value.toFixed(4)}`, `beside=${Math.round(measureReadingPause(state))}`, `held=${this.#countHeld(state, Infinity)}`, ...engines]
+      const words = [`apart=${count}`, `base=${base}`, `own=${state.share.counts.count}`, `pace=${state.pace.value.toFixed(4)}`, `beside=${Math.round(this.#findReadingPause(state, at))}`, `held=${this.#countHeld(state, Infinity)}`, ...engines]
       told.push({ service: name, text: words.join(' ') })
     }
     return told
@@ -171,7 +171,7 @@
   /** When a request had better come back, ms, as too much waits before it; null where it is taken. */
   findReturn (work: Work, at: number): number | null {
     const state = this.#services.get(work.service)
-    if (state?.service.engine == null || work.cost === null || !this.#isPatient(work, state)) return null
+    if (state?.service.engine == null || work.cost === null || !this.#isPatient(work, state, at)) return null
     const { apart, counts } = this.#look(work.service, at)
     const side = apart.slice(0, Math.max(1, counts.count))
     let tokens = this.#countHeld(state, work.priority)
@@ -188,12 +188,18 @@
   noteArrival (work: Work, at: number): void {
     const state = this.#services.get(work.service)
     if (state?.service.engine == null || work.cost === null) return
-    const meter = this.#isPatient(work, state) ? state.patient : state.brisk
+    const meter = this.#isPatient(work, state, at) ? state.patient : state.brisk
     meter.add(at, countExpected(work.cost))
   }
 
-  #isPatient (work: Work, state: ServiceState): boolean {
-    return isPatient(work, measureReadingPause(state))
+  #isPatient (work: Work, state: ServiceState, at: number): boolean {
+    return isPatient(work, this.#findReadingPause(state, at))
+  }
+
+  // All boxes go by the same pause where they hear of each other, as they must part requests alike.
+  #findReadingPause (state: ServiceState, at: number): number {
+    const { service, pace, readingPause } = state
+    return this.#findOthers(state)?.readingPauseMs ?? readingPause.find(at) ?? guessPause(service.engine?.tokensPerEvent ?? 1, pace.value)
   }
 
   // Engines from which a prompt may be taken: a holder in trouble would hold up the taker.
@@ -251,13 +257,9 @@
   }
 }
 
-function measureReadingPause ({ service, pace, readingPause }: ServiceState): number {
-  return readingPause.valueMs ?? guessPause(service.engine?.tokensPerEvent ?? 1, pace.value)
-}
-
-function composeDemand ({ service, patient, brisk, share, held }: ServiceState, at: number): ServiceDemand {
+function composeDemand ({ service, patient, brisk, share, held, readingPause }: ServiceState, at: number): ServiceDemand {
   const { count, base } = share.counts
-  return { service: service.name, patient: Math.round(patient.rate(at)), brisk: Math.round(brisk.rate(at)), apart: count, base, held: [...held] }
+  return { service: service.name, patient: Math.round(patient.rate(at)), brisk: Math.round(brisk.rate(at)), apart: count, base, readingPauseMs: readingPause.find(at), held: [...held] }
 }
 
 // Engines for requests whose pauses must stay short; all of them where none of those has a slot free.
--- a/src/core/balance/load-sum.ts
+++ b/src/core/balance/load-sum.ts
@@ -7,22 +7,30 @@
 export class LoadSum {
   #loads = new Map<EndpointId, EndpointLoad>()
   #demands = new Map<ServiceName, ServiceTotal>()
+  #readingPauses = new Map<ServiceName, number[]>()
   #gaps = new Map<EndpointId, number[]>()
   #prompts: ReadPrompt[] = []
   #zones = new Set<ZoneName>()
 
   get totals (): LoadTotals {
-    return { loads: [...this.#loads.values()], demands: [...this.#demands.values()], gaps: findMiddles(this.#gaps), prompts: this.#prompts, zones: [...this.#zones] }
+    return { loads: [...this.#loads.values()], demands: this.#composeDemands(), gaps: findMiddles(this.#gaps), prompts: this.#prompts, zones: [...this.#zones] }
   }
 
   /** Adds what one box, or one hub, tells. */
   add ({ loads, demands, gaps, prompts, zones }: LoadTotals): void {
     for (const one of loads) this.#loads.set(one.endpoint, addLoad(this.#loads.get(one.endpoint), one))
-    for (const one of demands) this.#demands.set(one.service, addDemand(this.#demands.get(one.service), one))
+    for (const one of demands) {
+      this.#demands.set(one.service, addDemand(this.#demands.get(one.service), one))
+      if (one.readingPauseMs !== null) this.#readingPauses.set(one.service, [...this.#readingPauses.get(one.service) ?? [], one.readingPauseMs])
+    }
     for (const [endpoint, gapMs] of gaps) this.#gaps.set(endpoint, [...this.#gaps.get(endpoint) ?? [], gapMs])
     this.#prompts.push(...prompts)
     for (const zone of zones) this.#zones.add(zone)
   }
+
+  #composeDemands (): ServiceTotal[] {
+    return [...this.#demands.values()].map(one => ({ ...one, readingPauseMs: findMiddle(this.#readingPauses.get(one.service) ?? []) }))
+  }
 }
 
 function addLoad (sum: EndpointLoad | undefined, one: EndpointLoad): EndpointLoad {
@@ -44,6 +52,7 @@
     brisk: sum.brisk + one.brisk,
     apart: Math.max(sum.apart, one.apart),
     base: Math.max(sum.base, one.base),
+    readingPauseMs: null,
     held: addWaiting(sum.held, one.held, 1),
     holders: sum.holders + one.holders
   }
--- a/src/core/balance/prompt-reading.ts
+++ b/src/core/balance/prompt-reading.ts
@@ -9,6 +9,8 @@
 
 /** Tokens that an engine is believed to read at a time before its pauses were seen: what engines are commonly set to. */
 const firstPieceTokens = 2048
+/** How much longer a piece takes than its tokens at the usual pace, before it was seen: the step itself, and looking back at what was read. */
+const firstPieceTimes = 1.3
 /** A pause must be this many times longer than a usual long one beside reading to be safe there. */
 const pauseMargin = 1.2
 /** Part of the shared tokens that an engine is believed to hold of a prompt that all boxes send there. */
@@ -18,7 +20,7 @@
 
 /** The pause beside reading before any was seen, ms: a piece for each token of an event. */
 export function guessPause (tokensPerEvent: number, paceMs: number): number {
-  return tokensPerEvent * firstPieceTokens * paceMs
+  return tokensPerEvent * firstPieceTokens * paceMs * firstPieceTimes
 }
 
 /** True where a request's pauses stay in time even beside a prompt that is being read. */
--- a/src/protocol/link.ts
+++ b/src/protocol/link.ts
@@ -58,7 +58,7 @@
   'retryAfterMs', 'lowerCouldYield', 'loads', 'demands', 'from', 'news', 'digest', 'number', 'id', 'incarnation',
   'zone', 'host', 'port', 'state', 'version', 'message', 'entries', 'index', 'term', 'time', 'content', 'command',
   'endpoint', 'running', 'memory', 'waiting', 'largest', 'service', 'patient', 'brisk', 'apart', 'base', 'held', 'holders',
-  'gaps', 'zones', 'prompts'
+  'gaps', 'zones', 'prompts', 'readingPauseMs'
 ]
 
 const codec = new Encoder({
--- a/test/balance.test.ts
+++ b/test/balance.test.ts
@@ -285,7 +285,7 @@
   const load = fc.record({ running: fc.integer({ min: 1, max: 9 }), held: fc.integer({ min: 0, max: 900 }), apart: fc.integer({ min: 1, max: 5 }) })
   fc.assert(fc.property(fc.array(load, { minLength: 2, maxLength: 9 }), told => {
     const words = told.map(({ running, held, apart }) => createLoad(running, {
-      demands: [{ service: desk, patient: 10 * running, brisk: running, apart, base: 1, held: held === 0 ? [] : [[2, held]] }],
+      demands: [{ service: desk, patient: 10 * running, brisk: running, apart, base: 1, readingPauseMs: running, held: held === 0 ? [] : [[2, held]] }],
       gaps: [[brandId('e1'), running]]
     }))
     const sumOf = (some: readonly BoxLoad[]) => {
@@ -364,8 +364,26 @@
   const slow = createWork({ pauseMs: 300, cost: { promptTokens: 100, mostTokens: 10, parts: [] } })
   const brisk = createWork({ ...slow, pauseMs: 200 })
   const pause = new ReadingPause()
-  assert.equal(pause.valueMs, null)
-  for (let i = 0; i < 60; i++) pause.add(i % 2 === 0 ? 180 : 2 * 180, i % 2 === 0 ? 1 : 2)
-  assert.equal(pause.valueMs, 180)
-  assert.deepEqual([slow, brisk].map(work => isPatient(work, pause.valueMs ?? 0)), [true, false])
+  assert.equal(pause.find(0), null)
+  for (let i = 0; i < 60; i++) pause.add(i % 2 === 0 ? 180 : 2 * 180, i % 2 === 0 ? 1 : 2, i)
+  assert.deepEqual([pause.find(60), pause.find(9000)], [180, null])
+  assert.deepEqual([slow, brisk].map(work => isPatient(work, pause.find(60) ?? 0)), [true, false])
+})
+
+test('a box that has seen no pause goes by the middle of what the others saw', () => {
+  const fleet = createFleet(Array.from({ length: 5 }, (_, i) => createRecord(`e${i + 1}`)), engineService)
+  const work = createWork({ pauseMs: 200, cost: { promptTokens: 100, mostTokens: 10, parts: [] } })
+  const tell = (readingPauseMs: number): void => {
+    const book = new LoadBook()
+    for (const [i, seen] of [readingPauseMs, readingPauseMs, 9000].entries()) book.note(brandId(`box-${i}`), nameZone('zone-a'), createLoad(0, { loads: [], demands: [{ service: desk, patient: 1, brisk: 1, apart: 2, base: 1, readingPauseMs: seen, held: [] }] }), 0)
+    fleet.noteOthers(book.sumOwn(0), 0)
+  }
+  const countCandidates = (at: number): number => {
+    const choice = fleet.choose(work, [], at, 0)
+    return typeof choice === 'string' ? 0 : choice.candidates
+  }
+  tell(100)
+  const beside = countCandidates(100)
+  tell(190)
+  assert.notEqual(countCandidates(200), beside)
 })
