Rebuild what is known of an engine when its service is described after it

A box that starts again may hear of endpoints before it has the document; their views were then made for a service without engines, with a memory of 0 tokens. Change: a document that brings a new service makes the views of its endpoints anew. The test failed first.

--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -72,8 +72,12 @@
       const known = this.#services.get(service.name)
       states.set(service.name, known === undefined ? createState(service) : { ...known, service })
     }
+    const isNew = (name: ServiceName): boolean => states.has(name) && !this.#services.has(name)
+    const renewed = [...this.#views.values()].filter(view => isNew(view.record.service))
     this.#services = states
-    this.#outlooks.clear()
+    // Records may come before the document that says what their endpoints are.
+    for (const { id, record } of renewed) this.#views.set(id, this.#createView(record))
+    this.#regroup()
   }
 
   /** Takes in newer records of the directory. */
@@ -84,8 +88,7 @@
       else if (known !== undefined) known.record = record
       else this.#views.set(record.id, this.#createView(record))
     }
-    this.#byService = groupByService(this.#views.values())
-    this.#outlooks.clear()
+    this.#regroup()
   }
 
   /** Takes in what the other boxes have; `noTotals` where no hub is heard. */
@@ -202,6 +205,11 @@
     return this.#findOthers(state)?.readingPauseMs ?? readingPause.find(at) ?? guessPause(service.engine?.tokensPerEvent ?? 1, pace.value)
   }
 
+  #regroup (): void {
+    this.#byService = groupByService(this.#views.values())
+    this.#outlooks.clear()
+  }
+
   // Engines from which a prompt may be taken: a holder in trouble would hold up the taker.
   #listSources (usable: readonly EndpointView[], at: number): EndpointView[] {
     return usable.filter(view => view.trust.look(at) === 'good' && !this.zones.isCut(view.record.zone, at) && view.measureOverdue(at) <= 0)
--- a/test/balance.test.ts
+++ b/test/balance.test.ts
@@ -387,3 +387,18 @@
   tell(190)
   assert.notEqual(countCandidates(200), beside)
 })
+
+const orders: readonly { name: string, prepare: (fleet: Fleet) => void }[] = [
+  { name: 'before its service', prepare: fleet => { fleet.applyRecords([createRecord('e1')]); fleet.configure([movingService]) } },
+  { name: 'after its service', prepare: fleet => { fleet.configure([movingService]); fleet.applyRecords([createRecord('e1')]) } },
+  { name: 'before its service, which is changed once more', prepare: fleet => { fleet.applyRecords([createRecord('e1')]); fleet.configure([movingService]); fleet.configure([{ ...movingService, mostConnections: 7 }]) } }
+]
+
+for (const { name, prepare } of orders) {
+  test(`an engine whose record came ${name} is known to keep what it read`, () => {
+    const fleet = new Fleet(brandId('zone-a'))
+    prepare(fleet)
+    fleet.noteOthers({ ...noTotals, prompts: readShared }, 0)
+    assert.equal(fleet.findView(brandId('e1'))?.prompts.countHeld(long.cost!.parts), 6000)
+  })
+}
