--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -52,6 +52,8 @@
 const crowdedShare = 0.006
 /** A prompt that was read is told for so long, ms: a word may be lost, and the next ones go out within a few dozen ms. */
 const toldMs = 200
+/** An engine that is so many times slower than the middle one is in trouble, not of a slower kind. */
+export const troubledTimes = 2
 /** Events that must be seen before an engine's speed is judged. */
 const leastGaps = 16
 
@@ -68,6 +70,7 @@
   #read: { readonly at: number, readonly prompt: ReadPrompt }[] = []
   #gap: RunningQuantile | null = null
   #gaps = 0
+  #firstGapMs = Infinity
   #placed = new Set<Placed>()
   /** What the other boxes have here. */
   #others: EndpointLoad | null = null
@@ -203,21 +206,27 @@
    * Time between events of a stream that is alone and beside which no prompt is
    * read, as this box measured it, ms; null before enough was seen.
    */
-  get ownGapMs (): number | null { return this.#gaps >= leastGaps ? this.#gap?.value ?? null : null }
+  get ownGapMs (): number | null { return this.#gaps < leastGaps ? null : this.#gap?.value ?? this.#firstGapMs }
 
   /** The same, in the middle of what all boxes measured; this box's own measure before any was told. */
   get gapMs (): number | null { return this.#toldGapMs ?? this.ownGapMs }
 
+  // An engine in trouble, or of unknown speed, tells nothing of the others.
+  #noteReadingPause (pauseMs: number, at: number): void {
+    if (this.gapMs !== null && this.slowness < troubledTimes) this.#readingPause.add(pauseMs, this.slowness, at)
+  }
+
   /** Takes the middle of what all boxes measured. */
   noteGapOfAll (gapMs: number): void { this.#toldGapMs = gapMs }
 
   /** Notes the time between two events of a stream: beside reading, or where nothing is being read here. */
   noteGap (gapMs: number, at: number): void {
-    if (this.countAhead(Infinity, at) > 0) return this.#readingPause.add(gapMs, this.slowness, at)
+    if (this.countAhead(Infinity, at) > 0) return this.#noteReadingPause(gapMs, at)
     const aloneMs = gapMs / (1 + this.running * crowdedShare)
-    this.#gap ??= new RunningQuantile(aloneMs, gapQuantile, gapStep)
-    this.#gap.add(aloneMs)
     this.#gaps += 1
+    // The first gaps may all stand beside reading that this box knows nothing of: the lowest is nearest.
+    if (this.#gaps <= leastGaps) this.#firstGapMs = Math.min(this.#firstGapMs, aloneMs)
+    else (this.#gap ??= new RunningQuantile(this.#firstGapMs, gapQuantile, gapStep)).add(aloneMs)
   }
 
   remove (placed: Placed): void { this.#placed.delete(placed) }
--- a/src/core/balance/engines-apart.ts
+++ b/src/core/balance/engines-apart.ts
@@ -3,13 +3,12 @@
  * each is than the middle one of its service.
  */
 import { findMiddle } from './average.js'
+import { troubledTimes } from './endpoint-view.js'
 import type { EndpointView } from './endpoint-view.js'
 
 /** An engine whose events come so many times slower than those of the middle one is of a slower kind, until they come nearer again. */
 const slowTimes = 1.16
 const nearTimes = 1.08
-/** One that is slower than this is in trouble rather than of a slower kind. */
-const troubledTimes = 2
 /** Fewer engines of known speed than this have no middle to speak of. */
 const leastKnownSpeeds = 3
 /** Bounds on how much slower an engine is believed to be than the middle one. */
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -5,7 +5,7 @@
  * prompts, which of them holds a shared prompt) they do so by the same hash.
  */
 import type { EndpointId, ServiceName, ZoneName } from '../ids.js'
-import type { EngineProfile, RoutedService } from '../routes/index.js'
+import type { EngineProfile, PromptTransfer, RoutedService } from '../routes/index.js'
 import { agreeShare, countHeld } from './agreed-share.js'
 import { pickLeast } from './choice.js'
 import type { Choice, NoChoice } from './choice.js'
@@ -16,7 +16,7 @@
 import { listApart } from './engines-apart.js'
 import type { BoxLoad, EngineGap, LoadTotals, ReadPrompt, ServiceDemand, ServiceTotal } from './load-word.js'
 import { listHolders, planPrompt } from './prompt-plan.js'
-import type { PromptPlan } from './prompt-plan.js'
+import type { PromptHolder, PromptPlan } from './prompt-plan.js'
 import { countExpected, expectRead, findHomes, guessPause, isPatient } from './prompt-reading.js'
 import { ReadingPause } from './reading-pause.js'
 import type { ApartCount } from './reading-share.js'
@@ -24,7 +24,7 @@
 import { createPace, createState } from './service-state.js'
 import type { ServiceState } from './service-state.js'
 import { listUsable } from './usable-endpoints.js'
-import type { Work } from './work.js'
+import type { PromptCost, Work } from './work.js'
 import { ZoneWatch } from './zone-watch.js'
 
 /** A zone counts as cut off after so long without a word, ms: two heartbeats of a registry there, or some totals that name it. */
@@ -132,7 +132,7 @@
     const side = (patient ? apart.slice(0, counts.count) : listBrisk(apart, counts.count, engine)).filter(view => !tried.includes(view.id))
     const homes = patient ? apart.slice(0, counts.base) : side
     const prompt: PromptCase = { work, cost: work.cost, engine, waitedMs }
-    const choice = this.#chooseEngine(usable, side.length > 0 ? side : left, homes, prompt, counts.count, at, draw)
+    const choice = this.#chooseEngine(side.length > 0 ? side : left, homes, prompt, counts.count, at, draw)
     return patient && !hasRoom(choice.view, work.cost, engine, at) ? 'later' : choice
   }
 
@@ -184,7 +184,22 @@
       rate += 1 / view.paceMs
     }
     const waitMs = rate === 0 ? 0 : tokens / rate
-    return chooseReturn(waitMs, work.targetMs)
+    return chooseReturn(waitMs + this.#expectReading(work.cost, state, side, at), work.targetMs)
+  }
+
+  // Time that the engine which has least to do for a prompt takes over it, ms.
+  #expectReading (cost: PromptCost, state: ServiceState, side: readonly EndpointView[], at: number): number {
+    const transfer = state.service.engine?.transfer ?? null
+    const holders = this.#listHolders(cost, transfer, at, state.service.name)
+    const times = side.map(view => {
+      const { readTokens, fetch } = planPrompt(view, cost, expectRead(view, cost, []), holders, transfer)
+      return readTokens * view.paceMs + (fetch?.ms ?? 0)
+    })
+    return Math.min(...times)
+  }
+
+  #listHolders (cost: PromptCost, transfer: PromptTransfer | null, at: number, service: ServiceName): PromptHolder[] {
+    return transfer === null ? [] : listHolders(this.#listSources(this.#look(service, at).usable, at), cost)
   }
 
   /** Notes that a request arrived, for the measure of demand. */
@@ -252,12 +267,12 @@
     return pickLeast({ views: usable, weigh, plan: () => nothingToRead, share: 0 }, draw)
   }
 
-  #chooseEngine (usable: readonly EndpointView[], side: readonly EndpointView[], homes: readonly EndpointView[], prompt: PromptCase, share: number, at: number, draw: number): Choice {
+  #chooseEngine (side: readonly EndpointView[], homes: readonly EndpointView[], prompt: PromptCase, share: number, at: number, draw: number): Choice {
     const { cost } = prompt
     // Where engines take prompts from one another, any may become a holder.
     const { transfer } = prompt.engine
     const chosen = transfer === null ? findHomes(cost, homes) : []
-    const holders = transfer === null ? [] : listHolders(this.#listSources(usable, at), cost)
+    const holders = this.#listHolders(cost, transfer, at, prompt.work.service)
     const middle = findMiddleFailures(side)
     const plan = (view: EndpointView): PromptPlan => planPrompt(view, cost, expectRead(view, cost, chosen), holders, transfer)
     const weigh = (view: EndpointView): number => weighEngine(view, prompt, plan(view), at) + weighTrust(view, this.#standpoint, middle, at)
--- a/src/core/balance/load-word.ts
+++ b/src/core/balance/load-word.ts
@@ -36,7 +36,7 @@
   readonly apart: number
   /** Those of them that are homes of shared prompts; of several boxes the most. */
   readonly base: number
-  /** The longest usual pause of streams beside reading, ms, as seen just now; of several boxes the middle; null where none was seen. */
+  /** The pause of streams beside an engine that reads all the time, ms; of several boxes the middle; null where none was seen. */
   readonly readingPauseMs: number | null
   /** Tokens of requests that wait in the boxes themselves. */
   readonly held: WaitingTokens
--- a/src/core/balance/prompt-reading.ts
+++ b/src/core/balance/prompt-reading.ts
@@ -11,7 +11,7 @@
 const firstPieceTokens = 2048
 /** How much longer a piece takes than its tokens at the usual pace, before it was seen: the step itself, and looking back at what was read. */
 const firstPieceTimes = 1.3
-/** A pause must be this many times longer than a usual long one beside reading to be safe there. */
+/** A pause must be this many times longer than one beside reading to be safe there: prompts that look back on much take longer to read. */
 const pauseMargin = 1.2
 /** Part of the shared tokens that an engine is believed to hold of a prompt that all boxes send there. */
 const homeShare = 0.7
