Tell prompts that are still being read, so that those sharing their parts follow them

Cause: in bursts many requests that share a part come while its first reading is under way; each was read in full. Change: boxes tell a prompt when it is sent and again when it was read; the first counts for the same engine alone.

--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -12,7 +12,7 @@
 import { listShared } from './prompt-reading.js'
 import type { PromptPlan } from './prompt-plan.js'
 import type { ReadingPause } from './reading-pause.js'
-import type { PromptCost, Work } from './work.js'
+import type { PromptCost, PromptPart, Work } from './work.js'
 
 /** A request of this box at an endpoint. */
 export interface Placed {
@@ -50,7 +50,7 @@
 const gapQuantile = 0.1
 /** Part by which each stream more stretches the time between events, as on the users' engines (0.53 to 0.71 in 100). */
 const crowdedShare = 0.006
-/** A prompt that was read is told for so long, ms: a word may be lost, and the next ones go out within a few dozen ms. */
+/** What became of a prompt is told for so long, ms: a word may be lost, and the next ones go out within a few dozen ms. */
 const toldMs = 200
 /** An engine that is so many times slower than the middle one is in trouble, not of a slower kind. */
 export const troubledTimes = 2
@@ -61,13 +61,16 @@
   /** Of its id: the same at every box. */
   readonly hash: number
   readonly trust = new EndpointTrust()
+  /** What the engine holds, or will have read before anything that is sent to it now. */
   readonly prompts: PromptMemory
+  /** What it holds already, so that others may take it. */
+  readonly kept: PromptMemory
   readonly answerMs = new FadingAverage(firstAnswerMs, gainOfNewest)
   record: EndpointRecord
   #pace: RunningQuantile
   #readingPause: ReadingPause
-  /** Prompts of this box that were read here just now. */
-  #read: { readonly at: number, readonly prompt: ReadPrompt }[] = []
+  /** What this box tells of prompts here. */
+  #told: { readonly at: number, readonly prompt: ReadPrompt }[] = []
   #gap: RunningQuantile | null = null
   #gaps = 0
   #firstGapMs = Infinity
@@ -86,6 +89,7 @@
     this.record = record
     this.hash = hashText(record.id)
     this.prompts = new PromptMemory(memoryTokens * cacheShare)
+    this.kept = new PromptMemory(memoryTokens * cacheShare)
     this.#pace = pace
     this.#readingPause = readingPause
   }
@@ -174,6 +178,7 @@
     const memory = cost === null ? 0 : cost.promptTokens + cost.mostTokens / 2
     const placed: Placed = { work, readTokens, fetchMs: fetch?.ms ?? 0, aheadTokens: this.countAhead(work.priority, at), memory, sentAt: at, firstAt: null, heardAt: at }
     this.#placed.add(placed)
+    if (cost !== null) this.#tellPrompt(cost, false, at)
     return placed
   }
 
@@ -184,22 +189,27 @@
     const took = at - placed.sentAt
     const { cost } = placed.work
     if (cost === null) return this.answerMs.add(took)
-    this.#noteRead(cost, at)
+    this.#tellPrompt(cost, true, at)
     const tokens = placed.readTokens + placed.aheadTokens
     if (tokens >= leastTokensToLearn) this.#pace.add(Math.max(0, took - overheadMs - placed.fetchMs) / tokens / this.slowness)
   }
 
-  // The engine holds the prompt now, for all that share its parts.
-  #noteRead (cost: PromptCost, at: number): void {
-    this.prompts.add(cost.parts)
+  #tellPrompt (cost: PromptCost, isKept: boolean, at: number): void {
+    this.notePrompt(cost.parts, isKept)
     const shared = listShared(cost)
-    if (shared.length > 0) this.#read.push({ at, prompt: [this.id, shared.map(({ id, tokens }) => [id, tokens])] })
+    if (shared.length > 0) this.#told.push({ at, prompt: [this.id, shared.map(({ id, tokens }) => [id, tokens]), isKept] })
   }
 
-  /** Prompts of this box that were read here just now, for the other boxes. */
-  listRead (at: number): ReadPrompt[] {
-    this.#read = this.#read.filter(one => at - one.at <= toldMs)
-    return this.#read.map(one => one.prompt)
+  /** Notes that the engine reads parts of a prompt, or holds them already. */
+  notePrompt (parts: readonly PromptPart[], isKept: boolean): void {
+    this.prompts.add(parts)
+    if (isKept) this.kept.add(parts)
+  }
+
+  /** Prompts of this box that were sent here or read here just now, for the other boxes. */
+  listTold (at: number): ReadPrompt[] {
+    this.#told = this.#told.filter(one => at - one.at <= toldMs)
+    return this.#told.map(one => one.prompt)
   }
 
   /**
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -97,7 +97,7 @@
     for (const view of this.#views.values()) view.noteOthers(loads.get(view.id) ?? null)
     for (const [endpoint, gapMs] of others.gaps) this.#views.get(endpoint)?.noteGapOfAll(gapMs)
     this.#others = new Map(others.demands.map(demand => [demand.service, demand]))
-    for (const [endpoint, parts] of others.prompts) this.#views.get(endpoint)?.prompts.add(parts.map(([id, tokens]) => ({ id, tokens })))
+    for (const [endpoint, parts, isKept] of others.prompts) this.#views.get(endpoint)?.notePrompt(parts.map(([id, tokens]) => ({ id, tokens })), isKept)
     for (const zone of others.zones) this.zones.noteHeard(zone, at)
   }
 
@@ -109,7 +109,7 @@
     for (const view of this.#views.values()) {
       const load = view.composeLoad(at)
       if (load !== null) loads.push(load)
-      prompts.push(...view.listRead(at))
+      prompts.push(...view.listTold(at))
       if (view.ownGapMs !== null) gaps.push([view.id, Math.round(view.ownGapMs * 10) / 10])
     }
     const demands = [...this.#services.values()].map(state => composeDemand(state, at)).filter(({ patient, brisk, readingPauseMs }) => patient > 0 || brisk > 0 || readingPauseMs !== null)
--- a/src/core/balance/load-word.ts
+++ b/src/core/balance/load-word.ts
@@ -22,8 +22,8 @@
 /** Time between events at an engine while it reads no prompt, ms: as one box measured it, or the middle of what all did. */
 export type EngineGap = readonly [endpoint: EndpointId, gapMs: number]
 
-/** Shared parts of a prompt that an engine has just read, or taken from another: it holds them now. */
-export type ReadPrompt = readonly [endpoint: EndpointId, parts: readonly (readonly [id: string, tokens: number])[]]
+/** Shared parts of a prompt that was just sent to an engine; once `isKept`, it has been read there and may be taken by others. */
+export type ReadPrompt = readonly [endpoint: EndpointId, parts: readonly (readonly [id: string, tokens: number])[], isKept: boolean]
 
 /** Prompt tokens a second that arrive for a service, at one box or at all of them. */
 export interface ServiceDemand {
--- a/src/core/balance/prompt-plan.ts
+++ b/src/core/balance/prompt-plan.ts
@@ -36,7 +36,7 @@
 /** The engines that keep a part of the prompt, those that keep most first. `views` must be in good standing. */
 export function listHolders (views: readonly EndpointView[], cost: PromptCost): PromptHolder[] {
   return views
-    .map(view => ({ view, tokens: view.prompts.countHeld(cost.parts) }))
+    .map(view => ({ view, tokens: view.kept.countHeld(cost.parts) }))
     .filter(({ tokens }) => tokens > 0)
     .sort((a, b) => b.tokens - a.tokens)
 }
--- a/test/balance.test.ts
+++ b/test/balance.test.ts
@@ -322,7 +322,7 @@
 
 const movingService: RoutedService = { ...engineService, engine: { slots: 8, memoryTokens: 100_000, tokensPerEvent: 5, transfer: { tokenBytes: 100_000, bytesPerMs: 50_000_000 } } }
 const long = createWork({ pauseMs: 600, cost: { promptTokens: 8000, mostTokens: 10, parts: [{ id: 'shared', tokens: 6000 }, { id: 'own', tokens: 2000 }] } })
-const readShared: LoadTotals['prompts'] = [[brandId('e1'), [['shared', 6000]]]]
+const readShared: LoadTotals['prompts'] = [[brandId('e1'), [['shared', 6000]], true]]
 
 const fetches: readonly { name: string, service?: RoutedService, prompts?: LoadTotals['prompts'], disturb?: (fleet: Fleet) => void, tried?: string[], fetch: string | null, read: number | null }[] = [
   { name: 'nobody is known to keep it: all is read', prompts: [], fetch: null, read: 8000 },
@@ -351,12 +351,12 @@
   const choice = here.choose(long, [], 0, 0)
   assert.ok(typeof choice !== 'string')
   const placed = choice.view.place(long, choice.plan, 0)
-  assert.deepEqual(here.composeLoad(50).prompts, [])
+  assert.deepEqual(here.composeLoad(50).prompts, [[choice.view.id, [['shared', 6000]], false]])
   choice.view.noteFirst(placed, 100)
-  const { prompts } = here.composeLoad(150)
-  assert.deepEqual(prompts, [[choice.view.id, [['shared', 6000]]]])
+  const { prompts } = here.composeLoad(250)
+  assert.deepEqual(prompts, [[choice.view.id, [['shared', 6000]], true]])
   assert.deepEqual(here.composeLoad(400).prompts, [])
-  there.noteOthers({ ...noTotals, prompts }, 160)
+  there.noteOthers({ ...noTotals, prompts }, 260)
   assert.equal(there.findView(choice.view.id)?.prompts.countHeld(long.cost!.parts), 6000)
 })
 
@@ -403,3 +403,10 @@
     assert.equal(fleet.findView(brandId('e1'))?.prompts.countHeld(long.cost!.parts), 6000)
   })
 }
+
+test('a prompt that is still being read counts for those sent to the same engine, but is not taken from there', () => {
+  const fleet = createFleet([createRecord('e1'), createRecord('e2'), createRecord('e3')], movingService)
+  fleet.noteOthers({ ...noTotals, prompts: [[brandId('e1'), [['shared', 6000]], false]] }, 0)
+  const plans = [['e2', 'e3'], ['e1']].map(tried => fleet.choose(long, tried.map(id => brandId(id)), 1, 0))
+  assert.deepEqual(plans.map(choice => typeof choice === 'string' ? choice : [choice.plan.readTokens, choice.plan.fetch]), [[2000, null], [8000, null]])
+})
