Weigh the streams whose pauses a prompt would break

Change: boxes tell how many streams bear no reading; a prompt that would be read long beside them counts against the engine.

--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -9,7 +9,7 @@
 import { EndpointTrust } from './endpoint-trust.js'
 import type { EndpointLoad, ReadPrompt } from './load-word.js'
 import { PromptMemory } from './prompt-memory.js'
-import { listShared } from './prompt-reading.js'
+import { isPatient, listShared } from './prompt-reading.js'
 import type { PromptPlan } from './prompt-plan.js'
 import type { ReadingPause } from './reading-pause.js'
 import type { PromptCost, PromptPart, Work } from './work.js'
@@ -103,6 +103,17 @@
     return this.#placed.size + (this.#others?.running ?? 0)
   }
 
+  /** Streams in flight whose pauses break where a prompt is read beside them; `readingPauseMs`: the pause beside reading. */
+  countBrisk (readingPauseMs: number): number {
+    return this.#countOwnBrisk(readingPauseMs) + (this.#others?.brisk ?? 0)
+  }
+
+  #countOwnBrisk (readingPauseMs: number): number {
+    let brisk = 0
+    for (const { work } of this.#placed) if (!isPatient(work, readingPauseMs)) brisk += 1
+    return brisk
+  }
+
   /** Memory that requests in flight are expected to take, tokens. */
   get memoryInUse (): number {
     let tokens = this.#others?.memory ?? 0
@@ -245,7 +256,7 @@
   noteOthers (load: EndpointLoad | null): void { this.#others = load }
 
   /** What this box tells its hub of its work here; null where it has none. */
-  composeLoad (at: number): EndpointLoad | null {
+  composeLoad (at: number, readingPauseMs: number): EndpointLoad | null {
     if (this.#placed.size === 0) return null
     const waiting = new Map<number, number>()
     let memory = 0
@@ -257,6 +268,6 @@
       largest = Math.max(largest, left)
       if (left > 0) waiting.set(placed.work.priority, (waiting.get(placed.work.priority) ?? 0) + left)
     }
-    return { endpoint: this.id, running: this.#placed.size, memory: Math.round(memory), waiting: [...waiting], largest }
+    return { endpoint: this.id, running: this.#placed.size, brisk: this.#countOwnBrisk(readingPauseMs), memory: Math.round(memory), waiting: [...waiting], largest }
   }
 }
--- a/src/core/balance/endpoint-weights.ts
+++ b/src/core/balance/endpoint-weights.ts
@@ -21,6 +21,13 @@
 const queueMs = 60
 /** What a request waits where memory is used up, ms. */
 const memoryMs = 1500
+/**
+ * What a stream is worth that may have its pauses broken by a prompt that is read
+ * beside it, ms: half of what a lost request is, as one prompt alone breaks few.
+ */
+const harmMs = doubtMs / 2
+/** Reading for less than this part of the pause beside reading breaks none. */
+const harmlessShare = 0.5
 /** Part of an engine's memory that requests in flight may be expected to take. */
 const memoryLimit = 0.9
 /**
@@ -60,6 +67,10 @@
   readonly cost: PromptCost
   readonly engine: EngineProfile
   readonly waitedMs: number
+  /** The pause of streams beside reading, ms. */
+  readonly readingPauseMs: number
+  /** True where the request's own pauses bear reading beside it. */
+  readonly isPatient: boolean
 }
 
 /** Expected time of a plain call, ms: the usual time, longer where others run or wait. */
@@ -71,14 +82,22 @@
 }
 
 /** Expected time until an engine's first event, ms, where it comes by the prompt as planned. */
-export function weighEngine (view: EndpointView, { work, cost, engine, waitedMs }: PromptCase, { readTokens: read, fetch }: PromptPlan, at: number): number {
+export function weighEngine (view: EndpointView, { work, cost, engine, waitedMs, readingPauseMs, isPatient }: PromptCase, { readTokens: read, fetch }: PromptPlan, at: number): number {
   const running = view.running
   const patience = Math.max(0, 1 - waitedMs / (work.targetMs * homeWaitShare))
-  const ms = (view.countAhead(work.priority, at) + read) * view.paceMs + running * crowdMs + (fetch?.ms ?? 0)
+  const readingMs = (view.countAhead(work.priority, at) + read) * view.paceMs
+  const ms = readingMs + running * crowdMs + (fetch?.ms ?? 0)
   const again = Math.max(0, read - (cost.promptTokens - countShared(cost))) * rereadMs * patience
   const queued = Math.max(0, running + 1 - engine.slots) * queueMs
   const short = view.memoryInUse + cost.promptTokens > engine.memoryTokens * memoryLimit ? memoryMs : 0
-  return ms + again + queued + short
+  const harm = isPatient ? view.countBrisk(readingPauseMs) * harmMs * rateBreak(readingMs, readingPauseMs) : 0
+  return ms + again + queued + short + harm
+}
+
+// How surely reading for so long breaks a pause that doesn't bear reading all the time: a short read stretches only a part of it.
+function rateBreak (readingMs: number, readingPauseMs: number): number {
+  const share = readingMs / readingPauseMs
+  return Math.min(1, Math.max(0, (share - harmlessShare) / (1 - harmlessShare)))
 }
 
 /** What distance, a missing connection, silence and failures count against an endpoint, ms. `middle`: share of failures of the middle one beside it. */
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -107,7 +107,7 @@
     const gaps: EngineGap[] = []
     const prompts: ReadPrompt[] = []
     for (const view of this.#views.values()) {
-      const load = view.composeLoad(at)
+      const load = view.composeLoad(at, this.#findPauseOf(view, at))
       if (load !== null) loads.push(load)
       prompts.push(...view.listTold(at))
       if (view.ownGapMs !== null) gaps.push([view.id, Math.round(view.ownGapMs * 10) / 10])
@@ -131,7 +131,8 @@
     const patient = this.#isPatient(work, state, at)
     const side = (patient ? apart.slice(0, counts.count) : listBrisk(apart, counts.count, engine)).filter(view => !tried.includes(view.id))
     const homes = patient ? apart.slice(0, counts.base) : side
-    const prompt: PromptCase = { work, cost: work.cost, engine, waitedMs }
+    const readingPauseMs = this.#findReadingPause(state, at)
+    const prompt: PromptCase = { work, cost: work.cost, engine, waitedMs, readingPauseMs, isPatient: patient }
     const choice = this.#chooseEngine(side.length > 0 ? side : left, homes, prompt, counts.count, at, draw)
     return patient && !hasRoom(choice.view, work.cost, engine, at) ? 'later' : choice
   }
@@ -214,6 +215,11 @@
     return isPatient(work, this.#findReadingPause(state, at))
   }
 
+  #findPauseOf (view: EndpointView, at: number): number {
+    const state = this.#services.get(view.record.service)
+    return state === undefined ? 0 : this.#findReadingPause(state, at)
+  }
+
   // All boxes go by the same pause where they hear of each other, as they must part requests alike.
   #findReadingPause (state: ServiceState, at: number): number {
     const { service, pace, readingPause } = state
--- a/src/core/balance/load-sum.ts
+++ b/src/core/balance/load-sum.ts
@@ -38,6 +38,7 @@
   return {
     endpoint: one.endpoint,
     running: sum.running + one.running,
+    brisk: sum.brisk + one.brisk,
     memory: sum.memory + one.memory,
     waiting: addWaiting(sum.waiting, one.waiting, 1),
     largest: Math.max(sum.largest, one.largest)
--- a/src/core/balance/load-word.ts
+++ b/src/core/balance/load-word.ts
@@ -12,6 +12,8 @@
   readonly endpoint: EndpointId
   /** Requests in flight. */
   readonly running: number
+  /** Those of them whose pauses break where a prompt is read beside them. */
+  readonly brisk: number
   /** Memory that they are expected to take, tokens. */
   readonly memory: number
   readonly waiting: WaitingTokens
--- a/src/core/balance/others-load.ts
+++ b/src/core/balance/others-load.ts
@@ -22,6 +22,7 @@
   return {
     ...sum,
     running: sum.running - own.running,
+    brisk: Math.max(0, sum.brisk - own.brisk),
     memory: Math.max(0, sum.memory - own.memory),
     waiting: addWaiting(sum.waiting, own.waiting, -1)
   }
--- a/test/balance.test.ts
+++ b/test/balance.test.ts
@@ -247,7 +247,7 @@
 // Loads over several boxes.
 
 function createLoad (running: number, more: Partial<BoxLoad> = {}): BoxLoad {
-  return { loads: [{ endpoint: brandId('e1'), running, memory: 10 * running, waiting: [[1, 100 * running]], largest: 100 * running }], demands: [], gaps: [], prompts: [], ...more }
+  return { loads: [{ endpoint: brandId('e1'), running, brisk: 1, memory: 10 * running, waiting: [[1, 100 * running]], largest: 100 * running }], demands: [], gaps: [], prompts: [], ...more }
 }
 
 test('the others\' work counts, until nobody tells it any more', () => {
@@ -263,7 +263,7 @@
   book.note(brandId('a'), nameZone('zone-a'), createLoad(2), 0)
   book.note(brandId('b'), nameZone('zone-b'), createLoad(3), 1000)
   const totals = book.sumOwn(1100)
-  assert.deepEqual(totals.loads, [{ endpoint: 'e1', running: 5, memory: 50, waiting: [[1, 500]], largest: 300 }])
+  assert.deepEqual(totals.loads, [{ endpoint: 'e1', running: 5, brisk: 2, memory: 50, waiting: [[1, 500]], largest: 300 }])
   assert.deepEqual(totals.zones, ['zone-b'])
   assert.deepEqual(book.forgetSilent(1600), ['a'])
   assert.deepEqual(book.sumOwn(1600).loads[0].running, 3)
@@ -410,3 +410,15 @@
   const plans = [['e2', 'e3'], ['e1']].map(tried => fleet.choose(long, tried.map(id => brandId(id)), 1, 0))
   assert.deepEqual(plans.map(choice => typeof choice === 'string' ? choice : [choice.plan.readTokens, choice.plan.fetch]), [[2000, null], [8000, null]])
 })
+
+test('an engine that was just set apart gets no prompt while streams run there that bear none beside them', () => {
+  const fleet = createFleet(Array.from({ length: 5 }, (_, i) => createRecord(`e${i + 1}`)), movingService)
+  const pick = (): string => {
+    const choice = fleet.choose(long, [], 1, 0)
+    return typeof choice === 'string' ? choice : choice.view.id
+  }
+  const first = pick()
+  const brisk = createWork({ pauseMs: 50, cost: { promptTokens: 100, mostTokens: 10, parts: [] } })
+  fleet.findView(brandId(first))?.place(brisk, { readTokens: 0, fetch: null }, 0)
+  assert.notEqual(pick(), first)
+})
--- a/test/load-datagrams.test.ts
+++ b/test/load-datagrams.test.ts
@@ -21,7 +21,7 @@
 
 const endpoint = brandId<EndpointId>('e-1')
 const demand = { service: brandId<ServiceName>('desk'), patient: 9, brisk: 4, apart: 2, base: 1, readingPauseMs: 190, held: [[1, 80]] as const }
-const load: BoxLoad = { loads: [{ endpoint, running: 2, memory: 700, waiting: [[0, 40]], largest: 40 }], demands: [demand], gaps: [[endpoint, 11.5]], prompts: [[endpoint, [['5c', 800]], true]] }
+const load: BoxLoad = { loads: [{ endpoint, running: 2, brisk: 1, memory: 700, waiting: [[0, 40]], largest: 40 }], demands: [demand], gaps: [[endpoint, 11.5]], prompts: [[endpoint, [['5c', 800]], true]] }
 const totals: LoadTotals = { ...load, demands: [{ ...demand, holders: 1 }], zones: [brandId<ZoneName>('zone-a')] }
 const loadWord = { box: brandId<BoxId>('gateway-1'), zone: brandId<ZoneName>('zone-a'), start: 5, number: 6, load }
 const hubWord = { hub: brandId<BoxId>('registry-1'), start: 5, number: 6 }
