Let the kinds that bear the longest pauses go beside reading, whatever is measured

Change: where kinds of request bear different pauses, those that bear the longest always go beside reading.

--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -103,14 +103,14 @@
     return this.#placed.size + (this.#others?.running ?? 0)
   }
 
-  /** Streams in flight whose pauses break where a prompt is read beside them; `readingPauseMs`: the pause beside reading. */
-  countBrisk (readingPauseMs: number): number {
-    return this.#countOwnBrisk(readingPauseMs) + (this.#others?.brisk ?? 0)
+  /** Streams in flight whose pauses break where a prompt is read beside them; `patienceMs`: the shortest pause that doesn't. */
+  countBrisk (patienceMs: number): number {
+    return this.#countOwnBrisk(patienceMs) + (this.#others?.brisk ?? 0)
   }
 
-  #countOwnBrisk (readingPauseMs: number): number {
+  #countOwnBrisk (patienceMs: number): number {
     let brisk = 0
-    for (const { work } of this.#placed) if (!isPatient(work, readingPauseMs)) brisk += 1
+    for (const { work } of this.#placed) if (!isPatient(work, patienceMs)) brisk += 1
     return brisk
   }
 
@@ -256,7 +256,7 @@
   noteOthers (load: EndpointLoad | null): void { this.#others = load }
 
   /** What this box tells its hub of its work here; null where it has none. */
-  composeLoad (at: number, readingPauseMs: number): EndpointLoad | null {
+  composeLoad (at: number, patienceMs: number): EndpointLoad | null {
     if (this.#placed.size === 0) return null
     const waiting = new Map<number, number>()
     let memory = 0
@@ -268,6 +268,6 @@
       largest = Math.max(largest, left)
       if (left > 0) waiting.set(placed.work.priority, (waiting.get(placed.work.priority) ?? 0) + left)
     }
-    return { endpoint: this.id, running: this.#placed.size, brisk: this.#countOwnBrisk(readingPauseMs), memory: Math.round(memory), waiting: [...waiting], largest }
+    return { endpoint: this.id, running: this.#placed.size, brisk: this.#countOwnBrisk(patienceMs), memory: Math.round(memory), waiting: [...waiting], largest }
   }
 }
--- a/src/core/balance/endpoint-weights.ts
+++ b/src/core/balance/endpoint-weights.ts
@@ -26,7 +26,7 @@
  * beside it, ms: half of what a lost request is, as one prompt alone breaks few.
  */
 const harmMs = doubtMs / 2
-/** Reading for less than this part of the pause beside reading breaks none. */
+/** Reading for less than this part of the pause that bears reading breaks none. */
 const harmlessShare = 0.5
 /** Part of an engine's memory that requests in flight may be expected to take. */
 const memoryLimit = 0.9
@@ -67,8 +67,8 @@
   readonly cost: PromptCost
   readonly engine: EngineProfile
   readonly waitedMs: number
-  /** The pause of streams beside reading, ms. */
-  readonly readingPauseMs: number
+  /** The shortest pause with which a request goes beside reading, ms. */
+  readonly patienceMs: number
   /** True where the request's own pauses bear reading beside it. */
   readonly isPatient: boolean
 }
@@ -82,7 +82,7 @@
 }
 
 /** Expected time until an engine's first event, ms, where it comes by the prompt as planned. */
-export function weighEngine (view: EndpointView, { work, cost, engine, waitedMs, readingPauseMs, isPatient }: PromptCase, { readTokens: read, fetch }: PromptPlan, at: number): number {
+export function weighEngine (view: EndpointView, { work, cost, engine, waitedMs, patienceMs, isPatient }: PromptCase, { readTokens: read, fetch }: PromptPlan, at: number): number {
   const running = view.running
   const patience = Math.max(0, 1 - waitedMs / (work.targetMs * homeWaitShare))
   const readingMs = (view.countAhead(work.priority, at) + read) * view.paceMs
@@ -90,13 +90,13 @@
   const again = Math.max(0, read - (cost.promptTokens - countShared(cost))) * rereadMs * patience
   const queued = Math.max(0, running + 1 - engine.slots) * queueMs
   const short = view.memoryInUse + cost.promptTokens > engine.memoryTokens * memoryLimit ? memoryMs : 0
-  const harm = isPatient ? view.countBrisk(readingPauseMs) * harmMs * rateBreak(readingMs, readingPauseMs) : 0
+  const harm = isPatient ? view.countBrisk(patienceMs) * harmMs * rateBreak(readingMs, patienceMs) : 0
   return ms + again + queued + short + harm
 }
 
 // How surely reading for so long breaks a pause that doesn't bear reading all the time: a short read stretches only a part of it.
-function rateBreak (readingMs: number, readingPauseMs: number): number {
-  const share = readingMs / readingPauseMs
+function rateBreak (readingMs: number, patienceMs: number): number {
+  const share = readingMs / patienceMs
   return Math.min(1, Math.max(0, (share - harmlessShare) / (1 - harmlessShare)))
 }
 
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -17,7 +17,7 @@
 import type { BoxLoad, EngineGap, LoadTotals, ReadPrompt, ServiceDemand, ServiceTotal } from './load-word.js'
 import { listHolders, planPrompt } from './prompt-plan.js'
 import type { PromptHolder, PromptPlan } from './prompt-plan.js'
-import { countExpected, expectRead, findHomes, guessPause, isPatient } from './prompt-reading.js'
+import { countExpected, expectRead, findHomes, findPatience, guessPause, isPatient } from './prompt-reading.js'
 import { ReadingPause } from './reading-pause.js'
 import type { ApartCount } from './reading-share.js'
 import { chooseReturn } from './return-time.js'
@@ -107,7 +107,7 @@
     const gaps: EngineGap[] = []
     const prompts: ReadPrompt[] = []
     for (const view of this.#views.values()) {
-      const load = view.composeLoad(at, this.#findPauseOf(view, at))
+      const load = view.composeLoad(at, this.#findPatienceAt(view, at))
       if (load !== null) loads.push(load)
       prompts.push(...view.listTold(at))
       if (view.ownGapMs !== null) gaps.push([view.id, Math.round(view.ownGapMs * 10) / 10])
@@ -131,8 +131,7 @@
     const patient = this.#isPatient(work, state, at)
     const side = (patient ? apart.slice(0, counts.count) : listBrisk(apart, counts.count, engine)).filter(view => !tried.includes(view.id))
     const homes = patient ? apart.slice(0, counts.base) : side
-    const readingPauseMs = this.#findReadingPause(state, at)
-    const prompt: PromptCase = { work, cost: work.cost, engine, waitedMs, readingPauseMs, isPatient: patient }
+    const prompt: PromptCase = { work, cost: work.cost, engine, waitedMs, patienceMs: this.#findPatience(state, at), isPatient: patient }
     const choice = this.#chooseEngine(side.length > 0 ? side : left, homes, prompt, counts.count, at, draw)
     return patient && !hasRoom(choice.view, work.cost, engine, at) ? 'later' : choice
   }
@@ -146,7 +145,7 @@
       const apart = listApart(views)
       const { count, base } = this.#agreeShare(state, apart, at)
       const engines = apart.map((view, i) => describeEngine(view, i < count, at))
-      const words = [`apart=${count}`, `base=${base}`, `own=${state.share.counts.count}`, `pace=${state.pace.value.toFixed(4)}`, `beside=${Math.round(this.#findReadingPause(state, at))}`, `held=${this.#countHeld(state, Infinity)}`, ...engines]
+      const words = [`apart=${count}`, `base=${base}`, `own=${state.share.counts.count}`, `pace=${state.pace.value.toFixed(4)}`, `beside=${Math.round(this.#findReadingPause(state, at))}`, `patience=${Math.round(this.#findPatience(state, at))}`, `held=${this.#countHeld(state, Infinity)}`, ...engines]
       told.push({ service: name, text: words.join(' ') })
     }
     return told
@@ -207,17 +206,22 @@
   noteArrival (work: Work, at: number): void {
     const state = this.#services.get(work.service)
     if (state?.service.engine == null || work.cost === null) return
+    if (work.pauseMs !== null) state.pauses.note(at, work.pauseMs)
     const meter = this.#isPatient(work, state, at) ? state.patient : state.brisk
     meter.add(at, countExpected(work.cost))
   }
 
   #isPatient (work: Work, state: ServiceState, at: number): boolean {
-    return isPatient(work, this.#findReadingPause(state, at))
+    return isPatient(work, this.#findPatience(state, at))
   }
 
-  #findPauseOf (view: EndpointView, at: number): number {
+  #findPatienceAt (view: EndpointView, at: number): number {
     const state = this.#services.get(view.record.service)
-    return state === undefined ? 0 : this.#findReadingPause(state, at)
+    return state === undefined ? 0 : this.#findPatience(state, at)
+  }
+
+  #findPatience (state: ServiceState, at: number): number {
+    return findPatience(this.#findReadingPause(state, at), state.pauses.findLongest(at))
   }
 
   // All boxes go by the same pause where they hear of each other, as they must part requests alike.
--- a/src/core/balance/prompt-reading.ts
+++ b/src/core/balance/prompt-reading.ts
@@ -23,9 +23,18 @@
   return tokensPerEvent * firstPieceTokens * paceMs * firstPieceTimes
 }
 
-/** True where a request's pauses stay in time even beside a prompt that is being read. */
-export function isPatient (work: Work, besideReadingMs: number): boolean {
-  return work.pauseMs === null || work.pauseMs >= besideReadingMs * pauseMargin
+/**
+ * The shortest pause with which a request goes beside reading, ms. Where kinds of request
+ * bear different pauses, those that bear the longest (`longestMs`; null where all are alike)
+ * always do: somebody must, and they lose least.
+ */
+export function findPatience (besideReadingMs: number, longestMs: number | null): number {
+  return Math.min(besideReadingMs * pauseMargin, longestMs ?? Infinity)
+}
+
+/** True where a request goes beside prompts that are being read; `patienceMs`: the shortest pause that does. */
+export function isPatient (work: Work, patienceMs: number): boolean {
+  return work.pauseMs === null || work.pauseMs >= patienceMs
 }
 
 /** Tokens that are expected to be read for a prompt, wherever it goes. */
--- a/src/core/balance/service-state.ts
+++ b/src/core/balance/service-state.ts
@@ -2,6 +2,7 @@
 import type { RoutedService } from '../routes/index.js'
 import { RunningQuantile } from './average.js'
 import { DemandMeter } from './demand-meter.js'
+import { PauseRange } from './pause-range.js'
 import { ReadingPause } from './reading-pause.js'
 import { ReadingShare } from './reading-share.js'
 
@@ -19,6 +20,8 @@
   readonly pace: RunningQuantile
   /** Pauses of streams beside reading. */
   readonly readingPause: ReadingPause
+  /** Pauses that requests bear. */
+  readonly pauses: PauseRange
   /** Prompt tokens of requests that bear long pauses, and of the others. */
   readonly patient: DemandMeter
   readonly brisk: DemandMeter
@@ -28,7 +31,7 @@
 
 /** A service of which nothing has been learned. */
 export function createState (service: RoutedService): ServiceState {
-  return { service, share: new ReadingShare(), pace: createPace(), readingPause: new ReadingPause(), patient: new DemandMeter(), brisk: new DemandMeter(), held: new Map() }
+  return { service, share: new ReadingShare(), pace: createPace(), readingPause: new ReadingPause(), pauses: new PauseRange(), patient: new DemandMeter(), brisk: new DemandMeter(), held: new Map() }
 }
 
 /** The pace that is believed before any was measured. */
