Registries remember which engine holds which prompt, for boxes that start again

Change: hubs keep a bounded book of what gateways tell, registries save it beside the directory and give it to a gateway that presents itself, each for the engines of its own zone. Tests: a gateway and its registry start again and know the holder.

--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -54,6 +54,8 @@
   #views = new Map<EndpointId, EndpointView>()
   #byService = new Map<ServiceName, EndpointView[]>()
   #others = new Map<ServiceName, ServiceTotal>()
+  /** What registries told, at the start of this box, that engines hold. */
+  #heldPrompts = new Map<EndpointId, readonly ReadPrompt[]>()
   #outlooks = new Map<ServiceName, Outlook>()
 
   /** `isConnected`: whether a connection to an endpoint is open and at rest. */
@@ -84,20 +86,39 @@
   applyRecords (records: readonly EndpointRecord[]): void {
     for (const record of records) {
       const known = this.#views.get(record.id)
-      if (record.stage === 'gone' || record.stage === 'lost') this.#views.delete(record.id)
+      if (record.stage === 'gone' || record.stage === 'lost') this.#forget(record)
       else if (known !== undefined) known.record = record
       else this.#views.set(record.id, this.#createView(record))
     }
     this.#regroup()
   }
 
+  /** Takes in which prompts engines hold; also of engines that are known only later. */
+  notePrompts (prompts: readonly ReadPrompt[]): void {
+    const held = new Map<EndpointId, ReadPrompt[]>()
+    for (const prompt of prompts) {
+      const [endpoint] = prompt
+      const ofEndpoint = held.get(endpoint) ?? []
+      ofEndpoint.push(prompt)
+      held.set(endpoint, ofEndpoint)
+    }
+    for (const [endpoint, ofEndpoint] of held) {
+      this.#heldPrompts.set(endpoint, ofEndpoint)
+      const view = this.#views.get(endpoint)
+      if (view !== undefined) for (const prompt of ofEndpoint) notePrompt(view, prompt)
+    }
+  }
+
   /** Takes in what the other boxes have; `noTotals` where no hub is heard. */
   noteOthers (others: LoadTotals, at: number): void {
     const loads = new Map(others.loads.map(load => [load.endpoint, load]))
     for (const view of this.#views.values()) view.noteOthers(loads.get(view.id) ?? null)
     for (const [endpoint, gapMs] of others.gaps) this.#views.get(endpoint)?.noteGapOfAll(gapMs)
     this.#others = new Map(others.demands.map(demand => [demand.service, demand]))
-    for (const [endpoint, parts, isKept] of others.prompts) this.#views.get(endpoint)?.notePrompt(parts.map(([id, tokens]) => ({ id, tokens })), isKept)
+    for (const prompt of others.prompts) {
+      const view = this.#views.get(prompt[0])
+      if (view !== undefined) notePrompt(view, prompt)
+    }
     for (const zone of others.zones) this.zones.noteHeard(zone, at)
   }
 
@@ -242,7 +263,14 @@
 
   #createView (record: EndpointRecord): EndpointView {
     const state = this.#services.get(record.service)
-    return new EndpointView(record, state?.service.engine?.memoryTokens ?? 0, state?.pace ?? createPace(), state?.readingPause ?? new ReadingPause())
+    const view = new EndpointView(record, state?.service.engine?.memoryTokens ?? 0, state?.pace ?? createPace(), state?.readingPause ?? new ReadingPause())
+    for (const prompt of this.#heldPrompts.get(record.id) ?? []) notePrompt(view, prompt)
+    return view
+  }
+
+  #forget ({ id }: EndpointRecord): void {
+    this.#views.delete(id)
+    this.#heldPrompts.delete(id)
   }
 
   // The endpoints that may be used and how they are parted, as of some ms ago.
@@ -290,6 +318,10 @@
   }
 }
 
+function notePrompt (view: EndpointView, [, parts, isKept]: ReadPrompt): void {
+  view.notePrompt(parts.map(([id, tokens]) => ({ id, tokens })), isKept)
+}
+
 function composeDemand ({ service, patient, brisk, share, held, readingPause }: ServiceState, at: number): ServiceDemand {
   const { count, base } = share.counts
   return { service: service.name, patient: Math.round(patient.rate(at)), brisk: Math.round(brisk.rate(at)), apart: count, base, readingPauseMs: readingPause.find(at), held: [...held] }
--- /dev/null
+++ b/src/core/balance/prompt-book.ts
@@ -0,0 +1,29 @@
+import type { ReadPrompt } from './load-word.js'
+
+/** Prompts that are remembered: some hundred shared parts at a few engines each; the oldest give way. */
+const mostKept = 800
+
+/** Which engine holds which shared prompt, as boxes told it, for a box that starts anew. */
+export class PromptBook {
+  #prompts = new Map<string, ReadPrompt>()
+  #version = 0
+
+  /** Rises with each change. */
+  get version (): number { return this.#version }
+  get prompts (): ReadPrompt[] { return [...this.#prompts.values()] }
+
+  /** Notes what boxes told; what is still being read isn't held yet. */
+  note (prompts: readonly ReadPrompt[]): void {
+    for (const prompt of prompts) {
+      const [endpoint, parts, isKept] = prompt
+      if (!isKept || parts.length === 0) continue
+      const key = `${endpoint} ${parts[parts.length - 1][0]}`
+      if (!this.#prompts.delete(key)) this.#version += 1
+      this.#prompts.set(key, prompt)
+    }
+    for (const key of this.#prompts.keys()) {
+      if (this.#prompts.size <= mostKept) return
+      this.#prompts.delete(key)
+    }
+  }
+}
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -185,6 +185,7 @@
       zone: brandId<ZoneName>(zone),
       now,
       takeDocument: document => this.#adopt(document),
+      takePrompts: prompts => this.#fleet.notePrompts(prompts),
       takeRecords: records => this.#takeRecords(records),
       takeGatewayCount: count => this.#gatewayCount.note(now(), count),
       noteZone: heard => this.#fleet.zones.noteHeard(heard, now())
--- a/src/gateway/registry-follower.ts
+++ b/src/gateway/registry-follower.ts
@@ -6,7 +6,7 @@
 import { parseAddress } from '../config/index.js'
 import type { VersionedText } from '../coordination/index.js'
 import { brandId } from '../core/index.js'
-import type { BoxId, EndpointRecord, ZoneName } from '../core/index.js'
+import type { BoxId, EndpointRecord, ReadPrompt, ZoneName } from '../core/index.js'
 import { LinkPool } from '../protocol/index.js'
 import type { Link, RouteMessage } from '../protocol/index.js'
 import { Inbox } from '../runtime/index.js'
@@ -21,6 +21,8 @@
   readonly zone: ZoneName
   now (): number
   takeDocument (document: VersionedText): void
+  /** Takes which prompts engines hold. */
+  takePrompts (prompts: readonly ReadPrompt[]): void
   takeRecords (records: readonly EndpointRecord[]): void
   /** Takes how many gateways a registry is in touch with. */
   takeGatewayCount (count: number): void
@@ -141,6 +143,7 @@
         return this.#ask()
       case 'document': return this.#takeDocument(message.document)
       case 'endpoints': return this.#host.takeRecords(message.records)
+      case 'prompts': return this.#host.takePrompts(message.prompts)
       case 'boxes':
         for (const host of message.registries) this.#meet(host)
         return this.#host.takeGatewayCount(message.gateways)
--- a/src/protocol/route-message.ts
+++ b/src/protocol/route-message.ts
@@ -3,7 +3,7 @@
  * registries among themselves, gateways with registries.
  */
 import type { RaftMessage, ReplicaId, VersionedText } from '../coordination/index.js'
-import type { BoxId, EndpointId, EndpointRecord } from '../core/index.js'
+import type { BoxId, EndpointId, EndpointRecord, ReadPrompt } from '../core/index.js'
 
 /** How a document that a registry passed to the leader ended; `unknown`: it may be in force or not. */
 export type PutEnd = 'taken' | 'held' | 'unknown'
@@ -28,6 +28,8 @@
   | { readonly type: 'document', readonly document: VersionedText }
   /** Records of endpoints; `whole` where they are all that the sender has. */
   | { readonly type: 'endpoints', readonly records: readonly EndpointRecord[], readonly whole: boolean }
+  /** Prompts that engines of the sender's zone hold, for a gateway that starts anew. */
+  | { readonly type: 'prompts', readonly prompts: readonly ReadPrompt[] }
   /** Endpoints that were heard from, with the sequence of the newest word. */
   | { readonly type: 'heard', readonly words: readonly (readonly [EndpointId, number])[] }
   /** The registries that the sender knows, and how many gateways it is in touch with. */
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -1,3 +1,4 @@
 /** The program that keeps the routing document and the directory of endpoints. */
 export { RegistryBox } from './registry-box.js'
 export type { RegistrySurroundings } from './registry-box.js'
+export { isSavedPrompt } from './saved-kinds.js'
--- a/src/registry/load-hub.ts
+++ b/src/registry/load-hub.ts
@@ -5,7 +5,7 @@
  * between zones. The work of a hub grows with its gateways, a gateway's doesn't.
  */
 import { randomInt } from 'node:crypto'
-import { LoadBook } from '../core/index.js'
+import { LoadBook, PromptBook } from '../core/index.js'
 import type { BoxId, LoadTotals } from '../core/index.js'
 import { decodeHubWord, decodeLoadWord, encodeHubWord, encodeTotals, encodeTotalsWord, isNewerWord, startLimit } from '../protocol/index.js'
 import type { WordNumber } from '../protocol/index.js'
@@ -60,6 +60,8 @@
   #datagrams: DatagramPort
   #inbox = new Inbox<Input>(mostWaiting)
   #book = new LoadBook()
+  /** What engines hold, as all gateways told it. */
+  readonly prompts = new PromptBook()
   #tellers = new Map<BoxId, Teller>()
   #others = new Map<BoxId, OtherHub>()
   /** On which all hubs listen. */
@@ -118,6 +120,7 @@
     if (!isNewerWord(word, this.#tellers.get(box))) return
     this.#tellers.set(box, { host, port, start, number })
     this.#book.note(box, zone, load, this.#host.now())
+    this.prompts.note(load.prompts)
     this.#schedule()
   }
 
@@ -127,6 +130,7 @@
     const { hub, start, number, sum } = word
     this.#others.set(hub, { start, number, host })
     this.#book.noteSum(hub, sum, this.#host.now())
+    this.prompts.note(sum.prompts)
     if (this.#tellers.size > 0) this.#schedule()
   }
 
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -10,16 +10,17 @@
 import { KeeperLog, getReplicaHost } from '../coordination/index.js'
 import type { Members, ReplicaId } from '../coordination/index.js'
 import { brandId } from '../core/index.js'
-import type { BoxId, EndpointRecord } from '../core/index.js'
+import type { BoxId, EndpointRecord, ReadPrompt } from '../core/index.js'
 import { LinkPool } from '../protocol/index.js'
 import type { Dialect, Link, RouteMessage } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
-import { DirectoryFile } from './directory-file.js'
 import { EndpointDesk, restoredMs } from './endpoint-desk.js'
 import { LeaderCalls } from './leader-calls.js'
 import { LoadHub } from './load-hub.js'
 import { MemberTender } from './member-tender.js'
 import { OperatorDesk } from './operator-desk.js'
+import { isSavedPrompt, isSavedRecord } from './saved-kinds.js'
+import { SavedList } from './saved-list.js'
 
 /** What a registry is given beside its settings. */
 export interface RegistrySurroundings {
@@ -52,7 +53,10 @@
   #around: RegistrySurroundings
   #links: LinkPool<RouteMessage>
   #endpoints: EndpointDesk
-  #directoryFile: DirectoryFile
+  #savedRecords: SavedList<EndpointRecord>
+  #savedPrompts: SavedList<ReadPrompt>
+  /** The version of the prompts that was saved last. */
+  #savedVersion = 0
   #desk: OperatorDesk
   #log: KeeperLog | null = null
   #calls: LeaderCalls | null = null
@@ -76,7 +80,9 @@
     this.#members = new MemberTender({ zone: settings.zone, faults: settings.faults, log, now })
     this.#endpoints = this.#createEndpointDesk()
     this.#hub = new LoadHub({ id: brandId(settings.id), log, now, listOthers: () => [...this.#hosts] })
-    this.#directoryFile = new DirectoryFile(join(settings.data, directoryFolder), log)
+    const folder = join(settings.data, directoryFolder)
+    this.#savedRecords = new SavedList({ folder, file: 'endpoints.json', log, isItem: isSavedRecord })
+    this.#savedPrompts = new SavedList({ folder, file: 'prompts.json', log, isItem: isSavedPrompt })
     this.#desk = this.#createOperatorDesk()
   }
 
@@ -89,7 +95,9 @@
     this.setSeeds(seeds)
     await this.#links.listen(bind === '' ? host : bind, linkPort)
     await this.#hub.listen(host, loadPort)
-    this.#endpoints.restore(await this.#directoryFile.load())
+    this.#endpoints.restore(await this.#savedRecords.load())
+    this.#hub.prompts.note(await this.#savedPrompts.load())
+    this.#savedVersion = this.#hub.prompts.version
     this.#timers.push(setTimeout(() => this.#endpoints.tick(), restoredMs))
     this.#log = await this.#openLog()
     this.#calls = new LeaderCalls({ log: this.#log, findLink: replica => this.#links.find(getReplicaHost(replica), linkPort) })
@@ -148,7 +156,7 @@
       now,
       spread: records => {
         this.#tellAll({ type: 'endpoints', records, whole: false })
-        void this.#directoryFile.save(this.#endpoints.records)
+        void this.#savedRecords.save(this.#endpoints.records)
       },
       spreadHeard: words => this.#tellRegistries({ type: 'heard', words })
     })
@@ -254,6 +262,20 @@
     this.#endpoints.tick()
     this.#tellGateways(this.#composeBoxes())
     this.#forgetSilent()
+    this.#savePrompts()
+  }
+
+  #savePrompts (): void {
+    const { version, prompts } = this.#hub.prompts
+    if (version === this.#savedVersion) return
+    this.#savedVersion = version
+    void this.#savedPrompts.save(prompts)
+  }
+
+  // Of the own zone's engines: the registries of the other zones tell of theirs.
+  #listNearPrompts (): ReadPrompt[] {
+    const near = new Set(this.#endpoints.records.filter(({ zone }) => zone === this.#settings.zone).map(({ id }) => id))
+    return this.#hub.prompts.prompts.filter(([endpoint]) => near.has(endpoint))
   }
 
   #composeBoxes (): RouteMessage {
@@ -285,6 +307,7 @@
       case 'heard': return this.#endpoints.noteHeard(message.words)
       case 'version':
       case 'document':
+      case 'prompts':
       case 'boxes': return this.#noteViolation('messages-for-registries', message.type)
     }
   }
@@ -297,6 +320,7 @@
     if (!isNew) return
     // Changes are told only to gateways that are known: what came since the link opened is told here.
     link.send({ type: 'endpoints', records: this.#endpoints.records, whole: true })
+    link.send({ type: 'prompts', prompts: this.#listNearPrompts() })
     link.send(this.#composeBoxes())
     this.#hasNewGateways = true
     this.#around.log.info('gateway-met', { gateway, version })
--- a/test/balance.test.ts
+++ b/test/balance.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { EndpointDirectory, EndpointTrust, Fleet, LoadBook, PauseRange, PromptMemory, ReadingPause, ReadingShare, RecentMost, RetryPurse, ZoneWatch, brandId, computeShare, findPatience, isPatient, noTotals, subtractOwn } from '../src/core/index.js'
+import { EndpointDirectory, EndpointTrust, Fleet, LoadBook, PauseRange, PromptBook, PromptMemory, ReadingPause, ReadingShare, RecentMost, RetryPurse, ZoneWatch, brandId, computeShare, findPatience, isPatient, noTotals, subtractOwn } from '../src/core/index.js'
+import { isSavedPrompt } from '../src/registry/index.js'
 import type { BoxLoad, EndpointRecord, EndpointStage, LoadTotals, ReadingDemand, RoutedService, ServiceName, Work, ZoneName } from '../src/core/index.js'
 
 const desk = brandId<ServiceName>('desk')
@@ -440,3 +441,33 @@
     assert.equal(range.findLongest(100_000), null)
   })
 }
+
+test('a book of prompts keeps the newest that are held, within its bound', () => {
+  const book = new PromptBook()
+  const prompt = (i: number, isKept = true): LoadTotals['prompts'][number] => [brandId('e1'), [[`part-${i}`, 100]], isKept]
+  book.note([prompt(1, false)])
+  assert.deepEqual([book.prompts, book.version], [[], 0])
+  book.note([prompt(1), prompt(1)])
+  assert.deepEqual([book.prompts, book.version], [[prompt(1)], 1])
+  book.note(Array.from({ length: 900 }, (_, i) => prompt(1000 + i)))
+  assert.equal(book.prompts.length, 800)
+  assert.deepEqual(book.prompts.at(-1), prompt(1899))
+})
+
+test('what registries tell of an engine counts, in whatever order record, service and prompt come', () => {
+  const told: readonly ((fleet: Fleet) => void)[] = [fleet => fleet.notePrompts(readShared), fleet => fleet.applyRecords([createRecord('e1')]), fleet => fleet.configure([movingService])]
+  for (const order of [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]]) {
+    const fleet = new Fleet(brandId('zone-a'))
+    for (const i of order) told[i](fleet)
+    assert.equal(fleet.findView(brandId('e1'))?.kept.countHeld(long.cost!.parts), 6000, order.join(''))
+  }
+})
+
+const savedPrompts: readonly (readonly [saved: unknown, isPrompt: boolean])[] = [
+  [['e1', [['shared', 6000]], true], true], [['e1', [['shared', 6000]], false], false], [['e1', [['shared']], true], false],
+  [['e1', 'shared', true], false], [[7, [], true], false], [null, false], ['e1', false], [{}, false]
+]
+
+test('what a torn file of prompts holds is told from prompts', () => {
+  for (const [saved, isPrompt] of savedPrompts) assert.equal(isSavedPrompt(saved), isPrompt, JSON.stringify(saved))
+})
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -189,3 +189,19 @@
     registry.kill()
   }
 }, { registries: 1 }))
+
+test('boxes that start again know which engine holds a shared prompt', () => withPlace(33, async place => {
+  const engine = { slots: 8, memoryTokens: 100_000, transfer: { tokenBytes: 1000, bytesPerMs: 1_000_000 } }
+  await place.putDocument(composeDocument(1, { services: [{ name: 'desk', engine }] }))
+  const endpoint = await place.addEndpoint('desk')
+  const parts = [{ id: 'shared', tokens: 4000 }, { id: 'own', tokens: 500 }]
+  const headers = { 'x-wrenlane-tokens': '4500,20', 'x-wrenlane-prompt-parts': 'shared:4000,own:500' }
+  assert.equal((await place.ask('/stream/events-3', { headers })).status, 200)
+  const saved = join(place.folder, 'registry-0', 'directory', 'prompts.json')
+  await until(async () => await readFile(saved, 'utf8').then(text => text.includes('shared'), () => false), 'the prompts saved')
+  place.gateways[0].kill()
+  place.registries[0]?.kill()
+  await place.startRegistry(0, false)
+  const gateway = await place.startGateway(0)
+  await until(() => gateway.fleet.findView(endpoint.id as never)?.kept.countHeld(parts) === 4000, 'what the engine holds known')
+}, { registries: 1 }))
