Hold expectations of first events against what they took

Change: a service's first events are compared with what was expected of them, those of callers that left included; what is refused is judged by the expectation times that.

--- a/src/config/route-events.ts
+++ b/src/config/route-events.ts
@@ -37,7 +37,7 @@
     }
   },
   refused: { about: 'A request was refused before it was let in (gateway).', fields: { ...request, kind: 'as in ERRORS.md', version: 'the document in force; 0 for none', text: 'why' } },
-  beliefs: { about: 'What the gateway believes of a service\'s engines, every 2 s.', fields: { service: 'the service', text: 'engines set apart and of these homes, agreed and own; ms a prompt token; ms of a pause beside reading, and of the shortest that goes beside it; tokens held in boxes; then for each engine ID (`*`: set apart)/running/tokens to be read/ms a token/ms between events/trust' } },
+  beliefs: { about: 'What the gateway believes of a service\'s engines, every 2 s.', fields: { service: 'the service', text: 'engines set apart and of these homes, agreed and own; ms a prompt token; ms of a pause beside reading, and of the shortest that goes beside it; how many times later than expected first events are; tokens held in boxes; then for each engine ID (`*`: set apart)/running/tokens to be read/ms a token/ms between events/trust' } },
   endpoint: { about: 'The directory changed (both).', fields: { ...endpoint, stage: '`ready`, `draining`, `gone` or `lost`', sequence: 'the number of the endpoint\'s word', zone: 'its zone' } },
   'endpoint-reached': { about: 'A connection came about to an endpoint that had refused them (gateway).', fields: endpoint },
   'routes-in-force': { about: 'A newer document is in force here (gateway).', fields: { version: 'its version', routes: 'how many', services: 'how many' } },
--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -54,6 +54,8 @@
 const toldMs = 200
 /** An engine that is so many times slower than the middle one is in trouble, not of a slower kind. */
 export const troubledTimes = 2
+/** A first event counts as at most so many times later than expected: one that hangs says nothing of the others. */
+const mostLate = 6
 /** Events that must be seen before an engine's speed is judged. */
 const leastGaps = 16
 
@@ -69,6 +71,7 @@
   record: EndpointRecord
   #pace: RunningQuantile
   #readingPause: ReadingPause
+  #lateness: FadingAverage
   /** What this box tells of prompts here. */
   #told: { readonly at: number, readonly prompt: ReadPrompt }[] = []
   #gap: RunningQuantile | null = null
@@ -84,14 +87,15 @@
   /** True for an engine of a slower kind than the middle one. */
   isSlow = false
 
-  /** `pace`: ms a prompt token at the service's engines; it and `readingPause` are shared by their views. */
-  constructor (record: EndpointRecord, memoryTokens: number, pace: RunningQuantile, readingPause: ReadingPause) {
+  /** `pace`: ms a prompt token at the service's engines; `readingPause` and `lateness` are shared by their views as well. */
+  constructor (record: EndpointRecord, memoryTokens: number, pace: RunningQuantile, readingPause: ReadingPause, lateness: FadingAverage) {
     this.record = record
     this.hash = hashText(record.id)
     this.prompts = new PromptMemory(memoryTokens * cacheShare)
     this.kept = new PromptMemory(memoryTokens * cacheShare)
     this.#pace = pace
     this.#readingPause = readingPause
+    this.#lateness = lateness
   }
 
   get id (): EndpointId { return this.record.id }
@@ -201,6 +205,7 @@
     const { cost } = placed.work
     if (cost === null) return this.answerMs.add(took)
     this.#tellPrompt(cost, true, at)
+    this.#lateness.add(Math.min(mostLate, took / this.expectAnswer(placed)))
     const tokens = placed.readTokens + placed.aheadTokens
     if (tokens >= leastTokensToLearn) this.#pace.add(Math.max(0, took - overheadMs - placed.fetchMs) / tokens / this.slowness)
   }
@@ -250,7 +255,13 @@
     else (this.#gap ??= new RunningQuantile(this.#firstGapMs, gapQuantile, gapStep)).add(aloneMs)
   }
 
-  remove (placed: Placed): void { this.#placed.delete(placed) }
+  /** Takes a request out that has ended, or was called off. */
+  remove (placed: Placed, at: number): void {
+    this.#placed.delete(placed)
+    // Whoever left without a first event waited longer than expected too.
+    const waitedTimes = (at - placed.sentAt) / this.expectAnswer(placed)
+    if (placed.firstAt === null && placed.work.cost !== null && waitedTimes > 1) this.#lateness.add(Math.min(mostLate, waitedTimes))
+  }
 
   /** Takes what the other boxes have here; null for nothing. */
   noteOthers (load: EndpointLoad | null): void { this.#others = load }
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -21,7 +21,7 @@
 import { ReadingPause } from './reading-pause.js'
 import type { ApartCount } from './reading-share.js'
 import { chooseReturn } from './return-time.js'
-import { createPace, createState } from './service-state.js'
+import { createLateness, createPace, createState } from './service-state.js'
 import type { ServiceState } from './service-state.js'
 import { listUsable } from './usable-endpoints.js'
 import type { PromptCost, Work } from './work.js'
@@ -166,7 +166,7 @@
       const apart = listApart(views)
       const { count, base } = this.#agreeShare(state, apart, at)
       const engines = apart.map((view, i) => describeEngine(view, i < count, at))
-      const words = [`apart=${count}`, `base=${base}`, `own=${state.share.counts.count}`, `pace=${state.pace.value.toFixed(4)}`, `beside=${Math.round(this.#findReadingPause(state, at))}`, `patience=${Math.round(this.#findPatience(state, at))}`, `held=${this.#countHeld(state, Infinity)}`, ...engines]
+      const words = [`apart=${count}`, `base=${base}`, `own=${state.share.counts.count}`, `pace=${state.pace.value.toFixed(4)}`, `beside=${Math.round(this.#findReadingPause(state, at))}`, `patience=${Math.round(this.#findPatience(state, at))}`, `late=${state.lateness.value.toFixed(2)}`, `held=${this.#countHeld(state, Infinity)}`, ...engines]
       told.push({ service: name, text: words.join(' ') })
     }
     return told
@@ -205,7 +205,8 @@
       rate += 1 / view.paceMs
     }
     const waitMs = rate === 0 ? 0 : tokens / rate
-    return chooseReturn(waitMs + this.#expectReading(work.cost, state, side, at), work.targetMs)
+    const expectedMs = (waitMs + this.#expectReading(work.cost, state, side, at)) * Math.max(1, state.lateness.value)
+    return chooseReturn(expectedMs, work.targetMs)
   }
 
   // Time that the engine which has least to do for a prompt takes over it, ms.
@@ -263,7 +264,7 @@
 
   #createView (record: EndpointRecord): EndpointView {
     const state = this.#services.get(record.service)
-    const view = new EndpointView(record, state?.service.engine?.memoryTokens ?? 0, state?.pace ?? createPace(), state?.readingPause ?? new ReadingPause())
+    const view = new EndpointView(record, state?.service.engine?.memoryTokens ?? 0, state?.pace ?? createPace(), state?.readingPause ?? new ReadingPause(), state?.lateness ?? createLateness())
     for (const prompt of this.#heldPrompts.get(record.id) ?? []) notePrompt(view, prompt)
     return view
   }
--- a/src/core/balance/service-state.ts
+++ b/src/core/balance/service-state.ts
@@ -1,6 +1,6 @@
 /** What a box learns of one service: its share, its pace, its demand, and what waits in the box. */
 import type { RoutedService } from '../routes/index.js'
-import { RunningQuantile } from './average.js'
+import { FadingAverage, RunningQuantile } from './average.js'
 import { DemandMeter } from './demand-meter.js'
 import { PauseRange } from './pause-range.js'
 import { ReadingPause } from './reading-pause.js'
@@ -13,6 +13,9 @@
 /** Part by which samples move what is believed of a service's time per token. */
 const paceStep = 0.05
 
+/** Weight of the newest first event in how late they are: a burst makes them late within a second. */
+const latenessGain = 0.08
+
 export interface ServiceState {
   readonly service: RoutedService
   readonly share: ReadingShare
@@ -20,6 +23,8 @@
   readonly pace: RunningQuantile
   /** Pauses of streams beside reading. */
   readonly readingPause: ReadingPause
+  /** How many times longer first events took than was expected of prompts as they were sent. */
+  readonly lateness: FadingAverage
   /** Pauses that requests bear. */
   readonly pauses: PauseRange
   /** Prompt tokens of requests that bear long pauses, and of the others. */
@@ -31,9 +36,12 @@
 
 /** A service of which nothing has been learned. */
 export function createState (service: RoutedService): ServiceState {
-  return { service, share: new ReadingShare(), pace: createPace(), readingPause: new ReadingPause(), pauses: new PauseRange(), patient: new DemandMeter(), brisk: new DemandMeter(), held: new Map() }
+  return { service, share: new ReadingShare(), pace: createPace(), readingPause: new ReadingPause(), lateness: createLateness(), pauses: new PauseRange(), patient: new DemandMeter(), brisk: new DemandMeter(), held: new Map() }
 }
 
+/** That first events take as long as expected is believed before any was seen. */
+export function createLateness (): FadingAverage { return new FadingAverage(1, latenessGain) }
+
 /** The pace that is believed before any was measured. */
 export function createPace (): RunningQuantile {
   return new RunningQuantile(firstPaceMs, paceQuantile, paceStep)
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -375,7 +375,7 @@
   #release (sent: Sent, how: string): void {
     if (this.#sent === sent) this.#sent = null
     sent.attempt.end = how
-    sent.view.remove(sent.placed)
+    sent.view.remove(sent.placed, this.#host.now())
     this.#host.noteLoad()
   }
 
--- a/test/balance.test.ts
+++ b/test/balance.test.ts
@@ -471,3 +471,17 @@
 test('what a torn file of prompts holds is told from prompts', () => {
   for (const [saved, isPrompt] of savedPrompts) assert.equal(isSavedPrompt(saved), isPrompt, JSON.stringify(saved))
 })
+
+test('where first events come later than expected, what can\'t be in time is refused sooner', () => {
+  const fleet = createFleet([createRecord('e1'), createRecord('e2')], engineService)
+  const work = createWork({ priority: 2, pauseMs: 600, targetMs: 600, cost: { promptTokens: 12_000, mostTokens: 10, parts: [] } })
+  assert.equal(fleet.findReturn(work, 0), null)
+  for (let i = 0; i < 40; i++) {
+    const choice = fleet.choose(work, [], 1000 * i, 0)
+    assert.ok(typeof choice !== 'string')
+    const placed = choice.view.place(work, choice.plan, 1000 * i)
+    if (i % 2 === 0) choice.view.noteFirst(placed, 1000 * i + 900)
+    choice.view.remove(placed, 1000 * i + 900)
+  }
+  assert.ok((fleet.findReturn(work, 50_000) ?? 0) > 600)
+})
