--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -6,12 +6,12 @@
 import type { EndpointId } from '../ids.js'
 import { FadingAverage, RunningQuantile } from './average.js'
 import type { EndpointRecord } from './endpoint-record.js'
+import type { EngineLearning } from './engine-learning.js'
 import { EndpointTrust } from './endpoint-trust.js'
 import type { EndpointLoad, ReadPrompt } from './load-word.js'
 import { PromptMemory } from './prompt-memory.js'
 import { isPatient, listShared } from './prompt-reading.js'
 import type { PromptPlan } from './prompt-plan.js'
-import type { ReadingPause } from './reading-pause.js'
 import type { PromptCost, PromptPart, Work } from './work.js'
 
 /** A request of this box at an endpoint. */
@@ -69,9 +69,7 @@
   readonly kept: PromptMemory
   readonly answerMs = new FadingAverage(firstAnswerMs, gainOfNewest)
   record: EndpointRecord
-  #pace: RunningQuantile
-  #readingPause: ReadingPause
-  #lateness: FadingAverage
+  #learning: EngineLearning
   /** What this box tells of prompts here. */
   #told: { readonly at: number, readonly prompt: ReadPrompt }[] = []
   #gap: RunningQuantile | null = null
@@ -87,20 +85,18 @@
   /** True for an engine of a slower kind than the middle one. */
   isSlow = false
 
-  /** `pace`: ms a prompt token at the service's engines; `readingPause` and `lateness` are shared by their views as well. */
-  constructor (record: EndpointRecord, memoryTokens: number, pace: RunningQuantile, readingPause: ReadingPause, lateness: FadingAverage) {
+  /** `learning`: of the service's engines as a whole, shared by their views. */
+  constructor (record: EndpointRecord, memoryTokens: number, learning: EngineLearning) {
     this.record = record
     this.hash = hashText(record.id)
     this.prompts = new PromptMemory(memoryTokens * cacheShare)
     this.kept = new PromptMemory(memoryTokens * cacheShare)
-    this.#pace = pace
-    this.#readingPause = readingPause
-    this.#lateness = lateness
+    this.#learning = learning
   }
 
   get id (): EndpointId { return this.record.id }
   /** Time to read a prompt token, ms. */
-  get paceMs (): number { return this.#pace.value * this.slowness }
+  get paceMs (): number { return this.#learning.pace.value * this.slowness }
 
   /** Requests in flight, those of other boxes included. */
   get running (): number {
@@ -205,9 +201,9 @@
     const { cost } = placed.work
     if (cost === null) return this.answerMs.add(took)
     this.#tellPrompt(cost, true, at)
-    this.#lateness.add(Math.min(mostLate, took / this.expectAnswer(placed)))
+    this.#learning.lateness.add(Math.min(mostLate, took / this.expectAnswer(placed)))
     const tokens = placed.readTokens + placed.aheadTokens
-    if (tokens >= leastTokensToLearn) this.#pace.add(Math.max(0, took - overheadMs - placed.fetchMs) / tokens / this.slowness)
+    if (tokens >= leastTokensToLearn) this.#learning.pace.add(Math.max(0, took - overheadMs - placed.fetchMs) / tokens / this.slowness)
   }
 
   #tellPrompt (cost: PromptCost, isKept: boolean, at: number): void {
@@ -239,7 +235,7 @@
 
   // An engine in trouble, or of unknown speed, tells nothing of the others.
   #noteReadingPause (pauseMs: number, at: number): void {
-    if (this.gapMs !== null && this.slowness < troubledTimes) this.#readingPause.add(pauseMs, this.slowness, at)
+    if (this.gapMs !== null && this.slowness < troubledTimes) this.#learning.readingPause.add(pauseMs, this.slowness, at)
   }
 
   /** Takes the middle of what all boxes measured. */
@@ -260,7 +256,7 @@
     this.#placed.delete(placed)
     // Whoever left without a first event waited longer than expected too.
     const waitedTimes = (at - placed.sentAt) / this.expectAnswer(placed)
-    if (placed.firstAt === null && placed.work.cost !== null && waitedTimes > 1) this.#lateness.add(Math.min(mostLate, waitedTimes))
+    if (placed.firstAt === null && placed.work.cost !== null && waitedTimes > 1) this.#learning.lateness.add(Math.min(mostLate, waitedTimes))
   }
 
   /** Takes what the other boxes have here; null for nothing. */
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -9,19 +9,21 @@
 import { agreeShare, countHeld } from './agreed-share.js'
 import { pickLeast } from './choice.js'
 import type { Choice, NoChoice } from './choice.js'
+import { describeService } from './describe-service.js'
 import type { EndpointRecord } from './endpoint-record.js'
 import { EndpointView } from './endpoint-view.js'
 import { findMiddleFailures, hasRoom, weighEngine, weighPlain, weighTrust } from './endpoint-weights.js'
 import type { PromptCase, Standpoint } from './endpoint-weights.js'
+import { createLearning } from './engine-learning.js'
 import { listApart } from './engines-apart.js'
+import { HeldPrompts, notePrompt } from './held-prompts.js'
 import type { BoxLoad, EngineGap, LoadTotals, ReadPrompt, ServiceDemand, ServiceTotal } from './load-word.js'
 import { listHolders, planPrompt } from './prompt-plan.js'
 import type { PromptHolder, PromptPlan } from './prompt-plan.js'
 import { countExpected, expectRead, findHomes, findPatience, guessPause, isPatient } from './prompt-reading.js'
-import { ReadingPause } from './reading-pause.js'
 import type { ApartCount } from './reading-share.js'
 import { chooseReturn } from './return-time.js'
-import { createLateness, createPace, createState } from './service-state.js'
+import { createState } from './service-state.js'
 import type { ServiceState } from './service-state.js'
 import { listUsable } from './usable-endpoints.js'
 import type { PromptCost, Work } from './work.js'
@@ -54,8 +56,7 @@
   #views = new Map<EndpointId, EndpointView>()
   #byService = new Map<ServiceName, EndpointView[]>()
   #others = new Map<ServiceName, ServiceTotal>()
-  /** What registries told, at the start of this box, that engines hold. */
-  #heldPrompts = new Map<EndpointId, readonly ReadPrompt[]>()
+  #heldPrompts = new HeldPrompts()
   #outlooks = new Map<ServiceName, Outlook>()
 
   /** `isConnected`: whether a connection to an endpoint is open and at rest. */
@@ -95,17 +96,9 @@
 
   /** Takes in which prompts engines hold; also of engines that are known only later. */
   notePrompts (prompts: readonly ReadPrompt[]): void {
-    const held = new Map<EndpointId, ReadPrompt[]>()
-    for (const prompt of prompts) {
-      const [endpoint] = prompt
-      const ofEndpoint = held.get(endpoint) ?? []
-      ofEndpoint.push(prompt)
-      held.set(endpoint, ofEndpoint)
-    }
-    for (const [endpoint, ofEndpoint] of held) {
-      this.#heldPrompts.set(endpoint, ofEndpoint)
+    for (const endpoint of this.#heldPrompts.take(prompts)) {
       const view = this.#views.get(endpoint)
-      if (view !== undefined) for (const prompt of ofEndpoint) notePrompt(view, prompt)
+      if (view !== undefined) this.#heldPrompts.note(view)
     }
   }
 
@@ -164,10 +157,15 @@
       const views = this.#byService.get(name) ?? []
       if (state.service.engine === null || views.length === 0) continue
       const apart = listApart(views)
-      const { count, base } = this.#agreeShare(state, apart, at)
-      const engines = apart.map((view, i) => describeEngine(view, i < count, at))
-      const words = [`apart=${count}`, `base=${base}`, `own=${state.share.counts.count}`, `pace=${state.pace.value.toFixed(4)}`, `beside=${Math.round(this.#findReadingPause(state, at))}`, `patience=${Math.round(this.#findPatience(state, at))}`, `late=${state.lateness.value.toFixed(2)}`, `held=${this.#countHeld(state, Infinity)}`, ...engines]
-      told.push({ service: name, text: words.join(' ') })
+      const text = describeService({
+        state,
+        apart,
+        counts: this.#agreeShare(state, apart, at),
+        readingPauseMs: this.#findReadingPause(state, at),
+        patienceMs: this.#findPatience(state, at),
+        heldTokens: this.#countHeld(state, Infinity)
+      }, at)
+      told.push({ service: name, text })
     }
     return told
   }
@@ -264,14 +262,14 @@
 
   #createView (record: EndpointRecord): EndpointView {
     const state = this.#services.get(record.service)
-    const view = new EndpointView(record, state?.service.engine?.memoryTokens ?? 0, state?.pace ?? createPace(), state?.readingPause ?? new ReadingPause(), state?.lateness ?? createLateness())
-    for (const prompt of this.#heldPrompts.get(record.id) ?? []) notePrompt(view, prompt)
+    const view = new EndpointView(record, state?.service.engine?.memoryTokens ?? 0, state ?? createLearning())
+    this.#heldPrompts.note(view)
     return view
   }
 
   #forget ({ id }: EndpointRecord): void {
     this.#views.delete(id)
-    this.#heldPrompts.delete(id)
+    this.#heldPrompts.forget(id)
   }
 
   // The endpoints that may be used and how they are parted, as of some ms ago.
@@ -319,10 +317,6 @@
   }
 }
 
-function notePrompt (view: EndpointView, [, parts, isKept]: ReadPrompt): void {
-  view.notePrompt(parts.map(([id, tokens]) => ({ id, tokens })), isKept)
-}
-
 function composeDemand ({ service, patient, brisk, share, held, readingPause }: ServiceState, at: number): ServiceDemand {
   const { count, base } = share.counts
   return { service: service.name, patient: Math.round(patient.rate(at)), brisk: Math.round(brisk.rate(at)), apart: count, base, readingPauseMs: readingPause.find(at), held: [...held] }
@@ -334,11 +328,6 @@
   return side.some(view => view.running < slots) ? side : apart
 }
 
-// An engine's name, with a star where it is set apart, then running, tokens ahead, pace, time between events and trust.
-function describeEngine (view: EndpointView, isApart: boolean, at: number): string {
-  return `${view.id}${isApart ? '*' : ''}/${view.running}/${Math.round(view.countAhead(Infinity, at))}/${view.paceMs.toFixed(4)}/${view.gapMs?.toFixed(1) ?? '-'}/${view.trust.look(at)}`
-}
-
 function groupByService (views: Iterable<EndpointView>): Map<ServiceName, EndpointView[]> {
   const groups = new Map<ServiceName, EndpointView[]>()
   for (const view of views) {
