Refuse no request for its own size

Change: what is judged is the wait; it may be half of the target where the request's own reading takes the rest. Test failed first.

--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -202,9 +202,9 @@
       tokens += view.countBefore(work.priority, at)
       rate += 1 / view.paceMs
     }
+    const late = Math.max(1, state.lateness.value)
     const waitMs = rate === 0 ? 0 : tokens / rate
-    const expectedMs = (waitMs + this.#expectReading(work.cost, state, side, at)) * Math.max(1, state.lateness.value)
-    return chooseReturn(expectedMs, work.targetMs)
+    return chooseReturn(waitMs * late, this.#expectReading(work.cost, state, side, at) * late, work.targetMs)
   }
 
   // Time that the engine which has least to do for a prompt takes over it, ms.
--- a/test/balance.test.ts
+++ b/test/balance.test.ts
@@ -475,6 +475,7 @@
 test('where first events come later than expected, what can\'t be in time is refused sooner', () => {
   const fleet = createFleet([createRecord('e1'), createRecord('e2')], engineService)
   const work = createWork({ priority: 2, pauseMs: 600, targetMs: 600, cost: { promptTokens: 12_000, mostTokens: 10, parts: [] } })
+  fleet.noteHeld(work, true)
   assert.equal(fleet.findReturn(work, 0), null)
   for (let i = 0; i < 40; i++) {
     const choice = fleet.choose(work, [], 1000 * i, 0)
@@ -485,3 +486,11 @@
   }
   assert.ok((fleet.findReturn(work, 50_000) ?? 0) > 600)
 })
+
+test('a request that can\'t be in time by its own size is taken where little waits', () => {
+  const fleet = createFleet([createRecord('e1'), createRecord('e2')], engineService)
+  const huge = createWork({ priority: 2, pauseMs: 600, targetMs: 600, cost: { promptTokens: 60_000, mostTokens: 10, parts: [] } })
+  assert.equal(fleet.findReturn(huge, 0), null)
+  fleet.noteHeld(huge, true)
+  assert.notEqual(fleet.findReturn(huge, 0), null)
+})
