Wait for a holder as long as the target, whatever its tokens

Change: reading all shared parts again counts as much as the target, a part of them as much less. Kept, as it takes a customer's figure out of the code.

--- a/src/core/balance/endpoint-weights.ts
+++ b/src/core/balance/endpoint-weights.ts
@@ -32,13 +32,6 @@
 const harmlessShare = 0.5
 /** Part of an engine's memory that requests in flight may be expected to take. */
 const memoryLimit = 0.9
-/**
- * What reading a shared token again is worth, ms: an engine that holds a shared
- * prompt is waited for up to this much longer than another one. On the users'
- * sites reading 5,000 shared tokens again costs about what a late answer does,
- * so that a prompt waits for its engine about as long as its target.
- */
-const rereadMs = 0.4
 /** An endpoint whose failures exceed the middle of its service's by so much is taken last. */
 const worseShare = 0.25
 /**
@@ -47,8 +40,12 @@
  * where it can be passed; so much keeps an engine busy until the next word.
  */
 const backlogMs = 220
-/** Part of its target that a request waits for the engine that holds its shared prompt, before it goes elsewhere. */
-const homeWaitShare = 1
+/**
+ * Part of its target that a request waits for an engine that holds its shared parts,
+ * before it is read anew elsewhere: reading all of them again costs others about what
+ * a late answer costs its caller, on all users' days.
+ */
+const holderWaitShare = 1
 /**
  * What a connection that must first be opened is worth, ms: two journeys and the
  * endpoint's work on it, and as much again for the place that it takes there.
@@ -86,16 +83,21 @@
 /** Expected time until an engine's first event, ms, where it comes by the prompt as planned. */
 export function weighEngine (view: EndpointView, { work, cost, engine, waitedMs, patienceMs, isPatient }: PromptCase, { readTokens: read, fetch }: PromptPlan, at: number): number {
   const running = view.running
-  const patience = Math.max(0, 1 - waitedMs / (work.targetMs * homeWaitShare))
   const readingMs = (view.countAhead(work.priority, at) + read) * view.paceMs
   const ms = readingMs + running * crowdMs + (fetch?.ms ?? 0)
-  const again = Math.max(0, read - (cost.promptTokens - countShared(cost))) * rereadMs * patience
+  const again = rateAgain(read, cost) * Math.max(0, work.targetMs * holderWaitShare - waitedMs)
   const queued = Math.max(0, running + 1 - engine.slots) * queueMs
   const short = view.memoryInUse + cost.promptTokens > engine.memoryTokens * memoryLimit ? memoryMs : 0
   const harm = isPatient ? view.countBrisk(patienceMs) * harmMs * rateBreak(readingMs, patienceMs) : 0
   return ms + again + queued + short + harm
 }
 
+// Part of the shared tokens that are read again.
+function rateAgain (read: number, cost: PromptCost): number {
+  const shared = countShared(cost)
+  return shared === 0 ? 0 : Math.max(0, read - (cost.promptTokens - shared)) / shared
+}
+
 // How surely reading for so long breaks a pause that doesn't bear reading all the time: a short read stretches only a part of it.
 function rateBreak (readingMs: number, patienceMs: number): number {
   const share = readingMs / patienceMs
