--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -3,7 +3,6 @@
  * the directory of endpoints, and the place where gateways learn both. The
  * registries find each other by seeds and look after their log themselves.
  */
-import { join } from 'node:path'
 import { performance } from 'node:perf_hooks'
 import { parseAddress } from '../config/index.js'
 import type { RegistrySettings } from '../config/index.js'
@@ -19,8 +18,7 @@
 import { LoadHub } from './load-hub.js'
 import { MemberTender } from './member-tender.js'
 import { OperatorDesk } from './operator-desk.js'
-import { isSavedPrompt, isSavedRecord } from './saved-kinds.js'
-import { SavedList } from './saved-list.js'
+import { SavedState } from './saved-state.js'
 
 /** What a registry is given beside its settings. */
 export interface RegistrySurroundings {
@@ -40,8 +38,6 @@
 const dialing = { connectMs: 500, longestRetryMs: 500 }
 /** Pause before a disk that refuses is tried again, ms. */
 const diskRetryMs = 150
-/** Folder beside the log for what need not last. */
-const directoryFolder = 'directory'
 /** The second part of the ids of the replicas that begin a log. */
 const firstDisk = 'first'
 
@@ -53,10 +49,7 @@
   #around: RegistrySurroundings
   #links: LinkPool<RouteMessage>
   #endpoints: EndpointDesk
-  #savedRecords: SavedList<EndpointRecord>
-  #savedPrompts: SavedList<ReadPrompt>
-  /** The version of the prompts that was saved last. */
-  #savedVersion = 0
+  #saved: SavedState
   #desk: OperatorDesk
   #log: KeeperLog | null = null
   #calls: LeaderCalls | null = null
@@ -80,9 +73,7 @@
     this.#members = new MemberTender({ zone: settings.zone, faults: settings.faults, log, now })
     this.#endpoints = this.#createEndpointDesk()
     this.#hub = new LoadHub({ id: brandId(settings.id), log, now, listOthers: () => [...this.#hosts] })
-    const folder = join(settings.data, directoryFolder)
-    this.#savedRecords = new SavedList({ folder, file: 'endpoints.json', log, isItem: isSavedRecord })
-    this.#savedPrompts = new SavedList({ folder, file: 'prompts.json', log, isItem: isSavedPrompt })
+    this.#saved = new SavedState(settings.data, log)
     this.#desk = this.#createOperatorDesk()
   }
 
@@ -95,9 +86,8 @@
     this.setSeeds(seeds)
     await this.#links.listen(bind === '' ? host : bind, linkPort)
     await this.#hub.listen(host, loadPort)
-    this.#endpoints.restore(await this.#savedRecords.load())
-    this.#hub.prompts.note(await this.#savedPrompts.load())
-    this.#savedVersion = this.#hub.prompts.version
+    this.#endpoints.restore(await this.#saved.loadRecords())
+    await this.#saved.loadPrompts(this.#hub.prompts)
     this.#timers.push(setTimeout(() => this.#endpoints.tick(), restoredMs))
     this.#log = await this.#openLog()
     this.#calls = new LeaderCalls({ log: this.#log, findLink: replica => this.#links.find(getReplicaHost(replica), linkPort) })
@@ -156,7 +146,7 @@
       now,
       spread: records => {
         this.#tellAll({ type: 'endpoints', records, whole: false })
-        void this.#savedRecords.save(this.#endpoints.records)
+        this.#saved.saveRecords(this.#endpoints.records)
       },
       spreadHeard: words => this.#tellRegistries({ type: 'heard', words })
     })
@@ -262,14 +252,7 @@
     this.#endpoints.tick()
     this.#tellGateways(this.#composeBoxes())
     this.#forgetSilent()
-    this.#savePrompts()
-  }
-
-  #savePrompts (): void {
-    const { version, prompts } = this.#hub.prompts
-    if (version === this.#savedVersion) return
-    this.#savedVersion = version
-    void this.#savedPrompts.save(prompts)
+    this.#saved.savePrompts(this.#hub.prompts)
   }
 
   // Of the own zone's engines: the registries of the other zones tell of theirs.
--- /dev/null
+++ b/src/registry/saved-state.ts
@@ -0,0 +1,41 @@
+/** What a registry saves beside its log: the directory of endpoints, and which engine holds which prompt. */
+import { join } from 'node:path'
+import type { EndpointRecord, PromptBook, ReadPrompt } from '../core/index.js'
+import type { EventLog } from '../runtime/index.js'
+import { isSavedPrompt, isSavedRecord } from './saved-kinds.js'
+import { SavedList } from './saved-list.js'
+
+/** Folder beside the log for what need not last. */
+const folderName = 'directory'
+
+export class SavedState {
+  #records: SavedList<EndpointRecord>
+  #prompts: SavedList<ReadPrompt>
+  /** The version of the book of prompts that was saved last. */
+  #version = 0
+
+  /** `data`: the folder of the log. */
+  constructor (data: string, log: EventLog) {
+    const folder = join(data, folderName)
+    this.#records = new SavedList({ folder, file: 'endpoints.json', log, isItem: isSavedRecord })
+    this.#prompts = new SavedList({ folder, file: 'prompts.json', log, isItem: isSavedPrompt })
+  }
+
+  async loadRecords (): Promise<EndpointRecord[]> { return await this.#records.load() }
+
+  /** Saves the endpoints that are there. */
+  saveRecords (records: readonly EndpointRecord[]): void { void this.#records.save(records) }
+
+  /** Notes in the book what was saved. */
+  async loadPrompts (book: PromptBook): Promise<void> {
+    book.note(await this.#prompts.load())
+    this.#version = book.version
+  }
+
+  /** Saves the book where it has changed. */
+  savePrompts ({ version, prompts }: PromptBook): void {
+    if (version === this.#version) return
+    this.#version = version
+    void this.#prompts.save(prompts)
+  }
+}
