--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -16,6 +16,8 @@
 import type { Attempt, ExchangeSummary } from './exchange-summary.js'
 import type { Order } from './order.js'
 import { passHeaders } from './pass-headers.js'
+import { allowSend, limitSilence, mayGoOn, mayRepeat } from './repeat-rules.js'
+import type { SendCount } from './repeat-rules.js'
 
 /** What an exchange needs of its box. */
 export interface ExchangeHost {
@@ -53,11 +55,6 @@
 const largestAnswer = 64 * 2 ** 20
 /** Statuses that promise a caller that its request did not run and never will. */
 const promisingStatuses = new Set([408, 421, 429, 503])
-/** Connections that don't come about cost nobody anything; so many are tried beyond the attempts that a route allows. */
-const mostUnreachable = 3
-/** A stream that may be continued elsewhere is, once it has been silent for this many of the pauses that its route allows, and at least so long, ms. */
-const silentPauses = 4
-const leastSilentMs = 600
 /** When a caller is to come back where an endpoint was full, ms: about a place's time to come free. */
 const fullRetryMs = 250
 /** When a caller is to come back where no endpoint can be used, ms: about the time until one is tried again. */
@@ -192,7 +189,7 @@
     if (!isAnswer) return this.#moveOn(sent, 'broken', `not an answer of an endpoint (${head.status})`)
     if (head.status >= 500) {
       view.trust.noteFailure()
-      if (this.#mayRepeat && this.#isAnotherAllowed()) return this.#sendElsewhere(sent, `failed ${head.status}`)
+      if (mayRepeat(this.order.route) && this.#isAnotherAllowed()) return this.#sendElsewhere(sent, `failed ${head.status}`)
     } else {
       view.trust.noteGood()
     }
@@ -311,8 +308,7 @@
       sent.view.trust.noteBroken(at)
     }
     this.#dropSent(sent, `${failure} ${reason}`)
-    const mayGoOn = failure === 'unreachable' ? !this.#mayHaveRun || this.#mayRepeat : this.#mayRepeat
-    if (mayGoOn && this.#isAnotherAllowed()) return this.#send()
+    if (mayGoOn(this.order.route, failure, this.#mayHaveRun) && this.#isAnotherAllowed()) return this.#send()
     if (this.#mayHaveRun) return this.#refuse('engine-failed', `the endpoint failed: ${reason}`)
     this.#refuse('no-engine', 'no endpoint could be reached', noneRetryMs)
   }
@@ -327,31 +323,31 @@
     this.#refuse('overloaded', 'no endpoint took the request in time', noneRetryMs)
   }
 
-  get #mayRepeat (): boolean {
-    const { kind, resumable } = this.order.route
-    return kind === 'repeatable' || (kind === 'events' && resumable)
-  }
+  get #sendCount (): SendCount { return { attempts: this.#attempts.length, unreachable: this.#unreachable } }
 
-  // Endpoints that could not be reached at all don't count as tried.
+  // Takes what another send costs from the retry budget.
   #isAnotherAllowed (): boolean {
-    if (this.#unreachable > mostUnreachable) return false
-    const sends = this.#attempts.length - this.#unreachable
-    if (sends === 0) return true
-    return sends < this.order.route.mostAttempts && this.#host.takeRetry(this.order)
+    switch (allowSend(this.order.route, this.#sendCount)) {
+      case 'no': return false
+      case 'free': return true
+      case 'paid': return this.#host.takeRetry(this.order)
+    }
+  }
+
+  // What costs nothing to ask: whether a request that was sent may go elsewhere.
+  get #mayLeave (): boolean {
+    return mayRepeat(this.order.route) && allowSend(this.order.route, this.#sendCount) !== 'no'
   }
 
   // An answer that has not begun is looked for elsewhere where the endpoint's zone can't be heard any more.
   #isStuck (sent: Sent, now: number): boolean {
-    if (!this.#mayRepeat || sent.placed.firstAt !== null || !sent.call.mayHaveRun) return false
-    if (this.#attempts.length - this.#unreachable >= this.order.route.mostAttempts) return false
+    if (!this.#mayLeave || sent.placed.firstAt !== null || !sent.call.mayHaveRun) return false
     return this.#host.fleet.zones.isCut(sent.view.record.zone, now)
   }
 
   #isSilent (sent: Sent, now: number): boolean {
-    const { route } = this.order
-    if (!this.#mayRepeat || sent.cutter === null || this.#phase !== 'relaying') return false
-    const limit = Math.max(leastSilentMs, silentPauses * (route.pauseMs ?? 0))
-    return now - sent.placed.heardAt > limit && this.#attempts.length - this.#unreachable < route.mostAttempts
+    if (!this.#mayLeave || sent.cutter === null || this.#phase !== 'relaying') return false
+    return now - sent.placed.heardAt > limitSilence(this.order.route)
   }
 
   // An answer that has begun can only break off.
