--- a/src/core/balance/endpoint-weights.ts
+++ b/src/core/balance/endpoint-weights.ts
@@ -106,8 +106,9 @@
 
 /** What distance, a missing connection, silence and failures count against an endpoint, ms. `middle`: share of failures of the middle one beside it. */
 export function weighTrust (view: EndpointView, from: Standpoint, middle: number, isStream: boolean, at: number): number {
-  const zone = view.record.zone
-  let ms = zone === from.zone ? 0 : isStream ? otherZoneStreamMs : otherZoneMs
+  const { zone } = view.record
+  let ms = 0
+  if (zone !== from.zone) ms += isStream ? otherZoneStreamMs : otherZoneMs
   if (!from.isConnected(view)) ms += connectMs
   if (from.zones.isCut(zone, at)) ms += doubtMs
   if (view.trust.look(at) !== 'good') ms += doubtMs
