--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,4 +1,4 @@
 /** The program that routes callers by a document. */
 export { GatewayBox } from './gateway-box.js'
 export type { GatewaySurroundings } from './gateway-box.js'
-export { allowSend, limitSilence, mayGoOn, mayRepeat } from './repeat-rules.js'
+export { allowSend, limitSilence, mayGoOn } from './repeat-rules.js'
