Tell who is asked for a document, what comes of it, and how long it takes to read

Sight for an incident in which versions were late at gateways: the logs told when a document was in force, not whether it was asked for, how often it came, or what reading it cost. No change of behaviour.

--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -231,6 +231,7 @@
   // Documents and endpoints.
 
   #adopt ({ version, text }: VersionedText): void {
+    const startedAt = now()
     let table
     try {
       table = new RouteTable(this.#around.dialect.decodeDocument(text))
@@ -247,7 +248,8 @@
     for (const { name } of services) {
       if (!this.#purses.has(name)) this.#purses.set(name, new RetryPurse({ ratio, extra, windowMs: windowSeconds * 1000 }))
     }
-    this.#around.log.info('routes-in-force', { version, routes: routes.length, services: services.length })
+    const readMs = Math.round(now() - startedAt)
+    this.#around.log.info('routes-in-force', { version, routes: routes.length, services: services.length, readMs })
     this.#around.metrics.gauge('document-version', version)
   }
 
--- a/src/gateway/registry-follower.ts
+++ b/src/gateway/registry-follower.ts
@@ -141,7 +141,7 @@
         this.#named.set(link, message.version)
         if (message.version > 0) this.#firstNamedAt ??= this.#host.now()
         return this.#ask()
-      case 'document': return this.#takeDocument(message.document)
+      case 'document': return this.#takeDocument(link, message.document)
       case 'endpoints': return this.#host.takeRecords(message.records)
       case 'prompts': return this.#host.takePrompts(message.prompts)
       case 'boxes':
@@ -151,8 +151,11 @@
     }
   }
 
-  #takeDocument (document: VersionedText): void {
-    if (document.version <= this.#version) return
+  #takeDocument (link: Link<RouteMessage>, document: VersionedText): void {
+    const isNewer = document.version > this.#version
+    const ms = this.#asked === null ? -1 : Math.round(this.#host.now() - this.#asked.at)
+    this.#host.log.info('document-received', { version: document.version, registry: link.peer, bytes: document.text.length, ms, newer: isNewer })
+    if (!isNewer) return
     this.#version = document.version
     this.#asked = null
     this.#host.takeDocument(document)
@@ -176,7 +179,10 @@
     if (this.#asked !== null && this.#asked.version >= newest && now - this.#asked.at < askMs) return
     const holders = [...this.#named].filter(([, version]) => version === newest).map(([link]) => link)
     const chosen = this.#chooseHolder(holders)
-    if (chosen.send({ type: 'ask-document', version: newest })) this.#asked = { version: newest, at: now }
+    if (!chosen.send({ type: 'ask-document', version: newest })) return
+    const why = this.#asked === null ? 'newer' : this.#asked.version < newest ? 'newer-meanwhile' : 'overdue'
+    this.#host.log.info('document-asked', { version: newest, held: this.#version, registry: chosen.peer, why })
+    this.#asked = { version: newest, at: now }
   }
 
   // The own zone's first: bytes between zones are dear. A second try goes to another.
