Fetch one copy of a document at a time, packed and told against the one held

Cause: a gateway asked for each version that it heard of, whole and unpacked, though another copy was on its way, and asked another registry again whenever the answer was not there after 300 ms. On a link that carries a copy in more than that, each time-out makes the next one surer: copies pile up on the link that the traffic, the words of endpoints and the registries' loads need too. Class: work that is asked for again on a timer shorter than it takes, without a look at whether it is under way.

Change: `DocumentPull` decides whom to ask: one at a time, another only where the link of the first ended or fell silent, or after a second, doubling; what is named meanwhile waits, as whoever is asked sends the newest. Registries keep the documents of late (`DocumentShelf`) and tell what changed since the one held (`compareTexts`), deflated, with a digest; what can't be made out is asked for whole.

--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -184,6 +184,7 @@
       id: brandId<BoxId>(id),
       zone: brandId<ZoneName>(zone),
       now,
+      draw: Math.random,
       takeDocument: document => this.#adopt(document),
       takePrompts: prompts => this.#fleet.notePrompts(prompts),
       takeRecords: records => this.#takeRecords(records),
--- a/src/gateway/registry-follower.ts
+++ b/src/gateway/registry-follower.ts
@@ -4,11 +4,12 @@
  * it has where none can be reached.
  */
 import { parseAddress } from '../config/index.js'
-import type { VersionedText } from '../coordination/index.js'
+import { DocumentPull } from '../coordination/index.js'
+import type { HolderSight, PullPatience, VersionedText } from '../coordination/index.js'
 import { brandId } from '../core/index.js'
 import type { BoxId, EndpointRecord, ReadPrompt, ZoneName } from '../core/index.js'
-import { LinkPool } from '../protocol/index.js'
-import type { Link, RouteMessage } from '../protocol/index.js'
+import { LinkPool, unpackDocument } from '../protocol/index.js'
+import type { Link, PackedDocument, RouteMessage } from '../protocol/index.js'
 import { Inbox } from '../runtime/index.js'
 import type { EventLog } from '../runtime/index.js'
 
@@ -20,6 +21,8 @@
   readonly id: BoxId
   readonly zone: ZoneName
   now (): number
+  /** Parts registries that are alike, from 0 up to 1. */
+  draw (): number
   takeDocument (document: VersionedText): void
   /** Takes which prompts engines hold. */
   takePrompts (prompts: readonly ReadPrompt[]): void
@@ -49,8 +52,12 @@
 const nearMs = 700
 /** How often the follower looks at its links, ms. */
 const tickMs = 100
-/** A registry that was asked for a document and did not send it in this time is passed over, ms. */
-const askMs = 300
+/**
+ * A registry that was asked for a document and lives is waited for so long. A
+ * whole document of a few thousand routes, packed, takes a tenth of a second of
+ * a gateway's link; a box that takes seconds over it is held up.
+ */
+const patience: PullPatience = { firstMs: 1000, longestMs: 8000 }
 /** At the start, documents are taken from the first registry only after the others had so long to name a newer one, ms. */
 const settleMs = 250
 /** Links to registries at most: one for each of a system of today's size. */
@@ -64,9 +71,11 @@
   #inbox = new Inbox<Input>(mostWaiting)
   #hosts = new Set<string>()
   #zones = new Map<Link<RouteMessage>, ZoneName>()
-  #named = new Map<Link<RouteMessage>, number>()
-  #version = 0
-  #asked: { readonly version: number, readonly at: number } | null = null
+  #pull = new DocumentPull<Link<RouteMessage>>(patience)
+  #held: VersionedText | null = null
+  /** What came last could not be made out of the document held: the whole is asked for. */
+  #wantsWhole = false
+  #askedAt = 0
   #firstNamedAt: number | null = null
   #timer: NodeJS.Timeout | null = null
 
@@ -85,6 +94,8 @@
     this.#inbox.run(input => this.#take(input))
   }
 
+  get #version (): number { return this.#held?.version ?? 0 }
+
   /** Registries in touch. */
   get linkCount (): number { return this.#links.dialed.length }
 
@@ -124,7 +135,7 @@
         return
       case 'closed':
         this.#zones.delete(input.link)
-        this.#named.delete(input.link)
+        this.#pull.forget(input.link)
         if (input.link.peer !== '') this.#host.log.warn('registry-lost', { registry: input.link.peer, left: this.linkCount })
         return
       case 'message': return this.#receive(input.link, input.message)
@@ -138,7 +149,7 @@
         this.#zones.set(link, brandId(message.zone))
         return
       case 'version':
-        this.#named.set(link, message.version)
+        this.#pull.noteNamed(link, message.version)
         if (message.version > 0) this.#firstNamedAt ??= this.#host.now()
         return this.#ask()
       case 'document': return this.#takeDocument(link, message.document)
@@ -151,18 +162,23 @@
     }
   }
 
-  #takeDocument (link: Link<RouteMessage>, document: VersionedText): void {
-    const isNewer = document.version > this.#version
-    const ms = this.#asked === null ? -1 : Math.round(this.#host.now() - this.#asked.at)
-    this.#host.log.info('document-received', { version: document.version, registry: link.peer, bytes: document.text.length, ms, newer: isNewer })
-    if (!isNewer) return
-    this.#version = document.version
-    this.#asked = null
-    this.#host.takeDocument(document)
-    for (const link of this.#links.dialed) link.send({ type: 'gateway-hello', gateway: this.#host.id, version: this.#version })
+  #takeDocument (link: Link<RouteMessage>, packed: PackedDocument): void {
+    const { version, base, steps } = packed
+    const document = unpackDocument(packed, this.#held)
+    const ms = Math.round(this.#host.now() - this.#askedAt)
+    this.#host.log.info('document-received', { version, base, registry: link.peer, bytes: steps.length, ms, whole: document !== null })
+    this.#pull.noteAnswer()
+    this.#wantsWhole = document === null && version > this.#version
+    if (document !== null && version > this.#version) this.#adopt(document)
     this.#ask()
   }
 
+  #adopt (document: VersionedText): void {
+    this.#held = document
+    this.#host.takeDocument(document)
+    for (const link of this.#links.dialed) link.send({ type: 'gateway-hello', gateway: this.#host.id, version: document.version })
+  }
+
   #tick (): void {
     for (const [link, zone] of this.#zones) {
       if (this.#host.now() - link.heardAt < 2 * pulse.everyMs) this.#host.noteZone(zone)
@@ -170,25 +186,26 @@
     this.#ask()
   }
 
-  // Asks one of those that name the newest version; another one where it stays silent.
   #ask (): void {
     const now = this.#host.now()
-    const newest = Math.max(...this.#named.values())
-    if (newest <= this.#version || this.#firstNamedAt === null) return
-    if (this.#version === 0 && this.#named.size < this.#hosts.size && now - this.#firstNamedAt < settleMs) return
-    if (this.#asked !== null && this.#asked.version >= newest && now - this.#asked.at < askMs) return
-    const holders = [...this.#named].filter(([, version]) => version === newest).map(([link]) => link)
-    const chosen = this.#chooseHolder(holders)
-    if (!chosen.send({ type: 'ask-document', version: newest })) return
-    const why = this.#asked === null ? 'newer' : this.#asked.version < newest ? 'newer-meanwhile' : 'overdue'
-    this.#host.log.info('document-asked', { version: newest, held: this.#version, registry: chosen.peer, why })
-    this.#asked = { version: newest, at: now }
+    if (this.#isSettling(now)) return
+    const choice = this.#pull.choose(this.#version, now, this.#host.draw(), link => this.#look(link, now))
+    if (choice === null) return
+    const { holder, version, why } = choice
+    const held = this.#wantsWhole ? 0 : this.#version
+    this.#askedAt = now
+    this.#host.log.info('document-asked', { version, held, registry: holder.peer, why })
+    holder.send({ type: 'ask-document', held })
+  }
+
+  // At the start the others may still name a newer version.
+  #isSettling (now: number): boolean {
+    if (this.#firstNamedAt === null) return true
+    return this.#held === null && this.#pull.namedCount < this.#hosts.size && now - this.#firstNamedAt < settleMs
   }
 
-  // The own zone's first: bytes between zones are dear. A second try goes to another.
-  #chooseHolder (holders: readonly Link<RouteMessage>[]): Link<RouteMessage> {
-    const near = holders.find(link => this.#zones.get(link) === this.#host.zone)
-    if (near !== undefined && this.#asked === null) return near
-    return holders[Math.floor(this.#host.now()) % holders.length]
+  // Bytes between zones are dear.
+  #look (link: Link<RouteMessage>, now: number): HolderSight {
+    return { isHeard: link.isOpen && now - link.heardAt < nearMs, isNear: this.#zones.get(link) === this.#host.zone }
   }
 }
--- a/src/protocol/route-message.ts
+++ b/src/protocol/route-message.ts
@@ -4,6 +4,7 @@
  */
 import type { RaftMessage, ReplicaId, VersionedText } from '../coordination/index.js'
 import type { BoxId, EndpointId, EndpointRecord, ReadPrompt } from '../core/index.js'
+import type { PackedDocument } from './packed-document.js'
 
 /** How a document that a registry passed to the leader ended; `unknown`: it may be in force or not. */
 export type PutEnd = 'taken' | 'held' | 'unknown'
@@ -24,8 +25,9 @@
   | { readonly type: 'read-end', readonly call: number, readonly document: VersionedText | null, readonly sure: boolean }
   /** A document with this version is in force; it is sent when asked for. */
   | { readonly type: 'version', readonly version: number }
-  | { readonly type: 'ask-document', readonly version: number }
-  | { readonly type: 'document', readonly document: VersionedText }
+  /** Asks for the newest document; `held`: the version to tell it against, 0 where the whole is wanted. */
+  | { readonly type: 'ask-document', readonly held: number }
+  | { readonly type: 'document', readonly document: PackedDocument }
   /** Records of endpoints; `whole` where they are all that the sender has. */
   | { readonly type: 'endpoints', readonly records: readonly EndpointRecord[], readonly whole: boolean }
   /** Prompts that engines of the sender's zone hold, for a gateway that starts anew. */
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -13,6 +13,7 @@
 import { LinkPool } from '../protocol/index.js'
 import type { Dialect, Link, RouteMessage } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
+import { DocumentShelf } from './document-shelf.js'
 import { EndpointDesk, restoredMs } from './endpoint-desk.js'
 import { LeaderCalls } from './leader-calls.js'
 import { LoadHub } from './load-hub.js'
@@ -60,8 +61,8 @@
   #hub: LoadHub
   /** A gateway came that the others haven't been told of. */
   #hasNewGateways = false
-  /** The newest version that gateways were told of. */
-  #toldVersion = 0
+  /** What gateways are given: the document in force and those before it. */
+  #shelf = new DocumentShelf()
   #timers: NodeJS.Timeout[] = []
   port = 0
 
@@ -92,6 +93,8 @@
     this.#log = await this.#openLog()
     this.#calls = new LeaderCalls({ log: this.#log, findLink: replica => this.#links.find(getReplicaHost(replica), linkPort) })
     await this.#begin(this.#log)
+    // A snapshot is in force from the start; nobody tells of it.
+    this.#announce()
     this.port = await this.#desk.listen(parseAddress(listen))
     this.#timers.push(setInterval(() => this.#tick(), helloMs), setInterval(() => this.#tell(), tellMs))
     this.#around.log.info('registry-started', { replica: this.#log.id, formed: this.#log.isFormed })
@@ -285,7 +288,7 @@
       case 'read': return void this.#answerRead(link, message)
       case 'put-end':
       case 'read-end': return this.#calls?.receive(message)
-      case 'ask-document': return this.#sendDocument(link, message.version)
+      case 'ask-document': return this.#sendDocument(link, message.held)
       case 'endpoints': return this.#endpoints.merge(message.records)
       case 'heard': return this.#endpoints.noteHeard(message.words)
       case 'version':
@@ -298,8 +301,8 @@
   #noteGateway (link: Link<RouteMessage>, { gateway, version }: Extract<RouteMessage, { type: 'gateway-hello' }>): void {
     const isNew = !this.#gateways.has(link)
     this.#gateways.set(link, gateway)
-    const newest = this.#log?.state.routing.newest ?? null
-    if (isNew || (newest !== null && newest.version > version)) link.send({ type: 'version', version: newest?.version ?? 0 })
+    const newest = this.#shelf.newest?.version ?? 0
+    if (isNew || newest > version) link.send({ type: 'version', version: newest })
     if (!isNew) return
     // Changes are told only to gateways that are known: what came since the link opened is told here.
     link.send({ type: 'endpoints', records: this.#endpoints.records, whole: true })
@@ -320,9 +323,9 @@
     link.send({ type: 'read-end', call, sure, document: isNews ? document : null })
   }
 
-  #sendDocument (link: Link<RouteMessage>, version: number): void {
-    const newest = this.#log?.state.routing.newest ?? null
-    if (newest !== null && newest.version >= version) link.send({ type: 'document', document: newest })
+  #sendDocument (link: Link<RouteMessage>, held: number): void {
+    const document = this.#shelf.pack(held)
+    if (document !== null) link.send({ type: 'document', document })
   }
 
   #sendRaft (to: ReplicaId, message: Extract<RouteMessage, { type: 'raft' }>['message']): void {
@@ -334,8 +337,7 @@
 
   #announce (): void {
     const newest = this.#log?.state.routing.newest ?? null
-    if (newest === null || newest.version <= this.#toldVersion) return
-    this.#toldVersion = newest.version
+    if (newest === null || !this.#shelf.add(newest)) return
     this.#around.log.info('document-in-force', { version: newest.version, bytes: newest.text.length })
     this.#around.metrics.gauge('document-version', newest.version)
     this.#tellGateways({ type: 'version', version: newest.version })
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -126,6 +126,18 @@
   assert.equal((await place.ask('/once/x', { gateway: 1 })).status, 200)
 }))
 
+test('a registry that starts without a quorum tells gateways the document of its snapshot', () => withPlace(43, async place => {
+  for (let version = 1; version <= 45; version++) await place.putDocument(composeDocument(version))
+  for (let i = 0; i < 3; i++) place.registries[i]?.kill()
+  place.gateways[0].kill()
+  place.registries[1] = null
+  place.registries[2] = null
+  const registry = await place.startRegistry(0, false)
+  assert.ok((registry.keeperLog.store.stored.snapshot?.index ?? 0) > 1)
+  const gateway = await place.startGateway(0)
+  await until(() => (gateway.table?.version ?? 0) > 0, 'routes in force')
+}))
+
 test('a planned stop of a gateway cuts nothing, and tells callers to go elsewhere', () => withPlace(28, async place => {
   await place.putDocument(composeDocument(3))
   const endpoint = await place.addEndpoint('desk')
