--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -184,6 +184,7 @@
       id: brandId<BoxId>(id),
       zone: brandId<ZoneName>(zone),
       now,
+      draw: Math.random,
       takeDocument: document => this.#adopt(document),
       takePrompts: prompts => this.#fleet.notePrompts(prompts),
       takeRecords: records => this.#takeRecords(records),
@@ -231,6 +232,7 @@
   // Documents and endpoints.
 
   #adopt ({ version, text }: VersionedText): void {
+    const startedAt = now()
     let table
     try {
       table = new RouteTable(this.#around.dialect.decodeDocument(text))
@@ -247,7 +249,8 @@
     for (const { name } of services) {
       if (!this.#purses.has(name)) this.#purses.set(name, new RetryPurse({ ratio, extra, windowMs: windowSeconds * 1000 }))
     }
-    this.#around.log.info('routes-in-force', { version, routes: routes.length, services: services.length })
+    const readMs = Math.round(now() - startedAt)
+    this.#around.log.info('routes-in-force', { version, routes: routes.length, services: services.length, readMs })
     this.#around.metrics.gauge('document-version', version)
   }
 
