--- a/test/raft-node.test.ts
+++ b/test/raft-node.test.ts
@@ -90,3 +90,28 @@
   assert.ok(node.step({ type: 'read', at: 3_601_101, read: 1 }).some(effect => effect.type === 'readFailed'))
   assert.equal(findFault(node.step({ type: 'propose', at: 3_601_102, wall: 0, proposal: 2, command: 'x' })), 'not-leader')
 })
+
+/** Bytes don't come sooner for being sent again: how often a silent member may be sent the same in ten seconds, and what it needs. */
+const silentMembers: readonly { readonly name: string, readonly first: StoredLog, readonly match: number }[] = [
+  { name: 'entries', first: stored(), match: 2 },
+  { name: 'a snapshot', first: { hard: { term: 1, vote: null }, snapshot: { index: 9, term: 1, time: 0, members, state: 'large' }, entries: [] }, match: 10 }
+]
+
+for (const { name, first, match } of silentMembers) {
+  test(`a member that says nothing is sent ${name} less and less often, and at once when it lacks them and is back`, () => {
+    const node = new RaftNode(a, first, timing, () => 0.5, 0)
+    elect(node)
+    const isBulk = (effect: RaftEffect): boolean => effect.type === 'send' && effect.to === c && (effect.message.type === 'snapshot' || (effect.message.type === 'append' && effect.message.entries.length > 0))
+    // A member with an empty disk: what it lacks lies before the log where there is a snapshot.
+    receive(node, 1003, c, { type: 'appendReply', term: 2, ok: false, match: 1, round: 1 })
+    let sent = 0
+    for (let at = 1050; at <= 11_000; at += 50) {
+      sent += node.step({ type: 'tick', at }).filter(isBulk).length
+      acknowledge(node, at + 1, b, match)
+    }
+    assert.ok(sent >= 2 && sent <= 6, `${sent} times`)
+    const back = receive(node, 11_100, c, { type: 'appendReply', term: 2, ok: false, match: 1, round: 1 })
+    const next = [...back, ...Array.from({ length: 16 }, (_, i) => node.step({ type: 'tick', at: 11_110 + 50 * i })).flat()]
+    assert.ok(next.some(isBulk), 'sent when it is back')
+  })
+}
