--- /dev/null
+++ b/src/registry/gateway-roster.ts
@@ -0,0 +1,38 @@
+/** The gateways that are in touch with a registry, each by its links. */
+import type { BoxId } from '../core/index.js'
+import type { Link, RouteMessage } from '../protocol/index.js'
+
+export class GatewayRoster {
+  #gateways = new Map<Link<RouteMessage>, BoxId>()
+  #hasNews = false
+
+  /** Gateways in touch; one that dialed twice counts once. */
+  get count (): number { return new Set(this.#gateways.values()).size }
+
+  /** Notes that a gateway presented itself on a link; true where it is new there. */
+  note (link: Link<RouteMessage>, gateway: BoxId): boolean {
+    const isNew = !this.#gateways.has(link)
+    this.#gateways.set(link, gateway)
+    this.#hasNews ||= isNew
+    return isNew
+  }
+
+  /** Forgets a link that ended; gives the gateway whose it was, null where it was another box's. */
+  forget (link: Link<RouteMessage>): BoxId | null {
+    const gateway = this.#gateways.get(link) ?? null
+    this.#gateways.delete(link)
+    return gateway
+  }
+
+  /** Whether a gateway came since the last call. */
+  takeNews (): boolean {
+    const hasNews = this.#hasNews
+    this.#hasNews = false
+    return hasNews
+  }
+
+  /** Sends a message to all of them. */
+  tell (message: RouteMessage): void {
+    for (const link of this.#gateways.keys()) link.send(message)
+  }
+}
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -9,12 +9,13 @@
 import { KeeperLog, getReplicaHost } from '../coordination/index.js'
 import type { Members, ReplicaId } from '../coordination/index.js'
 import { brandId } from '../core/index.js'
-import type { BoxId, EndpointRecord, ReadPrompt } from '../core/index.js'
+import type { EndpointRecord, ReadPrompt } from '../core/index.js'
 import { LinkPool } from '../protocol/index.js'
 import type { Dialect, Link, RouteMessage } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import { DocumentShelf } from './document-shelf.js'
 import { EndpointDesk, restoredMs } from './endpoint-desk.js'
+import { GatewayRoster } from './gateway-roster.js'
 import { LeaderCalls } from './leader-calls.js'
 import { LoadHub } from './load-hub.js'
 import { MemberTender } from './member-tender.js'
@@ -57,10 +58,8 @@
   #hosts = new Set<string>()
   #seeds: readonly string[] = []
   #members: MemberTender
-  #gateways = new Map<Link<RouteMessage>, BoxId>()
+  #gateways = new GatewayRoster()
   #hub: LoadHub
-  /** A gateway came that the others haven't been told of. */
-  #hasNewGateways = false
   /** What gateways are given: the document in force and those before it. */
   #shelf = new DocumentShelf()
   #timers: NodeJS.Timeout[] = []
@@ -148,7 +147,8 @@
       lostMs: this.#settings.lostMs,
       now,
       spread: records => {
-        this.#tellAll({ type: 'endpoints', records, whole: false })
+        this.#gateways.tell({ type: 'endpoints', records, whole: false })
+        this.#tellRegistries({ type: 'endpoints', records, whole: false })
         this.#saved.saveRecords(this.#endpoints.records)
       },
       spreadHeard: words => this.#tellRegistries({ type: 'heard', words })
@@ -238,22 +238,19 @@
   }
 
   #noteClosed (link: Link<RouteMessage>): void {
-    const gateway = this.#gateways.get(link)
-    if (gateway === undefined) return
-    this.#gateways.delete(link)
-    this.#around.log.info('gateway-lost', { gateway })
+    const gateway = this.#gateways.forget(link)
+    if (gateway !== null) this.#around.log.info('gateway-lost', { gateway })
   }
 
   #tick (): void {
     for (const link of this.#links.dialed) this.#sendHello(link)
-    if (this.#hasNewGateways) this.#tellGateways(this.#composeBoxes())
-    this.#hasNewGateways = false
+    if (this.#gateways.takeNews()) this.#gateways.tell(this.#composeBoxes())
     if (this.#log !== null) void this.#members.tend(this.#log)
   }
 
   #tell (): void {
     this.#endpoints.tick()
-    this.#tellGateways(this.#composeBoxes())
+    this.#gateways.tell(this.#composeBoxes())
     this.#forgetSilent()
     this.#saved.savePrompts(this.#hub.prompts)
   }
@@ -265,7 +262,7 @@
   }
 
   #composeBoxes (): RouteMessage {
-    return { type: 'boxes', registries: [this.#settings.host, ...this.#hosts], gateways: new Set(this.#gateways.values()).size }
+    return { type: 'boxes', registries: [this.#settings.host, ...this.#hosts], gateways: this.#gateways.count }
   }
 
   #forgetSilent (): void {
@@ -299,8 +296,7 @@
   }
 
   #noteGateway (link: Link<RouteMessage>, { gateway, version }: Extract<RouteMessage, { type: 'gateway-hello' }>): void {
-    const isNew = !this.#gateways.has(link)
-    this.#gateways.set(link, gateway)
+    const isNew = this.#gateways.note(link, gateway)
     const newest = this.#shelf.newest?.version ?? 0
     if (isNew || newest > version) link.send({ type: 'version', version: newest })
     if (!isNew) return
@@ -308,7 +304,6 @@
     link.send({ type: 'endpoints', records: this.#endpoints.records, whole: true })
     link.send({ type: 'prompts', prompts: this.#listNearPrompts() })
     link.send(this.#composeBoxes())
-    this.#hasNewGateways = true
     this.#around.log.info('gateway-met', { gateway, version })
   }
 
@@ -340,22 +335,13 @@
     if (newest === null || !this.#shelf.add(newest)) return
     this.#around.log.info('document-in-force', { version: newest.version, bytes: newest.text.length })
     this.#around.metrics.gauge('document-version', newest.version)
-    this.#tellGateways({ type: 'version', version: newest.version })
-  }
-
-  #tellGateways (message: RouteMessage): void {
-    for (const link of this.#gateways.keys()) link.send(message)
+    this.#gateways.tell({ type: 'version', version: newest.version })
   }
 
   #tellRegistries (message: RouteMessage): void {
     for (const link of this.#links.dialed) link.send(message)
   }
 
-  #tellAll (message: RouteMessage): void {
-    this.#tellGateways(message)
-    this.#tellRegistries(message)
-  }
-
   #noteViolation (rule: string, detail: string): void {
     this.#around.metrics.count('violation', { rule })
     this.#around.log.error('violation', { rule, detail })
