No file imports itself by way of others, and a test that holds it; no change of behaviour

The circles: event-log and line-sink by the level of a line, endpoint-view with what planning and reading a prompt come to. Homes of prompts, which need engines, stand apart from what a prompt costs, which doesn't.

--- a/src/core/balance/prompt-plan.ts
+++ b/src/core/balance/prompt-plan.ts
@@ -2,13 +2,23 @@
  * How an engine comes by a prompt: what it keeps of it already, what it takes
  * from another engine, and what is left to read.
  */
+import type { EndpointId } from '../ids.js'
 import type { PromptTransfer } from '../routes/index.js'
-import type { EndpointView } from './endpoint-view.js'
+import type { EndpointRecord } from './endpoint-record.js'
+import type { PromptMemory } from './prompt-memory.js'
 import type { PromptCost } from './work.js'
 
+/** As much of an engine as it takes to plan for it. */
+export interface PromptPlace {
+  readonly id: EndpointId
+  readonly record: EndpointRecord
+  /** Time to read a token, ms. */
+  readonly paceMs: number
+}
+
 /** What an engine takes from another. */
 export interface PromptFetch {
-  readonly from: EndpointView
+  readonly from: PromptPlace
   /** Tokens beyond those that the taker keeps itself. */
   readonly tokens: number
   readonly ms: number
@@ -22,7 +32,7 @@
 
 /** An engine that keeps the beginning of a prompt, as far as is known. */
 export interface PromptHolder {
-  readonly view: EndpointView
+  readonly view: PromptPlace
   readonly tokens: number
 }
 
@@ -34,7 +44,7 @@
 const worthwhileShare = 0.5
 
 /** The engines that keep a part of the prompt, those that keep most first. `views` must be in good standing. */
-export function listHolders (views: readonly EndpointView[], cost: PromptCost): PromptHolder[] {
+export function listHolders (views: readonly (PromptPlace & { readonly kept: PromptMemory })[], cost: PromptCost): PromptHolder[] {
   return views
     .map(view => ({ view, tokens: view.kept.countHeld(cost.parts) }))
     .filter(({ tokens }) => tokens > 0)
@@ -42,7 +52,7 @@
 }
 
 /** What `view` would have to do for a prompt; `expectedRead`: what it would read by itself. */
-export function planPrompt (view: EndpointView, cost: PromptCost, expectedRead: number, holders: readonly PromptHolder[], transfer: PromptTransfer | null): PromptPlan {
+export function planPrompt (view: PromptPlace, cost: PromptCost, expectedRead: number, holders: readonly PromptHolder[], transfer: PromptTransfer | null): PromptPlan {
   const alone: PromptPlan = { readTokens: expectedRead, fetch: null }
   if (transfer === null) return alone
   const holder = pickHolder(view, holders)
@@ -54,7 +64,7 @@
 }
 
 // Of those that keep most, one of the own zone.
-function pickHolder (view: EndpointView, holders: readonly PromptHolder[]): PromptHolder | null {
+function pickHolder (view: PromptPlace, holders: readonly PromptHolder[]): PromptHolder | null {
   const others = holders.filter(holder => holder.view !== view)
   if (others.length === 0) return null
   const best = others.filter(holder => holder.tokens === others[0].tokens)
--- a/src/core/balance/prompt-reading.ts
+++ b/src/core/balance/prompt-reading.ts
@@ -1,10 +1,7 @@
 /**
- * What reading a prompt comes to: its shared part, the engine that holds it, the
+ * What reading a prompt comes to, whichever engine does it: its shared part, the
  * tokens that are left to read, and who bears the pauses beside it.
  */
-import { chooseByHash } from '../hash.js'
-import type { EndpointId } from '../ids.js'
-import type { EndpointView } from './endpoint-view.js'
 import type { PromptCost, PromptPart, Work } from './work.js'
 
 /** Tokens that an engine is believed to read at a time before its pauses were seen: what engines are commonly set to. */
@@ -14,9 +11,7 @@
 /** A pause must be this many times longer than one beside reading to be safe there: prompts that look back on much take longer to read. */
 const pauseMargin = 1.2
 /** Part of the shared tokens that an engine is believed to hold of a prompt that all boxes send there. */
-const homeShare = 0.7
-/** The same of the first home and of the second, to which some are sent when the first has much to read. */
-const homeShares = [homeShare, 0.3]
+export const homeShare = 0.7
 
 /** The pause beside reading before any was seen, ms: a piece for each token of an event. */
 export function guessPause (tokensPerEvent: number, paceMs: number): number {
@@ -51,20 +46,3 @@
 
 /** The parts that other requests may share: all but the last. */
 export function listShared (cost: PromptCost): readonly PromptPart[] { return cost.parts.slice(0, -1) }
-
-/** The engines to which all boxes send prompts that share their longest part: the first, and the one that takes what it can't. */
-export function findHomes (cost: PromptCost, engines: readonly EndpointView[]): EndpointId[] {
-  const shared = cost.parts.at(-2)
-  if (shared === undefined) return []
-  const ids = engines.map(view => view.id)
-  const first = chooseByHash(shared.id, ids)
-  const second = chooseByHash(shared.id, ids.filter(id => id !== first))
-  return [first, second].filter(id => id !== undefined)
-}
-
-/** Tokens that the engine is expected to read; homes are believed to hold a part of what is shared, the first one most of it. */
-export function expectRead (view: EndpointView, cost: PromptCost, homes: readonly EndpointId[]): number {
-  const held = view.prompts.countHeld(cost.parts)
-  const believed = countShared(cost) * (homeShares[homes.indexOf(view.id)] ?? 0)
-  return cost.promptTokens - Math.max(held, believed)
-}
--- a/src/runtime/event-log.ts
+++ b/src/runtime/event-log.ts
@@ -2,13 +2,11 @@
 import { HybridClock, formatTime } from './hybrid-clock.js'
 import { StandardSink } from './line-sink.js'
 import type { LineSink } from './line-sink.js'
+import type { LogLevel } from './log-level.js'
 
 /** A value of an event's line. */
 export type EventValue = string | number | boolean | null | undefined
 
-/** How much an event matters. */
-export type LogLevel = 'info' | 'warn' | 'error'
-
 /** The keys and values of one event. */
 export type EventFields = Readonly<Record<string, EventValue>>
 
--- a/src/runtime/line-sink.ts
+++ b/src/runtime/line-sink.ts
@@ -4,7 +4,7 @@
  * second leaves out ordinary successes first; what was left out is told.
  */
 import sonic from 'sonic-boom'
-import type { LogLevel } from './event-log.js'
+import type { LogLevel } from './log-level.js'
 
 /** Bytes that may wait for a reader that has stalled. */
 const mostWaiting = 512 * 1024
--- /dev/null
+++ b/src/runtime/log-level.ts
@@ -0,0 +1,2 @@
+/** How much an event matters. */
+export type LogLevel = 'info' | 'warn' | 'error'
--- a/test/layers.test.ts
+++ b/test/layers.test.ts
@@ -50,3 +50,26 @@
     }
   }
 })
+
+/** The files that a file imports, by their paths in `src`; what is imported for its types alone counts too. */
+function listImports (file: string): string[] {
+  const paths = [...readFileSync(file, 'utf8').matchAll(/from '(\.[^']+)\.js'/g)]
+  return paths.map(([, path]) => `${join(file, '..', path)}.ts`)
+}
+
+/** A way along imports from a file back to itself; null where there is none. */
+function findCircle (file: string, way: readonly string[], done: Set<string>): string[] | null {
+  if (way.includes(file)) return [...way.slice(way.indexOf(file)), file]
+  if (done.has(file)) return null
+  for (const next of listImports(file)) {
+    const circle = findCircle(next, [...way, file], done)
+    if (circle !== null) return circle
+  }
+  done.add(file)
+  return null
+}
+
+test('no file imports itself by way of others', () => {
+  const done = new Set<string>()
+  for (const file of listFiles('src')) assert.equal(findCircle(file, [], done)?.join(' -> ') ?? null, null)
+})
