--- a/src/bin/capacity.ts
+++ b/src/bin/capacity.ts
@@ -3,7 +3,7 @@
 import { readFileSync, writeFileSync } from 'node:fs'
 import { cpus, totalmem } from 'node:os'
 import sade from 'sade'
-import { fitSamples, formatDataPath, formatFailures, formatKeepers, formatNodeBytes, formatNodeCore, formatNodeMemory, formatSlopes, measureChangeBytes, measureChangeMemory, measureChangeTime, measureClaimMemory, measureClaimTime, measureConfigMemory, measureDecision, measureEngineMemory, measureLoads, measureLogBytes, measureMembers, measureParting, measurePollBytes, measureRemoteRequest, measureRequestMemory, measureRestart, measureSnapshot, measureSyncs, measureWatch, readSamples, target } from '../capacity/index.js'
+import { fitSamples, formatDataPath, formatFailures, formatKeepers, formatNodeBytes, formatNodeCore, formatNodeMemory, formatSlopes, measureChangeBytes, measureChangeMemory, measureChangeTime, measureClaimMemory, measureClaimTime, measureConfigMemory, measureDecision, measureDocuments, measureEngineMemory, measureLoads, measureLogBytes, measureMembers, measureParting, measurePollBytes, measureRemoteRequest, measureRequestMemory, measureRestart, measureSnapshot, measureSyncs, measureWatch, readSamples, target } from '../capacity/index.js'
 import type { Measured, Slope } from '../capacity/index.js'
 import { measureRemoteShare } from '../measure/index.js'
 import { endWith, readVersion, usageExit } from './program.js'
@@ -23,6 +23,7 @@
   members: { sizes: [10, 30, 100, 300, 600], measure: sizes => measureMembers(sizes) },
   loads: { sizes: [0, 16, 32, 64], measure: sizes => [measureLoads(sizes)] },
   changes: { sizes: [600, 1200, 2400, 4800], measure: sizes => [measureChangeTime(sizes), measureConfigMemory(sizes)] },
+  documents: { sizes: [350, 1400, 4200, 10_000], measure: sizes => measureDocuments(sizes) },
   engines: { sizes: [32, 65, 250, 1000], measure: sizes => [measureEngineMemory(sizes)] },
   requests: { sizes: [250, 500, 1000, 2000], measure: sizes => [measureRequestMemory(sizes)] },
   claims: { sizes: [5000, 10_000, 20_000, 40_000], measure: sizes => [measureClaimMemory(sizes), measureClaimTime(sizes)] },
--- /dev/null
+++ b/src/capacity/measure-documents.ts
@@ -0,0 +1,52 @@
+/** Slopes of routing documents on their way from a registry to a gateway, by routes. */
+import { createHash } from 'node:crypto'
+import type { VersionedText } from '../coordination/index.js'
+import { encodeValue, nativeDialect, packDocument, unpackDocument } from '../protocol/index.js'
+import { measureSlope } from './slope.js'
+import type { Slope } from './slope.js'
+import { timeEach } from './timing.js'
+
+/** Times that each step is done for a figure of time. */
+const runs = 10
+
+function draw (seed: string): string { return createHash('sha256').update(seed).digest('hex').slice(0, 10) }
+
+/** A document whose names are as little alike as an operator's; `changed` routes have another time-out. */
+function composeDocument (version: number, count: number, changed: number): VersionedText {
+  const routes = Array.from({ length: count }, (_, i) => ({
+    name: `r-${draw(`name ${i}`)}`,
+    host: 'camp.example',
+    prefix: `/${draw(`prefix ${i}`)}/`,
+    kind: 'events',
+    timeoutMs: i < changed ? 12_000 : 15_000,
+    targetMs: 2000,
+    pauseMs: 500,
+    priority: 2,
+    services: [{ service: 'assistant', weight: 1 }],
+    mostAttempts: 2,
+    public: false,
+    resumable: false
+  }))
+  return { version, text: JSON.stringify({ version, routes, services: [{ name: 'assistant' }], workspaces: [{ name: 'camp', keys: ['a key'] }] }) }
+}
+
+/** Bytes over a gateway's link, and time of one change at both ends, by routes. */
+export function measureDocuments (sizes: readonly number[]): Slope[] {
+  const read = (size: number) => {
+    const older = composeDocument(1, size, 0)
+    const newer = composeDocument(2, size, 1)
+    return { older, newer, change: packDocument(newer, older) }
+  }
+  return [
+    measureSlope('document-bytes', 'routes', 'bytes, whole', sizes, size => encodeValue(packDocument(read(size).newer, null)).length),
+    measureSlope('document-change-bytes', 'routes', 'bytes, one route changed', sizes, size => encodeValue(read(size).change).length),
+    measureSlope('document-pack', 'routes', 'µs to pack one change', sizes, size => {
+      const { older, newer } = read(size)
+      return timeEach(runs, () => { for (let i = 0; i < runs; i++) packDocument(newer, older) })
+    }),
+    measureSlope('document-take', 'routes', 'µs to unpack and read one change', sizes, size => {
+      const { older, change } = read(size)
+      return timeEach(runs, () => { for (let i = 0; i < runs; i++) nativeDialect.decodeDocument(unpackDocument(change, older)?.text ?? '') })
+    })
+  ]
+}
