--- a/src/gateway/registry-follower.ts
+++ b/src/gateway/registry-follower.ts
@@ -73,7 +73,7 @@
   #zones = new Map<Link<RouteMessage>, ZoneName>()
   #pull = new DocumentPull<Link<RouteMessage>>(patience)
   #held: VersionedText | null = null
-  /** What came last could not be made out of the document held: the whole is asked for. */
+  /** What came last was told against the document held, yet could not be made out: the whole is asked for. */
   #wantsWhole = false
   #askedAt = 0
   #firstNamedAt: number | null = null
@@ -166,9 +166,9 @@
     const { version, base, steps } = packed
     const document = unpackDocument(packed, this.#held)
     const ms = Math.round(this.#host.now() - this.#askedAt)
-    this.#host.log.info('document-received', { version, base, registry: link.peer, bytes: steps.length, ms, whole: document !== null })
+    this.#host.log.info('document-received', { version, base, registry: link.peer, bytes: steps.length, ms, usable: document !== null })
     this.#pull.noteAnswer()
-    this.#wantsWhole = document === null && version > this.#version
+    this.#wantsWhole = document === null && base === this.#version
     if (document !== null && version > this.#version) this.#adopt(document)
     this.#ask()
   }
