--- /dev/null
+++ b/test/registry-follower.test.ts
@@ -0,0 +1,102 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { VersionedText } from '../src/coordination/index.js'
+import { brandId } from '../src/core/index.js'
+import { RegistryFollower } from '../src/gateway/registry-follower.js'
+import { LinkPool, packDocument } from '../src/protocol/index.js'
+import type { Link, PackedDocument, RouteMessage } from '../src/protocol/index.js'
+import { EventLog } from '../src/runtime/index.js'
+import { until } from './support/deployment.js'
+
+const host = '127.44.0.1'
+const linkPort = 7000
+
+const compose = (version: number): VersionedText => ({ version, text: JSON.stringify({ version, routes: [{ name: `r-${version}` }, { name: 'kept' }] }) })
+
+/** A follower before a registry that the test plays. */
+class Stage {
+  readonly asked: number[] = []
+  readonly taken: number[] = []
+  #links: LinkPool<RouteMessage>
+  #follower: RegistryFollower
+  #link: Link<RouteMessage> | null = null
+
+  private constructor () {
+    const log = new EventLog('test', () => {})
+    const nothing = (): void => {}
+    this.#links = new LinkPool<RouteMessage>({
+      id: 'registry',
+      secret: null,
+      clock: log.clock,
+      receive: (link, message) => this.#receive(link, message),
+      noteOpen: nothing,
+      noteClosed: nothing,
+      noteFault: nothing
+    })
+    this.#follower = new RegistryFollower({
+      log,
+      secret: null,
+      linkPort,
+      id: brandId('gateway'),
+      zone: brandId('zone-a'),
+      now: () => performance.now(),
+      draw: () => 0,
+      takeDocument: ({ version, text }) => {
+        assert.equal(text, compose(version).text)
+        this.taken.push(version)
+      },
+      takePrompts: nothing,
+      takeRecords: nothing,
+      takeGatewayCount: nothing,
+      noteZone: nothing
+    })
+  }
+
+  static async run (play: (stage: Stage) => Promise<void>): Promise<void> {
+    const stage = new Stage()
+    await stage.#links.listen(host, linkPort)
+    stage.#follower.start([`${host}:1`])
+    try {
+      await until(() => stage.#link !== null, 'the follower presents itself')
+      await play(stage)
+    } finally {
+      stage.#follower.close()
+      stage.#links.close()
+    }
+  }
+
+  name (version: number): void { this.#link?.send({ type: 'version', version }) }
+  give (document: PackedDocument): void { this.#link?.send({ type: 'document', document }) }
+
+  #receive (link: Link<RouteMessage>, message: RouteMessage): void {
+    if (message.type === 'gateway-hello') this.#link = link
+    if (message.type === 'ask-document') this.asked.push(message.held)
+  }
+}
+
+test('versions that are named while an answer is on its way are not asked for, and told against what came', () => Stage.run(async stage => {
+  stage.name(3)
+  await until(() => stage.asked.length === 1, 'the first asked for')
+  for (const version of [4, 5, 6]) stage.name(version)
+  stage.give(packDocument(compose(3), null))
+  await until(() => stage.asked.length === 2, 'the newest asked for')
+  stage.give(packDocument(compose(6), compose(3)))
+  await until(() => stage.taken.length === 2, 'both taken')
+  assert.deepEqual([stage.asked, stage.taken], [[0, 3], [3, 6]])
+}))
+
+test('a document that can\'t be made out is asked for whole, and one told against an older version for what changed', () => Stage.run(async stage => {
+  stage.name(3)
+  await until(() => stage.asked.length === 1, 'the first asked for')
+  stage.give(packDocument(compose(3), null))
+  await until(() => stage.taken.length === 1, 'the first taken')
+  stage.name(4)
+  await until(() => stage.asked.length === 2, 'the change asked for')
+  stage.give({ ...packDocument(compose(4), compose(3)), digest: Buffer.alloc(32) })
+  await until(() => stage.asked.length === 3, 'asked again')
+  stage.give(packDocument(compose(4), compose(2)))
+  await until(() => stage.asked.length === 4, 'asked once more')
+  stage.give(packDocument(compose(4), compose(3)))
+  await until(() => stage.taken.length === 2, 'the second taken')
+  assert.deepEqual([stage.asked, stage.taken], [[0, 3, 0, 3], [3, 4]])
+}))
