Cut the log by bytes as well as by entries

Cause: the log was cut after `snapshotEvery` entries alone, each of which may hold a whole document.

--- a/src/config/route-settings.ts
+++ b/src/config/route-settings.ts
@@ -57,7 +57,7 @@
   faults: whole('Boxes with a disk that may be lost at once.', 'boxes', 0, 10, 1),
   heartbeatMs: whole('Time between heartbeats of the leader.', 'ms', 10, 10_000, 70),
   electionMs: whole('Shortest time without a heartbeat before an election.', 'ms', 50, 60_000, 350),
-  snapshotEvery: whole('Entries of the log between snapshots; each may hold a whole document.', 'entries', 10, 1_000_000, 100),
+  snapshotEvery: whole('Entries of the log between snapshots; fewer where they hold large documents.', 'entries', 10, 1_000_000, 100),
   lostMs: whole('An endpoint that was silent for so long counts as lost.', 'ms', 1000, 24 * 3_600_000, 30_000),
   maxBodyBytes: whole('Largest body of a call.', 'bytes', 1024, 256 * 2 ** 20, 16 * 2 ** 20)
 }
--- a/src/coordination/log/log-store.ts
+++ b/src/coordination/log/log-store.ts
@@ -26,6 +26,10 @@
 
 const identityFile = 'identity.json'
 const snapshotFile = 'snapshot'
+/** A log of fewer bytes is never cut for its size: writing a snapshot costs two syncs more. */
+const leastGrownBytes = 16 * 2 ** 20
+/** Beyond that it may hold so many times what its snapshot does, so that snapshots cost no more than a part of what is written. */
+const grownTimes = 2
 const noHard: HardState = { term: 0, vote: null }
 
 export class LogStore {
@@ -36,6 +40,7 @@
   #file: FileHandle
   #generation: number
   #length: number
+  #snapshotBytes = 0
   #patience: DiskPatience | null
   #closed = false
 
@@ -73,6 +78,9 @@
     return new LogStore(folder, id, list, hard, file, generation, length, patience)
   }
 
+  /** True where the log has grown far beyond its snapshot, in bytes. */
+  get isGrown (): boolean { return this.#length > Math.max(leastGrownBytes, this.#snapshotBytes * grownTimes) }
+
   /** Everything that is stored, for a replica that starts. */
   get stored (): StoredLog {
     return { hard: this.#hard, snapshot: this.#list.snapshot, entries: this.#list.slice(this.#list.base + 1, Infinity) }
@@ -130,7 +138,9 @@
 
   // The snapshot is in place before the log that lacks its entries is.
   async #rewrite (snapshot: Snapshot): Promise<void> {
-    await writeWhole(this.folder, snapshotFile, sealSnapshot(snapshot))
+    const sealed = sealSnapshot(snapshot)
+    await writeWhole(this.folder, snapshotFile, sealed)
+    this.#snapshotBytes = sealed.length
     const records: LogRecord[] = [{ type: 'mark', synced: 0 }, { type: 'hard', hard: this.#hard }]
     for (const entry of this.#list.slice(this.#list.base + 1, Infinity)) records.push({ type: 'entry', entry })
     const bytes = Buffer.concat(records.map(encodeRecord))
--- a/src/coordination/log/replica.ts
+++ b/src/coordination/log/replica.ts
@@ -17,6 +17,8 @@
 export interface ReplicaStore {
   readonly id: ReplicaId
   readonly stored: StoredLog
+  /** True where the log is so large that a snapshot is due, however few its entries. */
+  readonly isGrown: boolean
   persist (effects: readonly PersistEffect[]): Promise<void>
 }
 
@@ -34,7 +36,7 @@
 export interface ReplicaHost {
   readonly machine: ReplicatedMachine
   readonly timing: RaftTiming
-  /** A snapshot is taken after so many entries. */
+  /** A snapshot is taken after so many entries, or once the store calls its log grown. */
   readonly snapshotEvery: number
   send (to: ReplicaId, message: RaftMessage): void
   /** A clock that only rises, ms. */
@@ -306,7 +308,8 @@
 
   #compact (persists: PersistEffect[]): void {
     const { node } = this
-    if (node.compactable < this.#host.snapshotEvery) return
+    const isDue = node.compactable >= this.#host.snapshotEvery || (node.compactable > 0 && this.#store.isGrown)
+    if (!isDue) return
     const state = this.#host.machine.save()
     this.#step({ type: 'compact', at: this.#host.now(), index: node.appliedIndex, state }, persists)
   }
