--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -13,7 +13,7 @@
 export { DocumentRegister } from './ledger/document-register.js'
 export type { DocumentCommand, DocumentResult, VersionedText } from './ledger/document-register.js'
 export { DocumentPull } from './spread/document-pull.js'
-export type { HolderSight, PullChoice, PullPatience, PullReason } from './spread/document-pull.js'
+export type { HolderState, PullChoice, PullPatience, PullReason } from './spread/document-pull.js'
 export { applySteps, compareTexts } from './spread/text-patch.js'
 export type { PatchStep } from './spread/text-patch.js'
 export { OrderBook } from './orders/order-book.js'
--- a/src/coordination/spread/document-pull.ts
+++ b/src/coordination/spread/document-pull.ts
@@ -17,7 +17,7 @@
 }
 
 /** A holder of a document, as its asker sees it now. */
-export interface HolderSight {
+export interface HolderState {
   /** Something came from it just now, so that what it sends still comes. */
   readonly isHeard: boolean
   /** It is cheaper to ask than the others. */
@@ -75,7 +75,7 @@
    * to be asked. What is given counts as asked. `draw`, from 0 up to 1, parts
    * holders that are alike.
    */
-  choose (held: number, at: number, draw: number, look: (holder: Holder) => HolderSight): PullChoice<Holder> | null {
+  choose (held: number, at: number, draw: number, look: (holder: Holder) => HolderState): PullChoice<Holder> | null {
     const why = this.#explain(at, look)
     if (why === null) return null
     if (why !== 'newer' && this.#asked !== null) this.#vain.add(this.#asked.holder)
@@ -87,7 +87,7 @@
   }
 
   // Null while the one that was asked is waited for.
-  #explain (at: number, look: (holder: Holder) => HolderSight): PullReason | null {
+  #explain (at: number, look: (holder: Holder) => HolderState): PullReason | null {
     if (this.#asked === null) return 'newer'
     const { holder, at: askedAt, patienceMs } = this.#asked
     if (!this.#named.has(holder)) return 'ended'
@@ -103,7 +103,7 @@
 }
 
 // The newest version first, then those not asked in vain, then the near ones, then by lot.
-function pickHolder<Holder> (able: readonly (readonly [Holder, number])[], vain: ReadonlySet<Holder>, draw: number, look: (holder: Holder) => HolderSight): Holder | null {
+function pickHolder<Holder> (able: readonly (readonly [Holder, number])[], vain: ReadonlySet<Holder>, draw: number, look: (holder: Holder) => HolderState): Holder | null {
   const newest = Math.max(...able.map(([, version]) => version))
   let holders = able.filter(([, version]) => version === newest).map(([holder]) => holder)
   holders = pickThose(holders, holder => !vain.has(holder))
--- a/src/gateway/registry-follower.ts
+++ b/src/gateway/registry-follower.ts
@@ -5,7 +5,7 @@
  */
 import { parseAddress } from '../config/index.js'
 import { DocumentPull } from '../coordination/index.js'
-import type { HolderSight, PullPatience, VersionedText } from '../coordination/index.js'
+import type { HolderState, PullPatience, VersionedText } from '../coordination/index.js'
 import { brandId } from '../core/index.js'
 import type { BoxId, EndpointRecord, ReadPrompt, ZoneName } from '../core/index.js'
 import { LinkPool, unpackDocument } from '../protocol/index.js'
@@ -205,7 +205,7 @@
   }
 
   // Bytes between zones are dear.
-  #look (link: Link<RouteMessage>, now: number): HolderSight {
+  #look (link: Link<RouteMessage>, now: number): HolderState {
     return { isHeard: link.isOpen && now - link.heardAt < nearMs, isNear: this.#zones.get(link) === this.#host.zone }
   }
 }
--- a/src/registry/document-shelf.ts
+++ b/src/registry/recent-documents.ts
@@ -10,7 +10,7 @@
 /** Characters of the older documents that are kept, in all: some forty documents of 1,400 routes. */
 const keptCharacters = 16 * 2 ** 20
 
-export class DocumentShelf {
+export class RecentDocuments {
   #newest: VersionedText | null = null
   /** Those before it, the newest last. */
   #older: VersionedText[] = []
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -13,7 +13,7 @@
 import { LinkPool } from '../protocol/index.js'
 import type { Dialect, Link, RouteMessage } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
-import { DocumentShelf } from './document-shelf.js'
+import { RecentDocuments } from './recent-documents.js'
 import { EndpointDesk, restoredMs } from './endpoint-desk.js'
 import { GatewayRoster } from './gateway-roster.js'
 import { LeaderCalls } from './leader-calls.js'
@@ -61,7 +61,7 @@
   #gateways = new GatewayRoster()
   #hub: LoadHub
   /** What gateways are given: the document in force and those before it. */
-  #shelf = new DocumentShelf()
+  #recent = new RecentDocuments()
   #timers: NodeJS.Timeout[] = []
   port = 0
 
@@ -297,7 +297,7 @@
 
   #noteGateway (link: Link<RouteMessage>, { gateway, version }: Extract<RouteMessage, { type: 'gateway-hello' }>): void {
     const isNew = this.#gateways.note(link, gateway)
-    const newest = this.#shelf.newest?.version ?? 0
+    const newest = this.#recent.newest?.version ?? 0
     if (isNew || newest > version) link.send({ type: 'version', version: newest })
     if (!isNew) return
     // Changes are told only to gateways that are known: what came since the link opened is told here.
@@ -319,7 +319,7 @@
   }
 
   #sendDocument (link: Link<RouteMessage>, held: number): void {
-    const document = this.#shelf.pack(held)
+    const document = this.#recent.pack(held)
     if (document !== null) link.send({ type: 'document', document })
   }
 
@@ -332,7 +332,7 @@
 
   #announce (): void {
     const newest = this.#log?.state.routing.newest ?? null
-    if (newest === null || !this.#shelf.add(newest)) return
+    if (newest === null || !this.#recent.add(newest)) return
     this.#around.log.info('document-in-force', { version: newest.version, bytes: newest.text.length })
     this.#around.metrics.gauge('document-version', newest.version)
     this.#gateways.tell({ type: 'version', version: newest.version })
--- a/test/document-pull.test.ts
+++ b/test/document-pull.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { DocumentPull } from '../src/coordination/index.js'
-import type { HolderSight, PullReason } from '../src/coordination/index.js'
+import type { HolderState, PullReason } from '../src/coordination/index.js'
 
 type Step =
   | { readonly at: number, readonly named: string, readonly version: number }
@@ -61,7 +61,7 @@
     const pull = new DocumentPull<string>(patience)
     const silent = new Set<string>()
     let held = 0
-    const look = (holder: string): HolderSight => ({ isHeard: !silent.has(holder), isNear: holder.startsWith('near') })
+    const look = (holder: string): HolderState => ({ isHeard: !silent.has(holder), isNear: holder.startsWith('near') })
     for (const step of steps) {
       if ('named' in step) pull.noteNamed(step.named, step.version)
       else if ('ended' in step) pull.forget(step.ended)
--- a/test/document-shelf.test.ts
+++ b/test/recent-documents.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { unpackDocument } from '../src/protocol/index.js'
-import { DocumentShelf } from '../src/registry/document-shelf.js'
+import { RecentDocuments } from '../src/registry/recent-documents.js'
 
 const compose = (version: number, size = 10): { version: number, text: string } => ({ version, text: JSON.stringify({ version, filler: 'x'.repeat(size) }) })
 const large = 5 * 2 ** 20
@@ -19,21 +19,21 @@
 
 for (const { name, sizes, held, base } of cases) {
   test(`what is told: ${name}`, () => {
-    const shelf = new DocumentShelf()
+    const recent = new RecentDocuments()
     const documents = sizes.map((size, i) => compose(i + 1, size))
-    for (const document of documents) assert.ok(shelf.add(document))
-    const packed = shelf.pack(held)
+    for (const document of documents) assert.ok(recent.add(document))
+    const packed = recent.pack(held)
     assert.equal(packed?.base ?? null, base)
     if (packed === null) return
     const older = documents.find(({ version }) => version === held) ?? null
     assert.deepEqual(unpackDocument(packed, older), documents[documents.length - 1])
-    assert.equal(shelf.pack(held), packed)
+    assert.equal(recent.pack(held), packed)
   })
 }
 
 test('one that isn\'t newer changes nothing', () => {
-  const shelf = new DocumentShelf()
-  assert.ok(shelf.add(compose(2)))
-  for (const version of [1, 2]) assert.equal(shelf.add(compose(version, 99)), false)
-  assert.deepEqual(shelf.newest, compose(2))
+  const recent = new RecentDocuments()
+  assert.ok(recent.add(compose(2)))
+  for (const version of [1, 2]) assert.equal(recent.add(compose(version, 99)), false)
+  assert.deepEqual(recent.newest, compose(2))
 })
