--- a/test/document-spread.test.ts
+++ b/test/document-spread.test.ts
@@ -18,10 +18,10 @@
 function draw (seed: string): string { return createHash('sha256').update(seed).digest('hex').slice(0, 12) }
 
 /** A document with many routes, whose names are as little alike as real ones. */
-function composeLarge (version: number, count: number, timeoutMs = 1500): TestDocument {
+function composeLarge (version: number, count: number): TestDocument {
   const small = composeDocument(version)
   const more = Array.from({ length: count }, (_, i) => ({
-    name: `r-${draw(`name ${i}`)}`, host: 'camp.example', prefix: `/${draw(`prefix ${i}`)}/`, kind: 'repeatable', timeoutMs, targetMs: 300, mostAttempts: 2, services: [{ service: 'desk' }], public: false, resumable: false
+    name: `r-${draw(`name ${i}`)}`, host: 'camp.example', prefix: `/${draw(`prefix ${i}`)}/`, kind: 'repeatable', timeoutMs: 1500, targetMs: 300, mostAttempts: 2, services: [{ service: 'desk' }], public: false, resumable: false
   }))
   return { ...small, routes: [...small.routes, ...more] }
 }
