--- a/src/coordination/log/raft-node.ts
+++ b/src/coordination/log/raft-node.ts
@@ -16,10 +16,7 @@
 
 const entriesPerMessage = 256
 const pipelinedEntries = 2048
-/** What a member did not acknowledge is sent again after this, ms: some round trips and a sync. */
-const firstResendMs = 500
-/** Each time in vain it takes twice as long, up to this, ms: what is large may still be on its way, and would then come twice. */
-const longestResendMs = 8000
+const resendMs = 500
 
 interface Progress {
   next: number
@@ -27,8 +24,6 @@
   round: number
   heardAt: number
   sentAt: number
-  /** Time after which it is sent again, ms. */
-  resendMs: number
 }
 
 interface PendingRead {
@@ -285,11 +280,8 @@
 
   #replicate (to: ReplicaId, heartbeat: boolean): void {
     const progress = this.#progressOf(to)
-    const lost = progress.next > progress.match + 1 && this.#now - progress.sentAt > progress.resendMs
-    if (heartbeat && lost) {
-      progress.next = progress.match + 1
-      waitLonger(progress)
-    }
+    const lost = progress.next > progress.match + 1 && this.#now - progress.sentAt > resendMs
+    if (heartbeat && lost) progress.next = progress.match + 1
     if (progress.next <= this.#log.base) return this.#sendSnapshot(to, progress, heartbeat)
     const room = progress.match + pipelinedEntries - progress.next + 1
     const entries = this.#log.slice(progress.next, Math.max(0, Math.min(entriesPerMessage, room)))
@@ -305,12 +297,11 @@
   #sendSnapshot (to: ReplicaId, progress: Progress, heartbeat: boolean): void {
     const snapshot = this.#log.snapshot
     if (snapshot === null) return
-    if (this.#now - progress.sentAt < progress.resendMs) {
+    if (this.#now - progress.sentAt < resendMs) {
       if (!heartbeat) return
       const beat: RaftMessage = { type: 'append', term: this.#hard.term, prevIndex: this.#log.lastIndex + 1, prevTerm: -1, entries: [], commit: 0, round: this.#round }
       return this.#send(to, beat, true)
     }
-    if (progress.sentAt > -Infinity) waitLonger(progress)
     progress.sentAt = this.#now
     this.#send(to, { type: 'snapshot', term: this.#hard.term, snapshot, round: this.#round }, true)
   }
@@ -319,8 +310,6 @@
     if (message.term > this.#hard.term) return this.#follow(message.term, null)
     if (this.#role !== 'leader' || message.term < this.#hard.term) return
     const progress = this.#progressOf(from)
-    // What was sent to a member that fell silent may be lost with its link.
-    if (this.#now - progress.heardAt > firstResendMs) progress.resendMs = firstResendMs
     progress.heardAt = this.#now
     progress.round = Math.max(progress.round, message.round)
     if (message.ok) this.#noteMatch(from, progress, message.match)
@@ -334,7 +323,6 @@
     if (match > this.#log.lastIndex) {
       return this.#violate('log-matching', `${from} matches ${match} past ${this.#log.lastIndex}`)
     }
-    if (match > progress.match) progress.resendMs = firstResendMs
     progress.match = Math.max(progress.match, match)
     progress.next = Math.max(progress.next, progress.match + 1)
     this.#advanceCommit()
@@ -505,7 +493,7 @@
   #progressOf (id: ReplicaId): Progress {
     const known = this.#progress.get(id)
     if (known !== undefined) return known
-    const made: Progress = { next: this.#log.lastIndex + 1, match: 0, round: 0, heardAt: this.#now, sentAt: -Infinity, resendMs: firstResendMs }
+    const made: Progress = { next: this.#log.lastIndex + 1, match: 0, round: 0, heardAt: this.#now, sentAt: -Infinity }
     this.#progress.set(id, made)
     return made
   }
@@ -534,7 +522,3 @@
 function assertNever (value: never): never {
   throw new Error(`unexpected ${JSON.stringify(value)}`)
 }
-
-function waitLonger (progress: Progress): void {
-  progress.resendMs = Math.min(longestResendMs, progress.resendMs * 2)
-}
