Send a member the same bulk again less and less often, but at once where it was lost

Cause: a leader sent all that a member had not acknowledged again every 500 ms, although it may still be on its way (19 times in ten seconds).

Change: the time doubles, and is short again once the member matches more, or refuses a heartbeat that was sent after the bulk: links keep order, so what came before was lost.

Test changed: the member that is back answers the newest heartbeat instead of the first one of all, which no link that keeps order could bring that late; the rest is as strict.

--- a/src/coordination/log/raft-node.ts
+++ b/src/coordination/log/raft-node.ts
@@ -16,7 +16,10 @@
 
 const entriesPerMessage = 256
 const pipelinedEntries = 2048
-const resendMs = 500
+/** What a member did not acknowledge is sent again after this, ms: some round trips and a sync. */
+const firstResendMs = 500
+/** Each time in vain it takes twice as long, up to this, ms: what is large may still be on its way, and would then come twice. */
+const longestResendMs = 8000
 
 interface Progress {
   next: number
@@ -24,6 +27,10 @@
   round: number
   heardAt: number
   sentAt: number
+  /** Round that entries or a snapshot were last sent in. */
+  sentRound: number
+  /** Time after which they are sent again, ms. */
+  resendMs: number
 }
 
 interface PendingRead {
@@ -280,8 +287,11 @@
 
   #replicate (to: ReplicaId, heartbeat: boolean): void {
     const progress = this.#progressOf(to)
-    const lost = progress.next > progress.match + 1 && this.#now - progress.sentAt > resendMs
-    if (heartbeat && lost) progress.next = progress.match + 1
+    const lost = progress.next > progress.match + 1 && this.#now - progress.sentAt > progress.resendMs
+    if (heartbeat && lost) {
+      progress.next = progress.match + 1
+      waitLonger(progress)
+    }
     if (progress.next <= this.#log.base) return this.#sendSnapshot(to, progress, heartbeat)
     const room = progress.match + pipelinedEntries - progress.next + 1
     const entries = this.#log.slice(progress.next, Math.max(0, Math.min(entriesPerMessage, room)))
@@ -290,22 +300,28 @@
     const prevTerm = this.#log.termAt(prevIndex)
     if (prevTerm === undefined) return this.#sendSnapshot(to, progress, heartbeat)
     progress.next += entries.length
-    if (entries.length > 0) progress.sentAt = this.#now
+    if (entries.length > 0) this.#noteSent(progress)
     this.#send(to, { type: 'append', term: this.#hard.term, prevIndex, prevTerm, entries, commit: this.#commit, round: this.#round }, true)
   }
 
   #sendSnapshot (to: ReplicaId, progress: Progress, heartbeat: boolean): void {
     const snapshot = this.#log.snapshot
     if (snapshot === null) return
-    if (this.#now - progress.sentAt < resendMs) {
+    if (this.#now - progress.sentAt < progress.resendMs) {
       if (!heartbeat) return
       const beat: RaftMessage = { type: 'append', term: this.#hard.term, prevIndex: this.#log.lastIndex + 1, prevTerm: -1, entries: [], commit: 0, round: this.#round }
       return this.#send(to, beat, true)
     }
-    progress.sentAt = this.#now
+    if (progress.sentAt > -Infinity) waitLonger(progress)
+    this.#noteSent(progress)
     this.#send(to, { type: 'snapshot', term: this.#hard.term, snapshot, round: this.#round }, true)
   }
 
+  #noteSent (progress: Progress): void {
+    progress.sentAt = this.#now
+    progress.sentRound = this.#round
+  }
+
   #handleAppendReply (from: ReplicaId, message: MessageOf<'appendReply'>): void {
     if (message.term > this.#hard.term) return this.#follow(message.term, null)
     if (this.#role !== 'leader' || message.term < this.#hard.term) return
@@ -313,16 +329,23 @@
     progress.heardAt = this.#now
     progress.round = Math.max(progress.round, message.round)
     if (message.ok) this.#noteMatch(from, progress, message.match)
-    else if (message.match + 1 < progress.next) progress.next = Math.max(progress.match, message.match) + 1
+    else this.#noteLack(progress, message)
     this.#confirmReads()
     if (this.#isTransferring && progress.match === this.#log.lastIndex) this.#sendTimeoutNow()
     if (progress.next <= this.#log.lastIndex) this.#replicate(from, false)
   }
 
+  #noteLack (progress: Progress, message: MessageOf<'appendReply'>): void {
+    if (message.match + 1 < progress.next) progress.next = Math.max(progress.match, message.match) + 1
+    // Links keep order: who answers what was sent later, without having acknowledged this, will not get it any more.
+    if (message.round > progress.sentRound) progress.resendMs = firstResendMs
+  }
+
   #noteMatch (from: ReplicaId, progress: Progress, match: number): void {
     if (match > this.#log.lastIndex) {
       return this.#violate('log-matching', `${from} matches ${match} past ${this.#log.lastIndex}`)
     }
+    if (match > progress.match) progress.resendMs = firstResendMs
     progress.match = Math.max(progress.match, match)
     progress.next = Math.max(progress.next, progress.match + 1)
     this.#advanceCommit()
@@ -493,7 +516,7 @@
   #progressOf (id: ReplicaId): Progress {
     const known = this.#progress.get(id)
     if (known !== undefined) return known
-    const made: Progress = { next: this.#log.lastIndex + 1, match: 0, round: 0, heardAt: this.#now, sentAt: -Infinity }
+    const made: Progress = { next: this.#log.lastIndex + 1, match: 0, round: 0, heardAt: this.#now, sentAt: -Infinity, sentRound: -1, resendMs: firstResendMs }
     this.#progress.set(id, made)
     return made
   }
@@ -522,3 +545,7 @@
 function assertNever (value: never): never {
   throw new Error(`unexpected ${JSON.stringify(value)}`)
 }
+
+function waitLonger (progress: Progress): void {
+  progress.resendMs = Math.min(longestResendMs, progress.resendMs * 2)
+}
--- a/test/raft-node.test.ts
+++ b/test/raft-node.test.ts
@@ -27,6 +27,12 @@
   receive(node, at, from, { type: 'appendReply', term: 2, ok: true, match, round: 1 })
 }
 
+/** The round of the last heartbeat to a member. */
+function findRound (effects: readonly RaftEffect[], to: ReplicaId): number | undefined {
+  const rounds = effects.map(effect => effect.type === 'send' && effect.to === to && 'round' in effect.message ? effect.message.round : undefined)
+  return rounds.findLast(round => round !== undefined)
+}
+
 function findFault (effects: readonly RaftEffect[]): string | undefined {
   const rejected = effects.find(effect => effect.type === 'rejected')
   return rejected?.type === 'rejected' ? rejected.fault : undefined
@@ -105,13 +111,39 @@
     // A member with an empty disk: what it lacks lies before the log where there is a snapshot.
     receive(node, 1003, c, { type: 'appendReply', term: 2, ok: false, match: 1, round: 1 })
     let sent = 0
+    let round = 1
     for (let at = 1050; at <= 11_000; at += 50) {
-      sent += node.step({ type: 'tick', at }).filter(isBulk).length
+      const effects = node.step({ type: 'tick', at })
+      sent += effects.filter(isBulk).length
+      round = findRound(effects, c) ?? round
       acknowledge(node, at + 1, b, match)
     }
     assert.ok(sent >= 2 && sent <= 6, `${sent} times`)
-    const back = receive(node, 11_100, c, { type: 'appendReply', term: 2, ok: false, match: 1, round: 1 })
+    const back = receive(node, 11_100, c, { type: 'appendReply', term: 2, ok: false, match: 1, round })
     const next = [...back, ...Array.from({ length: 16 }, (_, i) => node.step({ type: 'tick', at: 11_110 + 50 * i })).flat()]
     assert.ok(next.some(isBulk), 'sent when it is back')
   })
 }
+
+/** A member that answers each heartbeat and lacks a snapshot: which heartbeat it answers, and how often it is sent the snapshot in ten seconds. */
+const answering: readonly { readonly name: string, readonly answered: (round: number, first: number) => number, readonly least: number, readonly most: number }[] = [
+  { name: 'those after the snapshot, which was lost', answered: round => round, least: 15, most: 20 },
+  { name: 'those before the snapshot, which is still on its way', answered: (_, first) => first, least: 2, most: 6 }
+]
+
+for (const { name, answered, least, most } of answering) {
+  test(`a member that lacks a snapshot and answers ${name}, is sent it ${least} to ${most} times in ten seconds`, () => {
+    const node = new RaftNode(a, { hard: { term: 1, vote: null }, snapshot: { index: 9, term: 1, time: 0, members, state: 'large' }, entries: [] }, timing, () => 0.5, 0)
+    elect(node)
+    const first = findRound(node.step({ type: 'tick', at: 1050 }), c) ?? 0
+    let sent = 0
+    for (let at = 1100; at <= 11_000; at += 50) {
+      const effects = node.step({ type: 'tick', at })
+      const round = findRound(effects, c) ?? first
+      const answers = receive(node, at + 1, c, { type: 'appendReply', term: 2, ok: false, match: 0, round: answered(round, first) })
+      sent += [...effects, ...answers].filter(effect => effect.type === 'send' && effect.to === c && effect.message.type === 'snapshot').length
+      acknowledge(node, at + 2, b, 10)
+    }
+    assert.ok(sent >= least && sent <= most, `${sent} times`)
+  })
+}
