Log: a replica's time as leader stands in a module of its own

raft-node.ts (547 lines) held both sides of replication, elections, reads and the transfer of the lead. RaftLeader has what lasts for one term of a leader, MemberProgress what is known of one member and when it is sent the same again, PendingReads the reads, quorum.ts the counting. Behaviour is unchanged but for a round that now begins anew each term, and a resend that is due after more than its time instead of at it. raft-node, raft-history, log-size, repair, configuration and registry tests pass. Names: propose and changeMembers of the node are one event type, Proposal; matches, isHeard, beat, advanceCommit are the leader's.

--- a/src/coordination/log/entry-list.ts
+++ b/src/coordination/log/entry-list.ts
@@ -41,6 +41,12 @@
     return this.#entries[index - this.base - 1]?.term
   }
 
+  /** True where another log with this end lacks what may be committed here. */
+  isNewerThan (lastIndex: number, lastTerm: number): boolean {
+    if (lastTerm !== this.lastTerm) return lastTerm < this.lastTerm
+    return lastIndex < this.lastIndex
+  }
+
   get (index: number): LogEntry | undefined {
     return this.#entries[index - this.base - 1]
   }
@@ -52,6 +58,19 @@
     return this.#entries.slice(start, start + most)
   }
 
+  /** Those of the entries, from the first on, that are not held yet with the same term. */
+  listFresh (entries: readonly LogEntry[]): readonly LogEntry[] {
+    const fresh = entries.findIndex(entry => this.termAt(entry.index) !== entry.term)
+    return fresh < 0 ? [] : entries.slice(fresh)
+  }
+
+  /** A snapshot of the state after an entry; undefined where the entry is not held. */
+  composeSnapshot (index: number, state: unknown): Snapshot | undefined {
+    const entry = this.get(index)
+    if (entry === undefined) return undefined
+    return { index, term: entry.term, time: entry.time, members: this.membersUpTo(index), state }
+  }
+
   /** Appends, dropping what stood at the same indexes before. Throws RangeError on a gap. */
   append (entries: readonly LogEntry[]): void {
     if (entries.length === 0) return
--- a/src/coordination/log/log-types.ts
+++ b/src/coordination/log/log-types.ts
@@ -50,3 +50,9 @@
   readonly snapshot: Snapshot | null
   readonly entries: readonly LogEntry[]
 }
+
+/** Times of a replica, ms. */
+export interface RaftTiming {
+  readonly heartbeatMs: number
+  readonly electionMs: number
+}
--- a/src/coordination/log/raft-event.ts
+++ b/src/coordination/log/raft-event.ts
@@ -13,6 +13,9 @@
   | { readonly type: 'synced', readonly at: number, readonly index: number, readonly term: number }
   | { readonly type: 'compact', readonly at: number, readonly index: number, readonly state: unknown }
 
+/** A command, or other members, that the log is to take in. */
+export type Proposal = Extract<RaftEvent, { type: 'propose' | 'changeMembers' }>
+
 /** Why a proposal was turned away before it entered the log. */
 export type ProposalFault = 'not-leader' | 'change-in-progress' | 'not-one-change' | 'not-caught-up' | 'not-ready'
 
--- a/src/coordination/log/raft-node.ts
+++ b/src/coordination/log/raft-node.ts
@@ -4,41 +4,13 @@
  * read index. Pure: events in, effects out; it has no clock, disk or wire.
  */
 import { EntryList } from './entry-list.js'
-import type { HardState, LogEntry, Members, ReplicaId, Snapshot, StoredLog } from './log-types.js'
-import type { ProposalFault, RaftEffect, RaftEvent, RaftRole } from './raft-event.js'
+import type { HardState, LogEntry, Members, RaftTiming, ReplicaId, Snapshot, StoredLog } from './log-types.js'
+import { hasQuorum } from './quorum.js'
+import type { Proposal, RaftEffect, RaftEvent, RaftRole } from './raft-event.js'
+import { RaftLeader } from './raft-leader.js'
+import type { LeaderHost } from './raft-leader.js'
 import type { RaftMessage } from './raft-message.js'
 
-/** Times of a replica, ms. */
-export interface RaftTiming {
-  readonly heartbeatMs: number
-  readonly electionMs: number
-}
-
-const entriesPerMessage = 256
-const pipelinedEntries = 2048
-/** What a member did not acknowledge is sent again after this, ms: some round trips and a sync. */
-const firstResendMs = 500
-/** Each time in vain it takes twice as long, up to this, ms: what is large may still be on its way, and would then come twice. */
-const longestResendMs = 8000
-
-interface Progress {
-  next: number
-  match: number
-  round: number
-  heardAt: number
-  sentAt: number
-  /** Round that entries or a snapshot were last sent in. */
-  sentRound: number
-  /** Time after which they are sent again, ms. */
-  resendMs: number
-}
-
-interface PendingRead {
-  readonly read: number
-  readonly round: number
-  readonly index: number
-}
-
 type MessageOf<T extends RaftMessage['type']> = Extract<RaftMessage, { type: T }>
 
 export class RaftNode {
@@ -54,15 +26,10 @@
   #synced: number
   #now = 0
   #electionAt = 0
-  #heartbeatAt = 0
   #leaderHeardAt = -Infinity
   #votes = new Set<ReplicaId>()
   #preVoting = false
-  #transferUntil = -Infinity
-  #progress = new Map<ReplicaId, Progress>()
-  #round = 0
-  #reads: PendingRead[] = []
-  #termStart = 0
+  #leadership: RaftLeader | null = null
   #effects: RaftEffect[] = []
 
   constructor (id: ReplicaId, stored: StoredLog, timing: RaftTiming, random: () => number, at: number) {
@@ -93,15 +60,7 @@
   get isSettled (): boolean { return this.#log.membersIndex <= this.#commit }
 
   /** On the leader, the synced index of each replica that was heard from lately; empty elsewhere. */
-  get matches (): ReadonlyMap<ReplicaId, number> {
-    const matches = new Map<ReplicaId, number>()
-    if (this.#role !== 'leader') return matches
-    for (const [id, progress] of this.#progress) {
-      if (this.#now - progress.heardAt < 2 * this.#timing.electionMs) matches.set(id, progress.match)
-    }
-    matches.set(this.id, this.#synced)
-    return matches
-  }
+  get matches (): ReadonlyMap<ReplicaId, number> { return this.#leadership?.matches ?? new Map() }
 
   /** The term of a held entry, for checks from outside. */
   termAt (index: number): number | undefined { return this.#log.termAt(index) }
@@ -119,10 +78,10 @@
     switch (event.type) {
       case 'tick': return this.#tick()
       case 'receive': return this.#receive(event.from, event.message)
-      case 'propose': return this.#propose(event.proposal, event.wall, { type: 'command', command: event.command })
-      case 'changeMembers': return this.#changeMembers(event.proposal, event.wall, event.members)
+      case 'propose':
+      case 'changeMembers': return this.#propose(event)
       case 'read': return this.#read(event.read)
-      case 'transfer': return this.#transfer()
+      case 'transfer': return this.#leadership?.transfer()
       case 'synced': return this.#noteSynced(event.index, event.term)
       case 'compact': return this.#compact(event.index, event.state)
       default: return assertNever(event)
@@ -132,20 +91,15 @@
   // Time.
 
   #tick (): void {
-    if (this.#role === 'leader') return this.#tickLeader()
+    if (this.#leadership !== null) return this.#tickLeader(this.#leadership)
     if (this.#now < this.#electionAt) return
     if (!this.#isVoter(this.id)) return this.#resetElection()
     this.#campaign(true, false)
   }
 
-  #tickLeader (): void {
-    if (!this.#hasQuorum(id => id === this.id || this.#now - this.#progressOf(id).heardAt < this.#timing.electionMs)) {
-      return this.#follow(this.#hard.term, null)
-    }
-    if (this.#now < this.#heartbeatAt) return
-    this.#heartbeatAt = this.#now + this.#timing.heartbeatMs
-    this.#round += 1
-    for (const id of this.#others()) this.#replicate(id, true)
+  #tickLeader (leadership: RaftLeader): void {
+    if (leadership.isHeard) return leadership.beat()
+    this.#follow(this.#hard.term, null)
   }
 
   #resetElection (): void {
@@ -159,6 +113,7 @@
     this.#votes = new Set([this.id])
     this.#preVoting = pre
     this.#leader = null
+    this.#endLeadership()
     if (!pre) {
       this.#saveHard({ term: this.#hard.term + 1, vote: this.id })
       this.#setRole('candidate')
@@ -172,7 +127,7 @@
   }
 
   #countVotes (): void {
-    if (!this.#hasQuorum(id => this.#votes.has(id))) return
+    if (!hasQuorum(this.members, id => this.#votes.has(id))) return
     if (this.#preVoting) this.#campaign(false, false)
     else this.#lead()
   }
@@ -186,7 +141,7 @@
     const free = message.pre
       ? message.term > this.#hard.term
       : message.term === this.#hard.term && (this.#hard.vote === null || this.#hard.vote === from)
-    const granted = free && this.#isUpToDate(message.lastIndex, message.lastTerm)
+    const granted = free && !this.#log.isNewerThan(message.lastIndex, message.lastTerm)
     if (granted && !message.pre) {
       this.#saveHard({ term: message.term, vote: from })
       this.#resetElection()
@@ -195,11 +150,6 @@
     this.#send(from, { type: 'voteReply', term, pre: message.pre, granted })
   }
 
-  #isUpToDate (lastIndex: number, lastTerm: number): boolean {
-    if (lastTerm !== this.#log.lastTerm) return lastTerm > this.#log.lastTerm
-    return lastIndex >= this.#log.lastIndex
-  }
-
   #handleVoteReply (from: ReplicaId, message: MessageOf<'voteReply'>): void {
     if (!message.granted && message.term > this.#hard.term) return this.#follow(message.term, null)
     if (!message.granted || this.#role === 'leader' || message.pre !== this.#preVoting) return
@@ -212,14 +162,10 @@
 
   #lead (): void {
     this.#votes.clear()
-    this.#transferUntil = -Infinity
-    this.#progress.clear()
     this.#leader = this.id
     this.#setRole('leader')
-    this.#termStart = this.#log.lastIndex + 1
-    this.#appendOwn(this.#log.lastTime, { type: 'noop' })
-    this.#heartbeatAt = 0
-    this.#tickLeader()
+    this.#leadership = new RaftLeader(this.#describeSelf(), this.#timing)
+    this.#leadership.start()
   }
 
   #follow (term: number, leader: ReplicaId | null): void {
@@ -228,143 +174,42 @@
     this.#leader = leader
     this.#votes.clear()
     this.#preVoting = false
-    this.#failReads()
+    this.#endLeadership()
     if (this.#role !== 'follower') this.#resetElection()
     if (changed) this.#setRole('follower')
   }
 
+  #endLeadership (): void {
+    this.#leadership?.close()
+    this.#leadership = null
+  }
+
   #setRole (role: RaftRole): void {
     this.#role = role
     this.#effects.push({ type: 'role', role, term: this.#hard.term, leader: this.#leader })
   }
 
-  // Proposals.
-
-  #propose (proposal: number, wall: number, content: LogEntry['content']): void {
-    const fault = this.#findFault()
-    if (fault !== undefined) return this.#reject(proposal, fault)
-    const entry = this.#appendOwn(wall, content)
-    this.#effects.push({ type: 'accepted', proposal, index: entry.index, term: entry.term })
-    for (const id of this.#others()) this.#replicate(id, false)
-  }
+  // What the leader does.
 
-  #findFault (): ProposalFault | undefined {
-    if (this.#role !== 'leader' || this.#isTransferring) return 'not-leader'
-    return undefined
+  #propose (event: Proposal): void {
+    if (this.#leadership !== null) return this.#leadership.propose(event)
+    this.#effects.push({ type: 'rejected', proposal: event.proposal, fault: 'not-leader' })
   }
 
-  #changeMembers (proposal: number, wall: number, members: Members): void {
-    const fault = this.#findFault() ?? this.#findMembersFault(members)
-    if (fault !== undefined) return this.#reject(proposal, fault)
-    this.#propose(proposal, wall, { type: 'members', members })
-  }
-
-  #findMembersFault (members: Members): ProposalFault | undefined {
-    if (this.#commit < this.#termStart) return 'not-ready'
-    if (!this.isSettled) return 'change-in-progress'
-    const added = members.voters.filter(id => !this.#isVoter(id))
-    const removed = this.members.voters.filter(id => !members.voters.includes(id))
-    if (added.length + removed.length > 1 || members.voters.length === 0) return 'not-one-change'
-    for (const id of added) {
-      if (this.#progressOf(id).match < this.#commit) return 'not-caught-up'
-    }
-    return undefined
-  }
-
-  #reject (proposal: number, fault: ProposalFault): void {
-    this.#effects.push({ type: 'rejected', proposal, fault })
-  }
-
-  #appendOwn (wall: number, content: LogEntry['content']): LogEntry {
-    const time = Math.max(wall, this.#log.lastTime)
-    const entry: LogEntry = { index: this.#log.lastIndex + 1, term: this.#hard.term, time, content }
-    this.#log.append([entry])
-    this.#effects.push({ type: 'persist', hard: null, entries: [entry], snapshot: null })
-    return entry
-  }
-
-  // Replication, leader's side.
-
-  #replicate (to: ReplicaId, heartbeat: boolean): void {
-    const progress = this.#progressOf(to)
-    const lost = progress.next > progress.match + 1 && this.#now - progress.sentAt > progress.resendMs
-    if (heartbeat && lost) {
-      progress.next = progress.match + 1
-      waitLonger(progress)
-    }
-    if (progress.next <= this.#log.base) return this.#sendSnapshot(to, progress, heartbeat)
-    const room = progress.match + pipelinedEntries - progress.next + 1
-    const entries = this.#log.slice(progress.next, Math.max(0, Math.min(entriesPerMessage, room)))
-    if (entries.length === 0 && !heartbeat) return
-    const prevIndex = progress.next - 1
-    const prevTerm = this.#log.termAt(prevIndex)
-    if (prevTerm === undefined) return this.#sendSnapshot(to, progress, heartbeat)
-    progress.next += entries.length
-    if (entries.length > 0) this.#noteSent(progress)
-    this.#send(to, { type: 'append', term: this.#hard.term, prevIndex, prevTerm, entries, commit: this.#commit, round: this.#round }, true)
-  }
-
-  #sendSnapshot (to: ReplicaId, progress: Progress, heartbeat: boolean): void {
-    const snapshot = this.#log.snapshot
-    if (snapshot === null) return
-    if (this.#now - progress.sentAt < progress.resendMs) {
-      if (!heartbeat) return
-      const beat: RaftMessage = { type: 'append', term: this.#hard.term, prevIndex: this.#log.lastIndex + 1, prevTerm: -1, entries: [], commit: 0, round: this.#round }
-      return this.#send(to, beat, true)
-    }
-    if (progress.sentAt > -Infinity) waitLonger(progress)
-    this.#noteSent(progress)
-    this.#send(to, { type: 'snapshot', term: this.#hard.term, snapshot, round: this.#round }, true)
-  }
-
-  #noteSent (progress: Progress): void {
-    progress.sentAt = this.#now
-    progress.sentRound = this.#round
+  #read (read: number): void {
+    if (this.#leadership === null) this.#effects.push({ type: 'readFailed', read })
+    else this.#leadership.read(read)
   }
 
   #handleAppendReply (from: ReplicaId, message: MessageOf<'appendReply'>): void {
     if (message.term > this.#hard.term) return this.#follow(message.term, null)
-    if (this.#role !== 'leader' || message.term < this.#hard.term) return
-    const progress = this.#progressOf(from)
-    progress.heardAt = this.#now
-    progress.round = Math.max(progress.round, message.round)
-    if (message.ok) this.#noteMatch(from, progress, message.match)
-    else this.#noteLack(progress, message)
-    this.#confirmReads()
-    if (this.#isTransferring && progress.match === this.#log.lastIndex) this.#sendTimeoutNow()
-    if (progress.next <= this.#log.lastIndex) this.#replicate(from, false)
-  }
-
-  #noteLack (progress: Progress, message: MessageOf<'appendReply'>): void {
-    if (message.match + 1 < progress.next) progress.next = Math.max(progress.match, message.match) + 1
-    // Links keep order: who answers what was sent later, without having acknowledged this, will not get it any more.
-    if (message.round > progress.sentRound) progress.resendMs = firstResendMs
-  }
-
-  #noteMatch (from: ReplicaId, progress: Progress, match: number): void {
-    if (match > this.#log.lastIndex) {
-      return this.#violate('log-matching', `${from} matches ${match} past ${this.#log.lastIndex}`)
-    }
-    if (match > progress.match) progress.resendMs = firstResendMs
-    progress.match = Math.max(progress.match, match)
-    progress.next = Math.max(progress.next, progress.match + 1)
-    this.#advanceCommit()
+    if (message.term === this.#hard.term) this.#leadership?.noteReply(from, message)
   }
 
   #noteSynced (index: number, term: number): void {
     if (this.#log.termAt(index) !== term) return
     this.#synced = Math.max(this.#synced, index)
-    if (this.#role === 'leader') this.#advanceCommit()
-  }
-
-  #advanceCommit (): void {
-    const matches = this.members.voters.map(id => id === this.id ? this.#synced : this.#progressOf(id).match)
-    matches.sort((a, b) => b - a)
-    const agreed = Math.min(matches[this.members.voters.length >> 1] ?? 0, this.#log.lastIndex)
-    if (agreed <= this.#commit || this.#log.termAt(agreed) !== this.#hard.term) return
-    this.#commit = agreed
-    this.#confirmReads()
-    if (!this.#isVoter(this.id) && this.isSettled) this.#follow(this.#hard.term, null)
+    this.#leadership?.advanceCommit()
   }
 
   // Replication, follower's side.
@@ -373,20 +218,21 @@
     if (message.term < this.#hard.term) return this.#reply(from, false, 0, message.round)
     this.#acceptLeader(from, message.term)
     if (message.prevIndex < this.#log.base) return this.#reply(from, true, this.#commit, message.round)
-    if (this.#log.termAt(message.prevIndex) !== message.prevTerm) {
-      const hint = Math.min(message.prevIndex - 1, this.#log.lastIndex)
-      return this.#reply(from, false, Math.max(this.#commit, hint), message.round)
-    }
+    if (this.#log.termAt(message.prevIndex) !== message.prevTerm) return this.#refuseAppend(from, message)
     this.#appendNew(message.entries)
     const match = message.prevIndex + message.entries.length
     this.#commit = Math.max(this.#commit, Math.min(message.commit, match))
     this.#reply(from, true, match, message.round)
   }
 
+  #refuseAppend (from: ReplicaId, { prevIndex, round }: MessageOf<'append'>): void {
+    const hint = Math.min(prevIndex - 1, this.#log.lastIndex)
+    this.#reply(from, false, Math.max(this.#commit, hint), round)
+  }
+
   #appendNew (entries: readonly LogEntry[]): void {
-    const fresh = entries.findIndex(entry => this.#log.termAt(entry.index) !== entry.term)
-    if (fresh < 0) return
-    const added = entries.slice(fresh)
+    const added = this.#log.listFresh(entries)
+    if (added.length === 0) return
     if (added[0].index <= this.#commit) {
       return this.#violate('committed-kept', `entry ${added[0].index} would replace a committed one`)
     }
@@ -424,50 +270,6 @@
     this.#send(to, { type: 'appendReply', term: this.#hard.term, ok, match, round })
   }
 
-  // Reads.
-
-  #read (read: number): void {
-    if (this.#role !== 'leader' || this.#commit < this.#termStart) {
-      this.#effects.push({ type: 'readFailed', read })
-      return
-    }
-    this.#round += 1
-    this.#reads.push({ read, round: this.#round, index: this.#commit })
-    for (const id of this.#others()) this.#replicate(id, true)
-    this.#confirmReads()
-  }
-
-  #confirmReads (): void {
-    while (this.#reads.length > 0) {
-      const { read, round, index } = this.#reads[0]
-      if (!this.#hasQuorum(id => id === this.id || this.#progressOf(id).round >= round)) return
-      this.#reads.shift()
-      this.#effects.push({ type: 'readReady', read, index })
-    }
-  }
-
-  #failReads (): void {
-    for (const { read } of this.#reads) this.#effects.push({ type: 'readFailed', read })
-    this.#reads = []
-  }
-
-  // Leader transfer. Proposals are turned away meanwhile; it lapses by itself.
-
-  get #isTransferring (): boolean { return this.#now < this.#transferUntil }
-
-  #transfer (): void {
-    if (this.#role !== 'leader') return
-    this.#transferUntil = this.#now + this.#timing.electionMs
-    this.#sendTimeoutNow()
-  }
-
-  #sendTimeoutNow (): void {
-    for (const id of this.members.voters) {
-      if (id === this.id || this.#progressOf(id).match !== this.#log.lastIndex) continue
-      return this.#send(id, { type: 'timeoutNow', term: this.#hard.term })
-    }
-  }
-
   #handleTimeoutNow (message: MessageOf<'timeoutNow'>): void {
     if (message.term === this.#hard.term && this.#isVoter(this.id)) this.#campaign(false, true)
   }
@@ -475,11 +277,9 @@
   // Snapshots of this replica's own state.
 
   #compact (index: number, state: unknown): void {
-    if (index <= this.#log.base || index > this.#applied) return
-    const entry = this.#log.get(index)
-    if (entry === undefined) return
-    const members = this.#log.membersUpTo(index)
-    const snapshot: Snapshot = { index, term: entry.term, time: entry.time, members, state }
+    if (index > this.#applied) return
+    const snapshot = this.#log.composeSnapshot(index, state)
+    if (snapshot === undefined) return
     this.#log.compact(snapshot)
     this.#effects.push({ type: 'persist', hard: null, entries: [], snapshot })
   }
@@ -513,28 +313,28 @@
     this.#effects.push({ type: 'persist', hard, entries: [], snapshot: null })
   }
 
-  #progressOf (id: ReplicaId): Progress {
-    const known = this.#progress.get(id)
-    if (known !== undefined) return known
-    const made: Progress = { next: this.#log.lastIndex + 1, match: 0, round: 0, heardAt: this.#now, sentAt: -Infinity, sentRound: -1, resendMs: firstResendMs }
-    this.#progress.set(id, made)
-    return made
-  }
-
-  #others (): ReplicaId[] {
-    const { voters, learners } = this.members
-    return [...voters, ...learners].filter(id => id !== this.id)
-  }
-
   #isVoter (id: ReplicaId): boolean { return this.members.voters.includes(id) }
 
-  #hasQuorum (counts: (id: ReplicaId) => boolean): boolean {
-    const { voters } = this.members
-    return voters.filter(counts).length * 2 > voters.length
-  }
-
-  #send (to: ReplicaId, message: RaftMessage, early = false): void {
-    this.#effects.push({ type: 'send', to, message, early })
+  #send (to: ReplicaId, message: RaftMessage): void {
+    this.#effects.push({ type: 'send', to, message, early: false })
+  }
+
+  // What its leadership may see and do.
+  #describeSelf (): LeaderHost {
+    const node = this
+    return {
+      id: node.id,
+      log: node.#log,
+      term: node.#hard.term,
+      get now () { return node.#now },
+      get commitIndex () { return node.#commit },
+      get syncedIndex () { return node.#synced },
+      get isSettled () { return node.isSettled },
+      emit: effect => { node.#effects.push(effect) },
+      commitTo: index => { node.#commit = index },
+      stepDown: () => node.#follow(node.#hard.term, null),
+      violate: (rule, detail) => node.#violate(rule, detail)
+    }
   }
 
   #violate (rule: string, detail: string): void {
@@ -545,7 +345,3 @@
 function assertNever (value: never): never {
   throw new Error(`unexpected ${JSON.stringify(value)}`)
 }
-
-function waitLonger (progress: Progress): void {
-  progress.resendMs = Math.min(longestResendMs, progress.resendMs * 2)
-}
--- a/src/coordination/log/replica.ts
+++ b/src/coordination/log/replica.ts
@@ -4,9 +4,8 @@
  * gather; they share the next sync, so one sync serves many proposals.
  */
 import { Inbox } from '../../runtime/index.js'
-import type { ReplicaId, Members, LogEntry, Snapshot, StoredLog } from './log-types.js'
+import type { LogEntry, Members, RaftTiming, ReplicaId, Snapshot, StoredLog } from './log-types.js'
 import { RaftNode } from './raft-node.js'
-import type { RaftTiming } from './raft-node.js'
 import type { ProposalFault, RaftEffect, RaftEvent } from './raft-event.js'
 import type { RaftMessage } from './raft-message.js'
 
