Gateway: what a failure allows is decided by a pure state machine

SendCourse takes what became of a send and says what is next: pass the answer on, send elsewhere, or refuse. PassedEvents counts what a caller was given. New: a table of 19 cases, and random courses: what may have run is not sent again unless it may be repeated, and is never called not run. Names: noteNotRun, sendElsewhere, moveOn, giveUp and refuseUnplaced of the exchange became ends of a send (unplaced, not-run, failed, broke, answered, given-up).

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,13 +1,12 @@
 /**
- * One request from its arrival to its final answer: chooses an endpoint, sends,
- * relays, and decides what a failure allows. A request that may not be repeated
- * goes elsewhere only where no byte of it was written, or the endpoint said
- * that it did not run it. "Not run" is said to a caller on the same grounds.
+ * One request from its arrival to its final answer: chooses an endpoint, sends
+ * and relays. What a failure allows is decided by its `SendCourse`.
  */
 import type { ServerResponse } from 'node:http'
-import type { EndpointId, EndpointView, ErrorKind, Fleet, Placed, PromptPlan } from '../core/index.js'
+import type { EndpointId, EndpointView, Fleet, Placed, PromptPlan } from '../core/index.js'
 import type { Dialect } from '../protocol/index.js'
 import { sendRefusal } from './answers.js'
+import type { Refusal } from './answers.js'
 import type { EndpointAgent } from './endpoint-agent.js'
 import { EndpointCall } from './endpoint-call.js'
 import type { AnswerHead, CallFailure } from './endpoint-call.js'
@@ -16,8 +15,10 @@
 import type { Attempt, ExchangeSummary } from './exchange-summary.js'
 import type { Order } from './order.js'
 import { passHeaders } from './pass-headers.js'
-import { allowSend, limitSilence, mayGoOn, mayRepeat } from './repeat-rules.js'
-import type { SendCount } from './repeat-rules.js'
+import { PassedEvents } from './passed-events.js'
+import { limitSilence } from './repeat-rules.js'
+import { SendCourse } from './send-course.js'
+import type { NextStep } from './send-course.js'
 
 /** What an exchange needs of its box. */
 export interface ExchangeHost {
@@ -53,12 +54,6 @@
 
 /** Answers that are not passed on event by event are held whole, up to this, bytes. */
 const largestAnswer = 64 * 2 ** 20
-/** Statuses that promise a caller that its request did not run and never will. */
-const promisingStatuses = new Set([408, 421, 429, 503])
-/** When a caller is to come back where an endpoint was full, ms: about a place's time to come free. */
-const fullRetryMs = 250
-/** When a caller is to come back where no endpoint can be used, ms: about the time until one is tried again. */
-const noneRetryMs = 400
 
 export class Exchange {
   readonly order: Order
@@ -69,19 +64,16 @@
   #sent: Sent | null = null
   #attempts: Attempt[] = []
   #tried: EndpointId[] = []
-  #unreachable = 0
-  #mayHaveRun = false
-  #lastEvent: string | null
-  #events = 0
+  #course: SendCourse
+  #events: PassedEvents
   #firstAt: number | null = null
-  #eventAt = 0
-  #longestPauseMs = 0
 
   constructor (host: ExchangeHost, order: Order, response: ServerResponse) {
     this.#host = host
     this.order = order
     this.#response = response
-    this.#lastEvent = order.words.lastEvent
+    this.#events = new PassedEvents(order.words.lastEvent)
+    this.#course = new SendCourse(order.route, () => host.takeRetry(order))
     response.on('drain', () => this.#sent?.call.resume())
   }
 
@@ -89,7 +81,7 @@
 
   start (): void {
     const returnMs = this.#host.fleet.findReturn(this.order.work, this.#host.now())
-    if (returnMs !== null) return this.#refuse('overloaded', 'too much waits before this request', returnMs)
+    if (returnMs !== null) return this.#refuse({ kind: 'overloaded', text: 'too much waits before this request', retryAfterMs: returnMs })
     this.#send()
   }
 
@@ -130,10 +122,11 @@
     const choice = this.#host.fleet.choose(order.work, this.#tried, at, this.#host.draw(), at - order.arrivedAt)
     if (choice === 'later') return this.#hold()
     this.#unhold()
-    if (typeof choice === 'string') return this.#refuseUnplaced(choice)
+    if (typeof choice === 'string') return this.#follow(this.#course.decide({ type: 'unplaced', why: choice }))
     const { view, expectedMs, candidates, share, plan, isHome } = choice
     const attempt: Attempt = { endpoint: view.id, expectedMs: Math.round(expectedMs), candidates, share, plan, isHome, sentAt: at, end: 'open' }
     this.#attempts.push(attempt)
+    this.#course.noteSend()
     this.#tried.push(view.id)
     const placed = view.place(order.work, plan, at)
     const sent: Sent = { view, placed, attempt, call: this.#call(view, plan, at, () => sent), head: null, chunks: [], size: 0, cutter: null }
@@ -162,7 +155,7 @@
       workspace: order.workspace?.name ?? null,
       priority: order.work.cost === null ? null : order.work.priority,
       fetchFrom: fetch === null ? null : `${fetch.from.record.host}:${fetch.from.record.port}`,
-      lastEvent: this.#lastEvent
+      lastEvent: this.#events.lastId
     })
     const { host, port } = view.record
     const target = { host, port, agent: this.#host.agent, method: order.method, path: order.url, headers, body: order.body, requestId: order.words.requestId }
@@ -170,29 +163,24 @@
       begin: head => this.#begin(getSent(), head),
       take: chunk => this.#take(getSent(), chunk),
       finish: () => this.#finish(getSent()),
-      fail: (failure, reason) => this.#noteFailure(getSent(), failure, reason)
+      fail: (failure, reason) => this.#moveOn(getSent(), failure, reason)
     }, at)
   }
 
-  #refuseUnplaced (why: 'none-known' | 'none-usable'): void {
-    if (this.#mayHaveRun) return this.#refuse('engine-failed', 'no other endpoint could be tried')
-    this.#refuse('no-engine', why === 'none-known' ? 'the service has no endpoint' : 'no endpoint of the service can be used now', noneRetryMs)
-  }
-
   // Answers.
 
   #begin (sent: Sent, head: AnswerHead): void {
-    const { view } = sent
     sent.head = head
     if (head.words.isNotRun) return this.#noteNotRun(sent, head)
     const isAnswer = head.words.isMarked && !head.isEncoded
     if (!isAnswer) return this.#moveOn(sent, 'broken', `not an answer of an endpoint (${head.status})`)
-    if (head.status >= 500) {
-      view.trust.noteFailure()
-      if (mayRepeat(this.order.route) && this.#isAnotherAllowed()) return this.#sendElsewhere(sent, `failed ${head.status}`)
-    } else {
-      view.trust.noteGood()
-    }
+    if (head.status >= 500) return this.#noteFailed(sent, head)
+    sent.view.trust.noteGood()
+    this.#receive(sent, head)
+  }
+
+  // An answer of the endpoint's own that the caller is to have.
+  #receive (sent: Sent, head: AnswerHead): void {
     const isStream = this.order.route.kind === 'events' && head.status === 200
     // What has begun can only go on as a stream.
     if (this.#phase === 'relaying' && !isStream) return this.cut()
@@ -232,11 +220,8 @@
 
   #writeEvents (events: readonly NumberedEvent[]): boolean {
     const now = this.#host.now()
-    if (this.#events > 0) this.#longestPauseMs = Math.max(this.#longestPauseMs, now - this.#eventAt)
-    if (this.#events > 0 && events.length === 1) this.#sent?.view.noteGap(now - this.#eventAt, now)
-    this.#eventAt = now
-    this.#events += events.length
-    for (const { id } of events) this.#lastEvent = id ?? this.#lastEvent
+    const pauseMs = this.#events.add(events, now)
+    if (pauseMs !== null && events.length === 1) this.#sent?.view.noteGap(pauseMs, now)
     return this.#response.write(events.length === 1 ? events[0].bytes : Buffer.concat(events.map(event => event.bytes)))
   }
 
@@ -252,11 +237,8 @@
     const { head } = sent
     if (head === null) return
     this.#release(sent, 'done')
-    // The endpoint ran it: its status must not promise the caller the contrary.
-    if (promisingStatuses.has(head.status)) {
-      this.#mayHaveRun = true
-      return this.#refuse('engine-failed', `the endpoint answered ${head.status}`)
-    }
+    const next = this.#course.decide({ type: 'answered', status: head.status })
+    if (next.type !== 'pass') return this.#follow(next)
     const body = Buffer.concat(sent.chunks)
     this.#response.writeHead(head.status, passHeaders(head, body.length))
     this.#response.end(body)
@@ -264,7 +246,7 @@
   }
 
   #finishStream (sent: Sent, cutter: EventCutter): void {
-    if (cutter.isInside) return this.#noteFailure(sent, 'broken', 'the stream ended inside an event')
+    if (cutter.isInside) return this.#moveOn(sent, 'broken', 'the stream ended inside an event')
     this.#openStream(sent)
     this.#release(sent, 'done')
     this.#response.end()
@@ -274,87 +256,61 @@
   // Failures.
 
   #noteNotRun (sent: Sent, head: AnswerHead): void {
-    const { view } = sent
-    const at = this.#host.now()
-    if (head.words.isOtherEndpoint) view.trust.noteUnreachable(at)
-    else view.trust.noteGood()
-    if (head.words.isOtherEndpoint) this.#unreachable += 1
+    const { isOtherEndpoint } = head.words
+    if (isOtherEndpoint) sent.view.trust.noteUnreachable(this.#host.now())
+    else sent.view.trust.noteGood()
     this.#dropSent(sent, `not-run ${head.status}`)
-    if (this.#isAnotherAllowed()) return this.#send()
-    if (this.#mayHaveRun) return this.#refuse('engine-failed', 'an earlier send broke, and another endpoint is full')
-    this.#refuse('overloaded', 'the endpoint is full', fullRetryMs)
+    this.#follow(this.#course.decide({ type: 'not-run', isOther: isOtherEndpoint }))
   }
 
-  #noteFailure (sent: Sent, failure: CallFailure, reason: string): void {
-    if (this.#phase === 'ended' || this.#sent !== sent) return
-    this.#moveOn(sent, failure, reason)
-  }
-
-  // The endpoint ran the request and said so; another may be asked as well.
-  #sendElsewhere (sent: Sent, how: string): void {
-    this.#mayHaveRun = true
-    this.#dropSent(sent, how)
-    this.#send()
+  #noteFailed (sent: Sent, head: AnswerHead): void {
+    sent.view.trust.noteFailure()
+    const next = this.#course.decide({ type: 'failed' })
+    if (next.type === 'pass') return this.#receive(sent, head)
+    this.#dropSent(sent, `failed ${head.status}`)
+    this.#follow(next)
   }
 
   // Leaves an endpoint, and goes to another where that is allowed.
   #moveOn (sent: Sent, failure: CallFailure, reason: string): void {
+    if (this.#phase === 'ended' || this.#sent !== sent) return
     const at = this.#host.now()
-    if (failure === 'unreachable') {
-      this.#unreachable += 1
-      sent.view.trust.noteUnreachable(at)
-    } else {
-      this.#mayHaveRun = true
-      sent.view.trust.noteBroken(at)
-    }
+    if (failure === 'unreachable') sent.view.trust.noteUnreachable(at)
+    else sent.view.trust.noteBroken(at)
     this.#dropSent(sent, `${failure} ${reason}`)
-    if (mayGoOn(this.order.route, failure, this.#mayHaveRun) && this.#isAnotherAllowed()) return this.#send()
-    if (this.#mayHaveRun) return this.#refuse('engine-failed', `the endpoint failed: ${reason}`)
-    this.#refuse('no-engine', 'no endpoint could be reached', noneRetryMs)
+    this.#follow(this.#course.decide({ type: 'broke', failure, reason }))
   }
 
   #giveUp (): void {
-    const sent = this.#sent
-    if (sent !== null) {
-      this.#mayHaveRun ||= sent.call.mayHaveRun
-      this.#dropSent(sent, 'given up')
-    }
-    if (this.#mayHaveRun) return this.#refuse('engine-timeout', 'the endpoint did not answer in time')
-    this.#refuse('overloaded', 'no endpoint took the request in time', noneRetryMs)
+    const wasWritten = this.#sent?.call.mayHaveRun ?? false
+    this.#dropCall('given up')
+    this.#follow(this.#course.decide({ type: 'given-up', wasWritten }))
   }
 
-  get #sendCount (): SendCount { return { attempts: this.#attempts.length, unreachable: this.#unreachable } }
-
-  // Takes what another send costs from the retry budget.
-  #isAnotherAllowed (): boolean {
-    switch (allowSend(this.order.route, this.#sendCount)) {
-      case 'no': return false
-      case 'free': return true
-      case 'paid': return this.#host.takeRetry(this.order)
+  #follow (next: NextStep): void {
+    switch (next.type) {
+      case 'pass': return
+      case 'send': return this.#send()
+      case 'refuse': return this.#refuse(next.refusal)
     }
   }
 
-  // What costs nothing to ask: whether a request that was sent may go elsewhere.
-  get #mayLeave (): boolean {
-    return mayRepeat(this.order.route) && allowSend(this.order.route, this.#sendCount) !== 'no'
-  }
-
   // An answer that has not begun is looked for elsewhere where the endpoint's zone can't be heard any more.
   #isStuck (sent: Sent, now: number): boolean {
-    if (!this.#mayLeave || sent.placed.firstAt !== null || !sent.call.mayHaveRun) return false
+    if (!this.#course.mayLeave || sent.placed.firstAt !== null || !sent.call.mayHaveRun) return false
     return this.#host.fleet.zones.isCut(sent.view.record.zone, now)
   }
 
   #isSilent (sent: Sent, now: number): boolean {
-    if (!this.#mayLeave || sent.cutter === null || this.#phase !== 'relaying') return false
+    if (!this.#course.mayLeave || sent.cutter === null || this.#phase !== 'relaying') return false
     return now - sent.placed.heardAt > limitSilence(this.order.route)
   }
 
   // An answer that has begun can only break off.
-  #refuse (kind: ErrorKind, text: string, retryAfterMs?: number): void {
+  #refuse (refusal: Refusal): void {
     if (this.#phase === 'relaying') return this.cut()
-    sendRefusal(this.#response, { kind, text, retryAfterMs }, this.#host.dialect)
-    this.#end(kind, this.#response.statusCode)
+    sendRefusal(this.#response, refusal, this.#host.dialect)
+    this.#end(refusal.kind, this.#response.statusCode)
   }
 
   // Ends.
@@ -387,8 +343,8 @@
       attempts: this.#attempts,
       firstMs: this.#firstAt === null ? null : this.#firstAt - order.arrivedAt,
       totalMs: this.#host.now() - order.arrivedAt,
-      events: this.#events,
-      longestPauseMs: this.#longestPauseMs
+      events: this.#events.count,
+      longestPauseMs: this.#events.longestPauseMs
     })
   }
 }
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -2,3 +2,5 @@
 export { GatewayBox } from './gateway-box.js'
 export type { GatewaySurroundings } from './gateway-box.js'
 export { allowSend, limitSilence, mayGoOn } from './repeat-rules.js'
+export { SendCourse } from './send-course.js'
+export type { NextStep, SendEnd } from './send-course.js'
--- /dev/null
+++ b/test/send-course.test.ts
@@ -0,0 +1,80 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import fc from 'fast-check'
+import type { Route } from '../src/core/index.js'
+import { brandId, lookUpError } from '../src/core/index.js'
+import { SendCourse } from '../src/gateway/index.js'
+import type { NextStep, SendEnd } from '../src/gateway/index.js'
+
+function createRoute (more: Partial<Route>): Route {
+  return { name: brandId('r'), host: 'h', prefix: '/', kind: 'once', timeoutMs: 1000, targetMs: 100, pauseMs: null, priority: 0, services: [], mostAttempts: 2, isPublic: false, resumable: false, ...more }
+}
+
+const once = createRoute({ kind: 'once' })
+const again = createRoute({ kind: 'repeatable' })
+const events = createRoute({ kind: 'events' })
+const resumable = createRoute({ kind: 'events', resumable: true })
+const unreachable: SendEnd = { type: 'broke', failure: 'unreachable', reason: 'refused' }
+const broken: SendEnd = { type: 'broke', failure: 'broken', reason: 'reset' }
+const full: SendEnd = { type: 'not-run', isOther: false }
+const other: SendEnd = { type: 'not-run', isOther: true }
+const failed: SendEnd = { type: 'failed' }
+const none: SendEnd = { type: 'unplaced', why: 'none-usable' }
+const late: SendEnd = { type: 'given-up', wasWritten: true }
+const unsent: SendEnd = { type: 'given-up', wasWritten: false }
+
+/** What each end of a send leads to: another send, the endpoint's answer, or an error of this kind. */
+const courses: readonly { readonly name: string, readonly route: Route, readonly ends: readonly SendEnd[], readonly steps: readonly string[], readonly retries?: number }[] = [
+  { name: 'nobody reached, nothing may run twice', route: once, ends: [unreachable, unreachable], steps: ['send', 'send'] },
+  { name: 'nobody reached four times', route: once, ends: [unreachable, unreachable, unreachable, unreachable], steps: ['send', 'send', 'send', 'no-engine'] },
+  { name: 'a broken send that may not be repeated', route: once, ends: [broken], steps: ['engine-failed'] },
+  { name: 'a broken send that may be', route: again, ends: [broken, broken], steps: ['send', 'engine-failed'] },
+  { name: 'a broken stream that can\'t be continued', route: events, ends: [broken], steps: ['engine-failed'] },
+  { name: 'a broken stream that can', route: resumable, ends: [broken], steps: ['send'] },
+  { name: 'full, then full again', route: once, ends: [full, full], steps: ['send', 'overloaded'] },
+  { name: 'broken, then nobody has room', route: again, ends: [broken, none], steps: ['send', 'engine-failed'] },
+  { name: 'broken, then full', route: again, ends: [broken, full], steps: ['send', 'engine-failed'] },
+  { name: 'another endpoint at the address, which costs no retry', route: once, ends: [other, other], steps: ['send', 'send'], retries: 0 },
+  { name: 'a failure of its own that may not be repeated', route: once, ends: [failed], steps: ['pass'] },
+  { name: 'one that may be, and no time left after it', route: again, ends: [failed, unsent], steps: ['send', 'engine-timeout'] },
+  { name: 'one that may be, without a retry left', route: again, ends: [failed], steps: ['pass'], retries: 0 },
+  { name: 'broken without a retry left', route: again, ends: [broken], steps: ['engine-failed'], retries: 0 },
+  { name: 'nobody known', route: once, ends: [{ type: 'unplaced', why: 'none-known' }], steps: ['no-engine'] },
+  { name: 'no answer in time', route: once, ends: [late], steps: ['engine-timeout'] },
+  { name: 'never sent in time', route: once, ends: [unsent], steps: ['overloaded'] },
+  { name: 'an answer', route: once, ends: [{ type: 'answered', status: 404 }], steps: ['pass'] },
+  { name: 'an answer whose status would say that it did not run', route: once, ends: [{ type: 'answered', status: 429 }], steps: ['engine-failed'] }
+]
+
+function describeStep (step: NextStep): string {
+  return step.type === 'refuse' ? step.refusal.kind : step.type
+}
+
+for (const { name, route, ends, steps, retries = 9 } of courses) {
+  test(`after ${name}`, () => {
+    let left = retries
+    const course = new SendCourse(route, () => left-- > 0)
+    const taken = ends.map(end => {
+      course.noteSend()
+      return describeStep(course.decide(end))
+    })
+    assert.deepEqual(taken, steps)
+  })
+}
+
+test('whatever happens, what may have run is not sent again unless it may be repeated, and never called not run', () => {
+  const end = fc.constantFrom<SendEnd>(unreachable, broken, full, other, failed, none, late, unsent, { type: 'answered', status: 503 })
+  fc.assert(fc.property(fc.constantFrom(once, again, events, resumable), fc.array(end, { minLength: 1, maxLength: 8 }), fc.boolean(), (route, ends, hasRetries) => {
+    const course = new SendCourse(route, () => hasRetries)
+    const mayRepeat = route === again || route === resumable
+    let mayHaveRun = false
+    for (const one of ends) {
+      course.noteSend()
+      const step = course.decide(one)
+      mayHaveRun ||= one === broken || one === failed || one === late || one.type === 'answered'
+      if (step.type === 'send') assert.ok(mayRepeat || !mayHaveRun)
+      if (step.type === 'refuse' && mayHaveRun) assert.notEqual(lookUpError(step.refusal.kind).outcome, 'not-run')
+      if (step.type !== 'send') return
+    }
+  }), { numRuns: 2000 })
+})
