--- a/src/proof/raft-history.ts
+++ b/src/proof/raft-history.ts
@@ -6,11 +6,10 @@
  */
 import { RaftNode } from '../coordination/index.js'
 import type { LogEntry, Members, RaftEffect, RaftEvent, RaftMessage, ReplicaId, Snapshot, StoredLog } from '../coordination/index.js'
-import { EntryList } from '../coordination/log/entry-list.js'
 import { createRandom } from '../runtime/index.js'
-
-type PersistEffect = Extract<RaftEffect, { type: 'persist' }>
-type SendEffect = Extract<RaftEffect, { type: 'send' }>
+import { HistoryLedger } from './history-ledger.js'
+import { FakeDisk } from './history-peer.js'
+import type { Peer, SendEffect } from './history-peer.js'
 
 interface Packet {
   readonly from: ReplicaId
@@ -18,47 +17,6 @@
   readonly message: RaftMessage
 }
 
-/** A disk that keeps only what was synced. */
-class FakeDisk {
-  #stored: StoredLog
-
-  constructor (stored: StoredLog) {
-    this.#stored = stored
-  }
-
-  get stored (): StoredLog { return this.#stored }
-
-  write (effects: readonly PersistEffect[]): void {
-    for (const effect of effects) this.#writeOne(effect)
-  }
-
-  #writeOne (effect: PersistEffect): void {
-    const list = new EntryList(this.#stored.snapshot, this.#stored.entries)
-    list.append(effect.entries)
-    if (effect.snapshot !== null) list.compact(effect.snapshot)
-    this.#stored = {
-      hard: effect.hard ?? this.#stored.hard,
-      snapshot: list.snapshot,
-      entries: list.slice(list.base + 1, Infinity)
-    }
-  }
-}
-
-/** One replica with its disk, and what it has not synced yet. */
-interface Peer {
-  readonly id: ReplicaId
-  readonly disk: FakeDisk
-  node: RaftNode | null
-  unsynced: PersistEffect[]
-  late: SendEffect[]
-  /** What the state machine holds: the values applied, in order. */
-  applied: string[]
-  appliedIndex: number
-  paused: boolean
-  /** This replica's clock, which drifts and stands still in a pause. */
-  clock: number
-}
-
 /** What a history found. */
 export interface HistoryReport {
   readonly violations: readonly string[]
@@ -80,16 +38,8 @@
   #peers = new Map<ReplicaId, Peer>()
   #wire: Packet[] = []
   #cut = new Set<string>()
-  #leaders = new Map<number, ReplicaId>()
-  /** What was applied at each index by whoever came first. */
-  #agreed = new Map<number, string>()
-  #proposals = new Map<number, string>()
-  #placed = new Map<string, number>()
-  #acknowledged = new Map<string, number>()
-  #reads = new Map<number, number>()
-  #violations: string[] = []
+  #ledger = new HistoryLedger()
   #counter = 0
-  #elections = 0
   #crashes = 0
   #disksLost = 0
   #repaired = 0
@@ -109,9 +59,9 @@
     for (let i = 0; i < steps; i++) this.#doOne()
     this.#heal()
     return {
-      violations: this.#violations,
-      acknowledged: this.#acknowledged.size,
-      elections: this.#elections,
+      violations: this.#ledger.violations,
+      acknowledged: this.#ledger.acknowledged,
+      elections: this.#ledger.elections,
       crashes: this.#crashes,
       disksLost: this.#disksLost,
       repaired: this.#repaired,
@@ -236,12 +186,14 @@
         return
       case 'apply': return this.#apply(peer, effect.entry)
       case 'restore': return this.#restore(peer, effect.snapshot)
-      case 'accepted': return this.#noteAccepted(effect.proposal, effect.index, effect.term)
+      case 'accepted': return this.#ledger.noteAccepted(effect.index, effect.term)
       case 'rejected': return
-      case 'readReady': return this.#checkRead(effect.read, effect.index)
-      case 'readFailed': return void this.#reads.delete(effect.read)
-      case 'role': return this.#noteRole(peer, effect.role, effect.term)
-      case 'violation': return this.#violate(`${effect.rule}: ${effect.detail}`)
+      case 'readReady': return this.#ledger.endRead(effect.read, effect.index)
+      case 'readFailed': return this.#ledger.dropRead(effect.read)
+      case 'role':
+        if (effect.role === 'leader') this.#ledger.noteLeader(peer.id, effect.term)
+        return
+      case 'violation': return this.#ledger.violate(`${effect.rule}: ${effect.detail}`)
     }
   }
 
@@ -271,28 +223,12 @@
     this.#step(peer, { type: 'synced', at: 0, index: lastIndex, term: lastTerm })
   }
 
-  #noteRole (peer: Peer, role: string, term: number): void {
-    if (role !== 'leader') return
-    this.#elections += 1
-    const other = this.#leaders.get(term)
-    if (other !== undefined && other !== peer.id) this.#violate(`election-safety: ${other} and ${peer.id} lead term ${term}`)
-    this.#leaders.set(term, peer.id)
-  }
-
   // The state machine: a list of values.
 
   #apply (peer: Peer, entry: LogEntry): void {
-    if (entry.index !== peer.appliedIndex + 1) this.#violate(`order: ${peer.id} applies ${entry.index} after ${peer.appliedIndex}`)
+    this.#ledger.noteApplied(peer, entry)
     peer.appliedIndex = entry.index
-    const value = entry.content.type === 'command' ? String(entry.content.command) : entry.content.type
-    const mark = `${entry.term}:${value}`
-    const agreed = this.#agreed.get(entry.index)
-    if (agreed !== undefined && agreed !== mark) this.#violate(`agreement: index ${entry.index} is ${agreed} and ${mark}`)
-    this.#agreed.set(entry.index, mark)
-    if (entry.content.type === 'command') {
-      peer.applied.push(value)
-      if (peer.node?.role === 'leader' && this.#placed.has(`${entry.index}:${entry.term}`)) this.#acknowledged.set(value, entry.index)
-    }
+    if (entry.content.type === 'command') peer.applied.push(String(entry.content.command))
     if (peer.node !== null && peer.node.compactable >= compactEvery && this.#random() < 0.3) this.#compact(peer)
   }
 
@@ -301,35 +237,22 @@
   }
 
   #restore (peer: Peer, snapshot: Snapshot): void {
-    if (snapshot.index < peer.appliedIndex) this.#violate(`order: ${peer.id} goes back to ${snapshot.index}`)
+    if (snapshot.index < peer.appliedIndex) this.#ledger.violate(`order: ${peer.id} goes back to ${snapshot.index}`)
     peer.applied = [...snapshot.state as string[]]
     peer.appliedIndex = snapshot.index
   }
 
   #propose (peer: Peer): void {
     this.#counter += 1
-    const value = `v${this.#counter}`
-    this.#proposals.set(this.#counter, value)
-    this.#step(peer, { type: 'propose', at: 0, wall: this.#steps, proposal: this.#counter, command: value })
-  }
-
-  #noteAccepted (proposal: number, index: number, term: number): void {
-    this.#placed.set(`${index}:${term}`, proposal)
+    this.#step(peer, { type: 'propose', at: 0, wall: this.#steps, proposal: this.#counter, command: `v${this.#counter}` })
   }
 
   #startRead (peer: Peer): void {
     this.#counter += 1
-    this.#reads.set(this.#counter, Math.max(0, ...this.#acknowledged.values()))
+    this.#ledger.startRead(this.#counter)
     this.#step(peer, { type: 'read', at: 0, read: this.#counter })
   }
 
-  // A read must see everything that was acknowledged before it began.
-  #checkRead (read: number, index: number): void {
-    const least = this.#reads.get(read)
-    this.#reads.delete(read)
-    if (least !== undefined && index < least) this.#violate(`read: index ${index}, but ${least} was acknowledged before`)
-  }
-
   // Disks: one is lost, the replica of a new disk is let in, the old one put out.
 
   #workOnDisks (): void {
@@ -403,29 +326,7 @@
 
   #checkEnd (): void {
     const leader = this.#findLeader()
-    if (leader === undefined) return this.#violate('progress: no leader after healing')
-    const { members } = leader.node as RaftNode
-    const reachable = members.voters.filter(id => this.#peers.has(id))
-    if (reachable.length * 2 <= members.voters.length) return
-    for (const [value, index] of this.#acknowledged) {
-      if (!leader.applied.includes(value)) this.#violate(`lost: ${value} at ${index} was acknowledged, and ${leader.id} lacks it`)
-    }
-    const unique = new Set(leader.applied)
-    if (unique.size !== leader.applied.length) this.#violate('twice: a value was applied twice')
-    for (const id of reachable) this.#checkSame(leader, this.#peers.get(id))
-  }
-
-  #checkSame (leader: Peer, peer: Peer | undefined): void {
-    if (peer === undefined) return
-    const behind = leader.appliedIndex - peer.appliedIndex
-    if (behind > 20) this.#violate(`progress: ${peer.id} is ${behind} entries behind after healing`)
-    const common = Math.min(leader.applied.length, peer.applied.length)
-    for (let i = 0; i < common; i++) {
-      if (leader.applied[i] !== peer.applied[i]) return this.#violate(`agreement: value ${i} differs at ${peer.id}`)
-    }
-  }
-
-  #violate (text: string): void {
-    if (this.#violations.length < 20) this.#violations.push(text)
+    if (leader?.node == null) return this.#ledger.violate('progress: no leader after healing')
+    this.#ledger.checkEnd(leader, leader.node.members, this.#peers)
   }
 }
