Entry box: callers' exchanges, members, configuration and loads stand in files of their own

CallerExchanges serves the callers' chats and calls, BoxMembers knows the other boxes and dials them, ConfigSpread asks for and gives configuration, LoadTeller tells loads. Names: giveConfig, askForConfig, watchKeeper, watchKeepers became ConfigSpread's give, ask, watch, tellRevision; tellLoads' turns are LoadTeller's.

--- /dev/null
+++ b/src/tasks/box-members.ts
@@ -0,0 +1,101 @@
+/** The other boxes as an entry box knows them: who there is, who shares the load, and the links to those it speaks to. */
+import { performance } from 'node:perf_hooks'
+import type { EntrySettings } from '../config/index.js'
+import type { Member } from '../coordination/index.js'
+import { brandId, listSharers } from '../core/index.js'
+import type { BoxId, ShardBox, ZoneName } from '../core/index.js'
+import type { BoxMessage, LinkPool } from '../protocol/index.js'
+import type { EventLog, Metrics } from '../runtime/index.js'
+import { MemberTask } from './member-task.js'
+import { rotate } from './rotate.js'
+
+/** Boxes of the own zone that a box asks for configuration. */
+const zonePeers = 2
+
+/** The box that knows them. */
+export interface BoxMembersHost {
+  readonly settings: EntrySettings
+  readonly secret: string
+  readonly links: LinkPool<BoxMessage>
+  readonly log: EventLog
+  readonly metrics: Metrics
+  /** A box came, changed or went; `isGone` where its requests are lost with it. */
+  noteChange (id: BoxId, isGone: boolean): void
+}
+
+export class BoxMembers {
+  #host: BoxMembersHost
+  #task: MemberTask | null = null
+  #dialed = new Set<string>()
+
+  constructor (host: BoxMembersHost) {
+    this.#host = host
+  }
+
+  /** False before the box has taken its place among the others. */
+  get isStarted (): boolean { return this.#task !== null }
+  get bytesIn (): number { return this.#task?.bytesIn ?? 0 }
+  get bytesOut (): number { return this.#task?.bytesOut ?? 0 }
+
+  /** `port`: of the box's own links. */
+  async start (incarnation: number, port: number): Promise<void> {
+    const { settings, secret, metrics } = this.#host
+    const { control, zone, id, members } = settings
+    const self: Member = { id, incarnation, zone, host: control.host, port, state: 'alive', version: 0 }
+    this.#task = new MemberTask(self, members, {
+      secret,
+      now: () => performance.now(),
+      random: Math.random,
+      noteChange: (member, before) => this.#noteMember(member, before),
+      noteBadDatagram: () => metrics.count('bad-datagram')
+    })
+    await this.#task.start()
+  }
+
+  leave (): void { this.#task?.leave() }
+  close (): void { this.#task?.close() }
+
+  /** Boxes that may own shards. */
+  listBoxes (): ShardBox[] {
+    return this.#members
+      .filter(member => member.state === 'alive' || member.state === 'suspect')
+      .map(member => ({ id: brandId<BoxId>(member.id), zone: brandId<ZoneName>(member.zone) }))
+  }
+
+  /** Boxes that share the workspaces' limits with this one. */
+  listSharers (): string[] {
+    const remembered = this.#task?.remembered ?? []
+    const sharers = listSharers(remembered.map(({ id, zone, state }) => ({ id, zone, isGone: state === 'gone' })))
+    return sharers.filter(sharer => sharer.id !== this.#host.settings.id).map(sharer => sharer.id)
+  }
+
+  /** Some boxes of the own zone, others for each `turn`. */
+  listZonePeers (turn: number): Member[] {
+    const { id, zone } = this.#host.settings
+    const peers = this.#members.filter(member => member.zone === zone && member.id !== id)
+    return rotate(peers, turn).slice(0, zonePeers)
+  }
+
+  /** Dials those of the boxes that are known and not linked yet. */
+  dial (wanted: ReadonlySet<BoxId>): void {
+    for (const member of this.#members) {
+      if (member.id === this.#host.settings.id || !wanted.has(brandId<BoxId>(member.id))) continue
+      const key = `${member.host}:${member.port}`
+      if (this.#dialed.has(key)) continue
+      this.#dialed.add(key)
+      this.#host.links.dial(member.host, member.port)
+    }
+  }
+
+  get #members (): readonly Member[] { return this.#task?.members ?? [] }
+
+  #noteMember (member: Member, before: string | null): void {
+    this.#host.log.info('member', { member: member.id, state: member.state, before, zone: member.zone })
+    const isGone = member.state === 'gone'
+    if (isGone) {
+      this.#host.links.hangUp(member.host, member.port)
+      this.#dialed.delete(`${member.host}:${member.port}`)
+    }
+    this.#host.noteChange(brandId<BoxId>(member.id), isGone)
+  }
+}
--- a/src/tasks/entry-box.ts
+++ b/src/tasks/entry-box.ts
@@ -3,29 +3,26 @@
  * bring the configuration; other boxes own some shards, this one owns others.
  */
 import { Agent } from 'node:http'
-import type { ServerResponse } from 'node:http'
 import { performance } from 'node:perf_hooks'
-import type { Configuration, EntrySettings, Service, ServiceEndpoint } from '../config/index.js'
-import type { ClaimCommand, Member } from '../coordination/index.js'
-import { Placer, RetryBudget, brandId, listSharers } from '../core/index.js'
-import type { BoxId, EngineId, PlacerShard, RequestId, Shard, ShardAnswer, ShardBox, ShardId, ShardWord, ZoneName } from '../core/index.js'
-import { LinkPool, packLoad, unpackLoad } from '../protocol/index.js'
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { Configuration, EntrySettings } from '../config/index.js'
+import { Placer, brandId } from '../core/index.js'
+import type { BoxId, EngineId, PlacerShard, Shard, ShardAnswer, ShardId, ShardWord, ZoneName } from '../core/index.js'
+import { LinkPool, unpackLoad } from '../protocol/index.js'
 import type { BoxMessage, BoxStatus, Link } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
+import { BoxMembers } from './box-members.js'
+import { CallerExchanges } from './caller-exchanges.js'
 import { CallerServer } from './caller-server.js'
-import { ChatExchange } from './chat-exchange.js'
-import type { ChatHost, ChatOrder, ChatSummary } from './chat-exchange.js'
 import { ConfigFollower } from './config-follower.js'
+import { ConfigSpread } from './config-spread.js'
 import { EngineWatch } from './engine-watch.js'
-import { Fault } from './fault.js'
 import { KeeperClient } from './keeper-client.js'
 import { Limits } from './limits.js'
-import { MemberTask } from './member-task.js'
+import { LoadTeller } from './load-teller.js'
 import { OpenLinks } from './open-links.js'
 import { describeOwned } from './owner-status.js'
 import { ShardDirectory, configureShard, listReporting } from './shard-directory.js'
-import { ServiceExchange } from './service-exchange.js'
-import type { ClaimEnd, ServiceHost, ServiceOrder, ServiceSummary } from './service-exchange.js'
 import { ShardOwner } from './shard-owner.js'
 
 /** What an entry box is given beside its settings. */
@@ -35,14 +32,13 @@
   readonly secret: string
 }
 
+/** Loads are told, waiting requests looked at, and configuration asked for this often, ms. */
 const loadsEveryMs = 250
-const toldAtOnce = 4
-const demandTurns = 40
 const tickEveryMs = 100
 const watchEveryMs = 2000
-const statusTurns = 2
+/** A planned stop looks this often whether all is done, ms. */
 const stopPollMs = 20
-const zonePeers = 2
+/** Sockets to one engine: far beyond its places. */
 const engineSockets = 4096
 
 export class EntryBox {
@@ -53,24 +49,20 @@
   #incarnation = Date.now()
   #links: LinkPool<BoxMessage>
   #openLinks = new OpenLinks<BoxMessage>()
+  #loadTeller = new LoadTeller(this.#openLinks)
   #keepers: KeeperClient
   #follower: ConfigFollower
-  #members: MemberTask | null = null
+  #spread: ConfigSpread
+  #members: BoxMembers
+  #exchanges: CallerExchanges
   #owner: ShardOwner
   #placer: Placer
   #limits: Limits
   #watch: EngineWatch
   #server: CallerServer
   #agent = new Agent({ keepAlive: true, maxSockets: engineSockets, maxFreeSockets: 256, scheduling: 'lifo' })
-  #budgets = new Map<string, RetryBudget>()
   #directory: ShardDirectory
-  #dialed = new Set<string>()
   #timers: NodeJS.Timeout[] = []
-  #requests = 0
-  #attempts = 0
-  #services = 0
-  #loadsTurn = 0
-  #watchTurn = 0
   #leaving = false
   #killed = false
   #violations = 0
@@ -98,6 +90,13 @@
     })
     this.#keepers = new KeeperClient(settings.keepers, this.#links, now)
     this.#follower = new ConfigFollower(settings.cacheFile, configuration => this.#noteConfiguration(configuration))
+    this.#spread = new ConfigSpread({
+      keepers: settings.keepers.map(({ id }) => id),
+      links: this.#openLinks,
+      follower: this.#follower,
+      composeStatus: () => this.composeStatus(),
+      listZonePeers: () => this.#listZonePeers()
+    })
     this.#owner = new ShardOwner({
       now,
       random: Math.random,
@@ -121,27 +120,48 @@
       noteReport: (engine, report) => this.#noteEngine(engine.id, shard => this.#owner.noteEngine(shard, { type: 'report', at: now(), engine: engine.id, report })),
       noteEvicted: (engine, prefixes) => this.#noteEngine(engine.id, shard => this.#owner.noteEngine(shard, { type: 'evicted', at: now(), engine: engine.id, prefixes }))
     })
+    this.#members = new BoxMembers({
+      settings,
+      secret: around.secret,
+      links: this.#links,
+      log: around.log,
+      metrics: around.metrics,
+      noteChange: (id, isGone) => this.#noteMember(id, isGone)
+    })
+    this.#exchanges = new CallerExchanges({
+      id: this.id,
+      zone: this.zone,
+      incarnation: this.#incarnation,
+      agent: this.#agent,
+      placer: this.#placer,
+      limits: this.#limits,
+      keepers: this.#keepers,
+      log: around.log,
+      metrics: around.metrics,
+      getConfiguration: () => this.configuration
+    })
     this.#server = new CallerServer(this.#createCallerHost(now))
   }
 
   get configuration (): Configuration { return this.#follower.configuration }
-  get inFlight (): number { return this.#placer.inFlight + this.#services }
+  get inFlight (): number { return this.#placer.inFlight + this.#exchanges.services }
   get violations (): number { return this.#violations }
   get traffic (): { readonly bytesIn: number, readonly bytesOut: number } {
     const { bytesIn, bytesOut } = this.#links.traffic
-    return { bytesIn: bytesIn + (this.#members?.bytesIn ?? 0), bytesOut: bytesOut + (this.#members?.bytesOut ?? 0) }
+    return { bytesIn: bytesIn + this.#members.bytesIn, bytesOut: bytesOut + this.#members.bytesOut }
   }
 
   /** Opens all sockets and begins to serve. */
   async start (): Promise<void> {
     this.#follower.load()
     this.controlPort = await this.#links.listen(this.settings.control.host, this.settings.control.port)
-    await this.#startMembers()
+    await this.#members.start(this.#incarnation, this.controlPort)
+    this.#updateShards()
     this.port = await this.#server.listen()
     this.#timers = [
       setInterval(() => this.#tellLoads(), loadsEveryMs),
       setInterval(() => this.#placer.tick(), tickEveryMs),
-      setInterval(() => this.#askForConfig(), watchEveryMs)
+      setInterval(() => this.#spread.ask(), watchEveryMs)
     ]
     this.#around.log.info('entry-started', { zone: this.zone, port: this.port, control: this.controlPort })
   }
@@ -153,7 +173,7 @@
   async stop (): Promise<number> {
     this.#leaving = true
     this.#around.log.info('leaving', { inFlight: this.inFlight })
-    this.#members?.leave()
+    this.#members.leave()
     this.#updateShards()
     await sleep(this.settings.balancerLagMs)
     this.#server.stopAccepting()
@@ -174,7 +194,7 @@
     this.#watch.close()
     this.#owner.close()
     this.#keepers.close()
-    this.#members?.close()
+    this.#members.close()
     this.#links.close()
     this.#agent.destroy()
   }
@@ -206,134 +226,18 @@
       get isReady () { return box.#isReady },
       get isLeaving () { return box.#leaving },
       now,
-      nextRequestId: () => this.#nextRequestId(),
-      startChat: (order, response) => this.#startChat(order, response),
-      startService: (order, response) => this.#startService(order, response),
-      noteRefused: (requestId, fault) => this.#noteRefused(requestId, fault)
-    }
-  }
-
-  #nextRequestId (): RequestId {
-    this.#requests += 1
-    return brandId<RequestId>(`${this.id}-${this.#incarnation.toString(36)}-${this.#requests.toString(36)}`)
-  }
-
-  #startChat (order: ChatOrder, response: ServerResponse): void {
-    const answer = this.#limits.enter(order.workspace, order.promptTokens)
-    if (answer.type === 'over') {
-      throw new Fault('workspace-limit', `workspace ${order.workspace.name} has used up its limit`, { retryAfterMs: answer.retryAfterMs })
-    }
-    new ChatExchange(this.#createChatHost(), order, response).run()
-  }
-
-  #createChatHost (): ChatHost {
-    return {
-      box: this.id,
-      agent: this.#agent,
-      now: () => performance.now(),
-      findEngine: id => this.configuration.engines.get(id),
-      canResume: engine => this.configuration.pools.get(engine.pool)?.protocol === 'wrenlane',
-      place: (submission, mayWait) => new Promise(resolve => this.#placer.place(submission, mayWait, resolve)),
-      noteFirstToken: request => this.#placer.noteFirstToken(request),
-      end: (request, how, tokens) => this.#placer.end(request, how, tokens),
-      cancel: request => this.#placer.cancel(request),
-      takeRetry: name => this.#openBudget(name).take(),
-      noteEnd: summary => this.#noteChatEnd(summary)
+      nextRequestId: () => this.#exchanges.nextRequestId(),
+      startChat: (order, response) => this.#exchanges.startChat(order, response),
+      startService: (order, response) => this.#exchanges.startService(order, response),
+      noteRefused: (requestId, fault) => this.#exchanges.noteRefused(requestId, fault)
     }
   }
 
-  #openBudget (name: string): RetryBudget {
-    const known = this.#budgets.get(name)
-    if (known !== undefined) return known
-    const made = new RetryBudget()
-    this.#budgets.set(name, made)
-    return made
-  }
-
-  #noteChatEnd (summary: ChatSummary): void {
-    const { order, kind, tokens, firstTokenMs } = summary
-    this.#limits.leave(order.workspace.name, tokens)
-    if (kind === 'ok') this.#openBudget(order.class.name).noteSuccess()
-    const met = kind === 'ok' && firstTokenMs !== null && firstTokenMs <= order.class.firstTokenMs
-    const tags = { class: order.class.name }
-    this.#around.metrics.count('requests', { ...tags, kind })
-    if (met) this.#around.metrics.count('goodput', tags)
-    if (summary.wastedTokens > 0) this.#around.metrics.count('wasted-tokens', tags, summary.wastedTokens)
-    if (firstTokenMs !== null) this.#around.metrics.time('first-token', firstTokenMs, tags)
-    this.#around.log.info('request', {
-      request: order.requestId,
-      workspace: order.workspace.name,
-      class: order.class.name,
-      kind,
-      status: summary.status,
-      attempts: summary.attempts,
-      engine: summary.engine,
-      tokens,
-      firstTokenMs: firstTokenMs === null ? null : Math.round(firstTokenMs),
-      totalMs: Math.round(summary.totalMs),
-      met
-    })
-  }
-
-  #noteRefused (requestId: string, fault: Fault): void {
-    this.#around.metrics.count('requests', { kind: fault.kind })
-    this.#around.log.info('refused', { request: requestId, kind: fault.kind, text: fault.message })
-  }
-
-  #startService (order: ServiceOrder, response: ServerResponse): void {
-    this.#services += 1
-    void new ServiceExchange(this.#createServiceHost(), order, response).run()
-  }
-
-  #createServiceHost (): ServiceHost {
-    return {
-      agent: this.#agent,
-      now: () => performance.now(),
-      nextAttempt: () => this.#nextAttempt(),
-      sendClaim: (command, timeoutMs) => this.#sendClaim(command, timeoutMs),
-      orderEndpoints: service => this.#orderEndpoints(service),
-      noteEnd: summary => this.#noteServiceEnd(summary)
-    }
-  }
-
-  #nextAttempt (): string {
-    this.#attempts += 1
-    return `${this.id}/${this.#incarnation}/${this.#attempts}`
-  }
-
-  async #sendClaim (command: ClaimCommand, timeoutMs: number): Promise<ClaimEnd> {
-    if (command.type === 'claim' && !this.#keepers.isConnected) return { type: 'unsent' }
-    const end = await this.#keepers.call({ type: 'command', command: { part: 'claims', command } }, timeoutMs)
-    if (end.type !== 'reply') return end
-    if (end.reply.type !== 'result') return { type: 'unanswered' }
-    return { type: 'result', result: end.reply.result as Extract<ClaimEnd, { type: 'result' }>['result'] }
-  }
-
-  #orderEndpoints (service: Service): readonly ServiceEndpoint[] {
-    const near = service.endpoints.filter(endpoint => endpoint.zone === this.zone)
-    const far = service.endpoints.filter(endpoint => endpoint.zone !== this.zone)
-    return [...rotate(near, this.#attempts), ...rotate(far, this.#attempts)]
-  }
-
-  #noteServiceEnd (summary: ServiceSummary): void {
-    this.#services -= 1
-    const { order, kind } = summary
-    this.#around.metrics.count('calls', { service: order.service.name, kind })
-    this.#around.log.info('call', {
-      request: order.requestId,
-      workspace: order.workspace,
-      service: order.service.name,
-      kind,
-      status: summary.status,
-      totalMs: Math.round(summary.totalMs)
-    })
-  }
-
   // Links and messages.
 
   #noteOpen (link: Link<BoxMessage>): void {
     this.#openLinks.add(link)
-    if (this.#isKeeper(link.peer)) this.#watchKeeper(link, true)
+    if (this.#isKeeper(link.peer)) this.#spread.watch(link, true)
     else this.#placer.reopen(brandId<BoxId>(link.peer))
   }
 
@@ -346,10 +250,10 @@
     switch (message.type) {
       case 'reply': return this.#keepers.receive(from, message.call, message.body)
       case 'revisions':
-        if (!this.#follower.takeRevisions(message.revisions)) link.send({ type: 'watch', revision: this.#follower.revision, status: null })
+        if (!this.#follower.takeRevisions(message.revisions)) this.#spread.watch(link, false)
         return
       case 'whole': return this.#follower.takeWhole(message.document, message.revision)
-      case 'ask-config': return this.#giveConfig(link, message.revision)
+      case 'ask-config': return this.#spread.give(link, message.revision)
       case 'shard-word': return this.#takeWord(link, message.shard, message.word)
       case 'shard-answer': return this.#placer.receive(message.shard, message.answer)
       case 'not-owner': return this.#placer.noteNotOwner(message.shard, message.request)
@@ -364,90 +268,26 @@
 
   // Configuration.
 
-  #watchKeeper (link: Link<BoxMessage>, withStatus: boolean): void {
-    link.send({ type: 'watch', revision: this.#follower.revision, status: withStatus ? this.composeStatus() : null })
-  }
-
-  // Every keeper is told the revision, one at a time the whole status.
-  #watchKeepers (statusTo: number | null): void {
-    this.settings.keepers.forEach(({ id }, i) => {
-      const link = this.#openLinks.find(id)
-      if (link !== undefined) this.#watchKeeper(link, i === statusTo)
-    })
-  }
-
-  #askForConfig (): void {
-    this.#watchTurn += 1
-    const isStatusDue = this.#watchTurn % statusTurns === 0
-    this.#watchKeepers(isStatusDue ? (this.#watchTurn / statusTurns) % this.settings.keepers.length : null)
-    for (const peer of this.#listZonePeers()) {
-      this.#openLinks.find(peer.id)?.send({ type: 'ask-config', revision: this.#follower.revision })
-    }
-  }
-
-  #giveConfig (link: Link<BoxMessage>, revision: number): void {
-    if (revision >= this.#follower.revision) return
-    const since = this.#follower.findSince(revision)
-    if (since !== null) link.send({ type: 'revisions', revisions: since })
-    else link.send({ type: 'whole', document: this.#follower.document, revision: this.#follower.revision })
-  }
-
   #noteConfiguration (configuration: Configuration): void {
     this.#around.log.info('configuration', { revision: configuration.revision })
     this.#around.metrics.gauge('revision', configuration.revision)
     this.#updateShards()
-    this.#watchKeepers(null)
+    this.#spread.tellRevision()
   }
 
   // Members and shards.
 
-  async #startMembers (): Promise<void> {
-    const { control, zone, id } = this.settings
-    const self: Member = { id, incarnation: this.#incarnation, zone, host: control.host, port: this.controlPort, state: 'alive', version: 0 }
-    this.#members = new MemberTask(self, this.settings.members, {
-      secret: this.#around.secret,
-      now: () => performance.now(),
-      random: Math.random,
-      noteChange: (member, before) => this.#noteMember(member, before),
-      noteBadDatagram: () => this.#around.metrics.count('bad-datagram')
-    })
-    await this.#members.start()
+  #noteMember (id: BoxId, isGone: boolean): void {
+    if (isGone) this.#owner.loseBox(id)
     this.#updateShards()
   }
 
-  #noteMember (member: Member, before: string | null): void {
-    this.#around.log.info('member', { member: member.id, state: member.state, before, zone: member.zone })
-    if (member.state === 'gone') {
-      this.#owner.loseBox(brandId<BoxId>(member.id))
-      this.#links.hangUp(member.host, member.port)
-      this.#dialed.delete(`${member.host}:${member.port}`)
-    }
-    this.#updateShards()
-  }
-
-  #listBoxes (): ShardBox[] {
-    const members = this.#members?.members ?? []
-    return members
-      .filter(member => member.state === 'alive' || member.state === 'suspect')
-      .map(member => ({ id: brandId<BoxId>(member.id), zone: brandId<ZoneName>(member.zone) }))
-  }
-
-  #listSharers (): string[] {
-    const remembered = this.#members?.remembered ?? []
-    const sharers = listSharers(remembered.map(({ id, zone, state }) => ({ id, zone, isGone: state === 'gone' })))
-    return sharers.filter(sharer => sharer.id !== this.id).map(sharer => sharer.id)
-  }
-
-  #listZonePeers (): Member[] {
-    const peers = (this.#members?.members ?? []).filter(member => member.zone === this.zone && member.id !== this.id)
-    return rotate(peers, this.#requests).slice(0, zonePeers)
-  }
+  #listZonePeers (): ReturnType<BoxMembers['listZonePeers']> { return this.#members.listZonePeers(this.#exchanges.requests) }
 
   #updateShards (): void {
-    if (this.#members === null) return
-    const boxes = this.#listBoxes()
-    this.#directory.update(this.configuration, boxes)
-    this.#limits.setSharers(this.#listSharers())
+    if (!this.#members.isStarted) return
+    this.#directory.update(this.configuration, this.#members.listBoxes())
+    this.#limits.setSharers(this.#members.listSharers())
     const { own, used } = this.#directory
     this.#owner.assign(own, shard => configureShard(shard, this.configuration))
     this.#dialOwners(used)
@@ -462,15 +302,10 @@
   }
 
   #dialOwners (shards: readonly PlacerShard[]): void {
-    const wanted = new Set(shards.map(shard => shard.owner))
+    const wanted = new Set<BoxId>()
+    for (const { owner } of shards) if (owner !== undefined) wanted.add(owner)
     for (const peer of this.#listZonePeers()) wanted.add(brandId<BoxId>(peer.id))
-    for (const member of this.#members?.members ?? []) {
-      if (member.id === this.id || !wanted.has(brandId<BoxId>(member.id))) continue
-      const key = `${member.host}:${member.port}`
-      if (this.#dialed.has(key)) continue
-      this.#dialed.add(key)
-      this.#links.dial(member.host, member.port)
-    }
+    this.#members.dial(wanted)
   }
 
   #sendShard (owner: BoxId, shard: ShardId, word: ShardWord): boolean {
@@ -492,14 +327,8 @@
   #tellLoads (): void {
     const { loads } = this.#owner
     this.#placer.noteLoads(this.id, loads)
-    const packed = loads.map(([shard, load]) => packLoad(shard, load))
     const peers = this.#openLinks.peers.filter(peer => !this.#isKeeper(peer) && !peer.startsWith('operator'))
-    // With many links each is told less often, so the traffic stays the same.
-    const turns = Math.max(1, Math.ceil(peers.length / toldAtOnce))
-    this.#loadsTurn += 1
-    const demands = this.#loadsTurn % demandTurns < turns ? this.#limits.demands : null
-    const message: BoxMessage = { type: 'loads', loads: packed, demands }
-    for (const peer of peers.filter((_, i) => i % turns === this.#loadsTurn % turns)) this.#openLinks.find(peer)?.send(message)
+    this.#loadTeller.tell(peers, loads, this.#limits.demands)
   }
 
   // Engines.
@@ -515,13 +344,3 @@
     this.#around.log.error('violation', { rule, detail })
   }
 }
-
-function sleep (ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms))
-}
-
-function rotate<T> (items: readonly T[], by: number): T[] {
-  if (items.length === 0) return []
-  const at = by % items.length
-  return [...items.slice(at), ...items.slice(0, at)]
-}
