Scheduler: its engines and its queues stand in files of their own

EngineSet says which engine can serve a request and soonest, ClassQueues holds what waits and who goes first, sumLoad adds up what other boxes are told. Constants have their origin. Behaviour unchanged, but that requests that became late in one tick are all taken out before the first of them is told when to come back. Names: choose, countPlaces, couldYield of the engines; hasBefore (was isOvertaking), countAhead, listByPriority of the queues.

--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -13,27 +13,29 @@
  */
 import type { BoxId, ClassName, EngineId, RequestId } from './ids.js'
 import type { RequestClass } from './request-class.js'
-import type { EngineSpec, SchedulerConfig } from './scheduler-config.js'
+import type { SchedulerConfig } from './scheduler-config.js'
 import type { RefusalReason, SchedulerAction } from './scheduler-action.js'
 import type { LoadReport, SchedulerEvent, StreamEnd } from './scheduler-event.js'
 import type { Submission } from './submission.js'
+import { sumLoad } from './shard-load.js'
 import type { ShardLoad } from './shard-load.js'
-import { ClassQueue } from './class-queue.js'
-import type { Waiting } from './class-queue.js'
-import { EngineState } from './engine-state.js'
+import type { ClassQueue, Waiting } from './class-queue.js'
+import { ClassQueues } from './class-queues.js'
+import { EngineSet } from './engine-set.js'
+import type { EngineState } from './engine-state.js'
 import { LeadTime } from './lead-time.js'
 import { LengthEstimate } from './length-estimate.js'
 import { ServiceRate } from './service-rate.js'
-import { findSlow } from './slow-engines.js'
 
-const slowCheckMs = 1000
+/** Least time after which a refused request is asked to come back, ms. */
 const leastRetryAfterMs = 250
+/** Part by which that time is spread, so that callers don't come back together. */
 const jitterShare = 0.5
-const pausePenaltyMs = 15
-const streamPenaltyMs = 1
-const silentPenaltyMs = 200
+/** A stream is guessed to be as long as the middle one of its class and workspace. */
 const guessShare = 0.5
+/** A stream that was cut waits at most so long for another engine, ms. */
 const resumedWaitMs = 30_000
+/** What a prompt token counts beside a token written, in service received. */
 const promptWeight = 0.25
 
 interface Placed {
@@ -45,16 +47,13 @@
   #config: SchedulerConfig
   #random: () => number
   #classes = new Map<ClassName, RequestClass>()
-  #engines = new Map<EngineId, EngineState>()
-  #list: EngineState[] = []
-  #queues: ClassQueue[] = []
-  #waiting = new Map<RequestId, Submission>()
+  #engines = new EngineSet()
+  #queues = new ClassQueues()
   #placed = new Map<RequestId, Placed>()
   #quickRate = new ServiceRate()
   #patientRate = new ServiceRate()
   #lengths = new LengthEstimate()
   #leads = new Map<ClassName, LeadTime>()
-  #slowCheckAt = 0
   #actions: SchedulerAction[] = []
   #now = 0
 
@@ -73,35 +72,18 @@
   }
 
   /** What other boxes need to know of this shard. */
-  get load (): ShardLoad {
-    let places = 0
-    let quick = 0
-    let patient = 0
-    for (const engine of this.#list) {
-      if (!this.#isUsable(engine, false)) continue
-      places += engine.spec.places
-      quick += engine.quick
-      patient += engine.load - engine.quick
-    }
-    let queued = 0
-    let queuedPatient = 0
-    for (const queue of this.#queues) {
-      if (queue.class.mayWait) queuedPatient += queue.size
-      else queued += queue.size
-    }
-    return { places, quick, patient, queued, queuedPatient }
-  }
+  get load (): ShardLoad { return sumLoad(this.#engines.listUsable(false), this.#queues.list) }
 
   /** True where requests wait, so that ticks must come often. */
-  get hasWaiting (): boolean { return this.#waiting.size > 0 }
+  get hasWaiting (): boolean { return this.#queues.waiting > 0 }
 
   /** Requests waiting, by class. */
   get queueSizes (): ReadonlyMap<ClassName, number> {
-    return new Map(this.#queues.map(queue => [queue.class.name, queue.size]))
+    return new Map(this.#queues.list.map(queue => [queue.class.name, queue.size]))
   }
 
   /** The engines, for status pages. */
-  get engines (): readonly EngineState[] { return this.#list }
+  get engines (): readonly EngineState[] { return this.#engines.list }
 
   #handle (event: SchedulerEvent): void {
     switch (event.type) {
@@ -111,7 +93,7 @@
       case 'firstToken': return this.#noteFirstToken(event.request, event.attempt)
       case 'end': return this.#end(event.request, event.attempt, event.how, event.tokens)
       case 'report': return this.#report(event.engine, event.report)
-      case 'evicted': return this.#engines.get(event.engine)?.prefixes.evict(event.prefixes)
+      case 'evicted': return this.#engines.find(event.engine)?.prefixes.evict(event.prefixes)
       case 'drain': return this.#drain(event.engine, event.leaving)
       case 'boxLost': return this.#loseBox(event.box)
       case 'configure': return this.#configure(event.config)
@@ -123,70 +105,36 @@
   #submit (submission: Submission): void {
     const wanted = this.#classes.get(submission.class)
     if (wanted === undefined) return this.#refuse(submission, 'no-engine')
-    if (this.#waiting.has(submission.request) || this.#placed.has(submission.request)) {
-      this.#forget(submission.request)
-    }
-    const engine = this.#choose(submission, wanted)
-    if (engine !== undefined && !this.#isOvertaking(submission, wanted)) {
-      return this.#grant(submission, wanted, engine)
-    }
+    this.#forget(submission.request)
+    const engine = this.#engines.choose(submission, wanted, this.#now)
+    if (engine !== undefined && !this.#queues.hasBefore(submission, wanted)) return this.#grant(submission, wanted, engine)
     const refusal = this.#findRefusal(submission, wanted)
     if (refusal !== undefined) return this.#refuse(submission, refusal)
-    this.#enqueue(submission, wanted)
+    this.#queues.push(submission, wanted, this.#now)
     this.#dispatch()
   }
 
   #adopt (submission: Submission, id: EngineId): void {
-    const engine = this.#engines.get(id)
+    const engine = this.#engines.find(id)
     const wanted = this.#classes.get(submission.class)
     if (engine === undefined || wanted === undefined) return
     this.#forget(submission.request)
     this.#place(submission, wanted, engine)
   }
 
-  // Requests of the same or a higher class that wait already go first.
-  #isOvertaking (submission: Submission, wanted: RequestClass): boolean {
-    for (const queue of this.#queues) {
-      if (queue.size === 0) continue
-      if (queue.class.priority > wanted.priority) return false
-      if (queue.findNext(other => other.model === submission.model) !== undefined) return true
-    }
-    return false
-  }
-
   #findRefusal (submission: Submission, wanted: RequestClass): RefusalReason | undefined {
-    const places = this.#countPlaces(submission, wanted.mayWait)
+    const places = this.#engines.countPlaces(submission, wanted.mayWait)
     if (places === 0) return 'no-engine'
     if (submission.resumed) return undefined
     if (wanted.mayWait) {
-      const limit = this.#config.queuePerEngine * this.#list.length
-      return this.#openQueue(wanted).size >= limit ? 'queue-full' : undefined
+      const limit = this.#config.queuePerEngine * this.#engines.list.length
+      return this.#queues.open(wanted).size >= limit ? 'queue-full' : undefined
     }
-    const ahead = this.#countAhead(submission, wanted)
+    const ahead = this.#queues.countAhead(submission, wanted)
     const waitMs = this.#quickRate.predictWait(ahead, places) * this.#config.waitMargin
     return this.#now + waitMs + this.#openLead(wanted.name).safeMs > submission.deadline ? 'overloaded' : undefined
   }
 
-  // Classes of one priority take turns, so each is refused for its own excess.
-  #countAhead (submission: Submission, wanted: RequestClass): number {
-    const own = this.#openQueue(wanted).countBefore(submission.workspace)
-    let ahead = own
-    for (const queue of this.#queues) {
-      if (queue.class === wanted || queue.class.mayWait || queue.class.priority > wanted.priority) continue
-      ahead += queue.class.priority < wanted.priority ? queue.size : Math.min(queue.size, own + 1)
-    }
-    return ahead
-  }
-
-  #countPlaces (submission: Submission, mayWait: boolean): number {
-    let places = 0
-    for (const engine of this.#list) {
-      if (!this.#canServe(engine, submission, mayWait)) continue
-      places += engine.spec.places + (mayWait ? engine.spec.floorPlaces : 0)
-    }
-    return places
-  }
-
   #openLead (name: ClassName): LeadTime {
     const known = this.#leads.get(name)
     if (known !== undefined) return known
@@ -195,44 +143,6 @@
     return made
   }
 
-  #canServe (engine: EngineState, submission: Submission, mayWait: boolean): boolean {
-    if (!this.#isUsable(engine, mayWait)) return false
-    if (!engine.spec.models.includes(submission.model)) return false
-    return submission.exclude.length === 0 || !submission.exclude.includes(engine.id)
-  }
-
-  // A slow engine is kept for requests that may wait.
-  #isUsable (engine: EngineState, mayWait: boolean): boolean {
-    if (engine.leaving || engine.health.state === 'out') return false
-    if (engine.health.state === 'probing' && engine.load > 0) return false
-    return mayWait || !engine.health.slow
-  }
-
-  #choose (submission: Submission, wanted: RequestClass): EngineState | undefined {
-    let best: EngineState | undefined
-    let bestCost = Infinity
-    for (const engine of this.#list) {
-      if (!engine.hasPlace(wanted.priority, wanted.mayWait)) continue
-      if (!this.#canServe(engine, submission, wanted.mayWait)) continue
-      const cost = this.#estimateCost(engine, submission)
-      if (cost < bestCost) {
-        best = engine
-        bestCost = cost
-      }
-    }
-    return best
-  }
-
-  /** Expected delay of the first token at this engine, ms. */
-  #estimateCost (engine: EngineState, submission: Submission): number {
-    const cached = engine.prefixes.expect(submission.prefix)
-    const prefill = submission.promptTokens * (1 - cached) * engine.spec.prefillMs / 1000
-    const pausing = engine.load >= engine.batchLimit ? pausePenaltyMs : 0
-    const step = engine.health.tokenMs ?? 0
-    const silent = engine.health.isSilent(this.#now) ? silentPenaltyMs : 0
-    return prefill + pausing + step + engine.load * streamPenaltyMs + silent
-  }
-
   #grant (submission: Submission, wanted: RequestClass, engine: EngineState): void {
     const yielding = wanted.mayWait ? undefined : engine.findYielding(wanted.priority)
     if (yielding !== undefined) this.#noteYield(yielding.request, yielding.priority, submission, wanted, engine)
@@ -268,35 +178,15 @@
     engine.prefixes.add(submission.prefix)
     this.#placed.set(submission.request, { engine, submission })
     const service = submission.promptTokens * promptWeight + estimatedTokens
-    const queue = this.#openQueue(wanted)
+    const queue = this.#queues.open(wanted)
     queue.charge(submission.workspace, service)
     queue.served += service
   }
 
-  #enqueue (submission: Submission, wanted: RequestClass): void {
-    const queue = this.#openQueue(wanted)
-    if (queue.size === 0) queue.served = Math.max(queue.served, this.#findLeastServed(wanted.priority))
-    queue.push(submission, this.#now)
-    this.#waiting.set(submission.request, submission)
-  }
-
-  // A class that comes back after idling is not owed for the idle time.
-  #findLeastServed (priority: number): number {
-    let least = Infinity
-    for (const queue of this.#queues) {
-      if (queue.size > 0 && queue.class.priority === priority) least = Math.min(least, queue.served)
-    }
-    return least === Infinity ? 0 : least
-  }
-
   /** Gives free places to waiting requests, highest class first. */
   #dispatch (): void {
-    for (let from = 0; from < this.#queues.length;) {
-      let until = from + 1
-      while (until < this.#queues.length && this.#queues[until].class.priority === this.#queues[from].class.priority) until += 1
-      const peers = this.#queues.slice(from, until)
+    for (const peers of this.#queues.listByPriority()) {
       while (this.#dispatchOneOf(peers));
-      from = until
     }
   }
 
@@ -312,24 +202,19 @@
   #dispatchOne (queue: ClassQueue): boolean {
     let engine: EngineState | undefined
     const next = queue.findNext(submission => {
-      const found = this.#choose(submission, queue.class)
+      const found = this.#engines.choose(submission, queue.class, this.#now)
       if (found !== undefined) engine = found
       return found !== undefined
     })
     if (next === undefined || engine === undefined) return false
-    this.#take(queue, next)
+    this.#queues.remove(next.submission.request)
     this.#grant(next.submission, queue.class, engine)
     return true
   }
 
-  #take (queue: ClassQueue, entry: Waiting): void {
-    queue.remove(entry.submission.workspace, entry.submission.request)
-    this.#waiting.delete(entry.submission.request)
-  }
-
   #refuse (submission: Submission, reason: RefusalReason): void {
     const wanted = this.#classes.get(submission.class)
-    const lowerCouldYield = wanted !== undefined && this.#couldYield(submission, wanted)
+    const lowerCouldYield = wanted !== undefined && this.#engines.couldYield(submission, wanted)
     if (lowerCouldYield) this.#violate('no-shed-for-lower', `${submission.request} ${reason}`)
     this.#actions.push({
       type: 'refuse',
@@ -342,44 +227,24 @@
     })
   }
 
-  // The naive form of the precedence rule, on purpose apart from `#choose`.
-  #couldYield (submission: Submission, wanted: RequestClass): boolean {
-    if (wanted.mayWait) return false
-    for (const engine of this.#list) {
-      if (!this.#canServe(engine, submission, false)) continue
-      let same = 0
-      let lower = 0
-      for (const stream of engine.streams.values()) {
-        if (stream.priority <= wanted.priority) same += 1
-        else lower += 1
-      }
-      if (lower > 0 && same < engine.spec.places && engine.hasPlace(wanted.priority, false)) return true
-    }
-    return false
-  }
-
   #predictRetry (submission: Submission, wanted: RequestClass | undefined): number {
     const mayWait = wanted?.mayWait ?? false
     const rate = mayWait ? this.#patientRate : this.#quickRate
-    const ahead = wanted === undefined ? 0 : this.#openQueue(wanted).size
-    const wait = rate.predictWait(ahead, this.#countPlaces(submission, mayWait))
+    const ahead = wanted === undefined ? 0 : this.#queues.open(wanted).size
+    const wait = rate.predictWait(ahead, this.#engines.countPlaces(submission, mayWait))
     const base = Number.isFinite(wait) ? Math.max(leastRetryAfterMs, wait) : rate.meanMs
     return Math.round(base * (1 + jitterShare * this.#random()))
   }
 
   #cancel (request: RequestId, attempt: number): void {
-    const known = this.#waiting.get(request) ?? this.#placed.get(request)?.submission
+    const known = this.#queues.findWaiting(request) ?? this.#placed.get(request)?.submission
     if (known === undefined || known.attempt > attempt) return
     this.#forget(request)
     this.#dispatch()
   }
 
   #forget (request: RequestId): void {
-    const submission = this.#waiting.get(request)
-    if (submission !== undefined) {
-      this.#waiting.delete(request)
-      this.#findQueue(submission.class)?.remove(submission.workspace, request)
-    }
+    this.#queues.remove(request)
     const placed = this.#placed.get(request)
     if (placed === undefined) return
     this.#placed.delete(request)
@@ -407,7 +272,7 @@
         placed.engine.health.addSuccess()
         this.#lengths.add(stream.class, stream.workspace, tokens)
         rate.add(heldMs)
-        this.#findQueue(stream.class)?.charge(stream.workspace, tokens - stream.estimatedTokens)
+        this.#queues.find(stream.class)?.charge(stream.workspace, tokens - stream.estimatedTokens)
         break
       case 'engine-failed':
         placed.engine.health.addFailure(this.#now)
@@ -423,23 +288,21 @@
   }
 
   #report (id: EngineId, report: LoadReport): void {
-    const engine = this.#engines.get(id)
+    const engine = this.#engines.find(id)
     if (engine === undefined) return
     engine.health.addReport(this.#now, report.stepMs)
     engine.saysLeaving = report.leaving
   }
 
   #drain (id: EngineId, leaving: boolean): void {
-    const engine = this.#engines.get(id)
+    const engine = this.#engines.find(id)
     if (engine === undefined) return
     engine.drained = leaving
     this.#dispatch()
   }
 
   #loseBox (box: BoxId): void {
-    for (const [request, submission] of [...this.#waiting]) {
-      if (submission.box === box) this.#forget(request)
-    }
+    this.#queues.removeOf(box)
     for (const [request, placed] of [...this.#placed]) {
       if (placed.submission.box === box) this.#forget(request)
     }
@@ -447,22 +310,15 @@
   }
 
   #tick (): void {
-    for (const engine of this.#list) engine.health.advance(this.#now)
-    if (this.#now >= this.#slowCheckAt) {
-      this.#slowCheckAt = this.#now + slowCheckMs
-      findSlow(this.#list, this.#config.ejectShare)
-    }
+    this.#engines.advance(this.#now, this.#config.ejectShare)
     this.#dispatch()
-    for (const queue of this.#queues) this.#dropLate(queue)
+    for (const queue of this.#queues.list) this.#dropLate(queue)
   }
 
   #dropLate (queue: ClassQueue): void {
     if (queue.size === 0) return
-    const late = queue.collect(entry => this.#isLate(entry, queue.class))
-    for (const entry of late) {
-      this.#take(queue, entry)
-      this.#refuse(entry.submission, 'late')
-    }
+    const late = this.#queues.takeAll(queue, entry => this.#isLate(entry, queue.class))
+    for (const submission of late) this.#refuse(submission, 'late')
   }
 
   #isLate (entry: Waiting, of: RequestClass): boolean {
@@ -474,52 +330,11 @@
   #configure (config: SchedulerConfig): void {
     this.#config = config
     this.#classes = new Map(config.classes.map(one => [one.name, one]))
-    this.#syncEngines(config.engines)
-    const old = this.#queues
-    this.#queues = []
-    for (const one of [...config.classes].sort((a, b) => a.priority - b.priority)) {
-      this.#queues.push(new ClassQueue(one))
-    }
-    for (const queue of old) this.#requeue(queue)
+    this.#engines.configure(config.engines)
+    for (const submission of this.#queues.configure(config.classes)) this.#refuse(submission, 'no-engine')
     this.#dispatch()
   }
 
-  #requeue (old: ClassQueue): void {
-    for (const entry of old.collect(() => true)) {
-      const queue = this.#findQueue(old.class.name)
-      if (queue === undefined) {
-        this.#waiting.delete(entry.submission.request)
-        this.#refuse(entry.submission, 'no-engine')
-      } else {
-        queue.push(entry.submission, entry.since)
-      }
-    }
-    this.#findQueue(old.class.name)?.inherit(old)
-  }
-
-  #syncEngines (specs: readonly EngineSpec[]): void {
-    const kept = new Map<EngineId, EngineState>()
-    for (const spec of specs) {
-      const known = this.#engines.get(spec.id) ?? new EngineState(spec)
-      known.spec = spec
-      kept.set(spec.id, known)
-    }
-    this.#engines = kept
-    this.#list = [...kept.values()]
-  }
-
-  #findQueue (name: ClassName): ClassQueue | undefined {
-    return this.#queues.find(queue => queue.class.name === name)
-  }
-
-  #openQueue (of: RequestClass): ClassQueue {
-    const queue = this.#findQueue(of.name)
-    if (queue !== undefined) return queue
-    const made = new ClassQueue(of)
-    this.#queues.push(made)
-    return made
-  }
-
   #violate (rule: string, detail: string): void {
     this.#actions.push({ type: 'violation', rule, detail })
   }
