Load hubs tell totals once they have changed, and else as a sign of life

Cause: each sum of another hub made a hub tell its own sum and its totals again, changed or not, so that hubs answered one another without end, every 10 ms.

Change: bytes that are the same as those told last are not told again within 100 ms, to gateways and to hubs each. The sign of life goes out every 100 ms instead of 200, as nothing else covers a lost one now.

--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -2,3 +2,4 @@
 export { RegistryBox } from './registry-box.js'
 export type { RegistrySurroundings } from './registry-box.js'
 export { isSavedPrompt } from './saved-kinds.js'
+export { LoadHub } from './load-hub.js'
--- a/src/registry/load-hub.ts
+++ b/src/registry/load-hub.ts
@@ -6,7 +6,7 @@
  */
 import { randomInt } from 'node:crypto'
 import { LoadBook, PromptBook } from '../core/index.js'
-import type { BoxId, LoadTotals } from '../core/index.js'
+import type { BoxId } from '../core/index.js'
 import { decodeHubWord, decodeLoadWord, encodeHubWord, encodeTotals, encodeTotalsWord, isNewerWord, startLimit } from '../protocol/index.js'
 import type { WordNumber } from '../protocol/index.js'
 import { DatagramPort, Inbox } from '../runtime/index.js'
@@ -48,8 +48,8 @@
 const intervalPerEndpointMs = 0.8
 /** Totals older than this are worth little, ms. */
 const mostIntervalMs = 300
-/** Without a change the totals are told this often, ms: they are also the sign that the hub lives. */
-const beatMs = 200
+/** Without a change words go out this often, ms: they are also the sign that the hub lives, for which a gateway waits some four of them. */
+const beatMs = 100
 /** Hubs without gateways of their own are told this often, ms: one of them may be chosen at any time. */
 const idleHubMs = 500
 /** Datagrams that wait to be read; more are dropped, as the network may. */
@@ -69,7 +69,10 @@
   #allToldAt = -Infinity
   #start = randomInt(startLimit)
   #number = 0
-  #toldAt = -Infinity
+  /** When it was last looked at what is to be told. */
+  #lookedAt = -Infinity
+  #toGateways = new LastWord()
+  #toHubs = new LastWord()
   #endpointsTold = 0
   #isScheduled = false
   #closed = false
@@ -140,14 +143,14 @@
       this.#others.delete(box)
       if (this.#tellers.delete(box)) this.#host.log.warn('gateway-silent', { gateway: box })
     }
-    if (now - this.#toldAt >= beatMs) this.#tell()
+    if (this.#toGateways.isDue(now) || this.#toHubs.isDue(now)) this.#tell()
   }
 
   // Changes of one interval share a datagram.
   #schedule (): void {
     if (this.#isScheduled) return
     this.#isScheduled = true
-    const waitMs = Math.max(0, this.#toldAt + this.#intervalMs - this.#host.now())
+    const waitMs = Math.max(0, this.#lookedAt + this.#intervalMs - this.#host.now())
     setTimeout(() => this.#inbox.post({ type: 'tell' }), waitMs)
   }
 
@@ -155,26 +158,51 @@
     this.#isScheduled = false
     if (this.#closed || this.#tellers.size === 0) return
     const now = this.#host.now()
-    this.#toldAt = now
-    this.#number += 1
+    this.#lookedAt = now
     const own = this.#book.sumOwn(now)
-    this.#tellHubs(own, now)
+    this.#tellHubs(encodeTotals(own), now)
     const sum = this.#book.sumAll(own, now)
     this.#endpointsTold = sum.loads.length
-    const totals = encodeTotals(sum)
-    const word = { start: this.#start, number: this.#number, intervalMs: this.#intervalMs }
+    this.#tellGateways(encodeTotals(sum), now)
+  }
+
+  #tellGateways (totals: Buffer, now: number): void {
+    if (!this.#toGateways.take(totals, now)) return
+    const word = { start: this.#start, number: this.#nextNumber(), intervalMs: this.#intervalMs }
     for (const { host, port, number } of this.#tellers.values()) {
       this.#datagrams.send(encodeTotalsWord({ ...word, ownNumber: number }, totals), host, port)
     }
   }
 
   // Hubs that have gateways are told at once, the others now and then.
-  #tellHubs (own: LoadTotals, now: number): void {
+  #tellHubs (own: Buffer, now: number): void {
     const tellsAll = now - this.#allToldAt >= idleHubMs
+    if (!this.#toHubs.take(own, now) && !tellsAll) return
     if (tellsAll) this.#allToldAt = now
     const hosts = tellsAll ? this.#host.listOthers() : [...this.#others.values()].map(other => other.host)
     if (hosts.length === 0) return
-    const bytes = encodeHubWord({ hub: this.#host.id, start: this.#start, number: this.#number }, encodeTotals(own))
+    const bytes = encodeHubWord({ hub: this.#host.id, start: this.#start, number: this.#nextNumber() }, own)
     for (const host of hosts) this.#datagrams.send(bytes, host, this.#port)
   }
+
+  #nextNumber (): number {
+    this.#number += 1
+    return this.#number
+  }
+}
+
+/** What was last told to some, so that it is told again only once it has changed, or as a sign of life. */
+class LastWord {
+  #bytes: Buffer | null = null
+  #at = -Infinity
+
+  isDue (at: number): boolean { return at - this.#at >= beatMs }
+
+  /** True where these bytes are to be told now. */
+  take (bytes: Buffer, at: number): boolean {
+    if (!this.isDue(at) && this.#bytes?.equals(bytes) === true) return false
+    this.#bytes = bytes
+    this.#at = at
+    return true
+  }
 }
