Load hubs pass each prompt on twice, instead of in every word for 200 ms

Cause: a box tells a prompt for 200 ms, as a datagram may be lost; its hub put it into every total of that time, and the other hubs into theirs.

Change: PromptRelay passes a prompt on in two words, to hubs and to gateways each, and takes it for read anew after 600 ms. Its test is new; the load book keeps none any more.

--- a/src/core/balance/load-book.ts
+++ b/src/core/balance/load-book.ts
@@ -1,6 +1,7 @@
 /**
  * A hub's book of what each of its boxes last told of its work, and of the sums
- * that other hubs told of theirs. Whoever falls silent no longer counts.
+ * that other hubs told of theirs. Whoever falls silent no longer counts. Prompts
+ * are not kept here, as they are passed on by themselves.
  */
 import type { BoxId, ZoneName } from '../ids.js'
 import { LoadSum } from './load-sum.js'
@@ -35,7 +36,7 @@
 
   /** Takes another hub's newest sum. */
   noteSum (hub: BoxId, sum: LoadTotals, at: number): void {
-    this.#sums.set(hub, { sum, at })
+    this.#sums.set(hub, { sum: { ...sum, prompts: [] }, at })
   }
 
   /** Forgets boxes and hubs that have fallen silent; returns them. */
@@ -56,7 +57,7 @@
     const sum = new LoadSum()
     for (const { zone, load, at: toldAt } of this.#loads.values()) {
       const demands = load.demands.map(demand => ({ ...demand, holders: demand.held.length > 0 ? 1 : 0 }))
-      sum.add({ loads: load.loads, demands, gaps: load.gaps, prompts: load.prompts, zones: at - toldAt <= zoneSilentMs ? [zone] : [] })
+      sum.add({ loads: load.loads, demands, gaps: load.gaps, prompts: [], zones: at - toldAt <= zoneSilentMs ? [zone] : [] })
     }
     return sum.totals
   }
--- a/src/registry/load-hub.ts
+++ b/src/registry/load-hub.ts
@@ -5,8 +5,8 @@
  * between zones. The work of a hub grows with its gateways, a gateway's doesn't.
  */
 import { randomInt } from 'node:crypto'
-import { LoadBook, PromptBook } from '../core/index.js'
-import type { BoxId } from '../core/index.js'
+import { LoadBook, PromptBook, PromptRelay } from '../core/index.js'
+import type { BoxId, LoadTotals, ReadPrompt } from '../core/index.js'
 import { decodeHubWord, decodeLoadWord, encodeHubWord, encodeTotals, encodeTotalsWord, isNewerWord, startLimit } from '../protocol/index.js'
 import type { WordNumber } from '../protocol/index.js'
 import { DatagramPort, Inbox } from '../runtime/index.js'
@@ -60,6 +60,9 @@
   #datagrams: DatagramPort
   #inbox = new Inbox<Input>(mostWaiting)
   #book = new LoadBook()
+  /** Prompts for the other hubs, of the own gateways, and for the own gateways, of all. */
+  #promptsToHubs = new PromptRelay()
+  #promptsToGateways = new PromptRelay()
   /** What engines hold, as all gateways told it. */
   readonly prompts = new PromptBook()
   #tellers = new Map<BoxId, Teller>()
@@ -122,8 +125,10 @@
     const { box, zone, start, number, load } = word
     if (!isNewerWord(word, this.#tellers.get(box))) return
     this.#tellers.set(box, { host, port, start, number })
-    this.#book.note(box, zone, load, this.#host.now())
-    this.prompts.note(load.prompts)
+    const now = this.#host.now()
+    this.#book.note(box, zone, load, now)
+    this.#promptsToHubs.take(load.prompts, now)
+    this.#takePrompts(load.prompts, now)
     this.#schedule()
   }
 
@@ -132,11 +137,16 @@
     if (word === null || !isNewerWord(word, this.#others.get(word.hub))) return
     const { hub, start, number, sum } = word
     this.#others.set(hub, { start, number, host })
-    this.#book.noteSum(hub, sum, this.#host.now())
-    this.prompts.note(sum.prompts)
+    const now = this.#host.now()
+    this.#book.noteSum(hub, sum, now)
+    this.#takePrompts(sum.prompts, now)
     if (this.#tellers.size > 0) this.#schedule()
   }
 
+  #takePrompts (prompts: readonly ReadPrompt[], at: number): void {
+    this.prompts.note(this.#promptsToGateways.take(prompts, at))
+  }
+
   #tick (): void {
     const now = this.#host.now()
     for (const box of this.#book.forgetSilent(now)) {
@@ -160,14 +170,15 @@
     const now = this.#host.now()
     this.#lookedAt = now
     const own = this.#book.sumOwn(now)
-    this.#tellHubs(encodeTotals(own), now)
+    this.#tellHubs({ ...own, prompts: this.#promptsToHubs.draw() }, now)
     const sum = this.#book.sumAll(own, now)
     this.#endpointsTold = sum.loads.length
-    this.#tellGateways(encodeTotals(sum), now)
+    this.#tellGateways({ ...sum, prompts: this.#promptsToGateways.draw() }, now)
   }
 
-  #tellGateways (totals: Buffer, now: number): void {
-    if (!this.#toGateways.take(totals, now)) return
+  #tellGateways (sum: LoadTotals, now: number): void {
+    const totals = encodeTotals(sum)
+    if (!this.#toGateways.take(totals, now, sum.prompts.length > 0)) return
     const word = { start: this.#start, number: this.#nextNumber(), intervalMs: this.#intervalMs }
     for (const { host, port, number } of this.#tellers.values()) {
       this.#datagrams.send(encodeTotalsWord({ ...word, ownNumber: number }, totals), host, port)
@@ -175,13 +186,14 @@
   }
 
   // Hubs that have gateways are told at once, the others now and then.
-  #tellHubs (own: Buffer, now: number): void {
+  #tellHubs (own: LoadTotals, now: number): void {
+    const sum = encodeTotals(own)
     const tellsAll = now - this.#allToldAt >= idleHubMs
-    if (!this.#toHubs.take(own, now) && !tellsAll) return
+    if (!this.#toHubs.take(sum, now, own.prompts.length > 0) && !tellsAll) return
     if (tellsAll) this.#allToldAt = now
     const hosts = tellsAll ? this.#host.listOthers() : [...this.#others.values()].map(other => other.host)
     if (hosts.length === 0) return
-    const bytes = encodeHubWord({ hub: this.#host.id, start: this.#start, number: this.#nextNumber() }, own)
+    const bytes = encodeHubWord({ hub: this.#host.id, start: this.#start, number: this.#nextNumber() }, sum)
     for (const host of hosts) this.#datagrams.send(bytes, host, this.#port)
   }
 
@@ -198,9 +210,9 @@
 
   isDue (at: number): boolean { return at - this.#at >= beatMs }
 
-  /** True where these bytes are to be told now. */
-  take (bytes: Buffer, at: number): boolean {
-    if (!this.isDue(at) && this.#bytes?.equals(bytes) === true) return false
+  /** True where these bytes are to be told now; `hasNews`: even if they are the same. */
+  take (bytes: Buffer, at: number, hasNews: boolean): boolean {
+    if (!hasNews && !this.isDue(at) && this.#bytes?.equals(bytes) === true) return false
     this.#bytes = bytes
     this.#at = at
     return true
--- a/test/balance.test.ts
+++ b/test/balance.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { EndpointDirectory, EndpointTrust, Fleet, LoadBook, PauseRange, PromptBook, PromptMemory, ReadingPause, ReadingShare, RecentMost, RetryPurse, ZoneWatch, brandId, computeShare, findPatience, isPatient, noTotals, subtractOwn } from '../src/core/index.js'
+import { EndpointDirectory, EndpointTrust, Fleet, LoadBook, PauseRange, PromptBook, PromptMemory, PromptRelay, ReadingPause, ReadingShare, RecentMost, RetryPurse, ZoneWatch, brandId, computeShare, findPatience, isPatient, noTotals, subtractOwn } from '../src/core/index.js'
 import { isSavedPrompt } from '../src/registry/index.js'
 import type { BoxLoad, EndpointRecord, EndpointStage, LoadTotals, ReadingDemand, RoutedService, ServiceName, Work, ZoneName } from '../src/core/index.js'
 
@@ -442,6 +442,20 @@
   })
 }
 
+test('a prompt is passed on twice, however often it is told, and again once it is read anew', () => {
+  const relay = new PromptRelay()
+  const [read, kept] = [false, true].map((isKept): LoadTotals['prompts'][number] => [brandId('e1'), [['shared', 6000]], isKept])
+  assert.deepEqual(relay.take([read], 0), [read])
+  assert.deepEqual(relay.draw(), [read])
+  assert.deepEqual(relay.take([read, kept], 40), [kept])
+  assert.deepEqual(relay.draw(), [read, kept])
+  assert.deepEqual(relay.draw(), [kept])
+  assert.deepEqual(relay.take([read, kept], 200), [])
+  assert.deepEqual(relay.draw(), [])
+  assert.deepEqual(relay.take([kept], 900), [kept])
+  assert.deepEqual(relay.draw(), [kept])
+})
+
 test('a book of prompts keeps the newest that are held, within its bound', () => {
   const book = new PromptBook()
   const prompt = (i: number, isKept = true): LoadTotals['prompts'][number] => [brandId('e1'), [[`part-${i}`, 100]], isKept]
