Keeper and membership: repair, spare voters, news and digest stand in files of their own

Behaviour unchanged; the tests of members, repair, keepers, configuration and cut-off zones pass (49). Names: replaceReplica became KeeperRepair's replace, addToSum MemberDigest's replace.

--- a/src/coordination/members/membership.ts
+++ b/src/coordination/members/membership.ts
@@ -7,7 +7,9 @@
  */
 import { isNewer } from './member.js'
 import type { Member } from './member.js'
+import { MemberDigest } from './member-digest.js'
 import type { MemberAddress, MemberEffect, MemberEvent, MemberMessage } from './member-message.js'
+import { MemberNews } from './member-news.js'
 
 /** Times and counts of the protocol. */
 export interface MembershipTuning {
@@ -28,12 +30,17 @@
   helpers: 3
 }
 
-const newsPerMessage = 8
+/** Boxes that a leaving one tells at once. */
+const toldOfLeaving = 8
+/** Members in one datagram of a whole state: it stays below what networks carry in one piece. */
 const membersPerState = 12
+/** The whole state is asked for at most this often, ms. */
 const askEveryMs = 2000
 // Others ask for the whole state too, so what came with it is hardly news.
 const timesAfterState = 1
+/** A box that is gone is tried this often, ms. */
 const reviveEveryMs = 4000
+/** A box counts as at most so unwell itself; it then waits twice as long before it gives others up. */
 const worstHealth = 8
 
 interface Probe {
@@ -43,11 +50,6 @@
   indirect: boolean
 }
 
-interface News {
-  readonly member: Member
-  left: number
-}
-
 interface Relay {
   readonly to: MemberAddress
   readonly number: number
@@ -65,13 +67,13 @@
   #order: string[] = []
   #probe: Probe | null = null
   #relays = new Map<number, Relay>()
-  #news = new Map<string, News>()
+  #news = new MemberNews()
   #number = 0
   #periodAt = 0
   #askAt = 0
   #reviveAt = 0
   #health = 0
-  #sum = 0
+  #digest = new MemberDigest()
   #now = 0
   #effects: MemberEffect[] = []
 
@@ -165,7 +167,7 @@
     if (probe === null || probe.indirect || this.#now - probe.sentAt < this.#tuning.ackMs) return
     probe.indirect = true
     for (const helper of this.#drawHelpers(probe.target)) {
-      this.#send(helper, { type: 'probe', from: this.#self, number: probe.number, target: probe.target, news: this.#takeNews() })
+      this.#send(helper, { type: 'probe', from: this.#self, number: probe.number, target: probe.target, news: this.#news.take() })
     }
   }
 
@@ -211,7 +213,7 @@
     switch (message.type) {
       case 'ping':
         this.#tellIfDoubted(message.from)
-        this.#send(message.from, { type: 'ack', from: this.#self, number: message.number, news: this.#takeNews(), digest: this.#digest() })
+        this.#send(message.from, { type: 'ack', from: this.#self, number: message.number, news: this.#news.take(), digest: this.#digest.compute(this.#self) })
         return this.#compare(message.from, message.digest)
       case 'ack':
         this.#noteAck(message.number)
@@ -239,7 +241,7 @@
     const relay = this.#relays.get(number)
     if (relay === undefined) return
     this.#relays.delete(number)
-    this.#send(relay.to, { type: 'ack', from: this.#self, number: relay.number, news: this.#takeNews(), digest: this.#digest() })
+    this.#send(relay.to, { type: 'ack', from: this.#self, number: relay.number, news: this.#news.take(), digest: this.#digest.compute(this.#self) })
   }
 
   #relay (message: Extract<MemberMessage, { type: 'probe' }>): void {
@@ -252,7 +254,7 @@
 
   // Where the other knows something else, everything is asked for, now and then.
   #compare (from: Member, digest: number): void {
-    if (digest === this.#digest() || this.#now < this.#askAt) return
+    if (digest === this.#digest.compute(this.#self) || this.#now < this.#askAt) return
     this.#askAt = this.#now + askEveryMs
     this.#send(from, { type: 'ask', from: this.#self })
   }
@@ -271,8 +273,7 @@
     const known = this.#members.get(next.id)
     if (known !== undefined && !isNewer(next, known)) return
     if (known === undefined && next.state === 'gone') return
-    this.#addToSum(known, -1)
-    this.#addToSum(next, 1)
+    this.#digest.replace(known, next)
     this.#members.set(next.id, next)
     this.#noteState(next)
     this.#spread(next, times)
@@ -303,7 +304,7 @@
   #leave (): void {
     this.#self = { ...this.#self, state: 'leaving', version: this.#self.version + 1 }
     this.#spread(this.#self)
-    for (const member of this.#shuffle([...this.#members.values()]).slice(0, newsPerMessage)) {
+    for (const member of this.#shuffle([...this.#members.values()]).slice(0, toldOfLeaving)) {
       this.#number += 1
       this.#sendPing(member, this.#number)
     }
@@ -312,34 +313,11 @@
   get #spreadTimes (): number { return 3 * Math.ceil(Math.log2(this.#members.size + 2)) }
 
   #spread (member: Member, times = this.#spreadTimes): void {
-    this.#news.set(member.id, { member, left: times })
-  }
-
-  #takeNews (): Member[] {
-    const news: Member[] = []
-    for (const [id, item] of [...this.#news]) {
-      if (news.length >= newsPerMessage) break
-      news.push(item.member)
-      item.left -= 1
-      this.#news.delete(id)
-      if (item.left > 0) this.#news.set(id, item)
-    }
-    return news
-  }
-
-  // A sum over the present members, kept up to date: it doesn't depend on their
-  // order, and its cost doesn't grow with their number.
-  #digest (): number {
-    return (this.#sum + digestMember(this.#self)) >>> 0
-  }
-
-  #addToSum (member: Member | undefined, sign: 1 | -1): void {
-    if (member === undefined || member.state === 'gone') return
-    this.#sum = (this.#sum + sign * digestMember(member)) >>> 0
+    this.#news.spread(member, times)
   }
 
   #sendPing (to: MemberAddress, number: number): void {
-    this.#send(to, { type: 'ping', from: this.#self, number, news: this.#takeNews(), digest: this.#digest() })
+    this.#send(to, { type: 'ping', from: this.#self, number, news: this.#news.take(), digest: this.#digest.compute(this.#self) })
   }
 
   #send (to: MemberAddress, message: MemberMessage): void {
@@ -354,10 +332,3 @@
     return items
   }
 }
-
-function digestMember (member: Member): number {
-  const text = `${member.id} ${member.incarnation} ${member.version} ${member.state}`
-  let hash = 2166136261
-  for (let i = 0; i < text.length; i++) hash = Math.imul(hash ^ text.charCodeAt(i), 16777619)
-  return hash >>> 0
-}
--- a/src/tasks/keeper-box.ts
+++ b/src/tasks/keeper-box.ts
@@ -11,6 +11,9 @@
 import { LinkPool } from '../protocol/index.js'
 import type { BoxMessage, BoxStatus, KeeperCall, KeeperReply, KeeperStatus, Link } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
+import { KeeperRepair } from './keeper-repair.js'
+import { countSpare } from './spare-voters.js'
+import { waitUntil } from './wait-until.js'
 
 interface Hello {
   readonly replica: ReplicaId
@@ -21,10 +24,12 @@
   revision: number
 }
 
+/** Keepers greet one another this often, ms. */
 const helloMs = 300
+/** A stop waits at most so long for another leader, ms. */
+const transferMs = 1000
+/** What a box said of itself is shown for so long, ms. */
 const boxStatusKeptMs = 60_000
-const repairWaitMs = 30_000
-const pollMs = 20
 
 /** What a keeper is given beside its settings. */
 export interface KeeperSurroundings {
@@ -45,12 +50,13 @@
   #boxes = new Map<string, { status: BoxStatus, at: number }>()
   #timer: NodeJS.Timeout | null = null
   #loggedRevision = 0
-  #repairing = false
+  #repairs: KeeperRepair
   port = 0
 
   constructor (settings: KeeperSettings, around: KeeperSurroundings) {
     this.#settings = settings
     this.#around = around
+    this.#repairs = new KeeperRepair(around.log)
     this.#links = new LinkPool({
       id: settings.id,
       secret: around.secret,
@@ -87,7 +93,7 @@
     const { replica } = this
     if (replica?.isLeader === true) {
       replica.transfer()
-      await this.#waitUntil(() => !replica.isLeader, 1000)
+      await waitUntil(() => !replica.isLeader, transferMs)
     }
     this.kill()
     await this.#log?.store.close().catch(() => {})
@@ -260,44 +266,11 @@
     const old = replica.members.voters.find(id => id.startsWith(`${name}#`))
     if (fresh === undefined) return { type: 'fault', text: `keeper ${name} has not been heard from` }
     if (fresh === old) return { type: 'fault', text: `keeper ${name} is a member with the disk that it has` }
-    if (this.#repairing) return { type: 'fault', text: 'another repair is under way' }
-    this.#repairing = true
-    try {
-      await this.#replaceReplica(replica, fresh, old)
-    } finally {
-      this.#repairing = false
-    }
+    if (this.#repairs.isRunning) return { type: 'fault', text: 'another repair is under way' }
+    await this.#repairs.replace(replica, fresh, old)
     return { type: 'repaired', members: replica.members }
   }
 
-  async #replaceReplica (replica: Replica, fresh: ReplicaId, old: ReplicaId | undefined): Promise<void> {
-    const { voters } = replica.members
-    await this.#change(replica, { voters, learners: [fresh] })
-    const target = replica.node.commitIndex
-    const caughtUp = (): boolean => (replica.node.matches.get(fresh) ?? 0) >= target
-    if (!await this.#waitUntil(caughtUp, repairWaitMs)) throw new Error('the new replica did not catch up in time; try again')
-    await this.#change(replica, { voters: [...voters, fresh], learners: [] })
-    const kept = [...voters, fresh].filter(id => id !== old)
-    if (old !== undefined) await this.#change(replica, { voters: kept, learners: [] })
-    this.#around.log.info('repaired', { voters: kept.join(',') })
-  }
-
-  async #change (replica: Replica, members: Members): Promise<void> {
-    await this.#waitUntil(() => replica.node.isSettled, repairWaitMs)
-    const end = await replica.changeMembers(members)
-    if (end.type === 'applied') return
-    throw new Error(`members not changed: ${end.type === 'rejected' ? end.fault : 'leadership was lost'}; try again`)
-  }
-
-  async #waitUntil (test: () => boolean, limitMs: number): Promise<boolean> {
-    const until = performance.now() + limitMs
-    while (!test()) {
-      if (performance.now() > until) return false
-      await new Promise(resolve => setTimeout(resolve, pollMs))
-    }
-    return true
-  }
-
   // Spreading the configuration.
 
   #watch (link: Link<BoxMessage>, revision: number, status: BoxStatus | null): void {
@@ -372,12 +345,3 @@
     this.#around.log.warn('link-fault', { fault, peer })
   }
 }
-
-const nearEntries = 1000
-
-// Voters that have synced nearly everything, beyond a quorum.
-function countSpare (members: Members, matches: ReadonlyMap<ReplicaId, number>, commit: number): number {
-  const near = members.voters.filter(id => (matches.get(id) ?? 0) + nearEntries >= commit && matches.has(id))
-  const quorum = (members.voters.length >> 1) + 1
-  return matches.size === 0 ? 0 : near.length - quorum
-}
