Soak: proxies keep the order of bytes, and may narrow a link; networks of its own

Cause (read): a chunk that came while a proxy delayed had a timer of its own, and one that came after the delay ended overtook it. TCP never does that, so histories tried what can't happen. DelayLine keeps the order in each direction.

--- a/src/soak/fault-draw.ts
+++ b/src/soak/fault-draw.ts
@@ -1,7 +1,7 @@
 /** The faults of one history, drawn from its seed before it begins: the same seed gives the same faults. */
 
-/** How a proxy treats connections: passes them on, late, resets them, or passes nothing on in one way or both. */
-export type ProxyMode = 'pass' | 'delay' | 'reset' | 'one-way' | 'silent'
+/** How a proxy treats connections: passes them on, late, as fast as a narrow link would, resets them, or passes nothing on in one way or both. */
+export type ProxyMode = 'pass' | 'delay' | 'narrow' | 'reset' | 'one-way' | 'silent'
 
 /** What is done to one process from outside it; `ms`: how long it stands still, or stays away once it has ended. */
 export type ProcessFault =
@@ -46,7 +46,7 @@
   readonly endpoints: number
 }
 
-const modes: readonly ProxyMode[] = ['delay', 'reset', 'one-way', 'silent']
+const modes: readonly ProxyMode[] = ['delay', 'narrow', 'reset', 'one-way', 'silent']
 /** The first faults come after this, ms: kept connections are then open. */
 const calmMs = 1000
 /** Pauses between the beginnings of faults, ms: they overlap more often than not. */
--- a/src/soak/fault-proxy.ts
+++ b/src/soak/fault-proxy.ts
@@ -1,16 +1,22 @@
 /** A TCP proxy on loopback that misbehaves on command. */
 import { connect, createServer } from 'node:net'
 import type { Server, Socket } from 'node:net'
+import { performance } from 'node:perf_hooks'
 import { listen } from '../runtime/index.js'
+import { DelayLine } from './delay-line.js'
 import type { ProxyMode } from './fault-draw.js'
 
 /** How late a delaying proxy passes bytes on, ms. */
 const delayMs = 120
+/** What all connections of a narrow proxy share, bytes/ms: a document of some KB takes most of a second. */
+const narrowBytesPerMs = 10
 
 export class FaultProxy {
   #server: Server
   #sockets = new Set<Socket>()
   #mode: ProxyMode = 'pass'
+  /** When a narrow proxy has carried all that came so far. */
+  #freeAt = 0
 
   /** Connections are passed on to `host`, at the port that `port` gives then. */
   constructor (host: string, port: () => number) {
@@ -46,25 +52,40 @@
   }
 
   #pass (from: Socket, to: Socket, isForth: boolean): void {
+    const line = new DelayLine()
     this.#sockets.add(from)
     from.setNoDelay(true)
     from.on('error', () => {})
     from.on('close', () => {
       this.#sockets.delete(from)
-      if (this.#mode === 'pass') to.destroySoon()
-      else to.destroy()
+      if (this.#mode === 'pass') return line.add(0, () => to.destroySoon())
+      line.close()
+      to.destroy()
     })
-    from.on('data', chunk => this.#relay(chunk, to, isForth))
-    from.on('end', () => setTimeout(() => to.end(), this.#mode === 'delay' ? delayMs : 0))
+    from.on('data', chunk => this.#relay(chunk, to, line, isForth))
+    from.on('end', () => line.add(this.#measureDelay(0), () => to.end()))
   }
 
-  #relay (chunk: Buffer, to: Socket, isForth: boolean): void {
+  #relay (chunk: Buffer, to: Socket, line: DelayLine, isForth: boolean): void {
+    if (this.#mode === 'silent' || (this.#mode === 'one-way' && !isForth)) return
+    line.add(this.#measureDelay(chunk.length), () => { to.write(chunk) })
+  }
+
+  // How late bytes go on, ms.
+  #measureDelay (bytes: number): number {
     switch (this.#mode) {
+      case 'delay': return delayMs
+      case 'narrow': return this.#carryNarrowly(bytes)
       case 'pass':
-      case 'reset': return void to.write(chunk)
-      case 'delay': return void setTimeout(() => to.write(chunk), delayMs)
-      case 'one-way': return void (isForth && to.write(chunk))
-      case 'silent':
+      case 'reset':
+      case 'one-way':
+      case 'silent': return 0
     }
   }
+
+  #carryNarrowly (bytes: number): number {
+    const now = performance.now()
+    this.#freeAt = Math.max(this.#freeAt, now) + bytes / narrowBytesPerMs
+    return this.#freeAt - now
+  }
 }
--- a/src/soak/index.ts
+++ b/src/soak/index.ts
@@ -1,4 +1,5 @@
 /** Randomised histories of the real programs as processes, with faults from outside them. */
 export { SoakHistory } from './soak-history.js'
 export type { SoakReport } from './soak-history.js'
-export type { SoakShape } from './fault-draw.js'
+export type { ProxyMode, SoakShape } from './fault-draw.js'
+export { FaultProxy } from './fault-proxy.js'
--- a/src/soak/soak-stage.ts
+++ b/src/soak/soak-stage.ts
@@ -49,8 +49,8 @@
 const beatMs = 400
 /** A call to a registry is given up after this, ms. */
 const operatorMs = 1000
-/** Loopback networks that histories use: the second part of their addresses. */
-const firstNetwork = 40
+/** Loopback networks that histories use, the second part of their addresses: no test or deployment of another kind uses these. */
+const firstNetwork = 150
 const networks = 80
 /** A torn record: some bytes of one that was being written when the power went. */
 const tornBytes = Buffer.from([0, 0, 1, 42, 7, 7, 7])
