Load sums no longer carry prompts, which hubs pass on by themselves

LoadSum still gathered prompts although only empty lists came since the hub's relay took them over, and LoadBook copied each sum to empty its list. Behaviour unchanged.

--- a/src/core/balance/load-book.ts
+++ b/src/core/balance/load-book.ts
@@ -36,7 +36,7 @@
 
   /** Takes another hub's newest sum. */
   noteSum (hub: BoxId, sum: LoadTotals, at: number): void {
-    this.#sums.set(hub, { sum: { ...sum, prompts: [] }, at })
+    this.#sums.set(hub, { sum, at })
   }
 
   /** Forgets boxes and hubs that have fallen silent; returns them. */
@@ -57,7 +57,7 @@
     const sum = new LoadSum()
     for (const { zone, load, at: toldAt } of this.#loads.values()) {
       const demands = load.demands.map(demand => ({ ...demand, holders: demand.held.length > 0 ? 1 : 0 }))
-      sum.add({ loads: load.loads, demands, gaps: load.gaps, prompts: [], zones: at - toldAt <= zoneSilentMs ? [zone] : [] })
+      sum.add({ loads: load.loads, demands, gaps: load.gaps, zones: at - toldAt <= zoneSilentMs ? [zone] : [] })
     }
     return sum.totals
   }
--- a/src/core/balance/load-sum.ts
+++ b/src/core/balance/load-sum.ts
@@ -1,30 +1,28 @@
 /** Sums of loads over boxes or hubs. */
 import type { EndpointId, ServiceName, ZoneName } from '../ids.js'
 import { findMiddle } from './average.js'
-import type { EndpointLoad, EngineGap, LoadTotals, ReadPrompt, ServiceTotal, WaitingTokens } from './load-word.js'
+import type { EndpointLoad, EngineGap, LoadTotals, ServiceTotal, WaitingTokens } from './load-word.js'
 
-/** Adds up totals: work is summed, shares are the largest of any, gaps the middle of all. */
+/** Adds up totals: work is summed, shares are the largest of any, gaps the middle of all. Prompts are passed on by themselves. */
 export class LoadSum {
   #loads = new Map<EndpointId, EndpointLoad>()
   #demands = new Map<ServiceName, ServiceTotal>()
   #readingPauses = new Map<ServiceName, number[]>()
   #gaps = new Map<EndpointId, number[]>()
-  #prompts: ReadPrompt[] = []
   #zones = new Set<ZoneName>()
 
   get totals (): LoadTotals {
-    return { loads: [...this.#loads.values()], demands: this.#composeDemands(), gaps: findMiddles(this.#gaps), prompts: this.#prompts, zones: [...this.#zones] }
+    return { loads: [...this.#loads.values()], demands: this.#composeDemands(), gaps: findMiddles(this.#gaps), prompts: [], zones: [...this.#zones] }
   }
 
   /** Adds what one box, or one hub, tells. */
-  add ({ loads, demands, gaps, prompts, zones }: LoadTotals): void {
+  add ({ loads, demands, gaps, zones }: Omit<LoadTotals, 'prompts'>): void {
     for (const one of loads) this.#loads.set(one.endpoint, addLoad(this.#loads.get(one.endpoint), one))
     for (const one of demands) {
       this.#demands.set(one.service, addDemand(this.#demands.get(one.service), one))
       if (one.readingPauseMs !== null) this.#readingPauses.set(one.service, [...this.#readingPauses.get(one.service) ?? [], one.readingPauseMs])
     }
     for (const [endpoint, gapMs] of gaps) this.#gaps.set(endpoint, [...this.#gaps.get(endpoint) ?? [], gapMs])
-    this.#prompts.push(...prompts)
     for (const zone of zones) this.#zones.add(zone)
   }
 
