Keepers and entry boxes give configuration by one function; a transfer of the lead waits in the replica

sendNews stands in place of ConfigSpread's give and the keeper's push, which said the same. Replica's transfer resolves once another may lead: the stops of keepers and registries each had that wait of a second. waitUntil moves to runtime, as coordination needs it too.

--- a/src/coordination/log/replica.ts
+++ b/src/coordination/log/replica.ts
@@ -3,7 +3,7 @@
  * what it wants kept, and sends what it wants sent. While a sync runs, events
  * gather; they share the next sync, so one sync serves many proposals.
  */
-import { Inbox } from '../../runtime/index.js'
+import { Inbox, waitUntil } from '../../runtime/index.js'
 import type { LogEntry, Members, RaftTiming, ReplicaId, Snapshot, StoredLog } from './log-types.js'
 import { RaftNode } from './raft-node.js'
 import type { ProposalFault, RaftEffect, RaftEvent } from './raft-event.js'
@@ -70,6 +70,8 @@
 const inboxLimit = 20_000
 /** Events that wait for a sync before messages of others are dropped: a log bears their loss. */
 const mostWaiting = 4000
+/** A transfer of the lead is waited for at most so long, ms. */
+const transferMs = 1000
 const membersApplied = { type: 'members-changed' }
 
 export class Replica {
@@ -130,9 +132,11 @@
     })
   }
 
-  /** Hands leadership to a follower that has the whole log, if there is one. */
-  transfer (): void {
+  /** Hands the lead to a follower that has the whole log, if this replica leads; resolves once another may lead, or after a while without one. */
+  async transfer (): Promise<void> {
+    if (!this.isLeader) return
     this.#post({ type: 'transfer', at: this.#host.now() })
+    await waitUntil(() => !this.isLeader, transferMs)
   }
 
   stop (): void {
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -107,11 +107,7 @@
 
   /** Hands leadership over, then ends. */
   async stop (): Promise<void> {
-    const replica = this.#log?.replica
-    if (replica?.isLeader === true) {
-      replica.transfer()
-      for (let waited = 0; replica.isLeader && waited < 1000; waited += 20) await new Promise(resolve => setTimeout(resolve, 20))
-    }
+    await this.#log?.replica?.transfer()
     this.kill()
     this.#around.log.info('registry-stopped')
   }
--- a/src/tasks/config-spread.ts
+++ b/src/tasks/config-spread.ts
@@ -1,4 +1,4 @@
-/** How the configuration spreads: a box asks keepers and boxes of its zone for what it lacks, and gives others what they lack. */
+/** How the configuration spreads: a box asks keepers and boxes of its zone for what it lacks. */
 import type { Member } from '../coordination/index.js'
 import type { BoxMessage, BoxStatus, Link } from '../protocol/index.js'
 import type { ConfigFollower } from './config-follower.js'
@@ -44,15 +44,6 @@
     }
   }
 
-  /** Gives a box that holds `revision` what it lacks. */
-  give (link: Link<BoxMessage>, revision: number): void {
-    const { follower } = this.#host
-    if (revision >= follower.revision) return
-    const since = follower.findSince(revision)
-    if (since !== null) link.send({ type: 'revisions', revisions: since })
-    else link.send({ type: 'whole', document: follower.document, revision: follower.revision })
-  }
-
   // `statusTo`: the number of the keeper that is told the whole status.
   #watchAll (statusTo: number | null): void {
     this.#host.keepers.forEach((id, i) => {
--- a/src/tasks/entry-box.ts
+++ b/src/tasks/entry-box.ts
@@ -15,6 +15,7 @@
 import { CallerExchanges } from './caller-exchanges.js'
 import { CallerServer } from './caller-server.js'
 import { ConfigFollower } from './config-follower.js'
+import { sendNews } from './config-news.js'
 import { ConfigSpread } from './config-spread.js'
 import { EngineWatch } from './engine-watch.js'
 import { KeeperClient } from './keeper-client.js'
@@ -253,7 +254,7 @@
         if (!this.#follower.takeRevisions(message.revisions)) this.#spread.watch(link, false)
         return
       case 'whole': return this.#follower.takeWhole(message.document, message.revision)
-      case 'ask-config': return this.#spread.give(link, message.revision)
+      case 'ask-config': return sendNews(link, this.#follower, message.revision)
       case 'shard-word': return this.#takeWord(link, message.shard, message.word)
       case 'shard-answer': return this.#placer.receive(message.shard, message.answer)
       case 'not-owner': return this.#placer.noteNotOwner(message.shard, message.request)
--- a/src/tasks/keeper-box.ts
+++ b/src/tasks/keeper-box.ts
@@ -11,9 +11,9 @@
 import { LinkPool } from '../protocol/index.js'
 import type { BoxMessage, BoxStatus, KeeperCall, KeeperReply, KeeperStatus, Link } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
+import { sendNews } from './config-news.js'
 import { KeeperRepair } from './keeper-repair.js'
 import { countSpare } from './spare-voters.js'
-import { waitUntil } from './wait-until.js'
 
 interface Hello {
   readonly replica: ReplicaId
@@ -26,8 +26,6 @@
 
 /** Keepers greet one another this often, ms. */
 const helloMs = 300
-/** A stop waits at most so long for another leader, ms. */
-const transferMs = 1000
 /** What a box said of itself is shown for so long, ms. */
 const boxStatusKeptMs = 60_000
 
@@ -90,11 +88,7 @@
 
   /** Hands leadership over, then ends. */
   async stop (): Promise<void> {
-    const { replica } = this
-    if (replica?.isLeader === true) {
-      replica.transfer()
-      await waitUntil(() => !replica.isLeader, transferMs)
-    }
+    await this.replica?.transfer()
     this.kill()
     await this.#log?.store.close().catch(() => {})
     this.#around.log.info('keeper-stopped')
@@ -276,7 +270,7 @@
   #watch (link: Link<BoxMessage>, revision: number, status: BoxStatus | null): void {
     this.#watchers.set(link, { revision })
     this.#noteBox(link.peer, revision, status)
-    this.#push(link, revision)
+    sendNews(link, this.state.config, revision)
   }
 
   #pushRevisions (): void {
@@ -285,19 +279,11 @@
     this.#loggedRevision = revision
     for (const [link, watcher] of this.#watchers) {
       if (watcher.revision >= this.state.config.revision) continue
-      this.#push(link, watcher.revision)
+      sendNews(link, this.state.config, watcher.revision)
       watcher.revision = this.state.config.revision
     }
   }
 
-  #push (link: Link<BoxMessage>, from: number): void {
-    const { config } = this.state
-    if (from >= config.revision) return
-    const since = config.findSince(from)
-    if (since !== null) link.send({ type: 'revisions', revisions: since })
-    else link.send({ type: 'whole', document: config.document, revision: config.revision })
-  }
-
   #noteBox (id: string, revision: number, status: BoxStatus | null): void {
     const known = status ?? this.#boxes.get(id)?.status
     if (known !== undefined) this.#boxes.set(id, { status: { ...known, revision }, at: performance.now() })
--- a/src/tasks/keeper-repair.ts
+++ b/src/tasks/keeper-repair.ts
@@ -1,7 +1,7 @@
 /** Lets a keeper with another disk into the log, and its old replica out, one change of members after another. */
 import type { Members, Replica, ReplicaId } from '../coordination/index.js'
+import { waitUntil } from '../runtime/index.js'
 import type { EventLog } from '../runtime/index.js'
-import { waitUntil } from './wait-until.js'
 
 /** A step of a repair is given up after this, ms. */
 const stepMs = 30_000
