Sight: an exchange's line tells what let it in or refused it, its rank, and the part of its prompt that joins it with its return

The logs could not tell whether a refusal came of the kind's own target, of lateness or of other boxes' work. Deciding is a function of its own (admission.ts); what is decided is unchanged.

--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -127,32 +127,33 @@
    * less urgent prompt that may have been begun.
    */
   countAhead (priority: number, at: number): number {
-    const { before, behind, largest } = this.#countWaiting(priority, at)
-    return before + Math.min(behind, largest)
+    const { own, others, behind, largest } = this.#countWaiting(priority, at)
+    return own + others + Math.min(behind, largest)
   }
 
-  /** Prompt tokens of requests that go before one of this priority, what has been begun aside. */
-  countBefore (priority: number, at: number): number {
-    return this.#countWaiting(priority, at).before
+  /** Prompt tokens of requests that go before one of this priority, what has been begun aside: this box's and the others'. */
+  countBefore (priority: number, at: number): { readonly own: number, readonly others: number } {
+    return this.#countWaiting(priority, at)
   }
 
-  #countWaiting (priority: number, at: number): { before: number, behind: number, largest: number } {
-    let before = 0
+  #countWaiting (priority: number, at: number): { own: number, others: number, behind: number, largest: number } {
+    let own = 0
+    let others = 0
     let behind = 0
     let largest = 0
     for (const placed of this.#placed) {
       if (placed.firstAt !== null) continue
       const left = this.#countLeft(placed, at)
-      if (placed.work.priority <= priority) before += left
+      if (placed.work.priority <= priority) own += left
       else behind += left
       largest = Math.max(largest, left)
     }
-    if (this.#others === null) return { before, behind, largest }
+    if (this.#others === null) return { own, others, behind, largest }
     for (const [theirs, tokens] of this.#others.waiting) {
-      if (theirs <= priority) before += tokens
+      if (theirs <= priority) others += tokens
       else behind += tokens
     }
-    return { before, behind, largest: Math.max(largest, this.#others.largest) }
+    return { own, others, behind, largest: Math.max(largest, this.#others.largest) }
   }
 
   // What is still to be read of a prompt, if it was read as fast as expected.
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -6,6 +6,8 @@
  */
 import type { EndpointId, ServiceName, ZoneName } from '../ids.js'
 import type { EngineProfile, PromptTransfer, RoutedService } from '../routes/index.js'
+import { decideAdmission, measureBacklog } from './admission.js'
+import type { Admission } from './admission.js'
 import { agreeShare, countHeld } from './agreed-share.js'
 import { pickLeast } from './choice.js'
 import type { Choice, NoChoice } from './choice.js'
@@ -23,7 +25,6 @@
 import { expectRead, findHomes } from './prompt-homes.js'
 import { countExpected, findPatience, guessPause, isPatient } from './prompt-reading.js'
 import type { ApartCount } from './reading-share.js'
-import { chooseReturn } from './return-time.js'
 import { createState } from './service-state.js'
 import type { ServiceState } from './service-state.js'
 import { listUsable } from './usable-endpoints.js'
@@ -191,21 +192,18 @@
     return Math.max(this.#services.get(service)?.share.counts.count ?? 0, this.#others.get(service)?.apart ?? 0)
   }
 
-  /** When a request had better come back, ms, as too much waits before it; null where it is taken. */
-  findReturn (work: Work, at: number): number | null {
+  /** Decides whether a request is let in; null for one that never waits, as it is always let in. */
+  admit (work: Work, at: number): Admission | null {
     const state = this.#services.get(work.service)
     if (state?.service.engine == null || work.cost === null || !this.#isPatient(work, state, at)) return null
     const { apart, counts } = this.#look(work.service, at)
     const side = apart.slice(0, Math.max(1, counts.count))
-    let tokens = this.#countHeld(state, work.priority)
-    let rate = 0
-    for (const view of side) {
-      tokens += view.countBefore(work.priority, at)
-      rate += 1 / view.paceMs
-    }
-    const late = Math.max(1, state.lateness.value)
-    const waitMs = rate === 0 ? 0 : tokens / rate
-    return chooseReturn(waitMs * late, this.#expectReading(work.cost, state, side, at) * late, work.targetMs)
+    return decideAdmission({
+      backlog: measureBacklog(side, this.#countHeld(state, work.priority), work.priority, at),
+      lateness: state.lateness.value,
+      readingMs: this.#expectReading(work.cost, state, side, at),
+      targetMs: work.targetMs
+    })
   }
 
   // Time that the engine which has least to do for a prompt takes over it, ms.
--- a/src/core/balance/index.ts
+++ b/src/core/balance/index.ts
@@ -1,4 +1,5 @@
 /** Endpoints, what is believed of them, and the choice among them. */
+export type { Admission, Backlog } from './admission.js'
 export * from './endpoint-record.js'
 export * from './load-word.js'
 export * from './work.js'
--- a/src/gateway/exchange-report.ts
+++ b/src/gateway/exchange-report.ts
@@ -1,4 +1,5 @@
 /** What an ended exchange leaves behind: its line in the log and its figures in the metrics. */
+import type { Admission } from '../core/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import type { Attempt, ExchangeSummary } from './exchange-summary.js'
 
@@ -25,12 +26,22 @@
     events: summary.events,
     pauseMs: Math.round(summary.longestPauseMs),
     pauseLimitMs: order.work.pauseMs ?? undefined,
+    priority: order.work.cost === null ? undefined : order.work.priority,
+    prompt: order.work.cost?.parts.at(-1)?.id,
+    admission: summary.admission === null ? undefined : formatAdmission(summary.admission),
     attempts: attempts.map(one => formatAttempt(one, order.arrivedAt)).join(';')
   }
   if (outcome === 'ok') log.info('exchange', fields)
   else log.warn('exchange', fields)
 }
 
+// What was expected to wait, the request's own reading, what was allowed, and what these rest on.
+function formatAdmission ({ waitMs, ownMs, allowedMs, lateness, backlog }: Admission): string {
+  const { ownTokens, otherTokens, heldTokens, engines, rate } = backlog
+  const times = `wait=${Math.round(waitMs)}:reading=${Math.round(ownMs)}:allowed=${Math.round(allowedMs)}:late=${lateness.toFixed(2)}`
+  return `${times}:own=${Math.round(ownTokens)}:others=${Math.round(otherTokens)}:held=${Math.round(heldTokens)}:engines=${engines}:rate=${rate.toFixed(1)}`
+}
+
 // The endpoint, when it was sent there, ms after arrival, what decided for it, and how it ended.
 function formatAttempt (one: Attempt, arrivedAt: number): string {
   return `${one.endpoint}@${Math.round(one.sentAt - arrivedAt)}:expected=${one.expectedMs}:of=${one.candidates}:apart=${one.share}:read=${Math.round(one.plan.readTokens)}:fetch=${formatFetch(one)}:home=${one.isHome ? 1 : 0}:${one.end}`
--- a/src/gateway/exchange-summary.ts
+++ b/src/gateway/exchange-summary.ts
@@ -1,5 +1,5 @@
 /** How an exchange went, with each of its sends. */
-import type { EndpointId, ErrorKind, PromptPlan } from '../core/index.js'
+import type { Admission, EndpointId, ErrorKind, PromptPlan } from '../core/index.js'
 import type { Order } from './order.js'
 
 /** What became of one send. */
@@ -21,6 +21,8 @@
   /** `ok`, `left` where the caller was gone, `cut` where a begun answer broke off, else why it was refused. */
   readonly outcome: ErrorKind | 'ok' | 'endpoint-status' | 'left' | 'cut'
   readonly status: number
+  /** Null where the request was let in without a look at what waits. */
+  readonly admission: Admission | null
   readonly attempts: readonly Attempt[]
   readonly firstMs: number | null
   readonly totalMs: number
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -3,7 +3,7 @@
  * and relays. What a failure allows is decided by its `SendCourse`.
  */
 import type { ServerResponse } from 'node:http'
-import type { EndpointId, EndpointView, Fleet, Placed, PromptPlan } from '../core/index.js'
+import type { Admission, EndpointId, EndpointView, Fleet, PromptPlan } from '../core/index.js'
 import type { Dialect } from '../protocol/index.js'
 import { sendRefusal } from './answers.js'
 import type { Refusal } from './answers.js'
@@ -19,6 +19,7 @@
 import { limitSilence } from './repeat-rules.js'
 import { SendCourse } from './send-course.js'
 import type { NextStep } from './send-course.js'
+import type { Sent } from './sent.js'
 
 /** What an exchange needs of its box. */
 export interface ExchangeHost {
@@ -41,17 +42,6 @@
 
 type Phase = 'waiting' | 'relaying' | 'ended'
 
-interface Sent {
-  readonly call: EndpointCall
-  readonly view: EndpointView
-  readonly placed: Placed
-  readonly attempt: Attempt
-  head: AnswerHead | null
-  chunks: Buffer[]
-  size: number
-  cutter: EventCutter | null
-}
-
 /** Answers that are not passed on event by event are held whole, up to this, bytes. */
 const largestAnswer = 64 * 2 ** 20
 
@@ -62,6 +52,7 @@
   #phase: Phase = 'waiting'
   #isHeld = false
   #sent: Sent | null = null
+  #admission: Admission | null = null
   #attempts: Attempt[] = []
   #tried: EndpointId[] = []
   #course: SendCourse
@@ -80,7 +71,8 @@
   get isEnded (): boolean { return this.#phase === 'ended' }
 
   start (): void {
-    const returnMs = this.#host.fleet.findReturn(this.order.work, this.#host.now())
+    this.#admission = this.#host.fleet.admit(this.order.work, this.#host.now())
+    const returnMs = this.#admission?.returnMs ?? null
     if (returnMs !== null) return this.#refuse({ kind: 'overloaded', text: 'too much waits before this request', retryAfterMs: returnMs })
     this.#send()
   }
@@ -340,6 +332,7 @@
       order,
       outcome,
       status,
+      admission: this.#admission,
       attempts: this.#attempts,
       firstMs: this.#firstAt === null ? null : this.#firstAt - order.arrivedAt,
       totalMs: this.#host.now() - order.arrivedAt,
--- a/test/balance.test.ts
+++ b/test/balance.test.ts
@@ -13,6 +13,9 @@
   return { id: brandId(id), service: desk, host: '10.0.0.1', port: Number(id.replace(/\D/g, '')) || 1, zone: nameZone('zone-a'), slots: 4, sequence: 1, stage: 'ready', ...more }
 }
 
+// When a request is to come back, ms; null where it is let in.
+function findReturn (fleet: Fleet, work: Work, at: number): number | null { return fleet.admit(work, at)?.returnMs ?? null }
+
 // Directories.
 
 const words: readonly { name: string, words: readonly EndpointRecord[], stage: EndpointStage, sequence: number }[] = [
@@ -238,11 +241,11 @@
 test('a request before which too much waits is told when to come back; a more urgent one is not', () => {
   const fleet = createFleet([createRecord('e1'), createRecord('e2')], engineService)
   const long = createWork({ priority: 2, pauseMs: 600, targetMs: 2000, cost: { promptTokens: 30_000, mostTokens: 10, parts: [] } })
-  assert.equal(fleet.findReturn(long, 0), null)
+  assert.equal(findReturn(fleet, long, 0), null)
   for (let i = 0; i < 5; i++) fleet.noteHeld(long, true)
-  const returnMs = fleet.findReturn(long, 0)
+  const returnMs = findReturn(fleet, long, 0)
   assert.ok(returnMs !== null && returnMs > 1000)
-  assert.equal(fleet.findReturn({ ...long, priority: 1 }, 0), null)
+  assert.equal(findReturn(fleet, { ...long, priority: 1 }, 0), null)
 })
 
 // Loads over several boxes.
@@ -490,7 +493,7 @@
   const fleet = createFleet([createRecord('e1'), createRecord('e2')], engineService)
   const work = createWork({ priority: 2, pauseMs: 600, targetMs: 600, cost: { promptTokens: 12_000, mostTokens: 10, parts: [] } })
   fleet.noteHeld(work, true)
-  assert.equal(fleet.findReturn(work, 0), null)
+  assert.equal(findReturn(fleet, work, 0), null)
   for (let i = 0; i < 40; i++) {
     const choice = fleet.choose(work, [], 1000 * i, 0)
     assert.ok(typeof choice !== 'string')
@@ -498,13 +501,13 @@
     if (i % 2 === 0) choice.view.noteFirst(placed, 1000 * i + 900)
     choice.view.remove(placed, 1000 * i + 900)
   }
-  assert.ok((fleet.findReturn(work, 50_000) ?? 0) > 600)
+  assert.ok((findReturn(fleet, work, 50_000) ?? 0) > 600)
 })
 
 test('a request that can\'t be in time by its own size is taken where little waits', () => {
   const fleet = createFleet([createRecord('e1'), createRecord('e2')], engineService)
   const huge = createWork({ priority: 2, pauseMs: 600, targetMs: 600, cost: { promptTokens: 60_000, mostTokens: 10, parts: [] } })
-  assert.equal(fleet.findReturn(huge, 0), null)
+  assert.equal(findReturn(fleet, huge, 0), null)
   fleet.noteHeld(huge, true)
-  assert.notEqual(fleet.findReturn(huge, 0), null)
+  assert.notEqual(findReturn(fleet, huge, 0), null)
 })
