Events that come within a millisecond of one another tell nothing of an engine's speed

Cause: after a standstill of a box its streams' events are read at once; the middle gap of an engine became 0, every weight NaN, and the pick of the least among none ended the process.

--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -58,6 +58,11 @@
 const mostLate = 6
 /** Events that must be seen before an engine's speed is judged. */
 const leastGaps = 16
+/**
+ * Events that come sooner after one another were read together, after a standstill of this box or of its
+ * link, ms: a step of the users' fastest engines takes 3. A middle gap of 0 ended every gateway of a zone.
+ */
+const leastGapMs = 1
 
 export class EndpointView {
   /** Of its id: the same at every box. */
@@ -240,10 +245,11 @@
   }
 
   /** Takes the middle of what all boxes measured. */
-  noteGapOfAll (gapMs: number): void { this.#toldGapMs = gapMs }
+  noteGapOfAll (gapMs: number): void { this.#toldGapMs = gapMs < leastGapMs ? null : gapMs }
 
   /** Notes the time between two events of a stream: beside reading, or where nothing is being read here. */
   noteGap (gapMs: number, at: number): void {
+    if (gapMs < leastGapMs) return
     if (this.countAhead(Infinity, at) > 0) return this.#noteReadingPause(gapMs, at)
     const aloneMs = gapMs / (1 + this.running * crowdedShare)
     this.#gaps += 1
