Less urgent requests yield: they are held while more urgent ones would be late, and none is refused for a wait that a less urgent one may have

Cause: each kind was let in by its own target alone (tags refused at 206 to 883 ms of expected wait, quotes taken at up to 1,725), and a quote that arrived went to any engine with room, whatever waited here or in other boxes. Change: where requests of a kind would mostly be late by what is believed to wait, nothing less urgent is sent to an engine (Fleet.choose: later); and for five seconds after a less urgent request began, one that goes before it may wait as long as that (decideAdmission).

--- a/src/core/balance/admission.ts
+++ b/src/core/balance/admission.ts
@@ -12,6 +12,8 @@
   readonly otherTokens: number
   /** Held in boxes, this one included. */
   readonly heldTokens: number
+  /** At engines, of less urgent kinds. */
+  readonly lessTokens: number
   /** Engines that read them, and their rates together, tokens/ms. */
   readonly engines: number
   readonly rate: number
@@ -28,6 +30,8 @@
   readonly ownMs: number
   /** The longest wait with which it is let in. */
   readonly allowedMs: number
+  /** Since a less urgent request last began; Infinity where none did. */
+  readonly sinceLessMs: number
   /** When the request had better come back; null where it is let in. */
   readonly returnMs: number | null
 }
@@ -39,6 +43,10 @@
   /** Time of an engine on the request alone, as expected of one on time, ms. */
   readonly readingMs: number
   readonly targetMs: number
+  /** Since a less urgent request last began, ms. */
+  readonly sinceLessMs: number
+  /** The longest target of a less urgent kind, ms; 0 where none is known. */
+  readonly lessTargetMs: number
 }
 
 /**
@@ -52,28 +60,46 @@
 /** Times to come back, ms: sooner, nothing has changed; a burst lasts some seconds. */
 const leastReturnMs = 300
 const mostReturnMs = 5000
+/**
+ * For so long after a less urgent request began, one that goes before it may wait as long
+ * as that, ms: what the engines gave to the one the other could have had. It is late at worst.
+ */
+const yieldMs = 5000
 
 /** Decides whether a request is let in. */
-export function decideAdmission ({ backlog, lateness, readingMs, targetMs }: AdmissionCase): Admission {
-  const late = Math.max(1, lateness)
-  const tokens = backlog.ownTokens + backlog.otherTokens + backlog.heldTokens
-  const waitMs = backlog.rate === 0 ? 0 : tokens / backlog.rate * late
-  const ownMs = readingMs * late
-  const allowedMs = Math.max(targetMs - ownMs, targetMs * leastWaitShare)
+export function decideAdmission ({ backlog, lateness, readingMs, targetMs, sinceLessMs, lessTargetMs }: AdmissionCase): Admission {
+  const waitMs = measureWait(backlog, lateness)
+  const ownMs = readingMs * Math.max(1, lateness)
+  const inTimeMs = Math.max(targetMs - ownMs, targetMs * leastWaitShare)
+  const allowedMs = sinceLessMs < yieldMs ? Math.max(inTimeMs, lessTargetMs) : inTimeMs
   const returnMs = waitMs <= allowedMs ? null : Math.min(mostReturnMs, Math.max(leastReturnMs, waitMs + ownMs))
-  return { backlog, lateness, waitMs, ownMs, allowedMs, returnMs }
+  return { backlog, lateness, waitMs, ownMs, allowedMs, sinceLessMs, returnMs }
+}
+
+/** True where requests of a kind wait so long that most of them are late: what is less urgent is then held. */
+export function isPressed (backlog: Backlog, lateness: number, targetMs: number): boolean {
+  return measureWait(backlog, lateness) > targetMs * leastWaitShare
 }
 
-/** Measures what goes before a request of `priority` at some engines; `heldTokens`: of those that are held in boxes. */
-export function measureBacklog (engines: readonly EndpointView[], heldTokens: number, priority: number, at: number): Backlog {
+function measureWait ({ ownTokens, otherTokens, heldTokens, rate }: Backlog, lateness: number): number {
+  return rate === 0 ? 0 : (ownTokens + otherTokens + heldTokens) / rate * Math.max(1, lateness)
+}
+
+/**
+ * Measures what goes before a request of `priority` at some engines. `lowest`: the least urgent
+ * rank of its kind; `heldTokens`: of those that are held in boxes.
+ */
+export function measureBacklog (engines: readonly EndpointView[], heldTokens: number, priority: number, lowest: number, at: number): Backlog {
   let ownTokens = 0
   let otherTokens = 0
+  let lessTokens = 0
   let rate = 0
   for (const view of engines) {
     const before = view.countBefore(priority, at)
     ownTokens += before.own
     otherTokens += before.others
+    lessTokens += lowest === priority ? before.behind : view.countBefore(lowest, at).behind
     rate += 1 / view.paceMs
   }
-  return { ownTokens, otherTokens, heldTokens, engines: engines.length, rate }
+  return { ownTokens, otherTokens, heldTokens, lessTokens, engines: engines.length, rate }
 }
--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -136,8 +136,8 @@
     return own + others + Math.min(behind, largest)
   }
 
-  /** Prompt tokens of requests that go before one of this priority, what has been begun aside: this box's and the others'. */
-  countBefore (priority: number, at: number): { readonly own: number, readonly others: number } {
+  /** Prompt tokens that wait here: of requests that go before one of this priority, this box's and the others', and of those `behind` it. */
+  countBefore (priority: number, at: number): { readonly own: number, readonly others: number, readonly behind: number } {
     return this.#countWaiting(priority, at)
   }
 
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -5,9 +5,9 @@
  * prompts, which of them holds a shared prompt) they do so by the same hash.
  */
 import type { EndpointId, ServiceName, ZoneName } from '../ids.js'
-import type { EngineProfile, PromptTransfer, RoutedService } from '../routes/index.js'
-import { decideAdmission, measureBacklog } from './admission.js'
-import type { Admission } from './admission.js'
+import type { PromptTransfer, RoutedService } from '../routes/index.js'
+import { decideAdmission, isPressed, measureBacklog } from './admission.js'
+import type { Admission, Backlog } from './admission.js'
 import { agreeShare, countHeld } from './agreed-share.js'
 import { pickLeast } from './choice.js'
 import type { Choice, NoChoice } from './choice.js'
@@ -19,6 +19,7 @@
 import { createLearning } from './engine-learning.js'
 import { listApart } from './engines-apart.js'
 import { HeldPrompts, notePrompt } from './held-prompts.js'
+import type { KnownKind } from './kind-watch.js'
 import type { BoxLoad, EngineGap, LoadTotals, ReadPrompt, ServiceDemand, ServiceTotal } from './load-word.js'
 import { listHolders, planPrompt } from './prompt-plan.js'
 import type { PromptHolder, PromptPlan } from './prompt-plan.js'
@@ -27,7 +28,7 @@
 import type { ApartCount } from './reading-share.js'
 import { createState } from './service-state.js'
 import type { ServiceState } from './service-state.js'
-import { listUsable } from './usable-endpoints.js'
+import { groupByService, listBrisk, listUsable } from './usable-endpoints.js'
 import type { PromptCost, Work } from './work.js'
 import { ZoneWatch } from './zone-watch.js'
 
@@ -44,6 +45,8 @@
   /** Engines in the order in which they are set apart; none of a plain service. */
   readonly apart: readonly EndpointView[]
   readonly counts: ApartCount
+  /** The most urgent kind whose requests wait so long that most are late, by its level; Infinity for none, null until it was looked for. */
+  pressed: number | null
 }
 
 /** Of a plain call. */
@@ -145,6 +148,7 @@
     const engine = state?.service.engine ?? null
     if (work.cost === null || engine === null || state === undefined) return this.#choosePlain(left, at, draw)
     const patient = this.#isPatient(work, state, at)
+    if (patient && this.#findPressed(state, at) < work.level) return 'later'
     const side = (patient ? apart.slice(0, counts.count) : listBrisk(apart, counts.count, engine)).filter(view => !tried.includes(view.id))
     const homes = patient ? apart.slice(0, counts.base) : side
     const prompt: PromptCase = { work, cost: work.cost, engine, waitedMs, patienceMs: this.#findPatience(state, at), isPatient: patient }
@@ -172,6 +176,9 @@
     return told
   }
 
+  /** Notes that a request was sent to an engine. */
+  noteBegun (work: Work, at: number): void { this.#services.get(work.service)?.kinds.noteBegun(work.level, at) }
+
   /** Notes that a request waits in this box, or waits no more. */
   noteHeld (work: Work, isHeld: boolean): void {
     const held = this.#services.get(work.service)?.held
@@ -198,14 +205,22 @@
     if (state?.service.engine == null || work.cost === null || !this.#isPatient(work, state, at)) return null
     const { apart, counts } = this.#look(work.service, at)
     const side = apart.slice(0, Math.max(1, counts.count))
+    const backlog = this.#measureBacklog(state, side, work.level, work.priority, at)
+    if (backlog.lessTokens > 0) state.kinds.noteBegun(work.level + 1, at)
     return decideAdmission({
-      backlog: measureBacklog(side, this.#countHeld(state, work.priority), work.priority, at),
+      backlog,
       lateness: state.lateness.value,
       readingMs: this.#expectReading(work.cost, state, side, at),
-      targetMs: work.targetMs
+      targetMs: work.targetMs,
+      sinceLessMs: at - state.kinds.findLessBegun(work.level),
+      lessTargetMs: state.kinds.findLessTarget(work.level, at)
     })
   }
 
+  #measureBacklog (state: ServiceState, side: readonly EndpointView[], level: number, priority: number, at: number): Backlog {
+    return measureBacklog(side, this.#countHeld(state, priority), priority, state.kinds.findLowest(level, priority), at)
+  }
+
   // Time that the engine which has least to do for a prompt takes over it, ms.
   #expectReading (cost: PromptCost, state: ServiceState, side: readonly EndpointView[], at: number): number {
     const transfer = state.service.engine?.transfer ?? null
@@ -226,6 +241,7 @@
     const state = this.#services.get(work.service)
     if (state?.service.engine == null || work.cost === null) return
     if (work.pauseMs !== null) state.pauses.note(at, work.pauseMs)
+    state.kinds.note(work, at)
     const meter = this.#isPatient(work, state, at) ? state.patient : state.brisk
     meter.add(at, countExpected(work.cost))
   }
@@ -280,11 +296,20 @@
     const state = this.#services.get(service)
     const apart = state?.service.engine == null ? [] : listApart(usable)
     const counts = state === undefined || apart.length === 0 ? noneApart : this.#agreeShare(state, apart, at)
-    const outlook: Outlook = { at, usable, apart, counts }
+    const outlook: Outlook = { at, usable, apart, counts, pressed: null }
     this.#outlooks.set(service, outlook)
     return outlook
   }
 
+  // While some wait too long, engines get nothing less urgent: they read in order of arrival, whatever the rank.
+  #findPressed (state: ServiceState, at: number): number {
+    const outlook = this.#look(state.service.name, at)
+    const side = outlook.apart.slice(0, Math.max(1, outlook.counts.count))
+    const isLate = ({ level, priority, targetMs }: KnownKind): boolean => isPressed(this.#measureBacklog(state, side, level, priority, at), state.lateness.value, targetMs)
+    outlook.pressed ??= state.kinds.list(at).find(isLate)?.level ?? Infinity
+    return outlook.pressed
+  }
+
   // `apart`: the engines in the order in which they are set apart.
   #agreeShare (state: ServiceState, apart: readonly EndpointView[], at: number): ApartCount {
     return agreeShare(state, this.#findOthers(state), apart, at)
@@ -320,19 +345,3 @@
   const { count, base } = share.counts
   return { service: service.name, patient: Math.round(patient.rate(at)), brisk: Math.round(brisk.rate(at)), apart: count, base, readingPauseMs: readingPause.find(at), held: [...held] }
 }
-
-// Engines for requests whose pauses must stay short; all of them where none of those has a slot free.
-function listBrisk (apart: readonly EndpointView[], count: number, { slots }: EngineProfile): readonly EndpointView[] {
-  const side = apart.slice(count)
-  return side.some(view => view.running < slots) ? side : apart
-}
-
-function groupByService (views: Iterable<EndpointView>): Map<ServiceName, EndpointView[]> {
-  const groups = new Map<ServiceName, EndpointView[]>()
-  for (const view of views) {
-    const group = groups.get(view.record.service)
-    if (group === undefined) groups.set(view.record.service, [view])
-    else group.push(view)
-  }
-  return groups
-}
--- /dev/null
+++ b/src/core/balance/kind-watch.ts
@@ -0,0 +1,47 @@
+/** The kinds of request that came to a service of late, and when some of each last began at an engine. */
+import type { Work } from './work.js'
+
+/** A kind of request, told from others by its level. */
+export interface KnownKind {
+  readonly level: number
+  readonly targetMs: number
+  /** The least urgent rank among its requests. */
+  readonly priority: number
+}
+
+/** A kind that didn't come for so long no longer counts, ms. */
+const rememberedMs = 60_000
+
+export class KindWatch {
+  #kinds = new Map<number, { readonly kind: KnownKind, readonly at: number }>()
+  #begun = new Map<number, number>()
+
+  /** Notes that a request arrived. */
+  note ({ level, targetMs, priority }: Work, at: number): void {
+    const known = this.#kinds.get(level)?.kind.priority ?? priority
+    this.#kinds.set(level, { kind: { level, targetMs, priority: Math.max(priority, known) }, at })
+  }
+
+  /** Notes that a request of a level was sent to an engine. */
+  noteBegun (level: number, at: number): void { this.#begun.set(level, at) }
+
+  /** When a request less urgent than those of a level last began; -Infinity for never. */
+  findLessBegun (level: number): number {
+    let latest = -Infinity
+    for (const [other, at] of this.#begun) if (other > level) latest = Math.max(latest, at)
+    return latest
+  }
+
+  /** The longest target of the kinds less urgent than a level that came of late, ms; 0 for none. */
+  findLessTarget (level: number, at: number): number {
+    return this.list(at).reduce((longest, kind) => kind.level > level ? Math.max(longest, kind.targetMs) : longest, 0)
+  }
+
+  /** The least urgent rank of a level's requests; `priority` where none is known. */
+  findLowest (level: number, priority: number): number { return this.#kinds.get(level)?.kind.priority ?? priority }
+
+  /** The kinds that came of late, the most urgent first. */
+  list (at: number): KnownKind[] {
+    return [...this.#kinds.values()].filter(one => at - one.at <= rememberedMs).map(one => one.kind).sort((a, b) => a.level - b.level)
+  }
+}
--- a/src/core/balance/service-state.ts
+++ b/src/core/balance/service-state.ts
@@ -3,6 +3,7 @@
 import { DemandMeter } from './demand-meter.js'
 import { createLearning } from './engine-learning.js'
 import type { EngineLearning } from './engine-learning.js'
+import { KindWatch } from './kind-watch.js'
 import { PauseRange } from './pause-range.js'
 import { ReadingShare } from './reading-share.js'
 
@@ -11,6 +12,7 @@
   readonly share: ReadingShare
   /** Pauses that requests bear. */
   readonly pauses: PauseRange
+  readonly kinds: KindWatch
   /** Prompt tokens of requests that bear long pauses, and of the others. */
   readonly patient: DemandMeter
   readonly brisk: DemandMeter
@@ -20,5 +22,5 @@
 
 /** A service of which nothing has been learned. */
 export function createState (service: RoutedService): ServiceState {
-  return { ...createLearning(), service, share: new ReadingShare(), pauses: new PauseRange(), patient: new DemandMeter(), brisk: new DemandMeter(), held: new Map() }
+  return { ...createLearning(), service, share: new ReadingShare(), pauses: new PauseRange(), kinds: new KindWatch(), patient: new DemandMeter(), brisk: new DemandMeter(), held: new Map() }
 }
--- a/src/core/balance/usable-endpoints.ts
+++ b/src/core/balance/usable-endpoints.ts
@@ -1,3 +1,6 @@
+/** Which endpoints of a service may be used at all, and for what. */
+import type { ServiceName } from '../ids.js'
+import type { EngineProfile } from '../routes/index.js'
 import type { EndpointView } from './endpoint-view.js'
 
 /** At least this part of a service's endpoints is used, however often their answers break. */
@@ -12,3 +15,20 @@
   const good = reachable.filter(view => view.trust.look(at) !== 'out')
   return good.length >= ready.length * leastUsed ? good : reachable
 }
+
+/** Engines for requests whose pauses must stay short, where the first `count` are set apart; all of them where none of those has a slot free. */
+export function listBrisk (apart: readonly EndpointView[], count: number, { slots }: EngineProfile): readonly EndpointView[] {
+  const side = apart.slice(count)
+  return side.some(view => view.running < slots) ? side : apart
+}
+
+/** Endpoints by their service. */
+export function groupByService (views: Iterable<EndpointView>): Map<ServiceName, EndpointView[]> {
+  const groups = new Map<ServiceName, EndpointView[]>()
+  for (const view of views) {
+    const group = groups.get(view.record.service)
+    if (group === undefined) groups.set(view.record.service, [view])
+    else group.push(view)
+  }
+  return groups
+}
--- a/src/gateway/exchange-report.ts
+++ b/src/gateway/exchange-report.ts
@@ -36,9 +36,9 @@
 }
 
 // What was expected to wait, the request's own reading, what was allowed, and what these rest on.
-function formatAdmission ({ waitMs, ownMs, allowedMs, lateness, backlog }: Admission): string {
-  const { ownTokens, otherTokens, heldTokens, engines, rate } = backlog
-  const times = `wait=${Math.round(waitMs)}:reading=${Math.round(ownMs)}:allowed=${Math.round(allowedMs)}:late=${lateness.toFixed(2)}`
+function formatAdmission ({ waitMs, ownMs, allowedMs, lateness, sinceLessMs, backlog }: Admission): string {
+  const { ownTokens, otherTokens, heldTokens, lessTokens, engines, rate } = backlog
+  const times = `wait=${Math.round(waitMs)}:reading=${Math.round(ownMs)}:allowed=${Math.round(allowedMs)}:late=${lateness.toFixed(2)}:less=${Math.round(lessTokens)}/${Number.isFinite(sinceLessMs) ? Math.round(sinceLessMs) : '-'}`
   return `${times}:own=${Math.round(ownTokens)}:others=${Math.round(otherTokens)}:held=${Math.round(heldTokens)}:engines=${engines}:rate=${rate.toFixed(1)}`
 }
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -121,6 +121,7 @@
     this.#course.noteSend()
     this.#tried.push(view.id)
     const placed = view.place(order.work, plan, at)
+    this.#host.fleet.noteBegun(order.work, at)
     const sent: Sent = { view, placed, attempt, call: this.#call(view, plan, at, () => sent), head: null, chunks: [], size: 0, cutter: null }
     this.#sent = sent
     this.#host.noteLoad()
--- a/src/soak/precedence-watch.ts
+++ b/src/soak/precedence-watch.ts
@@ -3,7 +3,7 @@
  * while less urgent ones are served by the same engines.
  */
 import type { Disturbances } from './disturbances.js'
-import type { RankedKind } from './ranked-callers.js'
+import type { RankedKind } from './ranked-kind.js'
 
 /** One try of a caller. */
 export interface RankedCall {
--- a/src/soak/ranked-callers.ts
+++ b/src/soak/ranked-callers.ts
@@ -9,25 +9,11 @@
 import { callHttp } from './http-call.js'
 import type { HttpEnd } from './http-call.js'
 import type { PrecedenceWatch } from './precedence-watch.js'
+import { rankedKinds } from './ranked-kind.js'
+import type { RankedKind } from './ranked-kind.js'
 import { callerPort } from './soak-stage.js'
 import type { SoakStage } from './soak-stage.js'
 
-/** A kind of request to engines. */
-export interface RankedKind {
-  readonly name: string
-  /** 0 goes first. */
-  readonly priority: number
-  readonly targetMs: number
-  readonly pauseMs: number
-  /** The longest that a request of the kind is held, ms. */
-  readonly timeoutMs: number
-  /** Of the middle prompt; they are drawn from a fifth of it to twice as much. */
-  readonly promptTokens: number
-  readonly events: number
-  /** Requests a second for each engine, while there is no burst. */
-  readonly rate: number
-}
-
 /** A time in which more comes than usual. */
 export interface Burst {
   readonly at: number
@@ -47,25 +33,15 @@
   readonly random: () => number
 }
 
-/**
- * In proportion as at the users' tyre shops: quick questions, claim tags and
- * fitting quotes. Together they ask two thirds of what the engines can read.
- */
-export const rankedKinds: readonly RankedKind[] = [
-  { name: 'question', priority: 0, targetMs: 250, pauseMs: 120, timeoutMs: 15_000, promptTokens: 700, events: 20, rate: 7.5 },
-  { name: 'tag', priority: 1, targetMs: 400, pauseMs: 200, timeoutMs: 3000, promptTokens: 2000, events: 4, rate: 6 },
-  { name: 'quote', priority: 2, targetMs: 2000, pauseMs: 500, timeoutMs: 15_000, promptTokens: 8000, events: 30, rate: 3.5 }
-]
-
 /** Requests come in clumps of up to so many. */
 const mostInClump = 5
-/** Pauses between bursts, and their lengths, ms, and how strong they are. */
+/** Pauses between bursts, and their lengths, ms, and how strong they are: in the strongest, what goes first still finds room at the engines. */
 const leastCalmMs = 1500
 const mostCalmMs = 4000
 const leastBurstMs = 1500
 const mostBurstMs = 5000
-const leastTimes = 2
-const mostTimes = 4
+const leastTimes = 1.5
+const mostTimes = 2.5
 /** Part of the bursts that are of one kind alone. */
 const singleShare = 0.3
 /** A caller leaves where nothing came for this, for four targets or for eight pauses, whichever is longest, ms. */
