What a box or a hub told as waiting counts no more once it was not heard for two words

Cause: what waits was kept in full until its teller had been silent for 1.5 s, though engines read it in a quarter of that: after the end of a gateway engines with room passed for full, and after a change of hub the same work counted twice.

--- a/src/core/balance/load-book.ts
+++ b/src/core/balance/load-book.ts
@@ -9,8 +9,12 @@
 
 /** A box that was silent for so long has nothing at the endpoints, ms: six of its words. */
 const silentMs = 1500
-/** A zone from which no box was heard for so long is not told as heard, ms: two words of one box. */
-const zoneSilentMs = 550
+/**
+ * A word that was not renewed for so long, ms (two words of one box), tells neither that its zone is heard nor what
+ * waits: engines have read that by now, or the box is gone with it. What a box that had ended believed to wait kept
+ * the others from engines with room for 1.5 s; what moved with its box to another hub counted twice for as long.
+ */
+const staleMs = 550
 
 /** A box's newest word. */
 interface ToldLoad {
@@ -57,7 +61,8 @@
     const sum = new LoadSum()
     for (const { zone, load, at: toldAt } of this.#loads.values()) {
       const demands = load.demands.map(demand => ({ ...demand, holders: demand.held.length > 0 ? 1 : 0 }))
-      sum.add({ loads: load.loads, demands, gaps: load.gaps, zones: at - toldAt <= zoneSilentMs ? [zone] : [] })
+      const told = { loads: load.loads, demands, gaps: load.gaps, prompts: [], zones: [zone] }
+      sum.add(at - toldAt <= staleMs ? told : dropWaiting(told))
     }
     return sum.totals
   }
@@ -66,7 +71,17 @@
   sumAll (own: LoadTotals, at: number): LoadTotals {
     const sum = new LoadSum()
     sum.add(own)
-    for (const { sum: told, at: toldAt } of this.#sums.values()) sum.add(at - toldAt <= zoneSilentMs ? told : { ...told, zones: [] })
+    for (const { sum: told, at: toldAt } of this.#sums.values()) sum.add(at - toldAt <= staleMs ? told : dropWaiting(told))
     return sum.totals
   }
 }
+
+// What is left of a word that was not renewed.
+function dropWaiting (told: LoadTotals): LoadTotals {
+  return {
+    ...told,
+    loads: told.loads.map(load => ({ ...load, waiting: [], largest: 0 })),
+    demands: told.demands.map(demand => ({ ...demand, held: [], holders: 0 })),
+    zones: []
+  }
+}
