--- a/test/load-hub.test.ts
+++ b/test/load-hub.test.ts
@@ -5,6 +5,7 @@
 import { brandId } from '../src/core/index.js'
 import type { BoxId, BoxLoad, EndpointId, LoadTotals, ZoneName } from '../src/core/index.js'
 import { decodeTotalsWord, encodeLoadWord } from '../src/protocol/index.js'
+import { LoadReporter } from '../src/gateway/index.js'
 import { LoadHub } from '../src/registry/index.js'
 import { EventLog } from '../src/runtime/index.js'
 import { until } from './support/deployment.js'
@@ -12,6 +13,7 @@
 const hosts = ['127.45.0.1', '127.45.0.2']
 const port = 7001
 const wordMs = 50
+const moving = brandId<EndpointId>('e-moving')
 
 /** A gateway that tells a hub the same work over and over, and takes in what it is told. */
 class Teller {
@@ -81,3 +83,30 @@
   // A sign of life goes out at most as often as this gateway's own words.
   assert.ok(told >= 1 && told <= first.sent - sent, `${told} times in ${first.sent - sent} words`)
 })
+
+// Three gateways returned to the hub of their zone, and the one that they left counted their last words until they had been
+// silent for 1.5 s ("event=gateway-silent" for each): the same work twice, and tags refused for it at boxes of all zones.
+test('the work of a gateway that moves to another hub is told once, not at both hubs', async () => {
+  let hub = 0
+  const reporter = new LoadReporter({
+    id: brandId<BoxId>('gateway-that-moves'),
+    zone: brandId<ZoneName>('zone-a'),
+    log: new EventLog('gateway', () => {}),
+    hubPort: port,
+    now: () => performance.now(),
+    listHubs: () => [{ host: hosts[hub], zone: brandId<ZoneName>('zone-a') }],
+    composeLoad: () => ({ loads: [{ endpoint: moving, running: 7, brisk: 0, memory: 0, waiting: [], largest: 0 }], demands: [], gaps: [], prompts: [] }),
+    takeOthers: () => {}
+  })
+  await reporter.open('127.45.0.3')
+  const countMoving = (totals: LoadTotals | undefined): number => totals?.loads.find(load => load.endpoint === moving)?.running ?? 0
+  await until(() => tellers.every(one => countMoving(one.told.at(-1)) === 7), 'told once at both')
+  const before = tellers.map(one => one.told.length)
+  hub = 1
+  const { sent } = tellers[0]
+  await until(() => tellers[0].sent >= sent + 40, 'two seconds of words')
+  const doubled = tellers.map((one, i) => one.told.slice(before[i]).filter(totals => countMoving(totals) > 7).length)
+  reporter.close()
+  // In 40 words, where 1.5 s of them were doubled.
+  assert.ok(doubled.every(count => count <= 3), `${doubled.join(' and ')} times counted twice`)
+})
