--- a/src/config/route-events.ts
+++ b/src/config/route-events.ts
@@ -66,6 +66,7 @@
   'gateway-met': { about: 'A gateway presented itself (registry).', fields: { gateway: 'its name', version: 'the document that it has' } },
   'gateway-lost': { about: 'The link of a gateway ended (registry).', fields: { gateway: 'its name' } },
   'gateway-silent': { about: 'A gateway tells this hub nothing; its work no longer counts (registry).', fields: { gateway: 'its name' } },
+  'gateway-moved': { about: 'A gateway tells another hub from now on; its work no longer counts here (registry).', fields: { gateway: 'its name' } },
   'hub-chosen': { about: 'The totals of another hub are taken (gateway).', fields: { hub: 'its host', before: 'the hub before; empty for none' } },
   'hubs-silent': { about: 'No hub tells the others\' work: only this box\'s own counts (gateway).', fields: { hub: 'the last one' } },
   'load-port-fault': { about: 'The port for loads failed (both).', fields: { error: 'why' } },
--- a/src/core/balance/load-book.ts
+++ b/src/core/balance/load-book.ts
@@ -38,6 +38,9 @@
     this.#loads.set(box, { zone, load, at })
   }
 
+  /** Forgets a box's word at once. */
+  forget (box: BoxId): void { this.#loads.delete(box) }
+
   /** Takes another hub's newest sum. */
   noteSum (hub: BoxId, sum: LoadTotals, at: number): void {
     this.#sums.set(hub, { sum, at })
--- a/src/gateway/load-reporter.ts
+++ b/src/gateway/load-reporter.ts
@@ -143,6 +143,7 @@
     const best = this.#findHub(now)
     if (best === hub?.host || best === undefined) return
     this.#host.log.info('hub-chosen', { hub: best, before: hub?.host ?? '' })
+    if (hub !== null) this.#tell(hub.host, null)
     this.#hub = { host: best, chosenAt: now, newest: undefined, heardAt: -Infinity }
     this.#send()
   }
@@ -159,11 +160,15 @@
     if (this.#closed || this.#hub === null) return
     this.#saidAt = this.#host.now()
     const load = this.#host.composeLoad()
-    this.#number += 1
+    this.#tell(this.#hub.host, load)
     this.#keep(load)
+  }
+
+  // `load`: null where this box tells another hub from now on.
+  #tell (host: string, load: BoxLoad | null): void {
+    this.#number += 1
     const { id, zone, hubPort } = this.#host
-    const word = encodeLoadWord({ box: id, zone, start: this.#start, number: this.#number, load })
-    this.#datagrams.send(word, this.#hub.host, hubPort)
+    this.#datagrams.send(encodeLoadWord({ box: id, zone, start: this.#start, number: this.#number, load }), host, hubPort)
   }
 
   #keep (load: BoxLoad): void {
--- a/src/protocol/load-datagram.ts
+++ b/src/protocol/load-datagram.ts
@@ -18,7 +18,8 @@
 export interface LoadWord extends WordNumber {
   readonly box: BoxId
   readonly zone: ZoneName
-  readonly load: BoxLoad
+  /** Null where the gateway tells another hub from now on. */
+  readonly load: BoxLoad | null
 }
 
 /** A hub's word to another hub. */
@@ -55,8 +56,8 @@
 export function decodeLoadWord (bytes: Uint8Array): LoadWord | null {
   const fields = decodeFields(bytes, 6)
   if (fields === null) return null
-  const [, box, zone, start, number, load] = fields as [number, BoxId, ZoneName, number, number, BoxLoad]
-  return hasLists(load, ['loads', 'demands', 'gaps', 'prompts']) ? { box, zone, start, number, load } : null
+  const [, box, zone, start, number, load] = fields as [number, BoxId, ZoneName, number, number, BoxLoad | null]
+  return load === null || hasLists(load, ['loads', 'demands', 'gaps', 'prompts']) ? { box, zone, start, number, load } : null
 }
 
 /** Encodes a hub's word to another hub, around a sum that is encoded already. */
--- a/src/registry/load-hub.ts
+++ b/src/registry/load-hub.ts
@@ -78,6 +78,8 @@
   #toHubs = new LastWord()
   #endpointsTold = 0
   #isScheduled = false
+  /** True where no gateway tells this hub its work, and the others know. */
+  #isIdle = true
   #closed = false
   #timer: NodeJS.Timeout | null = null
 
@@ -124,7 +126,9 @@
     if (word === null) return this.#receiveSum(bytes, host)
     const { box, zone, start, number, load } = word
     if (!isNewerWord(word, this.#tellers.get(box))) return
+    if (load === null) return this.#release(box)
     this.#tellers.set(box, { host, port, start, number })
+    this.#isIdle = false
     const now = this.#host.now()
     this.#book.note(box, zone, load, now)
     this.#promptsToHubs.take(load.prompts, now)
@@ -132,6 +136,14 @@
     this.#schedule()
   }
 
+  // Another hub tells the box's work from now on: here it would count twice.
+  #release (box: BoxId): void {
+    if (!this.#tellers.delete(box)) return
+    this.#book.forget(box)
+    this.#host.log.info('gateway-moved', { gateway: box })
+    this.#schedule()
+  }
+
   #receiveSum (bytes: Buffer, host: string): void {
     const word = decodeHubWord(bytes)
     if (word === null || !isNewerWord(word, this.#others.get(word.hub))) return
@@ -166,7 +178,9 @@
 
   #tell (): void {
     this.#isScheduled = false
-    if (this.#closed || this.#tellers.size === 0) return
+    if (this.#closed || this.#isIdle) return
+    // Without gateways of its own the hub says so once.
+    this.#isIdle = this.#tellers.size === 0
     const now = this.#host.now()
     this.#lookedAt = now
     const own = this.#book.sumOwn(now)
