How late first events are is learned of each kind by itself

Cause: one mean over all kinds, drawn up by quotes, multiplied what was expected to wait before tags (1.6 to 4.5 times; half of all tags came no later than expected).

--- a/src/core/balance/describe-service.ts
+++ b/src/core/balance/describe-service.ts
@@ -24,7 +24,7 @@
     pace: state.pace.value.toFixed(4),
     beside: Math.round(readingPauseMs),
     patience: Math.round(patienceMs),
-    late: state.lateness.value.toFixed(2),
+    late: state.lateness.describe(),
     held: heldTokens
   }
   const engines = apart.map((view, i) => describeEngine(view, i < counts.count, at))
--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -54,8 +54,6 @@
 const toldMs = 200
 /** An engine that is so many times slower than the middle one is in trouble, not of a slower kind. */
 export const troubledTimes = 2
-/** A first event counts as at most so many times later than expected: one that hangs says nothing of the others. */
-const mostLate = 6
 /** Events that must be seen before an engine's speed is judged. */
 const leastGaps = 16
 /**
@@ -207,7 +205,7 @@
     const { cost } = placed.work
     if (cost === null) return this.answerMs.add(took)
     this.#tellPrompt(cost, true, at)
-    this.#learning.lateness.add(Math.min(mostLate, took / this.expectAnswer(placed)))
+    this.#learning.lateness.add(placed.work.level, took / this.expectAnswer(placed))
     const tokens = placed.readTokens + placed.aheadTokens
     if (tokens >= leastTokensToLearn) this.#learning.pace.add(Math.max(0, took - overheadMs - placed.fetchMs) / tokens / this.slowness)
   }
@@ -263,7 +261,7 @@
     this.#placed.delete(placed)
     // Whoever left without a first event waited longer than expected too.
     const waitedTimes = (at - placed.sentAt) / this.expectAnswer(placed)
-    if (placed.firstAt === null && placed.work.cost !== null && waitedTimes > 1) this.#learning.lateness.add(Math.min(mostLate, waitedTimes))
+    if (placed.firstAt === null && placed.work.cost !== null && waitedTimes > 1) this.#learning.lateness.add(placed.work.level, waitedTimes)
   }
 
   /** Takes what the other boxes have here; null for nothing. */
--- a/src/core/balance/engine-learning.ts
+++ b/src/core/balance/engine-learning.ts
@@ -1,5 +1,6 @@
 /** What is learned of the engines of a service as a whole, shared by the views of its engines. */
-import { FadingAverage, RunningQuantile } from './average.js'
+import { RunningQuantile } from './average.js'
+import { Lateness } from './lateness.js'
 import { ReadingPause } from './reading-pause.js'
 
 /** Time to read a prompt token before any was measured, ms: a middling engine of the users' days. */
@@ -8,16 +9,13 @@
 const paceQuantile = 0.3
 /** Part by which samples move what is believed of a service's time per token. */
 const paceStep = 0.05
-/** Weight of the newest first event in how late they are: a burst makes them late within a second. */
-const latenessGain = 0.08
 
 export interface EngineLearning {
   /** Time to read a prompt token, ms. */
   readonly pace: RunningQuantile
   /** Pauses of streams beside reading. */
   readonly readingPause: ReadingPause
-  /** How many times longer first events took than was expected of prompts as they were sent. */
-  readonly lateness: FadingAverage
+  readonly lateness: Lateness
 }
 
 /** What is believed before anything was measured. */
@@ -25,6 +23,6 @@
   return {
     pace: new RunningQuantile(firstPaceMs, paceQuantile, paceStep),
     readingPause: new ReadingPause(),
-    lateness: new FadingAverage(1, latenessGain)
+    lateness: new Lateness()
   }
 }
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -209,7 +209,7 @@
     if (backlog.lessTokens > 0) state.kinds.noteBegun(work.level + 1, at)
     return decideAdmission({
       backlog,
-      lateness: state.lateness.value,
+      lateness: state.lateness.find(work.level),
       readingMs: this.#expectReading(work.cost, state, side, at),
       targetMs: work.targetMs,
       sinceLessMs: at - state.kinds.findLessBegun(work.level),
@@ -305,7 +305,7 @@
   #findPressed (state: ServiceState, at: number): number {
     const outlook = this.#look(state.service.name, at)
     const side = outlook.apart.slice(0, Math.max(1, outlook.counts.count))
-    const isLate = ({ level, priority, targetMs }: KnownKind): boolean => isPressed(this.#measureBacklog(state, side, level, priority, at), state.lateness.value, targetMs)
+    const isLate = ({ level, priority, targetMs }: KnownKind): boolean => isPressed(this.#measureBacklog(state, side, level, priority, at), state.lateness.find(level), targetMs)
     outlook.pressed ??= state.kinds.list(at).find(isLate)?.level ?? Infinity
     return outlook.pressed
   }
