--- a/test/load-hub.test.ts
+++ b/test/load-hub.test.ts
@@ -110,3 +110,30 @@
   // In 40 words, where 1.5 s of them were doubled.
   assert.ok(doubled.every(count => count <= 3), `${doubled.join(' and ')} times counted twice`)
 })
+
+// A box that is cut off from all hubs kept what the others had told as waiting for 1.5 s, as hubs did with boxes that had ended.
+test('a gateway that hears no hub any more drops what waits by others first, then all of their work', async () => {
+  const host = '127.45.0.4'
+  const hub = new LoadHub({ id: brandId<BoxId>(host), log: new EventLog(host, () => {}), now: () => performance.now(), listOthers: () => [] })
+  await hub.listen(host, port)
+  const totals: LoadTotals[] = []
+  const [other, reporter] = ['127.45.0.5', '127.45.0.6'].map((address, i) => new LoadReporter({
+    id: brandId<BoxId>(address),
+    zone: brandId<ZoneName>('zone-a'),
+    log: new EventLog(address, () => {}),
+    hubPort: port,
+    now: () => performance.now(),
+    listHubs: () => [{ host, zone: brandId<ZoneName>('zone-a') }],
+    composeLoad: () => ({ loads: [{ endpoint: moving, running: 3, brisk: 0, memory: 0, waiting: [[1, 900]], largest: 900 }], demands: [], gaps: [], prompts: [] }),
+    takeOthers: others => { if (i === 1) totals.push(others) }
+  }))
+  await other.open('127.45.0.5')
+  await reporter.open('127.45.0.6')
+  const describe = (): string => JSON.stringify(totals.at(-1)?.loads.map(load => [load.running, load.waiting]) ?? [])
+  await until(() => describe() === '[[3,[[1,900]]]]', 'the other box is told')
+  hub.close()
+  await until(() => describe() === '[]', 'the other box is forgotten')
+  const stages = totals.map(one => JSON.stringify(one.loads.map(load => [load.running, load.waiting])))
+  for (const one of [other, reporter]) one.close()
+  assert.deepEqual([...new Set(stages)].slice(-3), ['[[3,[[1,900]]]]', '[[3,[]]]', '[]'])
+})
