A gateway that hears no hub drops what waits by others after two of its words

The same cause at the other end: what the others had told as waiting counted for 1.5 s without a word. Before: told in full until it was dropped whole; after: what waits first (load-hub.test.ts).

--- a/src/core/balance/load-book.ts
+++ b/src/core/balance/load-book.ts
@@ -5,17 +5,11 @@
  */
 import type { BoxId, ZoneName } from '../ids.js'
 import { LoadSum } from './load-sum.js'
+import { dropWaiting, staleMs } from './stale-load.js'
 import type { BoxLoad, LoadTotals } from './load-word.js'
 
 /** A box that was silent for so long has nothing at the endpoints, ms: six of its words. */
 const silentMs = 1500
-/**
- * A word that was not renewed for so long, ms (two words of one box), tells neither that its zone is heard nor what
- * waits: engines have read that by now, or the box is gone with it. What a box that had ended believed to wait kept
- * the others from engines with room for 1.5 s; what moved with its box to another hub counted twice for as long.
- */
-const staleMs = 550
-
 /** A box's newest word. */
 interface ToldLoad {
   readonly zone: ZoneName
@@ -78,13 +72,3 @@
     return sum.totals
   }
 }
-
-// What is left of a word that was not renewed.
-function dropWaiting (told: LoadTotals): LoadTotals {
-  return {
-    ...told,
-    loads: told.loads.map(load => ({ ...load, waiting: [], largest: 0 })),
-    demands: told.demands.map(demand => ({ ...demand, held: [], holders: 0 })),
-    zones: []
-  }
-}
--- a/src/gateway/load-reporter.ts
+++ b/src/gateway/load-reporter.ts
@@ -4,7 +4,7 @@
  * zone where one can be reached; where it falls silent, another.
  */
 import { randomInt } from 'node:crypto'
-import { chooseByHash, noTotals, subtractOwn } from '../core/index.js'
+import { chooseByHash, dropWaiting, noTotals, staleMs, subtractOwn } from '../core/index.js'
 import type { BoxId, BoxLoad, LoadTotals, ZoneName } from '../core/index.js'
 import { decodeTotalsWord, encodeLoadWord, isNewerWord, startLimit } from '../protocol/index.js'
 import type { WordNumber } from '../protocol/index.js'
@@ -68,6 +68,8 @@
   #number = 0
   #kept = new Map<number, BoxLoad>()
   #intervalMs = 0
+  /** What the others have, as last told; null once nothing of it counts. */
+  #others: LoadTotals | null = null
   #saidAt = -Infinity
   #heardAt = -Infinity
   #isScheduled = false
@@ -122,20 +124,30 @@
     hub.heardAt = now
     this.#heardAt = now
     this.#intervalMs = word.intervalMs
-    this.#host.takeOthers(subtractOwn(word.totals, this.#kept.get(word.ownNumber) ?? null), word.intervalMs)
+    this.#passOthers(subtractOwn(word.totals, this.#kept.get(word.ownNumber) ?? null), word.intervalMs)
   }
 
   #tick (): void {
     const now = this.#host.now()
     this.#updateHub(now)
-    if (this.#heardAt > -Infinity && now - this.#heardAt > forgetMs) {
-      this.#heardAt = -Infinity
-      this.#host.log.warn('hubs-silent', { hub: this.#hub?.host ?? '' })
-      this.#host.takeOthers(noTotals, 0)
-    }
+    this.#ageOthers(now - this.#heardAt)
     if (now - this.#saidAt >= beatMs) this.#send()
   }
 
+  // Without a word of any hub, what waits by the others counts no more, then nothing of them.
+  #ageOthers (silentMs: number): void {
+    if (this.#others === null || silentMs <= staleMs) return
+    if (silentMs <= forgetMs) return this.#passOthers(dropWaiting(this.#others), this.#intervalMs)
+    this.#others = null
+    this.#host.log.warn('hubs-silent', { hub: this.#hub?.host ?? '' })
+    this.#host.takeOthers(noTotals, 0)
+  }
+
+  #passOthers (others: LoadTotals, intervalMs: number): void {
+    this.#others = others
+    this.#host.takeOthers(others, intervalMs)
+  }
+
   // Leaves a hub that is silent, and one of another zone where one of the own zone can be reached again.
   #updateHub (now: number): void {
     const hub = this.#hub
