--- a/src/gateway/caller-door.ts
+++ b/src/gateway/caller-door.ts
@@ -31,7 +31,7 @@
 }
 
 /** What a request was let in on: its route, whose it is, and the routes in force when it came. */
-interface Admission {
+interface RouteMatch {
   readonly table: RouteTable
   readonly route: Route
   readonly workspace: KeyedWorkspace | null
@@ -124,14 +124,14 @@
     const words = this.#host.dialect.readCaller(request.headers)
     if (this.#host.table === null) await Promise.race([this.#host.routed, sleep(noDocumentHoldMs, undefined, { ref: false })])
     if (request.destroyed) return
-    const admission = this.#admit(request, words)
-    if ('kind' in admission) return this.#refuse(request, response, words, admission)
-    const { bodyBytes } = admission.table.document.limits
+    const match = this.#findMatch(request, words)
+    if ('kind' in match) return this.#refuse(request, response, words, match)
+    const { bodyBytes } = match.table.document.limits
     const body = await readBody(request, bodyBytes)
     if (body === null) return
     if (body === 'too-large') return this.#refuse(request, response, words, { kind: 'body-too-large', text: `a body has at most ${bodyBytes} bytes` })
     if (request.socket.destroyed) return
-    this.#begin(request, response, this.#compose(request, body, words, admission, arrivedAt))
+    this.#begin(request, response, this.#compose(request, body, words, match, arrivedAt))
   }
 
   #begin (request: IncomingMessage, response: ServerResponse, order: Order): void {
@@ -142,7 +142,7 @@
   }
 
   // The route and the workspace, or why there is none.
-  #admit (request: IncomingMessage, words: CallerWords): Admission | Refusal {
+  #findMatch (request: IncomingMessage, words: CallerWords): RouteMatch | Refusal {
     const { table } = this.#host
     if (table === null) return { kind: 'no-document', text: 'this box has no routes yet', retryAfterMs: noDocumentRetryMs }
     const route = table.findRoute(request.headers.host ?? '', request.url ?? '/')
@@ -160,7 +160,7 @@
     return left > (route.kind === 'events' ? Math.min(route.timeoutMs, streamMs) : route.timeoutMs)
   }
 
-  #compose (request: IncomingMessage, body: Buffer, words: CallerWords, { table, route, workspace }: Admission, arrivedAt: number): Order {
+  #compose (request: IncomingMessage, body: Buffer, words: CallerWords, { table, route, workspace }: RouteMatch, arrivedAt: number): Order {
     const service = pickService(route, this.#host.draw())
     const priority = rankRequest(route, workspace, table.ranksPerRoute)
     const work: Work = { service, level: route.priority, priority, cost: words.cost, pauseMs: route.pauseMs, targetMs: route.targetMs }
