A box draws turns with those boxes alone that hold requests as urgent as its first

Cause: boxes that hold less urgent requests, which yield now, were counted as competing for room: with eight boxes a tag got a turn at one look of four. Test: balance.test.ts (four cases).

--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -188,10 +188,12 @@
     else held.delete(work.priority)
   }
 
-  /** Boxes, this one included, in which requests of the service wait. */
-  countHolders (service: ServiceName): number {
+  /** Boxes, this one included, in which requests of the service wait that don't go after one of this priority. */
+  countHolders (service: ServiceName, priority: number): number {
+    const others = this.#others.get(service)
     const own = (this.#services.get(service)?.held.size ?? 0) > 0 ? 1 : 0
-    return own + (this.#others.get(service)?.holders ?? 0)
+    const isAlone = others === undefined || others.held.every(([theirs]) => theirs > priority)
+    return own + (isAlone ? 0 : others.holders)
   }
 
   /** Engines of a service that are set apart for long prompts, as last agreed. */
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -91,7 +91,7 @@
     this.#line = new WaitingLine({
       now,
       draw: Math.random,
-      countHolders: service => this.#fleet.countHolders(service),
+      countHolders: (service, priority) => this.#fleet.countHolders(service, priority),
       countApart: service => this.#fleet.countApart(service)
     })
     this.#prober = new EndpointProber(log, now)
--- a/src/gateway/waiting-line.ts
+++ b/src/gateway/waiting-line.ts
@@ -3,15 +3,15 @@
  * whenever the work at the engines changes, and every few ms: the most urgent
  * first; of one rank those that can still be in time, then in order of arrival.
  */
-import type { ServiceName } from '../core/index.js'
+import type { ServiceName, Work } from '../core/index.js'
 import type { Exchange } from './exchange.js'
 
 /** What the line needs of its box. */
 export interface LineHost {
   now (): number
   draw (): number
-  /** Boxes in which requests of the service wait, this one included. */
-  countHolders (service: ServiceName): number
+  /** Boxes, this one included, in which requests of the service wait that don't go after one of this priority. */
+  countHolders (service: ServiceName, priority: number): number
   /** Engines of the service that are set apart for what waits. */
   countApart (service: ServiceName): number
 }
@@ -55,13 +55,14 @@
   /**
    * Tries those that wait. Boxes that see the same engine come free would all
    * fill it before they hear of each other: where several wait, about one of
-   * them for each engine goes ahead in the time that a word takes, by lot.
+   * them for each engine goes ahead in the time that a word takes, by lot. Boxes
+   * whose requests all go after the first of this one don't take part.
    */
   look (): void {
     if (this.#waiting.length === 0) return
     const now = this.#host.now()
     const ordered = [...this.#waiting].sort((a, b) => compare(a, b, now))
-    if (!this.#drawTurn(ordered[0].order.service)) return
+    if (!this.#drawTurn(ordered[0].order.work)) return
     for (const exchange of ordered.slice(0, mostTries)) exchange.tryPlace()
   }
 
@@ -72,8 +73,8 @@
   }
 
   // The share of turns is the engines' over the boxes', spread over the looks of the time that a word takes.
-  #drawTurn (service: ServiceName): boolean {
-    const holders = this.#host.countHolders(service)
+  #drawTurn ({ service, priority }: Work): boolean {
+    const holders = this.#host.countHolders(service, priority)
     if (holders <= 1) return true
     const looksPerWord = Math.max(1, this.#stalenessMs / lookMs)
     return this.#host.draw() * holders * looksPerWord < Math.max(1, this.#host.countApart(service) * turnShare)
--- a/test/balance.test.ts
+++ b/test/balance.test.ts
@@ -254,6 +254,22 @@
   return { loads: [{ endpoint: brandId('e1'), running, brisk: 1, memory: 10 * running, waiting: [[1, 100 * running]], largest: 100 * running }], demands: [], gaps: [], prompts: [], ...more }
 }
 
+const holders: readonly { readonly name: string, readonly held: readonly (readonly [number, number])[], readonly priority: number, readonly count: number }[] = [
+  { name: 'what the others hold goes after it', held: [[2, 900]], priority: 1, count: 1 },
+  { name: 'what the others hold goes with it', held: [[2, 900]], priority: 2, count: 4 },
+  { name: 'the others hold something as urgent beside what goes after it', held: [[1, 100], [2, 900]], priority: 1, count: 4 },
+  { name: 'the others hold nothing', held: [], priority: 2, count: 1 }
+]
+
+for (const { name, held, priority, count } of holders) {
+  test(`a box competes with those that hold as urgent requests: ${name}`, () => {
+    const fleet = createFleet([createRecord('e1')], engineService)
+    fleet.noteHeld(createWork({ priority, pauseMs: 600, cost: { promptTokens: 900, mostTokens: 10, parts: [] } }), true)
+    fleet.noteOthers({ ...noTotals, demands: [{ service: desk, patient: 0, brisk: 0, apart: 1, base: 1, readingPauseMs: null, held, holders: held.length === 0 ? 0 : 3 }] }, 0)
+    assert.equal(fleet.countHolders(desk, priority), count)
+  })
+}
+
 test('the others\' work counts, until nobody tells it any more', () => {
   const fleet = createFleet([createRecord('e1'), createRecord('e2')])
   fleet.noteOthers({ ...createLoad(9), demands: [], zones: [] }, 0)
