--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -20,13 +20,14 @@
 import { listApart } from './engines-apart.js'
 import { HeldPrompts, notePrompt } from './held-prompts.js'
 import type { KnownKind } from './kind-watch.js'
-import type { BoxLoad, EngineGap, LoadTotals, ReadPrompt, ServiceDemand, ServiceTotal } from './load-word.js'
+import { KnownOthers } from './known-others.js'
+import type { BoxLoad, EngineGap, LoadTotals, ReadPrompt } from './load-word.js'
 import { listHolders, planPrompt } from './prompt-plan.js'
 import type { PromptHolder, PromptPlan } from './prompt-plan.js'
 import { expectRead, findHomes } from './prompt-homes.js'
 import { countExpected, findPatience, guessPause, isPatient } from './prompt-reading.js'
 import type { ApartCount } from './reading-share.js'
-import { createState } from './service-state.js'
+import { composeDemand, createState } from './service-state.js'
 import type { ServiceState } from './service-state.js'
 import { groupByService, listBrisk, listUsable } from './usable-endpoints.js'
 import type { PromptCost, Work } from './work.js'
@@ -60,7 +61,7 @@
   #services = new Map<ServiceName, ServiceState>()
   #views = new Map<EndpointId, EndpointView>()
   #byService = new Map<ServiceName, EndpointView[]>()
-  #others = new Map<ServiceName, ServiceTotal>()
+  #others = new KnownOthers()
   #heldPrompts = new HeldPrompts()
   #outlooks = new Map<ServiceName, Outlook>()
 
@@ -112,7 +113,7 @@
     const loads = new Map(others.loads.map(load => [load.endpoint, load]))
     for (const view of this.#views.values()) view.noteOthers(loads.get(view.id) ?? null)
     for (const [endpoint, gapMs] of others.gaps) this.#views.get(endpoint)?.noteGapOfAll(gapMs)
-    this.#others = new Map(others.demands.map(demand => [demand.service, demand]))
+    this.#others.note(others, at)
     for (const prompt of others.prompts) {
       const view = this.#views.get(prompt[0])
       if (view !== undefined) notePrompt(view, prompt)
@@ -177,7 +178,9 @@
   }
 
   /** Notes the time between two events of a stream at an endpoint, ms. */
-  noteGap (view: EndpointView, gapMs: number, at: number): void { view.noteGap(gapMs, at) }
+  noteGap (view: EndpointView, gapMs: number, at: number): void {
+    if (this.#others.isWhole(at)) view.noteGap(gapMs, at)
+  }
 
   /** Notes that a request was sent to an engine. */
   noteBegun (work: Work, at: number): void { this.#services.get(work.service)?.kinds.noteBegun(work.level, at) }
@@ -193,15 +196,13 @@
 
   /** Boxes, this one included, in which requests of the service wait that don't go after one of this priority. */
   countHolders (service: ServiceName, priority: number): number {
-    const others = this.#others.get(service)
     const own = (this.#services.get(service)?.held.size ?? 0) > 0 ? 1 : 0
-    const isAlone = others === undefined || others.held.every(([theirs]) => theirs > priority)
-    return own + (isAlone ? 0 : others.holders)
+    return own + this.#others.countHolders(service, priority)
   }
 
   /** Engines of a service that are set apart for long prompts, as last agreed. */
   countApart (service: ServiceName): number {
-    return Math.max(this.#services.get(service)?.share.counts.count ?? 0, this.#others.get(service)?.apart ?? 0)
+    return Math.max(this.#services.get(service)?.share.counts.count ?? 0, this.#others.find(service)?.apart ?? 0)
   }
 
   /** Decides whether a request is let in; null for one that never waits, as it is always let in. */
@@ -267,7 +268,7 @@
   // All boxes go by the same pause where they hear of each other, as they must part requests alike.
   #findReadingPause (state: ServiceState, at: number): number {
     const { service, pace, readingPause } = state
-    return this.#findOthers(state)?.readingPauseMs ?? readingPause.find(at) ?? guessPause(service.engine?.tokensPerEvent ?? 1, pace.value)
+    return this.#others.find(state.service.name)?.readingPauseMs ?? readingPause.find(at) ?? guessPause(service.engine?.tokensPerEvent ?? 1, pace.value)
   }
 
   #regroup (): void {
@@ -317,16 +318,14 @@
 
   // `apart`: the engines in the order in which they are set apart.
   #agreeShare (state: ServiceState, apart: readonly EndpointView[], at: number): ApartCount {
-    return agreeShare(state, this.#findOthers(state), apart, at)
+    return agreeShare(state, this.#others.find(state.service.name), apart, at)
   }
 
   // Tokens that wait in the boxes, of requests that go before one of this priority.
   #countHeld (state: ServiceState, priority: number): number {
-    return countHeld(state, this.#findOthers(state), priority)
+    return countHeld(state, this.#others.find(state.service.name), priority)
   }
 
-  #findOthers (state: ServiceState): ServiceTotal | null { return this.#others.get(state.service.name) ?? null }
-
   #choosePlain (usable: readonly EndpointView[], at: number, draw: number): Choice {
     const middle = findMiddleFailures(usable)
     const weigh = (view: EndpointView): number => weighPlain(view) + weighTrust(view, this.#standpoint, middle, false, at)
@@ -345,8 +344,3 @@
     return pickLeast({ views: side, weigh, plan, share, home: chosen[0] }, draw)
   }
 }
-
-function composeDemand ({ service, patient, brisk, share, held, readingPause }: ServiceState, at: number): ServiceDemand {
-  const { count, base } = share.counts
-  return { service: service.name, patient: Math.round(patient.rate(at)), brisk: Math.round(brisk.rate(at)), apart: count, base, readingPauseMs: readingPause.find(at), held: [...held] }
-}
--- /dev/null
+++ b/src/core/balance/known-others.ts
@@ -0,0 +1,38 @@
+import type { ServiceName } from '../ids.js'
+import type { LoadTotals, ServiceTotal } from './load-word.js'
+
+/** Totals that are older tell nothing of what engines read just now, ms: several words of a hub. */
+const freshMs = 600
+/** A box that has heard no hub for so long since its start stands alone, ms: a registry is reached, and tells, within a second. */
+const aloneMs = 3000
+
+/** What a box knows of the other boxes' work on each service, and whether it knows it just now. */
+export class KnownOthers {
+  #totals = new Map<ServiceName, ServiceTotal>()
+  #heardAt: number | null = null
+
+  /** Takes the newest totals. Only those that name a zone just heard are told anew. */
+  note ({ demands, zones }: LoadTotals, at: number): void {
+    this.#totals = new Map(demands.map(demand => [demand.service, demand]))
+    if (zones.length > 0) this.#heardAt = at
+  }
+
+  /** Of a service; null where nothing is told. */
+  find (service: ServiceName): ServiceTotal | null { return this.#totals.get(service) ?? null }
+
+  /**
+   * True where all that engines do is known: the totals are fresh, or there are no other boxes.
+   * What engines read for boxes that aren't heard passed for their own slowness, up to ten times.
+   * `at`: since the box's start, ms.
+   */
+  isWhole (at: number): boolean {
+    return this.#heardAt === null ? at >= aloneMs : at - this.#heardAt <= freshMs
+  }
+
+  /** Boxes in which requests of the service wait that don't go after one of this priority. */
+  countHolders (service: ServiceName, priority: number): number {
+    const others = this.#totals.get(service)
+    if (others === undefined || others.held.every(([theirs]) => theirs > priority)) return 0
+    return others.holders
+  }
+}
--- a/src/core/balance/service-state.ts
+++ b/src/core/balance/service-state.ts
@@ -4,6 +4,7 @@
 import { createLearning } from './engine-learning.js'
 import type { EngineLearning } from './engine-learning.js'
 import { KindWatch } from './kind-watch.js'
+import type { ServiceDemand } from './load-word.js'
 import { PauseRange } from './pause-range.js'
 import { ReadingShare } from './reading-share.js'
 
@@ -24,3 +25,9 @@
 export function createState (service: RoutedService): ServiceState {
   return { ...createLearning(), service, share: new ReadingShare(), pauses: new PauseRange(), kinds: new KindWatch(), patient: new DemandMeter(), brisk: new DemandMeter(), held: new Map() }
 }
+
+/** What a box tells its hub of a service. */
+export function composeDemand ({ service, patient, brisk, share, held, readingPause }: ServiceState, at: number): ServiceDemand {
+  const { count, base } = share.counts
+  return { service: service.name, patient: Math.round(patient.rate(at)), brisk: Math.round(brisk.rate(at)), apart: count, base, readingPauseMs: readingPause.find(at), held: [...held] }
+}
