--- a/src/core/balance/admission.ts
+++ b/src/core/balance/admission.ts
@@ -65,13 +65,15 @@
  * as that, ms: what the engines gave to the one the other could have had. It is late at worst.
  */
 const yieldMs = 5000
+/** But no longer than so many of its own targets: callers leave after about four. */
+const mostLateTimes = 5
 
 /** Decides whether a request is let in. */
 export function decideAdmission ({ backlog, lateness, readingMs, targetMs, sinceLessMs, lessTargetMs }: AdmissionCase): Admission {
   const waitMs = measureWait(backlog, lateness)
   const ownMs = readingMs * Math.max(1, lateness)
   const inTimeMs = Math.max(targetMs - ownMs, targetMs * leastWaitShare)
-  const allowedMs = sinceLessMs < yieldMs ? Math.max(inTimeMs, lessTargetMs) : inTimeMs
+  const allowedMs = sinceLessMs < yieldMs ? Math.max(inTimeMs, Math.min(lessTargetMs, targetMs * mostLateTimes)) : inTimeMs
   const returnMs = waitMs <= allowedMs ? null : Math.min(mostReturnMs, Math.max(leastReturnMs, waitMs + ownMs))
   return { backlog, lateness, waitMs, ownMs, allowedMs, sinceLessMs, returnMs }
 }
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -149,7 +149,7 @@
     const engine = state?.service.engine ?? null
     if (work.cost === null || engine === null || state === undefined) return this.#choosePlain(left, at, draw)
     const patient = this.#isPatient(work, state, at)
-    if (patient && this.#findPressed(state, at) < work.level) return 'later'
+    if (patient && waitedMs < work.targetMs && this.#findPressed(state, at) < work.level) return 'later'
     const side = (patient ? apart.slice(0, counts.count) : listBrisk(apart, counts.count, engine)).filter(view => !tried.includes(view.id))
     const homes = patient ? apart.slice(0, counts.base) : side
     const prompt: PromptCase = { work, cost: work.cost, engine, waitedMs, patienceMs: this.#findPatience(state, at), isPatient: patient }
@@ -252,7 +252,7 @@
     meter.add(at, countExpected(work.cost))
   }
 
-  #isPatient (work: Work, state: ServiceState, at: number): boolean {
+  #isPatient (work: Pick<Work, 'pauseMs'>, state: ServiceState, at: number): boolean {
     return isPatient(work, this.#findPatience(state, at))
   }
 
@@ -307,11 +307,15 @@
     return outlook
   }
 
-  // While some wait too long, engines get nothing less urgent: they read in order of arrival, whatever the rank.
+  // While some wait too long, engines set apart get nothing less urgent: they read in order of arrival, whatever the rank.
+  // Kinds that have the other engines to themselves don't count, or a long burst of them would stop all that is read here.
   #findPressed (state: ServiceState, at: number): number {
     const outlook = this.#look(state.service.name, at)
     const side = outlook.apart.slice(0, Math.max(1, outlook.counts.count))
-    const isLate = ({ level, priority, targetMs }: KnownKind): boolean => isPressed(this.#measureBacklog(state, side, level, priority, at), state.lateness.find(level), targetMs)
+    const isLate = (kind: KnownKind): boolean => {
+      const backlog = this.#measureBacklog(state, side, kind.level, kind.priority, at)
+      return this.#isPatient(kind, state, at) && isPressed(backlog, state.lateness.find(kind.level), kind.targetMs)
+    }
     outlook.pressed ??= state.kinds.list(at).find(isLate)?.level ?? Infinity
     return outlook.pressed
   }
--- a/src/core/balance/kind-watch.ts
+++ b/src/core/balance/kind-watch.ts
@@ -5,6 +5,8 @@
 export interface KnownKind {
   readonly level: number
   readonly targetMs: number
+  /** The longest pause between events that its requests bear, ms; null where they have no events. */
+  readonly pauseMs: number | null
   /** The least urgent rank among its requests. */
   readonly priority: number
 }
@@ -17,9 +19,9 @@
   #begun = new Map<number, number>()
 
   /** Notes that a request arrived. */
-  note ({ level, targetMs, priority }: Work, at: number): void {
+  note ({ level, targetMs, pauseMs, priority }: Work, at: number): void {
     const known = this.#kinds.get(level)?.kind.priority ?? priority
-    this.#kinds.set(level, { kind: { level, targetMs, priority: Math.max(priority, known) }, at })
+    this.#kinds.set(level, { kind: { level, targetMs, pauseMs, priority: Math.max(priority, known) }, at })
   }
 
   /** Notes that a request of a level was sent to an engine. */
--- a/src/core/balance/prompt-reading.ts
+++ b/src/core/balance/prompt-reading.ts
@@ -28,8 +28,8 @@
 }
 
 /** True where a request goes beside prompts that are being read; `patienceMs`: the shortest pause that does. */
-export function isPatient (work: Work, patienceMs: number): boolean {
-  return work.pauseMs === null || work.pauseMs >= patienceMs
+export function isPatient ({ pauseMs }: Pick<Work, 'pauseMs'>, patienceMs: number): boolean {
+  return pauseMs === null || pauseMs >= patienceMs
 }
 
 /** Tokens that are expected to be read for a prompt, wherever it goes. */
