--- a/test/precedence.test.ts
+++ b/test/precedence.test.ts
@@ -77,3 +77,22 @@
 }
 
 function sumTokens (requests: readonly ModelRequest[]): number { return requests.reduce((sum, one) => sum + one.tokens, 0) }
+
+const longBursts: readonly { readonly name: string, readonly times: number }[] = [
+  { name: 'that comes to 70 in 100 of all that the engines read', times: 10 },
+  // None of either was served in twenty seconds: questions are never refused for their own excess, and overflow to all engines.
+  { name: 'of more than all that the engines read', times: 15 }
+]
+/** Of those that came in the burst, so many are served at least. */
+const leastServed: Readonly<Record<string, number>> = { tag: 0.5, quote: 0.2 }
+
+for (const { name, times } of longBursts) {
+  test(`tags and quotes still finish in a long burst of questions ${name}`, () => {
+    const requests = new PoolModel({ ...usual, lengthMs: 30_000, times: (at, kind) => kind === 'question' && at > 2000 ? times : 1 }, 1).play()
+    for (const [kind, least] of Object.entries(leastServed)) {
+      const asked = requests.filter(one => one.kind.name === kind && one.at > 4000 && one.at < 24_000)
+      const served = asked.filter(one => one.firstAt !== null).length / asked.length
+      assert.ok(served >= least, `${kind}: ${served}`)
+    }
+  })
+}
