--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -9,12 +9,12 @@
 import { decideAdmission, isPressed, measureBacklog } from './admission.js'
 import type { Admission, Backlog } from './admission.js'
 import { agreeShare, countHeld } from './agreed-share.js'
-import { pickLeast } from './choice.js'
 import type { Choice, NoChoice } from './choice.js'
+import { chooseEngine, choosePlain } from './choose-endpoint.js'
 import { describeService } from './describe-service.js'
 import type { EndpointRecord } from './endpoint-record.js'
 import { EndpointView } from './endpoint-view.js'
-import { findMiddleFailures, hasRoom, weighEngine, weighPlain, weighTrust } from './endpoint-weights.js'
+import { hasRoom } from './endpoint-weights.js'
 import type { PromptCase, Standpoint } from './endpoint-weights.js'
 import { createLearning } from './engine-learning.js'
 import { listApart } from './engines-apart.js'
@@ -23,8 +23,8 @@
 import { KnownOthers } from './known-others.js'
 import type { BoxLoad, EngineGap, LoadTotals, ReadPrompt } from './load-word.js'
 import { listHolders, planPrompt } from './prompt-plan.js'
-import type { PromptHolder, PromptPlan } from './prompt-plan.js'
-import { expectRead, findHomes } from './prompt-homes.js'
+import type { PromptHolder } from './prompt-plan.js'
+import { expectRead } from './prompt-homes.js'
 import { countExpected, findPatience, guessPause, isPatient } from './prompt-reading.js'
 import type { ApartCount } from './reading-share.js'
 import { composeDemand, createState } from './service-state.js'
@@ -50,8 +50,6 @@
   pressed: number | null
 }
 
-/** Of a plain call. */
-const nothingToRead: PromptPlan = { readTokens: 0, fetch: null }
 /** Of a plain service, or one without an engine that may be used. */
 const noneApart: ApartCount = { count: 0, base: 0 }
 
@@ -121,6 +119,9 @@
     for (const zone of others.zones) this.zones.noteHeard(zone, at)
   }
 
+  /** Takes how many boxes there are, this one included. */
+  noteBoxes (count: number): void { this.#others.noteBoxes(count) }
+
   /** What this box tells its hub. */
   composeLoad (at: number): BoxLoad {
     const loads = []
@@ -147,13 +148,14 @@
     if (left.length === 0) return all.length === 0 ? 'none-known' : 'none-usable'
     const state = this.#services.get(work.service)
     const engine = state?.service.engine ?? null
-    if (work.cost === null || engine === null || state === undefined) return this.#choosePlain(left, at, draw)
+    if (work.cost === null || engine === null || state === undefined) return choosePlain(left, this.#standpoint, at, draw)
     const patient = this.#isPatient(work, state, at)
     if (patient && waitedMs < work.targetMs && this.#findPressed(state, at) < work.level) return 'later'
     const side = (patient ? apart.slice(0, counts.count) : listBrisk(apart, counts.count, engine)).filter(view => !tried.includes(view.id))
     const homes = patient ? apart.slice(0, counts.base) : side
     const prompt: PromptCase = { work, cost: work.cost, engine, waitedMs, patienceMs: this.#findPatience(state, at), isPatient: patient }
-    const choice = this.#chooseEngine(side.length > 0 ? side : left, homes, prompt, counts.count, at, draw)
+    const holders = this.#listHolders(work.cost, engine.transfer, at, work.service)
+    const choice = chooseEngine({ side: side.length > 0 ? side : left, homes, holders, prompt, share: counts.count, from: this.#standpoint }, at, draw)
     return patient && !hasRoom(choice.view, work.cost, engine, at) ? 'later' : choice
   }
 
@@ -329,22 +331,4 @@
   #countHeld (state: ServiceState, priority: number): number {
     return countHeld(state, this.#others.find(state.service.name), priority)
   }
-
-  #choosePlain (usable: readonly EndpointView[], at: number, draw: number): Choice {
-    const middle = findMiddleFailures(usable)
-    const weigh = (view: EndpointView): number => weighPlain(view) + weighTrust(view, this.#standpoint, middle, false, at)
-    return pickLeast({ views: usable, weigh, plan: () => nothingToRead, share: 0 }, draw)
-  }
-
-  #chooseEngine (side: readonly EndpointView[], homes: readonly EndpointView[], prompt: PromptCase, share: number, at: number, draw: number): Choice {
-    const { cost } = prompt
-    // Where engines take prompts from one another, any may become a holder.
-    const { transfer } = prompt.engine
-    const chosen = transfer === null ? findHomes(cost, homes) : []
-    const holders = this.#listHolders(cost, transfer, at, prompt.work.service)
-    const middle = findMiddleFailures(side)
-    const plan = (view: EndpointView): PromptPlan => planPrompt(view, cost, expectRead(view, cost, chosen), holders, transfer)
-    const weigh = (view: EndpointView): number => weighEngine(view, prompt, plan(view), at) + weighTrust(view, this.#standpoint, middle, true, at)
-    return pickLeast({ views: side, weigh, plan, share, home: chosen[0] }, draw)
-  }
 }
--- a/src/core/balance/known-others.ts
+++ b/src/core/balance/known-others.ts
@@ -10,6 +10,10 @@
 export class KnownOthers {
   #totals = new Map<ServiceName, ServiceTotal>()
   #heardAt: number | null = null
+  #boxes = 1
+
+  /** Takes how many boxes there are, this one included. */
+  noteBoxes (count: number): void { this.#boxes = Math.max(1, count) }
 
   /** Takes the newest totals. Only those that name a zone just heard are told anew. */
   note ({ demands, zones }: LoadTotals, at: number): void {
@@ -29,6 +33,9 @@
     return this.#heardAt === null ? at >= aloneMs : at - this.#heardAt <= freshMs
   }
 
+  /** Boxes that may be sending to the same engines unheard, this one included; 1 while all of them are heard. */
+  countUnheard (at: number): number { return this.isWhole(at) ? 1 : this.#boxes }
+
   /** Boxes in which requests of the service wait that don't go after one of this priority. */
   countHolders (service: ServiceName, priority: number): number {
     const others = this.#totals.get(service)
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -188,7 +188,10 @@
       takeDocument: document => this.#adopt(document),
       takePrompts: prompts => this.#fleet.notePrompts(prompts),
       takeRecords: records => this.#takeRecords(records),
-      takeGatewayCount: count => this.#gatewayCount.note(now(), count),
+      takeGatewayCount: count => {
+        this.#gatewayCount.note(now(), count)
+        this.#fleet.noteBoxes(this.#gatewayCount.find(now(), 1))
+      },
       noteZone: heard => this.#fleet.zones.noteHeard(heard, now())
     })
   }
--- a/test/endpoint-choice.test.ts
+++ b/test/endpoint-choice.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { brandId } from '../src/core/index.js'
-import type { ServiceName } from '../src/core/index.js'
+import { brandId, noTotals } from '../src/core/index.js'
+import type { Fleet, ServiceName, Work } from '../src/core/index.js'
 import { createFleet, createRecord, createWork, engineService, nameZone } from './support/fleet-builder.js'
 
 test('work goes only to endpoints that are ready, in touch and not tried', () => {
@@ -53,3 +53,26 @@
   assert.equal(fleet.choose(long, [], 1, 0), 'later')
   assert.notEqual(fleet.choose(createWork({ pauseMs: 50, cost: { promptTokens: 100, mostTokens: 10, parts: [] } }), [], 1, 0), 'later')
 })
+
+// All registries were down for two seconds, and none of three gateways heard what the others did: each filled the same two engines up to
+// what one may send ("others=0 held=0", first events of quotes after 1.5 to 2.6 s), and 13 tags got nothing behind their quotes.
+test('a box that doesn\'t hear of the others sends long prompts only up to its part of what engines may have to read', () => {
+  const work = createWork({ pauseMs: 600, cost: { promptTokens: 1000, mostTokens: 10, parts: [] } })
+  const [heard, cut] = [true, false].map(isHeard => {
+    const fleet = createFleet([createRecord('e1')], { ...engineService, engine: { slots: 64, memoryTokens: 600_000, tokensPerEvent: 5, transfer: null } })
+    fleet.noteBoxes(4)
+    fleet.noteOthers({ ...noTotals, zones: [nameZone('zone-a')] }, 5000)
+    if (!isHeard) fleet.noteOthers(noTotals, 6500)
+    return countSent(fleet, work, isHeard ? 5000 : 7000)
+  })
+  assert.ok(cut >= 1 && cut <= Math.ceil(heard / 4), `${cut}, of ${heard} where it hears of them`)
+})
+
+// How many requests are sent at one time until there is no room.
+function countSent (fleet: Fleet, work: Work, at: number): number {
+  for (let sent = 0; ; sent++) {
+    const choice = fleet.choose(work, [], at, 0)
+    if (typeof choice === 'string') return sent
+    choice.view.place(work, choice.plan, at)
+  }
+}
