A box that doesn't hear of the others fills engines up to its part alone

Cause: without a hub's word the others' work counts as nothing, so that each box filled the same engines whole. Before: 10 of 10 prompts sent unheard of four boxes, first events of quotes after 1.5 to 2.6 s; after: 3 at most (endpoint-choice.test.ts).

--- a/src/core/balance/endpoint-weights.ts
+++ b/src/core/balance/endpoint-weights.ts
@@ -116,11 +116,14 @@
   return ms + Math.max(0, view.measureOverdue(at))
 }
 
-/** True where an engine can begin a prompt soon: what finds no room waits in the box, where it can be passed. */
-export function hasRoom (view: EndpointView, cost: PromptCost, engine: EngineProfile, at: number): boolean {
+/**
+ * True where an engine can begin a prompt soon: what finds no room waits in the box, where it can be passed. `sharers`: boxes
+ * that may be filling the engine unheard, this one included. Three that each filled it whole left tags 2 s behind quotes.
+ */
+export function hasRoom (view: EndpointView, cost: PromptCost, engine: EngineProfile, sharers: number, at: number): boolean {
   if (view.running >= engine.slots) return false
   if (view.running > 0 && view.memoryInUse + cost.promptTokens > engine.memoryTokens * memoryLimit) return false
-  return view.countAhead(Infinity, at) * view.paceMs <= backlogMs
+  return view.countAhead(Infinity, at) * view.paceMs <= backlogMs / sharers
 }
 
 /** Share of failures of the middle one of some endpoints; 0 for none. */
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -156,7 +156,7 @@
     const prompt: PromptCase = { work, cost: work.cost, engine, waitedMs, patienceMs: this.#findPatience(state, at), isPatient: patient }
     const holders = this.#listHolders(work.cost, engine.transfer, at, work.service)
     const choice = chooseEngine({ side: side.length > 0 ? side : left, homes, holders, prompt, share: counts.count, from: this.#standpoint }, at, draw)
-    return patient && !hasRoom(choice.view, work.cost, engine, at) ? 'later' : choice
+    return patient && !hasRoom(choice.view, work.cost, engine, this.#others.countUnheard(at), at) ? 'later' : choice
   }
 
   /** What is believed of each service's engines at present, for the log. */
