--- a/src/soak/promise-watch.ts
+++ b/src/soak/promise-watch.ts
@@ -40,7 +40,8 @@
   readonly violations: string[] = []
   readonly calls: WatchedCall[] = []
   #disturbances: Disturbances
-  #newest = new Map<string, number>()
+  /** Of each life of a gateway, the newest version that it was seen to use, and when its answer was there. */
+  #newest = new Map<string, { readonly version: number, readonly at: number }>()
 
   constructor (disturbances: Disturbances) {
     this.#disturbances = disturbances
@@ -62,11 +63,12 @@
    */
   noteVersionTry (call: WatchedCall, ackedAt: number, nextAckedAt: number | null): void {
     const life = `${call.gateway} ${call.life}`
-    const seen = this.#newest.get(life) ?? 0
+    const seen = this.#newest.get(life)
     const { status } = call.end
     if (status === 200) {
-      if (call.version < seen) this.violate('a document reverted', `${life} used ${call.version} after ${seen}`)
-      this.#newest.set(life, Math.max(seen, call.version))
+      // A call that was sent before the newer version's answer was there may have been let in before it was in force.
+      if (seen !== undefined && call.version < seen.version && call.sentAt > seen.at) this.violate('a document reverted', `${life} used ${call.version} after ${seen.version}`)
+      if (seen === undefined || call.version > seen.version) this.#newest.set(life, { version: call.version, at: call.endedAt })
     }
     if (!this.#isCalm(call, call.sentAt)) return
     const sinceMs = call.sentAt - ackedAt
