--- a/src/config/route-events.ts
+++ b/src/config/route-events.ts
@@ -35,6 +35,7 @@
       pauseLimitMs: 'the longest that its route allows',
       priority: 'its rank, 0 first; of requests to engines',
       prompt: 'the part of the prompt that is its own: joins a refused request with its return',
+      fingerprint: 'digest of its method, address, caller and body, where a send broke: joins the arrivals of one request',
       admission: 'why it was let in or refused at once: expected `wait` ms before an engine begins with it, `reading` ms of its own, `allowed` ms of wait, `late` times that first events came later than expected, which both hold; `less` urgent tokens at engines and ms since such last began; prompt tokens before it, sent by this box (`own`), by `others` and `held` in boxes, `engines` that read them and their `rate`, tokens/ms; `-` where it never waits',
       attempts: 'for each send, parted by `;`: ENDPOINT@ms after arrival, `expected` ms to the first event as decided, `of` so many candidates, `apart` engines set apart, `read` prompt tokens expected to be read, `fetch` tokens expected to be taken from another engine and its name, `-` for none, `home` 1 where the shared part lives there, and how the send ended'
     }
--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -32,6 +32,9 @@
 /** One start of an endpoint: a restarted endpoint has another. */
 export type EndpointId = Branded<'EndpointId'>
 
+/** What makes two arrivals the same request: a digest of its method, address, caller and body. */
+export type Fingerprint = Branded<'Fingerprint'>
+
 /** Brands a plain string. The caller vouches for the kind. */
 export function brandId<T extends string> (value: string): T {
   return value as T
--- a/src/gateway/caller-door.ts
+++ b/src/gateway/caller-door.ts
@@ -173,6 +173,7 @@
       work,
       version: table.version,
       method: request.method ?? 'GET',
+      host: request.headers.host ?? '',
       url: request.url ?? '/',
       rawHeaders: request.rawHeaders,
       body,
--- a/src/gateway/exchange-report.ts
+++ b/src/gateway/exchange-report.ts
@@ -2,6 +2,7 @@
 import type { Admission } from '../core/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import type { Attempt, ExchangeSummary } from './exchange-summary.js'
+import { computeFingerprint } from './fingerprint.js'
 
 /** Logs how an exchange went, and counts it. */
 export function tellEnd (summary: ExchangeSummary, log: EventLog, metrics: Metrics): void {
@@ -28,6 +29,7 @@
     pauseLimitMs: order.work.pauseMs ?? undefined,
     priority: order.work.cost === null ? undefined : order.work.priority,
     prompt: order.work.cost?.parts.at(-1)?.id,
+    fingerprint: attempts.some(isBroken) ? computeFingerprint(order) : undefined,
     admission: summary.admission === null ? undefined : formatAdmission(summary.admission),
     attempts: attempts.map(one => formatAttempt(one, order.arrivedAt)).join(';')
   }
@@ -35,6 +37,9 @@
   else log.warn('exchange', fields)
 }
 
+// Only then are arrivals of one request to be joined; a digest of each body would cost all of them time.
+function isBroken ({ end }: Attempt): boolean { return end.startsWith('broken') }
+
 // What was expected to wait, the request's own reading, what was allowed, and what these rest on.
 function formatAdmission ({ waitMs, ownMs, allowedMs, lateness, sinceLessMs, backlog }: Admission): string {
   const { ownTokens, otherTokens, heldTokens, lessTokens, engines, rate } = backlog
--- a/src/gateway/order.ts
+++ b/src/gateway/order.ts
@@ -11,6 +11,8 @@
   /** Version of the routing document that let it in. */
   readonly version: number
   readonly method: string
+  /** The name of the host that the caller asked. */
+  readonly host: string
   readonly url: string
   readonly rawHeaders: readonly string[]
   readonly body: Buffer
--- a/src/standin/standin-endpoint.ts
+++ b/src/standin/standin-endpoint.ts
@@ -5,6 +5,7 @@
  */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { listenOn, readBody } from './http-tools.js'
 import { PacedEngine } from './paced-engine.js'
@@ -34,6 +35,17 @@
   /** The same, but in the middle the connection is reset. */
   | { readonly type: 'unframed-reset' }
 
+/** What the endpoint does with a request whose body begins with `crashMark`. */
+export interface CrashShape {
+  /** From the start of such a run until the endpoint ends, ms. */
+  readonly afterMs: number
+  /** Until it listens again at its address, ms. */
+  readonly downMs: number
+}
+
+/** Requests with such a body end the endpoint that runs them, where it has a `CrashShape`. */
+export const crashMark = 'ends its endpoint'
+
 /** The headers that the endpoint reads and writes. */
 export interface EndpointHeaders {
   readonly requestId: string
@@ -72,8 +84,18 @@
   eventMs = 5
   answerMs = 1
   port = 0
+  /** Null where no request ends it. */
+  crash: CrashShape | null = null
+  /** The bodies under which it has ended, one for each time. */
+  readonly ends: string[] = []
+  /** Called once it listens again after it has ended. */
+  noteRestart: () => void = () => {}
   #headers: EndpointHeaders
   #server: Server
+  #host = ''
+  #sockets = new Set<Socket>()
+  #isDown = false
+  #isClosed = false
   #engine: PacedEngine | null
   #begun = 0
 
@@ -82,20 +104,43 @@
     this.id = id
     this.#headers = headers
     this.#engine = engine === null ? null : new PacedEngine(engine)
-    this.#server = createServer((request, response) => { void this.#serve(request, response) })
+    this.#server = createServer((request, response) => { this.#serve(request, response).catch(() => response.destroy()) })
+    this.#server.on('connection', socket => {
+      this.#sockets.add(socket)
+      socket.on('close', () => this.#sockets.delete(socket))
+      socket.on('error', () => {})
+    })
   }
 
   async listen (host: string, port = 0): Promise<number> {
+    this.#host = host
     this.port = await listenOn(this.#server, host, port)
     return this.port
   }
 
   /** Ends at once, as a crash does. */
   close (): void {
+    this.#isClosed = true
     this.#server.close()
     this.#server.closeAllConnections()
   }
 
+  /** Resets all connections and listens no more, as a process that dies does; it is back after `downMs`. */
+  end (body: string, downMs: number): void {
+    if (this.#isDown || this.#isClosed) return
+    this.#isDown = true
+    this.ends.push(body)
+    this.#server.close()
+    for (const socket of this.#sockets) socket.resetAndDestroy()
+    setTimeout(() => { if (!this.#isClosed) void this.#restart() }, downMs)
+  }
+
+  async #restart (): Promise<void> {
+    await listenOn(this.#server, this.#host, this.port)
+    this.#isDown = false
+    this.noteRestart()
+  }
+
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const names = this.#headers
     const requestId = String(request.headers[names.requestId.toLowerCase()] ?? '')
@@ -106,7 +151,12 @@
     const run: EndpointRun = { requestId, method: request.method ?? '', path: request.url ?? '', headers: request.headers, body, isCalledOff: false }
     this.runs.push(run)
     response.on('close', () => { if (!response.writableFinished) run.isCalledOff = true })
+    const { crash } = this
+    const isCrash = crash !== null && body.startsWith(crashMark)
+    if (isCrash) setTimeout(() => this.end(body, crash.downMs), crash.afterMs)
     await sleep(this.answerMs)
+    // A stream may begin before; nothing else is ever answered.
+    if (isCrash && !run.path.includes('/events')) return
     if (this.fault.type === 'lose') return void request.socket.destroy()
     if (this.fault.type === 'hang') return
     if (this.fault.type === 'error') return this.#finish(response, requestId, 500, 'failed')
--- a/test/support/route-deployment.ts
+++ b/test/support/route-deployment.ts
@@ -158,6 +158,7 @@
     const endpoint = new StandinEndpoint(`endpoint-${this.shape.number}-${this.endpoints.length}`, this.spoken.endpointHeaders)
     await endpoint.listen(this.endpointHost)
     this.endpoints.push(endpoint)
+    endpoint.noteRestart = () => { void this.register(endpoint, service, 'ready', zone) }
     await this.register(endpoint, service, 'ready', zone)
     await until(() => this.gateways.every(gateway => gateway.fleet.findView(endpoint.id as never) !== undefined), `${endpoint.id} known to all gateways`)
     return endpoint
