Requests that end the endpoints which run them are told from those beside them, and sent no more, by every box in touch

Cause: an exchange knew what it had tried, by an id that each arrival has anew, and nothing outlived it; second sends doubled the ends. A gateway now finds out whether an endpoint whose connection ended under a request is gone (nobody listens, or a new life of it is registered), and tells the registries what ran there; they tell all boxes, and those that come into touch. Each box weighs how unlikely it is by chance that a request was at all these ends. From the first end on, all boxes send the request to the same endpoint next; from the second, once an arrival; from the third, if the weight says so, no more. A whole answer clears it.

--- a/src/core/balance/endpoint-directory.ts
+++ b/src/core/balance/endpoint-directory.ts
@@ -64,5 +64,5 @@
 }
 
 function isSame (a: EndpointRecord, b: EndpointRecord): boolean {
-  return a.stage === b.stage && a.host === b.host && a.port === b.port && a.service === b.service && a.zone === b.zone && a.slots === b.slots
+  return a.stage === b.stage && a.host === b.host && a.port === b.port && a.service === b.service && a.zone === b.zone && a.slots === b.slots && a.born === b.born && a.software === b.software
 }
--- a/src/core/balance/endpoint-record.ts
+++ b/src/core/balance/endpoint-record.ts
@@ -15,6 +15,10 @@
   readonly zone: ZoneName
   /** Requests that it works on at once. */
   readonly slots: number
+  /** When this life of the endpoint began, Unix ms; 0 where it doesn't say. */
+  readonly born: number
+  /** Version of what it runs; empty where it doesn't say. */
+  readonly software: string
   /** Rises with each word of the endpoint; tells a late one. */
   readonly sequence: number
   readonly stage: EndpointStage
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -22,6 +22,8 @@
 import type { KnownKind } from './kind-watch.js'
 import { KnownOthers } from './known-others.js'
 import type { BoxLoad, EngineGap, LoadTotals, ReadPrompt } from './load-word.js'
+import { narrowViews } from './narrowing.js'
+import type { Narrowing } from './narrowing.js'
 import { listHolders, planPrompt } from './prompt-plan.js'
 import type { PromptHolder } from './prompt-plan.js'
 import { expectRead } from './prompt-homes.js'
@@ -122,6 +124,9 @@
   /** Takes how many boxes there are, this one included. */
   noteBoxes (count: number): void { this.#others.noteBoxes(count) }
 
+  /** Endpoints of a service that may be used now. */
+  listUsable (service: ServiceName, at: number): readonly EndpointView[] { return this.#look(service, at).usable }
+
   /** What this box tells its hub. */
   composeLoad (at: number): BoxLoad {
     const loads = []
@@ -140,19 +145,21 @@
   /**
    * Chooses an endpoint that wasn't tried yet. `draw`, from 0 up to 1, parts
    * those that are alike; `waitedMs` is how long the request has waited here.
+   * A `narrowing` goes before all else.
    */
-  choose (work: Work, tried: readonly EndpointId[], at: number, draw: number, waitedMs = 0): Choice | NoChoice {
+  choose (work: Work, tried: readonly EndpointId[], at: number, draw: number, waitedMs = 0, narrowing: Narrowing | null = null): Choice | NoChoice {
     const all = this.#byService.get(work.service) ?? []
     const { usable, apart, counts } = this.#look(work.service, at)
-    const left = usable.filter(view => !tried.includes(view.id))
+    const left = narrowViews(usable.filter(view => !tried.includes(view.id)), narrowing)
     if (left.length === 0) return all.length === 0 ? 'none-known' : 'none-usable'
     const state = this.#services.get(work.service)
     const engine = state?.service.engine ?? null
     if (work.cost === null || engine === null || state === undefined) return choosePlain(left, this.#standpoint, at, draw)
     const patient = this.#isPatient(work, state, at)
     if (patient && waitedMs < work.targetMs && this.#findPressed(state, at) < work.level) return 'later'
-    const side = (patient ? apart.slice(0, counts.count) : listBrisk(apart, counts.count, engine)).filter(view => !tried.includes(view.id))
-    const homes = patient ? apart.slice(0, counts.base) : side
+    const parted = (patient ? apart.slice(0, counts.count) : listBrisk(apart, counts.count, engine)).filter(view => !tried.includes(view.id))
+    const side = narrowing === null ? parted : left
+    const homes = narrowing !== null ? left : patient ? apart.slice(0, counts.base) : side
     const prompt: PromptCase = { work, cost: work.cost, engine, waitedMs, patienceMs: this.#findPatience(state, at), isPatient: patient }
     const holders = this.#listHolders(work.cost, engine.transfer, at, work.service)
     const choice = chooseEngine({ side: side.length > 0 ? side : left, homes, holders, prompt, share: counts.count, from: this.#standpoint }, at, draw)
--- a/src/core/error-kind.ts
+++ b/src/core/error-kind.ts
@@ -32,6 +32,7 @@
   'workspace-limit': { status: 429, type: 'rate_limit_error', outcome: 'not-run', retryAfter: true, meaning: 'The workspace has used up its limit.' },
   overloaded: { status: 503, type: 'overloaded_error', outcome: 'not-run', retryAfter: true, meaning: 'Demand of this class exceeds capacity; its target could not be met.' },
   'no-engine': { status: 503, type: 'overloaded_error', outcome: 'not-run', retryAfter: true, meaning: 'No engine for the model can be reached.' },
+  quarantined: { status: 503, type: 'overloaded_error', outcome: 'not-run', retryAfter: true, meaning: 'Endpoints ended under this very request; it is not sent for a while.' },
   'no-document': { status: 503, type: 'overloaded_error', outcome: 'not-run', retryAfter: true, meaning: 'This box has no routing document yet.' },
   draining: { status: 503, type: 'overloaded_error', outcome: 'not-run', retryAfter: true, meaning: 'This box is stopping.' },
   'no-quorum': { status: 503, type: 'overloaded_error', outcome: 'not-run', retryAfter: true, meaning: 'The keepers cannot be reached, so a call that may not be repeated is not begun.' },
--- /dev/null
+++ b/src/gateway/call-target.ts
@@ -0,0 +1,32 @@
+import type { Agent } from 'node:http'
+import type { EndpointView, PromptPlan } from '../core/index.js'
+import type { Dialect } from '../protocol/index.js'
+import type { CallTarget } from './endpoint-call.js'
+import type { Order } from './order.js'
+
+/** How one send of a request is made. */
+export interface SendPlan {
+  readonly dialect: Dialect
+  readonly agent: Agent
+  readonly view: EndpointView
+  readonly plan: PromptPlan
+  /** The last event that the caller has; null for a whole answer. */
+  readonly lastEvent: string | null
+  /** The box's time, ms. */
+  readonly at: number
+}
+
+/** What goes to an endpoint, and where. */
+export function composeTarget (order: Order, { dialect, agent, view, plan: { fetch }, lastEvent, at }: SendPlan): CallTarget {
+  const headers = dialect.composeRequest(order.rawHeaders, {
+    requestId: order.words.requestId,
+    deadlineMs: order.holdUntil - at,
+    endpoint: view.id,
+    workspace: order.workspace?.name ?? null,
+    priority: order.work.cost === null ? null : order.work.priority,
+    fetchFrom: fetch === null ? null : `${fetch.from.record.host}:${fetch.from.record.port}`,
+    lastEvent
+  })
+  const { host, port } = view.record
+  return { host, port, agent, method: order.method, path: order.url, headers, body: order.body, requestId: order.words.requestId }
+}
--- /dev/null
+++ b/src/gateway/crash-guard.ts
@@ -0,0 +1,209 @@
+/**
+ * A gateway's guard against requests that end the endpoints which run them. It
+ * finds out whether an endpoint that broke off has ended, tells the registries
+ * what ran there, and rules what may be done with a request. It decides on what
+ * this box has seen and heard; no request waits for a word from another.
+ */
+import { CrashWatch, labelSoftware } from '../core/index.js'
+import type { CrashNews, EndpointId, EndpointRecord, EndpointView, Fingerprint, Fleet, Narrowing, Ruling } from '../core/index.js'
+import type { EventLog, Metrics } from '../runtime/index.js'
+import type { EndpointProber } from './endpoint-prober.js'
+import { computeFingerprint } from './fingerprint.js'
+import type { Order } from './order.js'
+
+/** What the guard needs of its box. */
+export interface GuardHost {
+  readonly log: EventLog
+  readonly metrics: Metrics
+  readonly fleet: Fleet
+  readonly prober: EndpointProber
+  now (): number
+  /** Tells all registries in touch. */
+  tell (news: CrashNews): void
+}
+
+/** What the end of a send tells of its endpoint: it answered whole, the connection ended, what came was no answer, or nothing came. */
+export type SendEvidence = 'answered' | 'lost' | 'broken' | 'silent'
+
+/** Requests whose sends broke at one life of an endpoint. */
+interface BrokenLife {
+  readonly record: EndpointRecord
+  readonly at: number
+  /** How long each had been there, ms. */
+  readonly runs: Map<Fingerprint, number>
+  /** `looking`: it is tried whether anybody listens there; `unknown`: somebody does, or nothing can be said. */
+  state: 'unknown' | 'looking' | 'ended'
+}
+
+/** For so long it is kept what broke at an endpoint, ms: a new life of it, which tells the end of the last, is registered within seconds. */
+const keepBrokenMs = 10_000
+/** Endpoints of which that is kept; beyond them the oldest go. */
+const mostBroken = 200
+/** With so many ends under it a request is sent to one endpoint an arrival, whatever its route allows: each further send may end one more. */
+const endsToSendOnce = 2
+/** When a request comes back whose one trial is under way, ms. */
+const trialRetryMs = 1000
+/** What breaks longer after an end belongs to the next life, where endpoints don't say when they started, ms. */
+const sameEndMs = 1000
+const free: Ruling = { type: 'free' }
+
+export class CrashGuard {
+  #host: GuardHost
+  #watch: CrashWatch
+  #broken = new Map<EndpointId, BrokenLife>()
+  #fingerprints = new WeakMap<Order, Fingerprint>()
+  /** Requests in quarantine of which one send is under way here. */
+  #trials = new Map<Fingerprint, Order>()
+
+  constructor (host: GuardHost) {
+    this.#host = host
+    this.#watch = new CrashWatch(service => host.fleet.listUsable(service, host.now()).length)
+  }
+
+  /** What may be done with a request now. */
+  rule (order: Order): Ruling {
+    if (this.#watch.isIdle) return free
+    const fingerprint = this.#identify(order)
+    const at = this.#host.now()
+    const labels = new Set(this.#host.fleet.listUsable(order.service, at).map(({ record }) => labelSoftware(record)))
+    const ruling = this.#watch.rule(fingerprint, labels, at)
+    if (ruling.type !== 'trial') return ruling
+    const running = this.#trials.get(fingerprint)
+    if (running !== undefined && running !== order) return { type: 'refused', retryAfterMs: trialRetryMs, ends: this.#watch.find(fingerprint)?.ends ?? 0 }
+    this.#trials.set(fingerprint, order)
+    return ruling
+  }
+
+  /** The endpoints that a ruling leaves for a request; null for all. */
+  composeNarrowing (order: Order, ruling: Ruling): Narrowing | null {
+    switch (ruling.type) {
+      case 'free':
+      case 'refused': return null
+      case 'suspect': return { key: this.#identify(order), avoids: ruling.ended, mayUse: () => true }
+      case 'sound': return { key: null, avoids: new Set(), mayUse: record => ruling.labels.includes(labelSoftware(record)) }
+      case 'trial': return { key: this.#identify(order), avoids: ruling.ended, mayUse: record => ruling.labels.length === 0 || ruling.labels.includes(labelSoftware(record)) }
+    }
+  }
+
+  /** False where another send of a request may end one endpoint too many. */
+  maySendAgain (order: Order): boolean {
+    if (this.#watch.isIdle && this.#broken.size === 0) return true
+    const fingerprint = this.#identify(order)
+    if (this.#trials.get(fingerprint) === order) return false
+    return this.#countEnds(fingerprint) < endsToSendOnce && this.#watch.find(fingerprint)?.state !== 'refused'
+  }
+
+  /** Notes how a send ended, `ms` after it was sent. */
+  noteSendEnd (order: Order, view: EndpointView, end: SendEvidence, ms: number): void {
+    switch (end) {
+      case 'answered': return this.#noteAnswered(order, view)
+      case 'lost': return this.#noteLost(order, view, ms)
+      // Only a new life of it tells whether it has ended.
+      case 'broken':
+      case 'silent': this.#noteBroken(order, view, ms)
+    }
+  }
+
+  /** An endpoint says where it is: where something broke at an earlier life there, that life has ended. */
+  noteRecord (record: EndpointRecord): void {
+    for (const life of this.#broken.values()) {
+      if (life.state !== 'ended' && isLaterLife(record, life.record)) this.#confirm(life)
+    }
+  }
+
+  /** A request has its final answer. */
+  forget (order: Order): void {
+    if (this.#trials.size === 0) return
+    const fingerprint = this.#identify(order)
+    if (this.#trials.get(fingerprint) === order) this.#trials.delete(fingerprint)
+  }
+
+  /** Takes what another box tells. */
+  merge (news: CrashNews): void { this.#spread(this.#watch.merge(news, this.#host.now())) }
+
+  /** Everything that is known here, for a registry that may know nothing. */
+  list (): CrashNews { return this.#watch.list(this.#host.now()) }
+
+  // The connection over which a request was sent ended under it.
+  #noteLost (order: Order, view: EndpointView, ms: number): void {
+    const life = this.#noteBroken(order, view, ms)
+    if (life === null) return
+    if (life.state === 'ended') return this.#tellEnd(life)
+    life.state = 'looking'
+    this.#host.prober.verify(view, isGone => {
+      if (isGone) this.#confirm(life)
+      else if (life.state === 'looking') life.state = 'unknown'
+    })
+  }
+
+  #noteAnswered (order: Order, view: EndpointView): void {
+    if (this.#watch.isIdle && this.#broken.size === 0) return
+    const fingerprint = this.#identify(order)
+    for (const { runs } of this.#broken.values()) runs.delete(fingerprint)
+    this.#spread(this.#watch.noteAnswered(fingerprint, labelSoftware(view.record), this.#host.now()))
+  }
+
+  // Null where the end of the endpoint would tell nothing: one that said it leaves may end.
+  #noteBroken (order: Order, view: EndpointView, ms: number): BrokenLife | null {
+    const isLeaving = view.record.stage !== 'ready' || this.#host.fleet.findView(view.id) === undefined
+    if (isLeaving) return null
+    const at = this.#host.now()
+    this.#forgetOld(at)
+    const known = this.#broken.get(view.id)
+    const isKnown = known !== undefined && known.record.born === view.record.born && !(known.state === 'ended' && at - known.at > sameEndMs)
+    const life: BrokenLife = isKnown ? known : { record: view.record, at, runs: new Map<Fingerprint, number>(), state: 'unknown' }
+    this.#broken.set(view.id, life)
+    const fingerprint = this.#identify(order)
+    life.runs.set(fingerprint, Math.max(ms, life.runs.get(fingerprint) ?? 0))
+    return life
+  }
+
+  #confirm (life: BrokenLife): void {
+    if (life.state === 'ended') return
+    life.state = 'ended'
+    this.#host.metrics.count('endpoint-ended', { service: life.record.service })
+    this.#host.log.warn('endpoint-ended', { endpoint: life.record.id, service: life.record.service, born: life.record.born, runs: life.runs.size })
+    this.#tellEnd(life)
+  }
+
+  #tellEnd ({ record, at, runs }: BrokenLife): void {
+    const now = this.#host.now()
+    const { id, born, service, software } = record
+    const told = [...runs].map(([fingerprint, ms]) => [fingerprint, Math.round(ms)] as const)
+    this.#spread(this.#watch.merge({ ends: [{ endpoint: id, born, service, software, ageMs: now - at, runs: told }], entries: [] }, now))
+  }
+
+  #spread (news: CrashNews): void {
+    if (news.ends.length === 0 && news.entries.length === 0) return
+    for (const { fingerprint, state, round, service, ended, ends, weight, leftMs } of news.entries) {
+      this.#host.metrics.count('quarantine', { state })
+      this.#host.log.warn('quarantine', { fingerprint, state, round, service, software: ended.join(','), ends, weight: weight.toFixed(1), leftMs })
+    }
+    this.#host.tell(news)
+  }
+
+  // Ends that are confirmed, and those that are likely.
+  #countEnds (fingerprint: Fingerprint): number {
+    const likely = [...this.#broken.values()].filter(({ state, runs }) => state === 'looking' && runs.has(fingerprint)).length
+    return this.#watch.countEnds(fingerprint) + likely
+  }
+
+  #forgetOld (at: number): void {
+    for (const [id, life] of this.#broken) if (at - life.at > keepBrokenMs || this.#broken.size > mostBroken) this.#broken.delete(id)
+  }
+
+  #identify (order: Order): Fingerprint {
+    const known = this.#fingerprints.get(order)
+    if (known !== undefined) return known
+    const fingerprint = computeFingerprint(order)
+    this.#fingerprints.set(order, fingerprint)
+    return fingerprint
+  }
+}
+
+// True for a new start at the same address, or under the same id.
+function isLaterLife (record: EndpointRecord, before: EndpointRecord): boolean {
+  if (record.stage !== 'ready') return false
+  if (record.id === before.id) return record.born > before.born
+  return record.host === before.host && record.port === before.port
+}
--- a/src/gateway/endpoint-call.ts
+++ b/src/gateway/endpoint-call.ts
@@ -30,8 +30,8 @@
   readonly isEncoded: boolean
 }
 
-/** `unreachable`: no byte was written, so that the request did not run there. */
-export type CallFailure = 'unreachable' | 'broken'
+/** `unreachable`: no byte was written, so that the request did not run there; `lost`: the connection ended under it; `broken`: what came is no answer to it. */
+export type CallFailure = 'unreachable' | 'lost' | 'broken'
 
 /** Who hears of a call. Nothing is called after `finish` or `fail`, or after `cancel`. */
 export interface CallSink {
@@ -97,7 +97,7 @@
     const status = answer.statusCode ?? 0
     const words = this.#dialect.readAnswer(status, answer.headers)
     // An endpoint that doesn't name the request may only say that it did not run it.
-    if (words.requestId !== this.#requestId && !(words.requestId === '' && words.isNotRun)) return this.#fail('an answer to another request')
+    if (words.requestId !== this.#requestId && !(words.requestId === '' && words.isNotRun)) return this.#fail('an answer to another request', 'broken')
     // The endpoint answered before it had read the request: the connection is not used again.
     if (!this.#request.writableFinished) this.#request.shouldKeepAlive = false
     this.#sink.begin({ status, words, rawHeaders: answer.rawHeaders, isEncoded: answer.headers['content-encoding'] !== undefined })
@@ -113,10 +113,10 @@
     })
   }
 
-  #fail (reason: string): void {
+  #fail (reason: string, failure: CallFailure = 'lost'): void {
     if (this.#ended) return
     this.#ended = true
     this.#request.destroy()
-    this.#sink.fail(this.#wrote ? 'broken' : 'unreachable', reason)
+    this.#sink.fail(this.#wrote ? failure : 'unreachable', reason)
   }
 }
--- a/src/gateway/exchange-report.ts
+++ b/src/gateway/exchange-report.ts
@@ -29,7 +29,7 @@
     pauseLimitMs: order.work.pauseMs ?? undefined,
     priority: order.work.cost === null ? undefined : order.work.priority,
     prompt: order.work.cost?.parts.at(-1)?.id,
-    fingerprint: attempts.some(isBroken) ? computeFingerprint(order) : undefined,
+    fingerprint: outcome === 'quarantined' || attempts.some(isBroken) ? computeFingerprint(order) : undefined,
     admission: summary.admission === null ? undefined : formatAdmission(summary.admission),
     attempts: attempts.map(one => formatAttempt(one, order.arrivedAt)).join(';')
   }
@@ -38,7 +38,7 @@
 }
 
 // Only then are arrivals of one request to be joined; a digest of each body would cost all of them time.
-function isBroken ({ end }: Attempt): boolean { return end.startsWith('broken') }
+function isBroken ({ end }: Attempt): boolean { return end.startsWith('broken') || end.startsWith('lost') }
 
 // What was expected to wait, the request's own reading, what was allowed, and what these rest on.
 function formatAdmission ({ waitMs, ownMs, allowedMs, lateness, sinceLessMs, backlog }: Admission): string {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -7,6 +7,8 @@
 import type { Dialect } from '../protocol/index.js'
 import { sendRefusal } from './answers.js'
 import type { Refusal } from './answers.js'
+import { composeTarget } from './call-target.js'
+import type { CrashGuard, SendEvidence } from './crash-guard.js'
 import type { EndpointAgent } from './endpoint-agent.js'
 import { EndpointCall } from './endpoint-call.js'
 import type { AnswerHead, CallFailure } from './endpoint-call.js'
@@ -26,6 +28,7 @@
   readonly dialect: Dialect
   readonly fleet: Fleet
   readonly agent: EndpointAgent
+  readonly guard: CrashGuard
   now (): number
   /** A number from 0 up to 1. */
   draw (): number
@@ -111,7 +114,9 @@
   #send (): void {
     const { order } = this
     const at = this.#host.now()
-    const choice = this.#host.fleet.choose(order.work, this.#tried, at, this.#host.draw(), at - order.arrivedAt)
+    const ruling = this.#host.guard.rule(order)
+    if (ruling.type === 'refused') return this.#follow(this.#course.decide({ ...ruling, type: 'quarantined' }))
+    const choice = this.#host.fleet.choose(order.work, this.#tried, at, this.#host.draw(), at - order.arrivedAt, this.#host.guard.composeNarrowing(order, ruling))
     if (choice === 'later') return this.#hold()
     this.#unhold()
     if (typeof choice === 'string') return this.#follow(this.#course.decide({ type: 'unplaced', why: choice }))
@@ -139,20 +144,10 @@
     this.#host.unhold(this)
   }
 
-  #call (view: EndpointView, { fetch }: PromptPlan, at: number, getSent: () => Sent): EndpointCall {
-    const { order } = this
-    const headers = this.#host.dialect.composeRequest(order.rawHeaders, {
-      requestId: order.words.requestId,
-      deadlineMs: order.holdUntil - at,
-      endpoint: view.id,
-      workspace: order.workspace?.name ?? null,
-      priority: order.work.cost === null ? null : order.work.priority,
-      fetchFrom: fetch === null ? null : `${fetch.from.record.host}:${fetch.from.record.port}`,
-      lastEvent: this.#events.lastId
-    })
-    const { host, port } = view.record
-    const target = { host, port, agent: this.#host.agent, method: order.method, path: order.url, headers, body: order.body, requestId: order.words.requestId }
-    return new EndpointCall(target, this.#host.dialect, {
+  #call (view: EndpointView, plan: PromptPlan, at: number, getSent: () => Sent): EndpointCall {
+    const { dialect, agent } = this.#host
+    const target = composeTarget(this.order, { dialect, agent, view, plan, lastEvent: this.#events.lastId, at })
+    return new EndpointCall(target, dialect, {
       begin: head => this.#begin(getSent(), head),
       take: chunk => this.#take(getSent(), chunk),
       finish: () => this.#finish(getSent()),
@@ -230,6 +225,7 @@
     const { head } = sent
     if (head === null) return
     this.#release(sent, 'done')
+    this.#noteSendEnd(sent, 'answered')
     const next = this.#course.decide({ type: 'answered', status: head.status })
     if (next.type !== 'pass') return this.#follow(next)
     const body = Buffer.concat(sent.chunks)
@@ -242,6 +238,7 @@
     if (cutter.isInside) return this.#moveOn(sent, 'broken', 'the stream ended inside an event')
     this.#openStream(sent)
     this.#release(sent, 'done')
+    this.#noteSendEnd(sent, 'answered')
     this.#response.end()
     this.#end('ok', 200)
   }
@@ -258,6 +255,7 @@
 
   #noteFailed (sent: Sent, head: AnswerHead): void {
     sent.view.trust.noteFailure()
+    this.#noteSendEnd(sent, 'answered')
     const next = this.#course.decide({ type: 'failed' })
     if (next.type === 'pass') return this.#receive(sent, head)
     this.#dropSent(sent, `failed ${head.status}`)
@@ -270,12 +268,18 @@
     const at = this.#host.now()
     if (failure === 'unreachable') sent.view.trust.noteUnreachable(at)
     else sent.view.trust.noteBroken(at)
+    if (failure !== 'unreachable') this.#noteSendEnd(sent, failure)
     this.#dropSent(sent, `${failure} ${reason}`)
     this.#follow(this.#course.decide({ type: 'broke', failure, reason }))
   }
 
+  #noteSendEnd (sent: Sent, end: SendEvidence): void {
+    this.#host.guard.noteSendEnd(this.order, sent.view, end, this.#host.now() - sent.attempt.sentAt)
+  }
+
   #giveUp (): void {
     const wasWritten = this.#sent?.call.mayHaveRun ?? false
+    if (this.#sent !== null && wasWritten) this.#noteSendEnd(this.#sent, 'silent')
     this.#dropCall('given up')
     this.#follow(this.#course.decide({ type: 'given-up', wasWritten }))
   }
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -13,6 +13,7 @@
 import type { EventLog, Metrics } from '../runtime/index.js'
 import type { Refusal } from './answers.js'
 import { CallerDoor } from './caller-door.js'
+import { CrashGuard } from './crash-guard.js'
 import { EndpointAgent } from './endpoint-agent.js'
 import { EndpointProber } from './endpoint-prober.js'
 import { Exchange } from './exchange.js'
@@ -72,6 +73,7 @@
   #exchangeHost: ExchangeHost
   #line: WaitingLine
   #prober: EndpointProber
+  #guard: CrashGuard
   #leaving = false
   #leavesAt: number | null = null
   #busyAt = 0
@@ -95,6 +97,7 @@
       countApart: service => this.#fleet.countApart(service)
     })
     this.#prober = new EndpointProber(log, now)
+    this.#guard = new CrashGuard({ log, metrics: around.metrics, fleet: this.#fleet, prober: this.#prober, now, tell: news => this.#follower.tell({ type: 'crashes', news }) })
     this.#exchangeHost = this.#createExchangeHost()
     this.#door = this.#createDoor()
     this.#ready = new ReadyDoor(dialect.readyPath, () => this.isReady)
@@ -188,6 +191,8 @@
       takeDocument: document => this.#adopt(document),
       takePrompts: prompts => this.#fleet.notePrompts(prompts),
       takeRecords: records => this.#takeRecords(records),
+      takeCrashes: news => this.#guard.merge(news),
+      listCrashes: () => this.#guard.list(),
       takeGatewayCount: count => {
         this.#gatewayCount.note(now(), count)
         this.#fleet.noteBoxes(this.#gatewayCount.find(now(), 1))
@@ -201,6 +206,7 @@
       dialect: this.#around.dialect,
       fleet: this.#fleet,
       agent: this.#agent,
+      guard: this.#guard,
       now,
       draw: Math.random,
       takeRetry: order => this.#takeRetry(order),
@@ -261,6 +267,7 @@
     const changed = records.flatMap(record => this.#directory.merge(record))
     if (changed.length === 0) return
     this.#fleet.applyRecords(changed)
+    for (const record of changed) this.#guard.noteRecord(record)
     for (const { id, service, stage, sequence, zone } of changed) this.#around.log.info('endpoint', { endpoint: id, service, stage, sequence, zone })
   }
 
@@ -290,6 +297,7 @@
   }
 
   #takeRetry (order: Order): boolean {
+    if (!this.#guard.maySendAgain(order)) return false
     const at = now()
     return this.#purses.get(order.service)?.take(at, this.#gatewayCount.find(at, 1)) ?? false
   }
@@ -312,6 +320,7 @@
   #noteEnd (exchange: Exchange, summary: ExchangeSummary): void {
     this.#busyAt = now()
     this.#exchanges.delete(exchange)
+    this.#guard.forget(exchange.order)
     this.#door.release(exchange)
     tellEnd(summary, this.#around.log, this.#around.metrics)
   }
--- a/src/gateway/registry-follower.ts
+++ b/src/gateway/registry-follower.ts
@@ -7,7 +7,7 @@
 import { DocumentPull } from '../coordination/index.js'
 import type { HolderState, PullPatience, VersionedText } from '../coordination/index.js'
 import { brandId } from '../core/index.js'
-import type { BoxId, EndpointRecord, ReadPrompt, ZoneName } from '../core/index.js'
+import type { BoxId, CrashNews, EndpointRecord, ReadPrompt, ZoneName } from '../core/index.js'
 import { LinkPool, unpackDocument } from '../protocol/index.js'
 import type { Link, PackedDocument, RouteMessage } from '../protocol/index.js'
 import { Inbox } from '../runtime/index.js'
@@ -27,6 +27,10 @@
   /** Takes which prompts engines hold. */
   takePrompts (prompts: readonly ReadPrompt[]): void
   takeRecords (records: readonly EndpointRecord[]): void
+  /** Takes ends of endpoints and requests in quarantine. */
+  takeCrashes (news: CrashNews): void
+  /** What is known here of them, for a registry that may know nothing. */
+  listCrashes (): CrashNews
   /** Takes how many gateways a registry is in touch with. */
   takeGatewayCount (count: number): void
   noteZone (zone: ZoneName): void
@@ -115,6 +119,11 @@
     for (const seed of seeds) this.#meet(parseAddress(seed).host)
   }
 
+  /** Tells every registry in touch. */
+  tell (message: RouteMessage): void {
+    for (const link of this.#links.dialed) link.send(message)
+  }
+
   close (): void {
     if (this.#timer !== null) clearInterval(this.#timer)
     this.#inbox.close()
@@ -131,6 +140,7 @@
     switch (input.type) {
       case 'open':
         input.link.send({ type: 'gateway-hello', gateway: this.#host.id, version: this.#version })
+        input.link.send({ type: 'crashes', news: this.#host.listCrashes() })
         this.#host.log.info('registry-met', { registry: input.link.peer })
         return
       case 'closed':
@@ -154,6 +164,7 @@
         return this.#ask()
       case 'document': return this.#takeDocument(link, message.document)
       case 'endpoints': return this.#host.takeRecords(message.records)
+      case 'crashes': return this.#host.takeCrashes(message.news)
       case 'prompts': return this.#host.takePrompts(message.prompts)
       case 'boxes':
         for (const host of message.registries) this.#meet(host)
@@ -176,7 +187,7 @@
   #adopt (document: VersionedText): void {
     this.#held = document
     this.#host.takeDocument(document)
-    for (const link of this.#links.dialed) link.send({ type: 'gateway-hello', gateway: this.#host.id, version: document.version })
+    this.tell({ type: 'gateway-hello', gateway: this.#host.id, version: document.version })
   }
 
   #tick (): void {
--- a/src/gateway/send-course.ts
+++ b/src/gateway/send-course.ts
@@ -22,6 +22,8 @@
   | { readonly type: 'broke', readonly failure: CallFailure, readonly reason: string }
   /** The endpoint ran it, and its answer is here whole. */
   | { readonly type: 'answered', readonly status: number }
+  /** Endpoints end under the request: it is sent no more. */
+  | { readonly type: 'quarantined', readonly ends: number, readonly retryAfterMs: number }
   /** The request's time is over; `wasWritten`: bytes of it may have reached an endpoint that has not answered. */
   | { readonly type: 'given-up', readonly wasWritten: boolean }
 
@@ -64,6 +66,7 @@
       case 'failed': return this.#leaveFailed()
       case 'broke': return this.#leaveBroken(end.failure, end.reason)
       case 'answered': return this.#endAnswered(end.status)
+      case 'quarantined': return this.#endQuarantined(end.ends, end.retryAfterMs)
       case 'given-up': return this.#giveUp(end.wasWritten)
     }
   }
@@ -101,6 +104,11 @@
     return refuse('engine-failed', `the endpoint answered ${status}`)
   }
 
+  #endQuarantined (ends: number, retryAfterMs: number): NextStep {
+    if (this.#mayHaveRun) return refuse('engine-failed', 'endpoints ended under this request')
+    return refuse('quarantined', `${ends} endpoints ended under this request`, retryAfterMs)
+  }
+
   #giveUp (wasWritten: boolean): NextStep {
     if (this.#mayHaveRun || wasWritten) return refuse('engine-timeout', 'the endpoint did not answer in time')
     return refuse('overloaded', 'no endpoint took the request in time', noneRetryMs)
--- a/src/protocol/header-dialect.ts
+++ b/src/protocol/header-dialect.ts
@@ -130,7 +130,7 @@
   }
 
   composeGone (endpoint: string, stage: EndpointStage): EndpointRecord {
-    return { id: brandId(endpoint), service: brandId(''), host: '', port: 0, zone: brandId(''), slots: 0, sequence: 0, stage }
+    return { id: brandId(endpoint), service: brandId(''), host: '', port: 0, zone: brandId(''), slots: 0, born: 0, software: '', sequence: 0, stage }
   }
 }
 
--- a/src/protocol/native-dialect.ts
+++ b/src/protocol/native-dialect.ts
@@ -116,6 +116,8 @@
     port: reader.readNumber('port'),
     zone: brandId(reader.readText('zone')),
     slots: reader.readNumber('slots'),
+    born: reader.readNumber('born', 0),
+    software: reader.readText('software', ''),
     sequence: reader.readNumber('sequence'),
     stage: reader.readChoice('stage', stages)
   }
--- a/src/protocol/route-message.ts
+++ b/src/protocol/route-message.ts
@@ -3,7 +3,7 @@
  * registries among themselves, gateways with registries.
  */
 import type { RaftMessage, ReplicaId, VersionedText } from '../coordination/index.js'
-import type { BoxId, EndpointId, EndpointRecord, ReadPrompt } from '../core/index.js'
+import type { BoxId, CrashNews, EndpointId, EndpointRecord, ReadPrompt } from '../core/index.js'
 import type { PackedDocument } from './packed-document.js'
 
 /** How a document that a registry passed to the leader ended; `unknown`: it may be in force or not. */
@@ -32,6 +32,8 @@
   | { readonly type: 'endpoints', readonly records: readonly EndpointRecord[], readonly whole: boolean }
   /** Prompts that engines of the sender's zone hold, for a gateway that starts anew. */
   | { readonly type: 'prompts', readonly prompts: readonly ReadPrompt[] }
+  /** Ends of endpoints, and requests in quarantine: what is news, or all of it to a box that may know nothing. */
+  | { readonly type: 'crashes', readonly news: CrashNews }
   /** Endpoints that were heard from, with the sequence of the newest word. */
   | { readonly type: 'heard', readonly words: readonly (readonly [EndpointId, number])[] }
   /** The registries that the sender knows, and how many gateways it is in touch with. */
--- /dev/null
+++ b/src/registry/open-log.ts
@@ -0,0 +1,30 @@
+import type { RegistrySettings } from '../config/index.js'
+import { KeeperLog } from '../coordination/index.js'
+import type { EventLog } from '../runtime/index.js'
+
+/** Pause before a disk that refuses is tried again, ms. */
+const diskRetryMs = 150
+/** The second part of the ids of the replicas that begin a log. */
+export const firstDisk = 'first'
+
+/** What the log needs of its box, beside what the settings say. */
+type LogHost = Omit<Parameters<typeof KeeperLog.open>[1], 'timing' | 'snapshotEvery'>
+
+/** Opens a registry's log; a disk that refuses is tried again until it gives way. `isSeed`: whether the registry may be among those that begin it. */
+export async function openRegistryLog (settings: RegistrySettings, isSeed: boolean, log: EventLog, box: LogHost): Promise<KeeperLog> {
+  const { data, host, first, heartbeatMs, electionMs, snapshotEvery } = settings
+  const patience = {
+    retryMs: diskRetryMs,
+    noteFault: (error: Error) => log.error('disk-refuses', { error: error.message }),
+    noteWell: () => log.info('disk-writes-again')
+  }
+  const place = { folder: data, name: host, patience, ...(first && isSeed ? { firstPart: firstDisk } : {}) }
+  for (;;) {
+    try {
+      return await KeeperLog.open(place, { ...box, timing: { heartbeatMs, electionMs }, snapshotEvery })
+    } catch (error) {
+      log.error('disk-not-opened', { error: (error as Error).message })
+      await new Promise(resolve => setTimeout(resolve, diskRetryMs))
+    }
+  }
+}
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -13,12 +13,14 @@
 import { LinkPool } from '../protocol/index.js'
 import type { Dialect, Link, RouteMessage } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
+import { CrashDesk } from './crash-desk.js'
 import { EndpointDesk, restoredMs } from './endpoint-desk.js'
 import { GatewayRoster } from './gateway-roster.js'
 import { LeaderCalls } from './leader-calls.js'
 import { LoadHub } from './load-hub.js'
 import { MemberTender } from './member-tender.js'
 import { OperatorDesk } from './operator-desk.js'
+import { firstDisk, openRegistryLog } from './open-log.js'
 import { RecentDocuments } from './recent-documents.js'
 import { SavedState } from './saved-state.js'
 
@@ -38,10 +40,6 @@
 /** Heartbeats of links, ms: an eighth of what makes a box count as out of touch on the users' days. */
 const pulse = { everyMs: 400, silentMs: 1500 }
 const dialing = { connectMs: 500, longestRetryMs: 500 }
-/** Pause before a disk that refuses is tried again, ms. */
-const diskRetryMs = 150
-/** The second part of the ids of the replicas that begin a log. */
-const firstDisk = 'first'
 
 /** Rising time of this process, ms. */
 function now (): number { return performance.now() }
@@ -51,6 +49,7 @@
   #around: RegistrySurroundings
   #links: LinkPool<RouteMessage>
   #endpoints: EndpointDesk
+  #crashes: CrashDesk
   #saved: SavedState
   #desk: OperatorDesk
   #log: KeeperLog | null = null
@@ -60,7 +59,7 @@
   #members: MemberTender
   #gateways = new GatewayRoster()
   #hub: LoadHub
-  /** What gateways are given: the document in force and those before it. */
+  /** The document in force and those before it. */
   #recent = new RecentDocuments()
   #timers: NodeJS.Timeout[] = []
   port = 0
@@ -74,6 +73,7 @@
     this.#endpoints = this.#createEndpointDesk()
     this.#hub = new LoadHub({ id: brandId(settings.id), log, now, listOthers: () => [...this.#hosts] })
     this.#saved = new SavedState(settings.data, log)
+    this.#crashes = this.#createCrashDesk()
     this.#desk = this.#createOperatorDesk()
   }
 
@@ -88,6 +88,7 @@
     await this.#hub.listen(host, loadPort)
     this.#endpoints.restore(await this.#saved.loadRecords())
     await this.#saved.loadPrompts(this.#hub.prompts)
+    this.#crashes.restore(await this.#saved.loadQuarantine())
     this.#timers.push(setTimeout(() => this.#endpoints.tick(), restoredMs))
     this.#log = await this.#openLog()
     this.#calls = new LeaderCalls({ log: this.#log, findLink: replica => this.#links.find(getReplicaHost(replica), linkPort) })
@@ -143,14 +144,23 @@
       lostMs: this.#settings.lostMs,
       now,
       spread: records => {
-        this.#gateways.tell({ type: 'endpoints', records, whole: false })
-        this.#tellRegistries({ type: 'endpoints', records, whole: false })
+        this.#tellAll({ type: 'endpoints', records, whole: false })
         this.#saved.saveRecords(this.#endpoints.records)
       },
       spreadHeard: words => this.#tellRegistries({ type: 'heard', words })
     })
   }
 
+  #createCrashDesk (): CrashDesk {
+    return new CrashDesk({
+      log: this.#around.log,
+      now,
+      countEndpoints: service => this.#endpoints.records.filter(record => record.service === service && record.stage === 'ready').length,
+      spread: news => this.#tellAll({ type: 'crashes', news }),
+      save: entries => this.#saved.saveQuarantine(entries)
+    })
+  }
+
   #createOperatorDesk (): OperatorDesk {
     const { dialect, log, metrics } = this.#around
     return new OperatorDesk({
@@ -170,32 +180,15 @@
 
   get #isSeed (): boolean { return this.#seeds.includes(this.#settings.host) }
 
-  async #openLog (): Promise<KeeperLog> {
-    const { data, host, first, heartbeatMs, electionMs, snapshotEvery } = this.#settings
+  #openLog (): Promise<KeeperLog> {
     const { log } = this.#around
-    const patience = {
-      retryMs: diskRetryMs,
-      noteFault: (error: Error) => log.error('disk-refuses', { error: error.message }),
-      noteWell: () => log.info('disk-writes-again')
-    }
-    const place = { folder: data, name: host, patience, ...(first && this.#isSeed ? { firstPart: firstDisk } : {}) }
-    const logHost = {
-      timing: { heartbeatMs, electionMs },
-      snapshotEvery,
-      send: (to: ReplicaId, message: Extract<RouteMessage, { type: 'raft' }>['message']) => this.#sendRaft(to, message),
-      noteRole: (role: string, term: number, leader: ReplicaId | null) => log.info('role', { role, term, leader }),
-      noteViolation: (rule: string, detail: string) => this.#noteViolation(rule, detail),
+    return openRegistryLog(this.#settings, this.#isSeed, log, {
+      send: (to, message) => this.#sendRaft(to, message),
+      noteRole: (role, term, leader) => log.info('role', { role, term, leader }),
+      noteViolation: (rule, detail) => this.#noteViolation(rule, detail),
       noteApplied: () => this.#announce(),
-      noteDiskFault: (error: Error) => log.error('disk-failed', { error: error.message })
-    }
-    for (;;) {
-      try {
-        return await KeeperLog.open(place, logHost)
-      } catch (error) {
-        log.error('disk-not-opened', { error: (error as Error).message })
-        await new Promise(resolve => setTimeout(resolve, diskRetryMs))
-      }
-    }
+      noteDiskFault: error => log.error('disk-failed', { error: error.message })
+    })
   }
 
   // The seeds of the first start all begin the same log, without a word between
@@ -218,7 +211,9 @@
   #greet (link: Link<RouteMessage>): void {
     this.#sendHello(link)
     // Between registries; a gateway gets them once it has presented itself.
-    if (this.#links.dialed.includes(link)) link.send({ type: 'endpoints', records: this.#endpoints.records, whole: true })
+    if (!this.#links.dialed.includes(link)) return
+    link.send({ type: 'endpoints', records: this.#endpoints.records, whole: true })
+    link.send({ type: 'crashes', news: this.#crashes.news })
   }
 
   #sendHello (link: Link<RouteMessage>): void {
@@ -283,6 +278,7 @@
       case 'read-end': return this.#calls?.receive(message)
       case 'ask-document': return this.#sendDocument(link, message.held)
       case 'endpoints': return this.#endpoints.merge(message.records)
+      case 'crashes': return this.#crashes.merge(message.news)
       case 'heard': return this.#endpoints.noteHeard(message.words)
       case 'version':
       case 'document':
@@ -294,6 +290,8 @@
   #noteGateway (link: Link<RouteMessage>, { gateway, version }: Extract<RouteMessage, { type: 'gateway-hello' }>): void {
     const isNew = this.#gateways.note(link, gateway)
     const newest = this.#recent.newest?.version ?? 0
+    // Before the version: a gateway that starts serves once it has the document.
+    if (isNew) link.send({ type: 'crashes', news: this.#crashes.news })
     if (isNew || newest > version) link.send({ type: 'version', version: newest })
     if (!isNew) return
     // Changes are told only to gateways that are known: what came since the link opened is told here.
@@ -334,6 +332,11 @@
     this.#gateways.tell({ type: 'version', version: newest.version })
   }
 
+  #tellAll (message: RouteMessage): void {
+    this.#gateways.tell(message)
+    this.#tellRegistries(message)
+  }
+
   #tellRegistries (message: RouteMessage): void {
     for (const link of this.#links.dialed) link.send(message)
   }
--- a/src/registry/saved-state.ts
+++ b/src/registry/saved-state.ts
@@ -1,8 +1,8 @@
-/** What a registry saves beside its log: the directory of endpoints, and which engine holds which prompt. */
+/** What a registry saves beside its log: the directory of endpoints, which engine holds which prompt, and requests in quarantine. */
 import { join } from 'node:path'
-import type { EndpointRecord, PromptBook, ReadPrompt } from '../core/index.js'
+import type { EndpointRecord, PromptBook, QuarantineEntry, ReadPrompt } from '../core/index.js'
 import type { EventLog } from '../runtime/index.js'
-import { isSavedPrompt, isSavedRecord } from './saved-kinds.js'
+import { isSavedEntry, isSavedPrompt, isSavedRecord } from './saved-kinds.js'
 import { SavedList } from './saved-list.js'
 
 /** Folder beside the log for what need not last. */
@@ -11,6 +11,7 @@
 export class SavedState {
   #records: SavedList<EndpointRecord>
   #prompts: SavedList<ReadPrompt>
+  #quarantine: SavedList<QuarantineEntry>
   /** The version of the book of prompts that was saved last. */
   #version = 0
 
@@ -19,6 +20,7 @@
     const folder = join(data, folderName)
     this.#records = new SavedList({ folder, file: 'endpoints.json', log, isItem: isSavedRecord })
     this.#prompts = new SavedList({ folder, file: 'prompts.json', log, isItem: isSavedPrompt })
+    this.#quarantine = new SavedList({ folder, file: 'quarantine.json', log, isItem: isSavedEntry })
   }
 
   async loadRecords (): Promise<EndpointRecord[]> { return await this.#records.load() }
@@ -26,6 +28,10 @@
   /** Saves the endpoints that are there. */
   saveRecords (records: readonly EndpointRecord[]): void { void this.#records.save(records) }
 
+  async loadQuarantine (): Promise<QuarantineEntry[]> { return await this.#quarantine.load() }
+
+  saveQuarantine (entries: readonly QuarantineEntry[]): void { void this.#quarantine.save(entries) }
+
   /** Notes in the book what was saved. */
   async loadPrompts (book: PromptBook): Promise<void> {
     book.note(await this.#prompts.load())
--- a/test/dialects.test.ts
+++ b/test/dialects.test.ts
@@ -57,10 +57,10 @@
   {
     name: 'a ready one of the platform',
     dialect: platformDialect,
-    body: '{"service":"s","addr":"10.128.0.9:8080","zone":"z","version":"v1","slots":64,"state":"ready","coldLeftMs":0,"seq":4}',
-    found: { id: 'e', service: 's', host: '10.128.0.9', port: 8080, zone: 'z', slots: 64, sequence: 4, stage: 'ready' }
+    body: '{"service":"s","addr":"10.128.0.9:8080","zone":"z","version":"v1","slots":64,"state":"ready","coldLeftMs":0,"born":1796249564454,"seq":4}',
+    found: { id: 'e', service: 's', host: '10.128.0.9', port: 8080, zone: 'z', slots: 64, born: 1796249564454, software: 'v1', sequence: 4, stage: 'ready' }
   },
-  { name: 'a draining one', dialect: platformDialect, body: '{"service":"s","addr":"10.0.0.9:80","zone":"z","slots":6,"state":"draining","seq":5}', found: { id: 'e', service: 's', host: '10.0.0.9', port: 80, zone: 'z', slots: 6, sequence: 5, stage: 'draining' } },
+  { name: 'a draining one', dialect: platformDialect, body: '{"service":"s","addr":"10.0.0.9:80","zone":"z","slots":6,"state":"draining","seq":5}', found: { id: 'e', service: 's', host: '10.0.0.9', port: 80, zone: 'z', slots: 6, born: 0, software: '', sequence: 5, stage: 'draining' } },
   { name: 'one without a port', dialect: platformDialect, body: '{"service":"s","addr":"10.0.0.9","zone":"z","slots":6,"state":"ready","seq":5}', found: /addr is not an address/ },
   { name: 'one in an unknown state', dialect: platformDialect, body: '{"service":"s","addr":"10.0.0.9:80","zone":"z","slots":6,"state":"asleep","seq":5}', found: /state is not one of/ },
   { name: 'one that is no JSON', dialect: nativeDialect, body: 'ready', found: /not JSON/ }
--- a/test/registry-follower.test.ts
+++ b/test/registry-follower.test.ts
@@ -46,6 +46,8 @@
         this.taken.push(version)
       },
       takePrompts: nothing,
+      takeCrashes: nothing,
+      listCrashes: () => ({ ends: [], entries: [] }),
       takeRecords: nothing,
       takeGatewayCount: nothing,
       noteZone: nothing
--- a/test/support/fleet-builder.ts
+++ b/test/support/fleet-builder.ts
@@ -8,7 +8,7 @@
 
 /** An endpoint of `desk` that is ready; its port is the number in its id. */
 export function createRecord (id: string, more: Partial<EndpointRecord> = {}): EndpointRecord {
-  return { id: brandId(id), service: desk, host: '10.0.0.1', port: Number(id.replace(/\D/g, '')) || 1, zone: nameZone('zone-a'), slots: 4, sequence: 1, stage: 'ready', ...more }
+  return { id: brandId(id), service: desk, host: '10.0.0.1', port: Number(id.replace(/\D/g, '')) || 1, zone: nameZone('zone-a'), slots: 4, born: 0, software: '', sequence: 1, stage: 'ready', ...more }
 }
 
 /** A service of engines. */
--- a/test/support/pool-model.ts
+++ b/test/support/pool-model.ts
@@ -185,7 +185,7 @@
 }
 
 function composeRecord (i: number): EndpointRecord {
-  return { id: brandId(`engine-${i}`), service, host: '10.0.0.1', port: i + 1, zone: brandId('zone-a'), slots: 64, sequence: 1, stage: 'ready' }
+  return { id: brandId(`engine-${i}`), service, host: '10.0.0.1', port: i + 1, zone: brandId('zone-a'), slots: 64, born: 0, software: '', sequence: 1, stage: 'ready' }
 }
 
 function composeService (): RoutedService {
