--- a/src/bin/soak.ts
+++ b/src/bin/soak.ts
@@ -16,6 +16,8 @@
   readonly gateways: string | number
   readonly registries: string | number
   readonly engines: string | number
+  readonly endpoints: string | number
+  readonly crashers: string | number
 }
 
 /** What is asked of any history: the promises that it found broken. */
@@ -33,8 +35,6 @@
 const usualParts = ['coordination', 'decisions']
 /** A step of a history over processes is a tenth of a second of faults, ms. */
 const stepMs = 100
-/** Endpoints of a history over processes. */
-const endpoints = 4
 
 sade('soak', true)
   .version(readVersion())
@@ -46,6 +46,8 @@
   .option('--gateways', 'Gateways, of processes', 3)
   .option('--registries', 'Registries, of processes', 3)
   .option('--engines', 'Engines, of processes, with bursts of requests of several ranks before them; 0 for none', 0)
+  .option('--endpoints', 'Endpoints of a plain service, of processes', 4)
+  .option('--crashers', 'Requests that end each endpoint which runs them and come again and again, of processes; 0 for none', 0)
   .action((options: Options) => run(options))
   .parse(process.argv)
 
@@ -53,8 +55,8 @@
 async function run (options: Options): Promise<void> {
   const [seconds, first, steps] = [options.seconds, options.seed, options.steps].map(Number)
   if (!(seconds >= 0) || !Number.isInteger(first) || !(steps > 0)) endWith(usageExit, '--seconds, --seed and --steps take numbers from 0')
-  if (![options.gateways, options.registries].every(count => Number.isInteger(Number(count)) && Number(count) > 0)) endWith(usageExit, '--gateways and --registries take whole numbers from 1')
-  if (!(Number.isInteger(Number(options.engines)) && Number(options.engines) >= 0)) endWith(usageExit, '--engines takes a whole number from 0')
+  if (![options.gateways, options.registries, options.endpoints].every(count => Number.isInteger(Number(count)) && Number(count) > 0)) endWith(usageExit, '--gateways, --registries and --endpoints take whole numbers from 1')
+  if (![options.engines, options.crashers].every(count => Number.isInteger(Number(count)) && Number(count) >= 0)) endWith(usageExit, '--engines and --crashers take whole numbers from 0')
   const names = options.part === 'all' ? usualParts : [options.part]
   for (const name of names) {
     if (!Object.hasOwn(parts, name)) endWith(usageExit, `--part does not know ${JSON.stringify(name)}; it knows ${Object.keys(parts).join(', ')}, all`)
@@ -70,7 +72,7 @@
     const { violations } = await parts[name](seed, options)
     if (violations.length > 0) {
       process.stdout.write(`part=${name} seed=${seed} steps=${options.steps} violations=${JSON.stringify(violations)}\n`)
-      endWith(failureExit, `replay with: npm run soak -- --part ${name} --seed ${seed} --steps ${options.steps} --gateways ${options.gateways} --registries ${options.registries} --engines ${options.engines} --seconds 0`)
+      endWith(failureExit, `replay with: npm run soak -- --part ${name} --seed ${seed} --steps ${options.steps} --gateways ${options.gateways} --registries ${options.registries} --engines ${options.engines} --endpoints ${options.endpoints} --crashers ${options.crashers} --seconds 0`)
     }
     seed += 1
   } while (performance.now() < until)
@@ -78,14 +80,14 @@
 }
 
 async function runProcesses (seed: number, options: Options): Promise<Found> {
-  const shape = { gateways: Number(options.gateways), registries: Number(options.registries), endpoints, engines: Number(options.engines) }
+  const shape = { gateways: Number(options.gateways), registries: Number(options.registries), endpoints: Number(options.endpoints), engines: Number(options.engines), crashers: Number(options.crashers) }
   const history = new SoakHistory(seed, Number(options.steps) * stepMs, shape)
   // Whoever ends the soak ends what it started.
   const end = (): void => { void history.stop().then(() => process.exit(failureExit)) }
   process.once('SIGTERM', end).once('SIGINT', end)
-  const { violations, calls, served, faults, ranked, logs } = await history.run()
+  const { violations, calls, served, faults, ranked, crashes, logs } = await history.run()
   process.off('SIGTERM', end).off('SIGINT', end)
-  process.stdout.write(`seed=${seed} calls=${calls} served=${served} faults=${faults} ${ranked.map(({ kind, asked, served, inTime }) => `${kind}=${inTime}/${served}/${asked} `).join('')}violations=${violations.length}\n`)
+  process.stdout.write(`seed=${seed} calls=${calls} served=${served} faults=${faults} ${ranked.map(({ kind, asked, served, inTime }) => `${kind}=${inTime}/${served}/${asked} `).join('')}${crashes === null ? '' : `ended=${crashes.ended.join('/')} harmless=${crashes.served}/${crashes.asked} `}violations=${violations.length}\n`)
   if (violations.length > 0) keepLogs(seed, logs)
   return { violations }
 }
--- a/src/soak/fault-draw.ts
+++ b/src/soak/fault-draw.ts
@@ -46,6 +46,8 @@
   readonly endpoints: number
   /** Engines, before which requests of several ranks come in bursts; 0 for none. */
   readonly engines: number
+  /** Requests that end each endpoint which runs them, and come again and again; 0 for none. */
+  readonly crashers: number
 }
 
 const modes: readonly ProxyMode[] = ['delay', 'narrow', 'reset', 'one-way', 'silent']
--- a/src/soak/fault-proxy.ts
+++ b/src/soak/fault-proxy.ts
@@ -35,6 +35,12 @@
     if (mode === 'reset' || isOver) for (const socket of this.#sockets) socket.resetAndDestroy()
   }
 
+  /** Resets all connections and takes no more until `listen`, as where a process has died. */
+  halt (): void {
+    this.#server.close()
+    for (const socket of this.#sockets) socket.resetAndDestroy()
+  }
+
   /** Ends the proxy and its connections. */
   close (): void {
     this.#server.close()
--- a/src/soak/soak-history.ts
+++ b/src/soak/soak-history.ts
@@ -6,6 +6,8 @@
 import { performance } from 'node:perf_hooks'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { createRandom } from '../runtime/index.js'
+import { CrashCallers } from './crash-callers.js'
+import type { CrashSummary } from './crash-callers.js'
 import { Disturbances } from './disturbances.js'
 import { drawFaults } from './fault-draw.js'
 import type { SoakShape, TimedFault } from './fault-draw.js'
@@ -27,6 +29,8 @@
   readonly faults: number
   /** Of the calls to engines, which are not among the others. */
   readonly ranked: readonly RankedSummary[]
+  /** Of requests that end their endpoints; null without such. */
+  readonly crashes: CrashSummary | null
   /** The newest lines of each process, where something was violated. */
   readonly logs: ReadonlyMap<string, readonly string[]>
 }
@@ -48,6 +52,7 @@
   #callers: SoakCallers
   #precedence: PrecedenceWatch
   #ranked: RankedCallers | null
+  #crashers: CrashCallers | null
 
   constructor (seed: number, lengthMs: number, shape: SoakShape) {
     this.#lengthMs = lengthMs
@@ -65,6 +70,7 @@
     })
     this.#precedence = new PrecedenceWatch(disturbances)
     const host = { seed, stage: this.#stage, watch: this.#precedence, random: createRandom(seed) }
+    this.#crashers = shape.crashers === 0 ? null : new CrashCallers({ seed, stage: this.#stage, watch: this.#watch, disturbances, random: createRandom(seed) }, shape.crashers)
     this.#ranked = shape.engines === 0 ? null : new RankedCallers(host, drawBursts(createRandom(seed), lengthMs))
   }
 
@@ -75,12 +81,15 @@
       await this.#expect(startMs, 'the stage serves', async () => await this.#callers.put() && await this.#isServing())
       this.#callers.start()
       this.#ranked?.start()
+      this.#crashers?.start()
       await Promise.all([this.#player.playAll(this.#faults), sleep(this.#lengthMs)])
       await this.#ranked?.finish()
+      await this.#crashers?.finish()
       await this.#callers.finish()
       await this.#checkRecovery()
       await sleep(settleMs)
       this.#watch.settle(this.#stage.endpoints.flatMap(({ standin }) => standin.runs))
+      this.#crashers?.check()
       for (const broken of this.#precedence.findBroken()) this.#watch.violate('less urgent requests went first', broken)
       this.#checkLogs()
       return this.#report()
@@ -135,6 +144,6 @@
     const boxes = violations.length === 0 ? [] : this.#boxes
     const logs = new Map(boxes.map(({ name, process }) => [name, [...process.lines]]))
     const served = calls.filter(call => call.end.status === 200 && call.end.isWhole).length
-    return { violations, calls: calls.length, served, faults: this.#faults.length, ranked: this.#precedence.summaries, logs }
+    return { violations, calls: calls.length, served, faults: this.#faults.length, ranked: this.#precedence.summaries, crashes: this.#crashers?.summary ?? null, logs }
   }
 }
--- a/src/soak/soak-stage.ts
+++ b/src/soak/soak-stage.ts
@@ -9,7 +9,7 @@
 import { fileURLToPath } from 'node:url'
 import { stringify } from 'smol-toml'
 import { StandinEndpoint } from '../standin/index.js'
-import type { PacedEngineShape } from '../standin/index.js'
+import type { CrashShape, PacedEngineShape } from '../standin/index.js'
 import { FaultProxy } from './fault-proxy.js'
 import type { SoakShape } from './fault-draw.js'
 import { callHttp } from './http-call.js'
@@ -34,6 +34,8 @@
   readonly zone: string
   stage: 'ready' | 'draining'
   sequence: number
+  /** When its life began, Unix ms. */
+  born: number
 }
 
 /** The services of a history's documents. */
@@ -53,6 +55,8 @@
 const programs = fileURLToPath(new URL('../bin/', import.meta.url))
 /** Registries that boxes are told of at their start. */
 const mostSeeds = 3
+/** What an endpoint does with a request that ends it: some time after it was read it is gone, and back after as long as a process takes to start. */
+const crash: CrashShape = { afterMs: 60, downMs: 2500 }
 /** How often endpoints say where they are, ms. */
 const beatMs = 400
 /** A call to a registry is given up after this, ms. */
@@ -86,10 +90,10 @@
   async start (): Promise<void> {
     for (let i = 0; i < this.#shape.registries; i++) await this.#addRegistry(i)
     for (let i = 0; i < this.#shape.gateways; i++) this.#addGateway(i)
-    for (let i = 0; i < this.#shape.endpoints; i++) this.endpoints.push(await this.#addEndpoint(`endpoint-${i}`, plainService, zones[0], null))
+    for (let i = 0; i < this.#shape.endpoints; i++) this.endpoints.push(await this.#addEndpoint(`endpoint-${i}`, plainService, zones[this.#shape.crashers === 0 ? 0 : i % zones.length], null))
     for (let i = 0; i < this.#shape.engines; i++) this.engines.push(await this.#addEndpoint(`engine-${i}`, engineService, zones[i % zones.length], engineShape))
     for (const box of [...this.registries, ...this.gateways]) box.process.start()
-    this.#beats = setInterval(() => { for (const endpoint of [...this.endpoints, ...this.engines]) void this.register(endpoint) }, beatMs)
+    this.#beats = setInterval(() => { for (const endpoint of [...this.endpoints, ...this.engines]) if (!endpoint.standin.isDown) void this.register(endpoint) }, beatMs)
   }
 
   /** Ends everything that was started and removes its files. */
@@ -126,8 +130,8 @@
   /** Has an endpoint say where it is; resolves with true once a registry took its word. */
   async register (endpoint: StagedEndpoint): Promise<boolean> {
     endpoint.sequence += 1
-    const { standin, port, service, zone, stage, sequence } = endpoint
-    const body = JSON.stringify({ service, host: this.#formHost(2, 0), port, zone, slots: engineShape.batch, sequence, stage })
+    const { standin, port, service, zone, stage, sequence, born } = endpoint
+    const body = JSON.stringify({ service, host: this.#formHost(2, 0), port, zone, slots: engineShape.batch, born, sequence, stage })
     for (let i = 0; i < this.registries.length; i++) {
       const { status } = await this.ask((sequence + i) % this.registries.length, 'PUT', `/v1/endpoints/${standin.id}`, body)
       if (status === 200) return true
@@ -193,6 +197,17 @@
     const standin = new StandinEndpoint(`${name}-of-${this.#network}`, endpointHeaders, engine)
     await standin.listen(host)
     const road = new FaultProxy(host, () => standin.port)
-    return { standin, road, port: await road.listen(host), service, zone, stage: 'ready', sequence: 0 }
+    const endpoint: StagedEndpoint = { standin, road, port: await road.listen(host), service, zone, stage: 'ready', sequence: 0, born: Date.now() }
+    standin.crash = crash
+    standin.noteEnd = () => road.halt()
+    standin.noteRestart = () => { void this.#restart(endpoint, host) }
+    return endpoint
+  }
+
+  // The sequence goes on: it is the boxes' to tell lives apart by when they began.
+  async #restart (endpoint: StagedEndpoint, host: string): Promise<void> {
+    await endpoint.road.listen(host, endpoint.port)
+    endpoint.born = Date.now()
+    await this.register(endpoint)
   }
 }
--- a/src/standin/standin-endpoint.ts
+++ b/src/standin/standin-endpoint.ts
@@ -88,6 +88,10 @@
   crash: CrashShape | null = null
   /** The bodies under which it has ended, one for each time. */
   readonly ends: string[] = []
+  /** When each of these was, on this process's rising clock, ms. */
+  readonly endedAt: number[] = []
+  /** Called as it ends under a request. */
+  noteEnd: () => void = () => {}
   /** Called once it listens again after it has ended. */
   noteRestart: () => void = () => {}
   #headers: EndpointHeaders
@@ -130,11 +134,16 @@
     if (this.#isDown || this.#isClosed) return
     this.#isDown = true
     this.ends.push(body)
+    this.endedAt.push(performance.now())
+    this.noteEnd()
     this.#server.close()
     for (const socket of this.#sockets) socket.resetAndDestroy()
     setTimeout(() => { if (!this.#isClosed) void this.#restart() }, downMs)
   }
 
+  /** True from its end under a request until it listens again. */
+  get isDown (): boolean { return this.#isDown }
+
   async #restart (): Promise<void> {
     await listenOn(this.#server, this.#host, this.port)
     this.#isDown = false
