--- a/src/protocol/dialect.ts
+++ b/src/protocol/dialect.ts
@@ -56,6 +56,10 @@
   | { readonly type: 'read-document' }
   | { readonly type: 'register', readonly endpoint: string }
   | { readonly type: 'deregister', readonly endpoint: string }
+  /** Asks for the requests that are not sent, as endpoints ended under them. */
+  | { readonly type: 'list-quarantine' }
+  /** Has one of them sent again. */
+  | { readonly type: 'lift-quarantine', readonly fingerprint: string }
   | { readonly type: 'unknown' }
 
 /** A document that can't be read, or must not be put in force. */
--- a/src/protocol/header-dialect.ts
+++ b/src/protocol/header-dialect.ts
@@ -50,6 +50,8 @@
   decodeRegistration (endpoint: string, text: string): EndpointRecord
 }
 
+/** Where operators find requests in quarantine, in every dialect; the fingerprint of one follows. */
+const quarantinePath = '/v1/quarantine'
 /** "Misdirected": the endpoint at that address is another one, and did not run the request. */
 const otherEndpointStatus = 421
 /** Headers of a message's framing: it is framed anew. */
@@ -122,6 +124,8 @@
     const [bare] = path.split('?')
     if (bare === this.#paths.document && method === 'PUT') return { type: 'put-document' }
     if (bare === this.#paths.document && method === 'GET') return { type: 'read-document' }
+    if (bare === quarantinePath && method === 'GET') return { type: 'list-quarantine' }
+    if (bare.startsWith(`${quarantinePath}/`) && method === 'DELETE') return { type: 'lift-quarantine', fingerprint: decodePart(bare.slice(quarantinePath.length + 1)) }
     const endpoint = bare.startsWith(this.#paths.endpoints) ? decodePart(bare.slice(this.#paths.endpoints.length)) : ''
     if (endpoint === '' || endpoint.includes('/')) return { type: 'unknown' }
     if (method === 'PUT') return { type: 'register', endpoint }
--- a/src/registry/operator-desk.ts
+++ b/src/registry/operator-desk.ts
@@ -3,8 +3,8 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Address } from '../config/index.js'
 import type { VersionedText } from '../coordination/index.js'
-import { findDocumentMistakes } from '../core/index.js'
-import type { EndpointRecord } from '../core/index.js'
+import { brandId, findDocumentMistakes } from '../core/index.js'
+import type { EndpointRecord, Fingerprint, QuarantineEntry } from '../core/index.js'
 import { DocumentError } from '../protocol/index.js'
 import type { Dialect, PutEnd } from '../protocol/index.js'
 import { listen } from '../runtime/index.js'
@@ -20,6 +20,10 @@
   read (): Promise<{ readonly sure: boolean, readonly document: VersionedText | null }>
   /** Takes an endpoint's word and spreads it. */
   noteEndpoint (word: EndpointRecord): void
+  /** Requests that are not sent, or were not until just now. */
+  listQuarantine (): readonly QuarantineEntry[]
+  /** Has one of them sent again; false where there is none. */
+  liftQuarantine (fingerprint: Fingerprint): boolean
   noteCall (call: string, status: number, ms: number): void
 }
 
@@ -93,6 +97,9 @@
       case 'deregister':
         this.#host.noteEndpoint(dialect.composeGone(call.endpoint, 'gone'))
         return { status: 200, body: '{}' }
+      case 'list-quarantine': return { status: 200, body: JSON.stringify(this.#host.listQuarantine()) }
+      case 'lift-quarantine':
+        return this.#host.liftQuarantine(brandId(call.fingerprint)) ? { status: 200, body: '{}' } : { status: 404, body: 'no such request is in quarantine' }
       case 'unknown': return { status: 404, body: 'no such call' }
     }
   }
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -169,6 +169,8 @@
       put: document => this.#opened.calls.put(document),
       read: () => this.#opened.calls.read(),
       noteEndpoint: word => this.#endpoints.note(word),
+      listQuarantine: () => this.#crashes.news.entries,
+      liftQuarantine: fingerprint => this.#crashes.lift(fingerprint),
       noteCall: (call, status, ms) => metrics.time('registry-call', ms, { call, status: String(status) })
     }, this.#settings.maxBodyBytes)
   }
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -7,9 +7,12 @@
  * what it had tried itself, and nothing outlived it.
  */
 import assert from 'node:assert/strict'
+import { rmSync } from 'node:fs'
+import { join } from 'node:path'
 import { after, before, test } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { crashMark } from '../src/standin/index.js'
+import { until } from './support/deployment.js'
 import { RouteDeployment, composeDocument } from './support/route-deployment.js'
 import type { CallAnswer } from './support/route-deployment.js'
 
@@ -77,3 +80,88 @@
   assert.ok(countEnds(body) <= mostEnds + 1, `${countEnds(body)} ended`)
   await awaitEndpoints()
 })
+
+test('a request that harms nobody is not refused for those that it runs beside, though it shares their path and caller and its sends end with theirs', async () => {
+  const body = `${crashMark}: with others beside it`
+  for (const endpoint of place.endpoints) endpoint.answerMs = 30
+  const harmless = { isOver: false }
+  const beside = Array.from({ length: gateways }, async (_, gateway) => {
+    const answers: CallAnswer[] = []
+    while (!harmless.isOver) answers.push(await place.ask('/again/z', { body: 'harms nobody', gateway }))
+    return answers
+  })
+  await repeat('/again/z', body, 10)
+  harmless.isOver = true
+  const answers = (await Promise.all(beside)).flat()
+  for (const endpoint of place.endpoints) endpoint.answerMs = 1
+  assert.ok(countEnds(body) <= mostEnds, `${countEnds(body)} ended`)
+  assert.deepEqual(answers.filter(answer => answer.body.includes('quarantined')), [])
+  assert.equal((await place.ask('/again/z', { body: 'harms nobody' })).status, 200)
+  await awaitEndpoints()
+})
+
+test('connections that are reset by endpoints that go on are no ends: nothing is refused for them', async () => {
+  for (const endpoint of place.endpoints) endpoint.fault = { type: 'lose' }
+  await repeat('/again/lost', 'its answer is lost', 8)
+  for (const endpoint of place.endpoints) endpoint.fault = { type: 'none' }
+  assert.equal((await place.ask('/again/lost', { body: 'its answer is lost' })).status, 200)
+})
+
+/** Sends a request until it is in quarantine, and gives its fingerprint. */
+async function condemn (body: string): Promise<string> {
+  await repeat('/again/q', body, 6)
+  const before = await listQuarantine()
+  assert.equal((await place.ask('/again/q', { body })).status, 503)
+  await awaitEndpoints()
+  return before.at(-1)?.fingerprint ?? ''
+}
+
+async function listQuarantine (): Promise<{ fingerprint: string, state: string, ends: number }[]> {
+  return JSON.parse((await place.operate('GET', '/v1/quarantine')).body) as { fingerprint: string, state: string, ends: number }[]
+}
+
+test('a gateway that starts anew, and one that starts beside registries that all began anew from their disks, refuse it at once', async () => {
+  const body = `${crashMark}: before the boxes were gone`
+  await condemn(body)
+  const ended = countEnds(body)
+  place.gateways[0].kill()
+  await place.startGateway(0)
+  await until(async () => (await place.ask('/public/up', { body: 'x', gateway: 0, keyed: false })).status === 200, 'the gateway serves')
+  assert.equal((await place.ask('/again/q', { body, gateway: 0 })).status, 503)
+  for (const gateway of place.gateways) gateway.kill()
+  for (const registry of place.registries) registry?.kill()
+  for (let i = 0; i < 3; i++) await place.startRegistry(i, false)
+  await place.startGateway(0)
+  await until(async () => (await place.ask('/public/up', { body: 'x', gateway: 0, keyed: false })).status === 200, 'the gateway serves')
+  assert.equal((await place.ask('/again/q', { body, gateway: 0 })).status, 503)
+  for (let i = 1; i < gateways; i++) await place.startGateway(i)
+  await until(() => place.gateways.every(({ table }) => table !== null), 'all gateways have the document')
+  assert.equal(countEnds(body), ended)
+})
+
+test('a registry that comes back without its disk learns it from the others', async () => {
+  const body = `${crashMark}: while a registry was gone`
+  place.registries[2]?.kill()
+  const fingerprint = await condemn(body)
+  rmSync(join(place.folder, 'registry-2'), { recursive: true, force: true })
+  await place.startRegistry(2, false)
+  await until(async () => (await place.operate('GET', '/v1/quarantine', '', 2)).body.includes(fingerprint), 'the registry knows')
+})
+
+test('an operator sees what is refused and for what, and can lift it; it is then tried, and refused anew once more has ended', async () => {
+  const body = `${crashMark}: until an operator lifts it`
+  const fingerprint = await condemn(body)
+  const ended = countEnds(body)
+  const [entry] = (await listQuarantine()).filter(one => one.fingerprint === fingerprint)
+  assert.deepEqual([entry.state, entry.ends >= 3], ['refused', true])
+  assert.ok(place.lines.some(line => line.includes('event=exchange') && line.includes('outcome=quarantined') && line.includes(fingerprint)))
+  assert.ok(place.lines.some(line => line.includes('event=quarantine ') && line.includes(fingerprint)))
+  assert.equal((await place.operate('DELETE', '/v1/quarantine/unknown')).status, 404)
+  assert.equal((await place.operate('DELETE', `/v1/quarantine/${fingerprint}`)).status, 200)
+  await until(async () => (await place.ask('/again/q', { body })).status === 502, 'it is sent again')
+  await awaitEndpoints()
+  await repeat('/again/q', body, 6)
+  assert.ok(countEnds(body) - ended <= mostEnds, `${countEnds(body) - ended} ended`)
+  assert.equal((await place.ask('/again/q', { body })).status, 503)
+  await awaitEndpoints()
+})
