Endpoints are ordered by their life first: one that starts again under its id has work again, and nothing of before counts

The record has when its life began; a new life has a new view, what runs at the earlier one is looked for elsewhere, registries forget its prompts, and a last word that names no life, right after a new one's first, is the earlier one's.

--- a/src/core/balance/endpoint-directory.ts
+++ b/src/core/balance/endpoint-directory.ts
@@ -1,7 +1,8 @@
 /**
  * The live directory of endpoints. Words arrive late, twice and out of order,
- * through any box; the newest of each endpoint wins, so that all directories
- * that heard the same words are alike.
+ * through any box; the newest of each endpoint wins, by its life first and by its
+ * sequence within that life, so that all directories that heard the same words
+ * are alike.
  */
 import type { EndpointId } from '../ids.js'
 import type { EndpointRecord } from './endpoint-record.js'
@@ -23,7 +24,7 @@
   merge (word: EndpointRecord): EndpointRecord[] {
     const known = this.#records.get(word.id)
     if (known !== undefined && !isNewer(word, known)) return []
-    const record = word.stage === 'gone' && known !== undefined ? { ...known, sequence: Math.max(known.sequence, word.sequence), stage: word.stage } : word
+    const record = known === undefined ? word : joinWords(known, word)
     this.#set(record)
     const changed = known === undefined || !isSame(known, record) ? [record] : []
     return [...changed, ...this.#displace(record)]
@@ -57,12 +58,26 @@
 }
 
 function isNewer (word: EndpointRecord, known: EndpointRecord): boolean {
-  if (known.stage === 'gone') return false
+  if (isOtherLife(word, known)) return word.born > known.born
+  // Of one that was gone before anything else was heard, another box may know which life that was.
+  if (known.stage === 'gone') return word.stage === 'gone' && word.born > known.born
   if (word.stage === 'gone') return true
   if (word.stage === 'lost') return known.stage !== 'lost' && word.sequence >= known.sequence
   return word.sequence > known.sequence
 }
 
+/** True where two records are of different lives of an endpoint. One that says no life is of whichever life is known. */
+export function isOtherLife (word: EndpointRecord, known: EndpointRecord): boolean {
+  return word.born !== known.born && word.born !== 0 && known.born !== 0
+}
+
+// The last word of an endpoint says nothing but that it is one; a word that says no life is of the known one.
+function joinWords (known: EndpointRecord, word: EndpointRecord): EndpointRecord {
+  if (isOtherLife(word, known)) return word
+  const born = Math.max(word.born, known.born)
+  return word.stage === 'gone' ? { ...known, born, sequence: Math.max(known.sequence, word.sequence), stage: 'gone' } : { ...word, born }
+}
+
 function isSame (a: EndpointRecord, b: EndpointRecord): boolean {
   return a.stage === b.stage && a.host === b.host && a.port === b.port && a.service === b.service && a.zone === b.zone && a.slots === b.slots && a.born === b.born && a.software === b.software
 }
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -12,6 +12,7 @@
 import type { Choice, NoChoice } from './choice.js'
 import { chooseEngine, choosePlain } from './choose-endpoint.js'
 import { describeService } from './describe-service.js'
+import { isOtherLife } from './endpoint-directory.js'
 import type { EndpointRecord } from './endpoint-record.js'
 import { EndpointView } from './endpoint-view.js'
 import { hasRoom } from './endpoint-weights.js'
@@ -93,13 +94,19 @@
   applyRecords (records: readonly EndpointRecord[]): void {
     for (const record of records) {
       const known = this.#views.get(record.id)
-      if (record.stage === 'gone' || record.stage === 'lost') this.#forget(record)
-      else if (known !== undefined) known.record = record
+      const isNewLife = known !== undefined && isOtherLife(record, known.record)
+      // A new life holds and has nothing of the one before it.
+      if (record.stage === 'gone' || record.stage === 'lost' || isNewLife) this.#forget(record)
+      if (record.stage === 'gone' || record.stage === 'lost') continue
+      if (known !== undefined && !isNewLife) known.record = record
       else this.#views.set(record.id, this.#createView(record))
     }
     this.#regroup()
   }
 
+  /** True where an endpoint's view is that of an earlier life. */
+  hasStartedAgain (view: EndpointView): boolean { return (this.#views.get(view.id) ?? view) !== view }
+
   /** Takes in which prompts engines hold; also of engines that are known only later. */
   notePrompts (prompts: readonly ReadPrompt[]): void {
     for (const endpoint of this.#heldPrompts.take(prompts)) {
--- a/src/core/balance/prompt-book.ts
+++ b/src/core/balance/prompt-book.ts
@@ -1,3 +1,4 @@
+import type { EndpointId } from '../ids.js'
 import type { ReadPrompt } from './load-word.js'
 
 /** Prompts that are remembered: some hundred shared parts at a few engines each; the oldest give way. */
@@ -12,6 +13,11 @@
   get version (): number { return this.#version }
   get prompts (): ReadPrompt[] { return [...this.#prompts.values()] }
 
+  /** Forgets what an endpoint held: it has started again, and holds nothing. */
+  forget (endpoint: EndpointId): void {
+    for (const [key, [holder]] of this.#prompts) if (holder === endpoint && this.#prompts.delete(key)) this.#version += 1
+  }
+
   /** Notes what boxes told; what is still being read isn't held yet. */
   note (prompts: readonly ReadPrompt[]): void {
     for (const prompt of prompts) {
--- a/src/gateway/crash-guard.ts
+++ b/src/gateway/crash-guard.ts
@@ -129,6 +129,7 @@
     const life = this.#noteBroken(order, view, ms)
     if (life === null) return
     if (life.state === 'ended') return this.#tellEnd(life)
+    if (this.#host.fleet.hasStartedAgain(view)) return this.#confirm(life)
     life.state = 'looking'
     this.#host.prober.verify(view, isGone => {
       if (isGone) this.#confirm(life)
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -105,6 +105,7 @@
     if (this.#phase === 'ended') return
     if (now >= this.order.holdUntil) return this.#giveUp()
     this.#sent?.call.check(now)
+    if (this.#sent !== null && this.#host.fleet.hasStartedAgain(this.#sent.view)) return this.#moveOn(this.#sent, 'lost', 'the endpoint has started again')
     if (this.#sent !== null && this.#isSilent(this.#sent, now)) return this.#moveOn(this.#sent, 'broken', 'silent')
     if (this.#sent !== null && this.#isStuck(this.#sent, now)) this.#moveOn(this.#sent, 'broken', 'its zone fell silent')
   }
--- a/src/registry/endpoint-desk.ts
+++ b/src/registry/endpoint-desk.ts
@@ -3,7 +3,7 @@
  * to all boxes in touch; heartbeats that change nothing go to the other
  * registries now and then, so that all know who has fallen silent.
  */
-import { EndpointDirectory } from '../core/index.js'
+import { EndpointDirectory, isOtherLife } from '../core/index.js'
 import type { EndpointId, EndpointRecord } from '../core/index.js'
 import type { EventLog } from '../runtime/index.js'
 
@@ -14,6 +14,8 @@
   now (): number
   /** Sends changed records to every box in touch. */
   spread (records: readonly EndpointRecord[]): void
+  /** Takes word that an endpoint has started again: it holds nothing of before. */
+  noteNewLife (endpoint: EndpointId): void
   /** Tells the other registries who was heard from. */
   spreadHeard (words: readonly (readonly [EndpointId, number])[]): void
 }
@@ -21,11 +23,20 @@
 /** An endpoint that was known before the start and does not say so again counts as lost after this, ms: two of its heartbeats. */
 export const restoredMs = 2500
 
+/**
+ * A last word that says no life, so soon after the first word of a new one, is a
+ * late one of the life before, ms: callers send it anew after a second, and no
+ * endpoint ends as planned within that time.
+ */
+const lateGoneMs = 1500
+
 export class EndpointDesk {
   #host: EndpointDeskHost
   #directory = new EndpointDirectory()
   #heardAt = new Map<EndpointId, number>()
   #heard = new Map<EndpointId, number>()
+  /** When the first word of each new life came. */
+  #bornAt = new Map<EndpointId, number>()
 
   constructor (host: EndpointDeskHost) {
     this.#host = host
@@ -42,6 +53,7 @@
 
   /** Takes an endpoint's own word. */
   note (word: EndpointRecord): void {
+    if (word.stage === 'gone' && this.#host.now() - (this.#bornAt.get(word.id) ?? -Infinity) < lateGoneMs) return
     this.#heardAt.set(word.id, this.#host.now())
     this.#heard.set(word.id, word.sequence)
     this.merge([word])
@@ -52,13 +64,21 @@
     const changed: EndpointRecord[] = []
     for (const record of records) {
       if (!this.#heardAt.has(record.id)) this.#heardAt.set(record.id, this.#host.now())
-      changed.push(...this.#directory.merge(record))
+      const known = this.#directory.find(record.id)
+      const news = this.#directory.merge(record)
+      if (known !== undefined && news.length > 0 && isOtherLife(record, known)) this.#noteNewLife(record.id)
+      changed.push(...news)
     }
     if (changed.length === 0) return
     for (const { id, service, stage, sequence, zone } of changed) this.#host.log.info('endpoint', { endpoint: id, service, stage, sequence, zone })
     this.#host.spread(changed)
   }
 
+  #noteNewLife (id: EndpointId): void {
+    this.#bornAt.set(id, this.#host.now())
+    this.#host.noteNewLife(id)
+  }
+
   /** Takes word of who was heard from at another registry. */
   noteHeard (words: readonly (readonly [EndpointId, number])[]): void {
     for (const [id] of words) this.#heardAt.set(id, this.#host.now())
@@ -69,6 +89,7 @@
     if (this.#heard.size > 0) this.#host.spreadHeard([...this.#heard])
     this.#heard.clear()
     const now = this.#host.now()
+    for (const [id, at] of this.#bornAt) if (now - at >= lateGoneMs) this.#bornAt.delete(id)
     const lost: EndpointRecord[] = []
     for (const [id, at] of this.#heardAt) {
       if (now - at < this.#host.lostMs) continue
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -147,6 +147,7 @@
         this.#tellAll({ type: 'endpoints', records, whole: false })
         this.#saved.saveRecords(this.#endpoints.records)
       },
+      noteNewLife: endpoint => this.#hub.prompts.forget(endpoint),
       spreadHeard: words => this.#tellRegistries({ type: 'heard', words })
     })
   }
@@ -180,11 +181,9 @@
     return { log: this.#log, calls: this.#calls }
   }
 
-  get #isSeed (): boolean { return this.#seeds.includes(this.#settings.host) }
-
   #openLog (): Promise<KeeperLog> {
     const { log } = this.#around
-    return openRegistryLog(this.#settings, this.#isSeed, log, {
+    return openRegistryLog(this.#settings, this.#seeds.includes(this.#settings.host), log, {
       send: (to, message) => this.#sendRaft(to, message),
       noteRole: (role, term, leader) => log.info('role', { role, term, leader }),
       noteViolation: (rule, detail) => this.#noteViolation(rule, detail),
--- a/src/soak/soak-stage.ts
+++ b/src/soak/soak-stage.ts
@@ -204,9 +204,10 @@
     return endpoint
   }
 
-  // The sequence goes on: it is the boxes' to tell lives apart by when they began.
+  // A process that has started again knows nothing of before, its sequence included.
   async #restart (endpoint: StagedEndpoint, host: string): Promise<void> {
     await endpoint.road.listen(host, endpoint.port)
+    endpoint.sequence = 0
     endpoint.born = Date.now()
     await this.register(endpoint)
   }
--- /dev/null
+++ b/test/endpoint-lives.test.ts
@@ -0,0 +1,81 @@
+/**
+ * An endpoint that starts again under its id holds and knows nothing of before.
+ * Boxes took its first word, with a sequence of 1, for a late one of the life
+ * before, until it counted as lost, and went on waiting for what that had run.
+ */
+import assert from 'node:assert/strict'
+import { after, before, test } from 'node:test'
+import { PromptBook, brandId } from '../src/core/index.js'
+import type { EndpointId } from '../src/core/index.js'
+import { until } from './support/deployment.js'
+import { RouteDeployment, composeDocument } from './support/route-deployment.js'
+import { createFleet, createRecord, createWork, desk } from './support/fleet-builder.js'
+
+let place: RouteDeployment
+
+before(async () => {
+  place = await RouteDeployment.start({ number: 92 })
+  await place.putDocument(composeDocument(1))
+  for (let i = 0; i < 2; i++) await place.addEndpoint('desk')
+})
+
+after(() => place.stop())
+
+function findStage (id: string): string | undefined {
+  return place.registries[0]?.records.find(record => record.id === id)?.stage
+}
+
+function compose (more: object): string {
+  const [endpoint] = place.endpoints
+  return JSON.stringify({ service: 'desk', host: place.endpointHost, port: endpoint.port, zone: 'zone-a', slots: 8, stage: 'ready', ...more })
+}
+
+test('what runs at the earlier life of an endpoint is sent elsewhere as soon as the new one says where it is', async () => {
+  for (const endpoint of place.endpoints) endpoint.fault = { type: 'hang' }
+  const asked = place.ask('/again/hangs', { requestId: 'hangs' })
+  await until(() => place.endpoints.some(({ runs }) => runs.length > 0), 'it runs')
+  const [first, second] = place.endpoints[0].runs.length > 0 ? place.endpoints : [...place.endpoints].reverse()
+  second.fault = { type: 'none' }
+  first.fault = { type: 'none' }
+  first.noteRestart()
+  assert.equal((await asked).status, 200)
+  assert.deepEqual([first.runs.length, second.runs.length], [1, 1])
+})
+
+test('a last word that names no life, right after the first of a new one, is taken for the earlier life\'s', async () => {
+  const { id } = place.endpoints[0]
+  const born = Date.now()
+  await place.operate('PUT', `/v1/endpoints/${id}`, compose({ born, sequence: 1 }))
+  assert.equal((await place.operate('DELETE', `/v1/endpoints/${id}`)).status, 200)
+  assert.equal(findStage(id), 'ready')
+})
+
+test('a life that has ended as it said is over, and the next one has work again', async () => {
+  const endpoint = place.endpoints[1]
+  const { id } = endpoint
+  await place.operate('DELETE', `/v1/endpoints/${id}`)
+  await until(() => findStage(id) === 'gone', 'it is gone')
+  endpoint.noteRestart()
+  await until(() => findStage(id) === 'ready' && place.gateways[0].fleet.findView(id as EndpointId) !== undefined, 'its next life is known')
+})
+
+test('a new life begins without what was believed of the earlier one', () => {
+  const fleet = createFleet([createRecord('e1', { born: 10, sequence: 50 })])
+  const old = fleet.findView(brandId('e1'))
+  old?.trust.noteUnreachable(0)
+  old?.place(createWork(), { readTokens: 0, fetch: null }, 0)
+  fleet.applyRecords([createRecord('e1', { born: 20, sequence: 1 })])
+  const view = fleet.findView(brandId('e1'))
+  assert.notEqual(view, old)
+  assert.deepEqual([view?.running, view?.trust.look(1), old !== undefined && fleet.hasStartedAgain(old)], [0, 'good', true])
+  assert.equal(fleet.listUsable(desk, 1).length, 1)
+})
+
+test('registries forget what an earlier life held of prompts', () => {
+  const book = new PromptBook()
+  book.note([[brandId('e1'), [['shared', 100]], true], [brandId('e2'), [['shared', 100]], true]])
+  const { version } = book
+  book.forget(brandId('e1'))
+  assert.deepEqual(book.prompts.map(([endpoint]) => endpoint), ['e2'])
+  assert.ok(book.version > version)
+})
--- a/test/endpoints.test.ts
+++ b/test/endpoints.test.ts
@@ -11,7 +11,18 @@
   { name: 'gone is final', words: [createRecord('e1', { sequence: 5 }), createRecord('e1', { sequence: 0, stage: 'gone' }), createRecord('e1', { sequence: 9 })], stage: 'gone', sequence: 5 },
   { name: 'gone before anything else', words: [createRecord('e1', { sequence: 0, stage: 'gone' }), createRecord('e1', { sequence: 9 })], stage: 'gone', sequence: 0 },
   { name: 'lost, and heard again', words: [createRecord('e1', { sequence: 5 }), createRecord('e1', { sequence: 5, stage: 'lost' }), createRecord('e1', { sequence: 6 })], stage: 'ready', sequence: 6 },
-  { name: 'a reused address', words: [createRecord('e1', { port: 7 }), createRecord('e2', { port: 7, service: brandId<ServiceName>('other') })], stage: 'lost', sequence: 1 }
+  { name: 'a reused address', words: [createRecord('e1', { port: 7 }), createRecord('e2', { port: 7, service: brandId<ServiceName>('other') })], stage: 'lost', sequence: 1 },
+  { name: 'a new life, its sequence anew', words: [createRecord('e1', { born: 10, sequence: 5000 }), createRecord('e1', { born: 20, sequence: 1 })], stage: 'ready', sequence: 1 },
+  { name: 'a new life at another address', words: [createRecord('e1', { born: 10, sequence: 5000 }), createRecord('e1', { born: 20, sequence: 1, host: '10.0.0.9' })], stage: 'ready', sequence: 1 },
+  { name: 'a new life after it drained', words: [createRecord('e1', { born: 10, sequence: 5, stage: 'draining' }), createRecord('e1', { born: 20, sequence: 1 })], stage: 'ready', sequence: 1 },
+  { name: 'a new life after it was gone', words: [createRecord('e1', { born: 10, sequence: 5 }), createRecord('e1', { sequence: 0, stage: 'gone' }), createRecord('e1', { born: 20, sequence: 1 })], stage: 'ready', sequence: 1 },
+  { name: 'a new life after it was lost', words: [createRecord('e1', { born: 10, sequence: 5 }), createRecord('e1', { born: 10, sequence: 5, stage: 'lost' }), createRecord('e1', { born: 20, sequence: 1 })], stage: 'ready', sequence: 1 },
+  { name: 'a late word of the earlier life', words: [createRecord('e1', { born: 20, sequence: 1 }), createRecord('e1', { born: 10, sequence: 5001, stage: 'draining' })], stage: 'ready', sequence: 1 },
+  { name: 'the earlier life counted as lost late', words: [createRecord('e1', { born: 20, sequence: 1 }), createRecord('e1', { born: 10, sequence: 5000, stage: 'lost' })], stage: 'ready', sequence: 1 },
+  { name: 'the earlier life gone late, as another registry tells it', words: [createRecord('e1', { born: 20, sequence: 1 }), createRecord('e1', { born: 10, sequence: 5000, stage: 'gone' })], stage: 'ready', sequence: 1 },
+  { name: 'gone, then a late word of the same life', words: [createRecord('e1', { born: 10, sequence: 5 }), createRecord('e1', { sequence: 0, stage: 'gone' }), createRecord('e1', { born: 10, sequence: 9 })], stage: 'gone', sequence: 5 },
+  { name: 'gone before anything else, then which life that was, then a new one', words: [createRecord('e1', { sequence: 0, stage: 'gone' }), createRecord('e1', { born: 10, sequence: 9, stage: 'gone' }), createRecord('e1', { born: 20, sequence: 1 })], stage: 'ready', sequence: 1 },
+  { name: 'a word that does not say its life', words: [createRecord('e1', { born: 10, sequence: 5 }), createRecord('e1', { sequence: 6, stage: 'draining' })], stage: 'draining', sequence: 6 }
 ]
 
 for (const { name, words: told, stage, sequence } of words) {
@@ -25,15 +36,16 @@
 
 test('directories that heard the same words of an endpoint, in any order and twice, agree', () => {
   const stages: EndpointStage[] = ['ready', 'draining', 'gone']
-  const word = fc.record({ sequence: fc.integer({ min: 1, max: 20 }), stage: fc.constantFrom(...stages) })
-  fc.assert(fc.property(fc.uniqueArray(word, { selector: one => one.sequence, minLength: 1, maxLength: 8 }), fc.infiniteStream(fc.nat()), (told, order) => {
+  const word = fc.record({ sequence: fc.integer({ min: 1, max: 20 }), stage: fc.constantFrom(...stages), born: fc.integer({ min: 1, max: 3 }) })
+  fc.assert(fc.property(fc.uniqueArray(word, { selector: one => `${one.born} ${one.sequence}`, minLength: 1, maxLength: 8 }), fc.infiniteStream(fc.nat()), (told, order) => {
     const first = new EndpointDirectory()
     const second = new EndpointDirectory()
     const records = told.map(one => createRecord('e1', one))
     for (const record of records) first.merge(record)
     const shuffled = [...records, ...records].map(record => ({ record, key: order.next().value as number })).sort((a, b) => a.key - b.key)
     for (const { record } of shuffled) second.merge(record)
-    assert.equal(first.find(brandId('e1'))?.stage, second.find(brandId('e1'))?.stage)
+    const [one, other] = [first, second].map(directory => directory.find(brandId('e1')))
+    assert.deepEqual([one?.stage, one?.born], [other?.stage, other?.born])
   }), { numRuns: 300 })
 })
 
--- a/test/support/route-deployment.ts
+++ b/test/support/route-deployment.ts
@@ -23,7 +23,7 @@
   readonly dialect: Dialect
   readonly endpointHeaders: EndpointHeaders
   readonly paths: { readonly document: string, readonly endpoints: string }
-  composeRegistration (endpoint: StandinEndpoint, service: string, zone: string, host: string, sequence: number, stage: string): object
+  composeRegistration (endpoint: StandinEndpoint, service: string, zone: string, host: string, sequence: number, stage: string, born: number): object
   composeCall (requestId: string, key: string | null, deadlineMs: number): Record<string, string>
 }
 
@@ -32,7 +32,7 @@
   dialect: nativeDialect,
   endpointHeaders: { requestId: 'x-wrenlane-request-id', expectedEndpoint: 'x-wrenlane-endpoint', notRun: 'x-wrenlane-not-run', mark: '', lastEvent: 'last-event-id' },
   paths: { document: '/v1/routing', endpoints: '/v1/endpoints/' },
-  composeRegistration: (endpoint, service, zone, host, sequence, stage) => ({ service, host, port: endpoint.port, zone, slots: 8, sequence, stage }),
+  composeRegistration: (endpoint, service, zone, host, sequence, stage, born) => ({ service, host, port: endpoint.port, zone, slots: 8, born, sequence, stage }),
   composeCall: (requestId, key, deadlineMs) => ({
     'x-wrenlane-request-id': requestId,
     'x-wrenlane-deadline-ms': String(deadlineMs),
@@ -76,6 +76,7 @@
   readonly gateways: GatewayBox[] = []
   readonly endpoints: StandinEndpoint[] = []
   #sequences = new Map<string, number>()
+  #born = new Map<string, number>()
 
   constructor (shape: RouteShape) {
     this.shape = shape
@@ -158,7 +159,12 @@
     const endpoint = new StandinEndpoint(`endpoint-${this.shape.number}-${this.endpoints.length}`, this.spoken.endpointHeaders)
     await endpoint.listen(this.endpointHost)
     this.endpoints.push(endpoint)
-    endpoint.noteRestart = () => { void this.register(endpoint, service, 'ready', zone) }
+    this.#born.set(endpoint.id, Date.now())
+    endpoint.noteRestart = () => {
+      this.#sequences.delete(endpoint.id)
+      this.#born.set(endpoint.id, Date.now())
+      void this.register(endpoint, service, 'ready', zone)
+    }
     await this.register(endpoint, service, 'ready', zone)
     await until(() => this.gateways.every(gateway => gateway.fleet.findView(endpoint.id as never) !== undefined), `${endpoint.id} known to all gateways`)
     return endpoint
@@ -167,7 +173,7 @@
   async register (endpoint: StandinEndpoint, service: string, stage: string, zone = zones[0]): Promise<CallAnswer> {
     const sequence = (this.#sequences.get(endpoint.id) ?? 0) + 1
     this.#sequences.set(endpoint.id, sequence)
-    const body = JSON.stringify(this.spoken.composeRegistration(endpoint, service, zone, this.endpointHost, sequence, stage))
+    const body = JSON.stringify(this.spoken.composeRegistration(endpoint, service, zone, this.endpointHost, sequence, stage, this.#born.get(endpoint.id) ?? 0))
     return await this.operate('PUT', `${this.spoken.paths.endpoints}${endpoint.id}`, body)
   }
 
