--- a/src/core/crashes/evidence.ts
+++ b/src/core/crashes/evidence.ts
@@ -37,6 +37,7 @@
 /** Weighs what is known against a request. `endpoints`: how many of its service may be used. */
 export function weighEvidence (fingerprint: Fingerprint, ends: readonly KnownEnd[], endpoints: number): Evidence {
   const under = ends.filter(({ runs }) => isUnder(runs, fingerprint))
+  if (under.length < leastEnds) return { ends: under.length, weight: 0, isHarmful: false }
   const weight = under.reduce((sum, end) => sum + weighEnd(end, fingerprint, ends, Math.max(1, endpoints)), 0)
   const isHarmful = under.length >= leastEnds && weight >= leastWeight && !isExplained(fingerprint, under, ends)
   return { ends: under.length, weight, isHarmful }
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -105,7 +105,9 @@
 
   get isReady (): boolean {
     if (this.#table === null || this.#leaving) return false
-    return this.#directory.records.some(record => record.stage === 'ready') || now() - this.#tableAt > endpointsMs
+    const { services } = this.#table.document
+    const isServing = this.#directory.records.some(({ stage, service }) => stage === 'ready' && services.some(({ name }) => name === service))
+    return isServing || now() - this.#tableAt > endpointsMs
   }
 
   get inFlight (): number { return this.#exchanges.size }
--- a/src/protocol/document-reader.ts
+++ b/src/protocol/document-reader.ts
@@ -1,5 +1,8 @@
 import { DocumentError } from './dialect.js'
 
+/** Ports of TCP are 16 bits wide. */
+export const mostPort = 65_535
+
 /**
  * Reads a decoded document field by field and gathers every mistake, so that an
  * operator sees all of them at once. Unknown fields are passed over: a newer
@@ -36,6 +39,15 @@
     return 0
   }
 
+  /** A whole number from `least` on that is held exactly. */
+  readWhole (key: string, least = 0, fallback?: number): number {
+    const found = this.#table[key]
+    if (fallback !== undefined && !this.has(key)) return fallback
+    if (Number.isSafeInteger(found) && (found as number) >= least) return found as number
+    this.#add(key, `is not a whole number from ${least} on`)
+    return least
+  }
+
   readSwitch (key: string, fallback: boolean): boolean {
     const found = this.#table[key]
     if (typeof found === 'boolean') return found
@@ -70,6 +82,12 @@
     return read(new DocumentReader(this.#table[key], this.#join(key), this.#mistakes))
   }
 
+  /** Notes a mistake that only the caller can see; gives what stands in for the value. */
+  refuse<T> (key: string, what: string, instead: T): T {
+    this.#add(key, what)
+    return instead
+  }
+
   /** Throws `DocumentError` where anything was amiss. */
   finish (): void {
     if (this.#mistakes.length > 0) throw new DocumentError(this.#mistakes)
--- a/src/protocol/native-dialect.ts
+++ b/src/protocol/native-dialect.ts
@@ -4,7 +4,7 @@
  */
 import { brandId, defaultCallerLimits } from '../core/index.js'
 import type { EndpointRecord, EndpointStage, KeyedWorkspace, PromptTransfer, Route, RouteKind, RoutedService, RoutingDocument, WeightedService } from '../core/index.js'
-import { DocumentReader, parseJson } from './document-reader.js'
+import { DocumentReader, mostPort, parseJson } from './document-reader.js'
 import { createDialect } from './header-dialect.js'
 
 const routeKinds: Readonly<Record<RouteKind, RouteKind>> = { repeatable: 'repeatable', once: 'once', events: 'events' }
@@ -107,18 +107,23 @@
   }
 }
 
+function readPort (reader: DocumentReader): number {
+  const port = reader.readWhole('port', 1)
+  return port <= mostPort ? port : reader.refuse('port', `is not a port, which is ${mostPort} at most`, mostPort)
+}
+
 function decodeRegistration (endpoint: string, text: string): EndpointRecord {
   const reader = new DocumentReader(parseJson(text))
   const record: EndpointRecord = {
     id: brandId(endpoint),
     service: brandId(reader.readText('service')),
     host: reader.readText('host'),
-    port: reader.readNumber('port'),
+    port: readPort(reader),
     zone: brandId(reader.readText('zone')),
-    slots: reader.readNumber('slots'),
-    born: reader.readNumber('born', 0),
+    slots: reader.readWhole('slots', 1),
+    born: reader.readWhole('born', 0, 0),
     software: reader.readText('software', ''),
-    sequence: reader.readNumber('sequence'),
+    sequence: reader.readWhole('sequence'),
     stage: reader.readChoice('stage', stages)
   }
   reader.finish()
--- a/test/endpoint-lives.test.ts
+++ b/test/endpoint-lives.test.ts
@@ -51,7 +51,7 @@
 })
 
 test('a life that has ended as it said is over, and the next one has work again', async () => {
-  const endpoint = place.endpoints[1]
+  const endpoint = await place.addEndpoint('desk')
   const { id } = endpoint
   await place.operate('DELETE', `/v1/endpoints/${id}`)
   await until(() => findStage(id) === 'gone', 'it is gone')
