--- a/src/bin/soak.ts
+++ b/src/bin/soak.ts
@@ -87,7 +87,7 @@
   process.once('SIGTERM', end).once('SIGINT', end)
   const { violations, calls, served, faults, ranked, crashes, logs } = await history.run()
   process.off('SIGTERM', end).off('SIGINT', end)
-  process.stdout.write(`seed=${seed} calls=${calls} served=${served} faults=${faults} ${ranked.map(({ kind, asked, served, inTime }) => `${kind}=${inTime}/${served}/${asked} `).join('')}${crashes === null ? '' : `ended=${crashes.ended.join('/')} harmless=${crashes.served}/${crashes.asked} `}violations=${violations.length}\n`)
+  process.stdout.write(`seed=${seed} calls=${calls} served=${served} faults=${faults} ${ranked.map(({ kind, asked, served, inTime }) => `${kind}=${inTime}/${served}/${asked} `).join('')}${crashes === null ? '' : `ended=${crashes.ended.join('/')} harmless=${crashes.served}/${crashes.asked} back=${crashes.backMs.map(Math.round).join('/')} `}violations=${violations.length}\n`)
   if (violations.length > 0) keepLogs(seed, logs)
   return { violations }
 }
--- a/src/core/balance/endpoint-directory.ts
+++ b/src/core/balance/endpoint-directory.ts
@@ -58,7 +58,8 @@
 }
 
 function isNewer (word: EndpointRecord, known: EndpointRecord): boolean {
-  if (isOtherLife(word, known)) return word.born > known.born
+  // Where the known life fell silent, a clock that was set back may have given the next one an earlier start.
+  if (isOtherLife(word, known)) return word.born > known.born || (known.stage === 'lost' && word.stage !== 'lost' && word.stage !== 'gone')
   // Of one that was gone before anything else was heard, another box may know which life that was.
   if (known.stage === 'gone') return word.stage === 'gone' && word.born > known.born
   if (word.stage === 'gone') return true
--- a/src/core/crashes/evidence.ts
+++ b/src/core/crashes/evidence.ts
@@ -31,15 +31,17 @@
 const spansMs = [1000, 10_000, 600_000]
 /** A run that is shorter counts as so long, ms: times are no more exact than that. */
 const leastMs = 5
-/** With so many ends a request is held harmful though another has been at all of them as well. */
-const endsToPart = 6
+/** With so many ends a request is held harmful though another has been at all of them as well, and with less weight: it was answered nowhere in between. */
+const manyEnds = 6
+/** Chance of e^-8, three in ten thousand, of a request that has met so many ends already: one that waits for seconds at busy endpoints gains little weight with each. */
+const weightOfMany = 8
 
 /** Weighs what is known against a request. `endpoints`: how many of its service may be used. */
 export function weighEvidence (fingerprint: Fingerprint, ends: readonly KnownEnd[], endpoints: number): Evidence {
   const under = ends.filter(({ runs }) => isUnder(runs, fingerprint))
   if (under.length < leastEnds) return { ends: under.length, weight: 0, isHarmful: false }
   const weight = under.reduce((sum, end) => sum + weighEnd(end, fingerprint, ends, Math.max(1, endpoints)), 0)
-  const isHarmful = under.length >= leastEnds && weight >= leastWeight && !isExplained(fingerprint, under, ends)
+  const isHarmful = weight >= (under.length < manyEnds ? leastWeight : weightOfMany) && !isExplained(fingerprint, under, ends)
   return { ends: under.length, weight, isHarmful }
 }
 
@@ -61,6 +63,6 @@
   const beside = [...under[0].runs.keys()].filter(other => other !== fingerprint && under.every(({ runs }) => isUnder(runs, other)))
   return beside.some(other => {
     const count = ends.filter(({ runs }) => isUnder(runs, other)).length
-    return count > under.length || under.length < endsToPart
+    return count > under.length || under.length < manyEnds
   })
 }
--- a/src/core/crashes/index.ts
+++ b/src/core/crashes/index.ts
@@ -2,5 +2,5 @@
 export type { EndedRun, EndpointEnd } from './endpoint-end.js'
 export { CrashWatch } from './crash-watch.js'
 export type { CrashNews, Ruling } from './crash-watch.js'
-export { labelSoftware } from './quarantine.js'
+export { describeEntry, labelSoftware } from './quarantine.js'
 export type { HeldEntry, QuarantineEntry } from './quarantine.js'
--- a/src/core/crashes/quarantine.ts
+++ b/src/core/crashes/quarantine.ts
@@ -92,6 +92,11 @@
   }
 }
 
+/** What a log line says of an entry. */
+export function describeEntry ({ fingerprint, state, round, service, ended, sound, ends, weight, leftMs }: QuarantineEntry): Record<string, string | number> {
+  return { fingerprint, state, round, service, software: ended.join(','), sound: sound.join(','), ends, weight: weight.toFixed(1), leftMs }
+}
+
 /** How long a request is refused in a round, ms. */
 export function findRefusalMs (round: number): number {
   return Math.min(longestRefusalMs, firstRefusalMs * 2 ** (round - 1))
--- a/src/gateway/crash-guard.ts
+++ b/src/gateway/crash-guard.ts
@@ -4,7 +4,7 @@
  * what ran there, and rules what may be done with a request. It decides on what
  * this box has seen and heard; no request waits for a word from another.
  */
-import { CrashWatch, labelSoftware } from '../core/index.js'
+import { CrashWatch, describeEntry, labelSoftware } from '../core/index.js'
 import type { CrashNews, EndpointId, EndpointRecord, EndpointView, Fingerprint, Fleet, Narrowing, Ruling } from '../core/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import type { EndpointProber } from './endpoint-prober.js'
@@ -176,9 +176,9 @@
 
   #spread (news: CrashNews): void {
     if (news.ends.length === 0 && news.entries.length === 0) return
-    for (const { fingerprint, state, round, service, ended, ends, weight, leftMs } of news.entries) {
-      this.#host.metrics.count('quarantine', { state })
-      this.#host.log.warn('quarantine', { fingerprint, state, round, service, software: ended.join(','), ends, weight: weight.toFixed(1), leftMs })
+    for (const entry of news.entries) {
+      this.#host.metrics.count('quarantine', { state: entry.state })
+      this.#host.log.warn('quarantine', describeEntry(entry))
     }
     this.#host.tell(news)
   }
--- a/src/registry/crash-desk.ts
+++ b/src/registry/crash-desk.ts
@@ -3,7 +3,7 @@
  * passes on what is news, tells all of it to boxes that come into touch, and
  * keeps the quarantine over its own end.
  */
-import { CrashWatch } from '../core/index.js'
+import { CrashWatch, describeEntry } from '../core/index.js'
 import type { CrashNews, Fingerprint, QuarantineEntry, ServiceName } from '../core/index.js'
 import type { EventLog } from '../runtime/index.js'
 
@@ -48,9 +48,7 @@
     if (news.ends.length === 0 && news.entries.length === 0) return
     this.#host.spread(news)
     if (news.entries.length === 0) return
-    for (const { fingerprint, state, round, service, ended, ends, weight, leftMs } of news.entries) {
-      this.#host.log.warn('quarantine', { fingerprint, state, round, service, software: ended.join(','), ends, weight: weight.toFixed(1), leftMs })
-    }
+    for (const entry of news.entries) this.#host.log.warn('quarantine', describeEntry(entry))
     this.#host.save(this.news.entries)
   }
 }
--- a/src/soak/crash-callers.ts
+++ b/src/soak/crash-callers.ts
@@ -27,6 +27,8 @@
 export interface CrashSummary {
   /** Endpoints that ended under each of the harmful ones. */
   readonly ended: readonly number[]
+  /** For each endpoint that started again, from its new life's first word until it had work, ms. */
+  readonly backMs: readonly number[]
   /** Of the harmless one: asked and served. */
   readonly asked: number
   readonly served: number
@@ -67,7 +69,8 @@
   }
 
   get summary (): CrashSummary {
-    return { ended: this.#bodies.map(body => this.#listEnds(body).length), asked: this.#asked, served: this.#served }
+    const backMs = this.#host.stage.endpoints.flatMap(({ standin }) => standin.backMs).sort((a, b) => a - b)
+    return { backMs, ended: this.#bodies.map(body => this.#listEnds(body).length), asked: this.#asked, served: this.#served }
   }
 
   start (): void {
@@ -80,8 +83,10 @@
     await Promise.all(this.#running)
   }
 
-  /** Checks how often each harmful request reached endpoints once boxes in touch had to know it. */
+  /** Checks how often each harmful request reached endpoints once boxes in touch had to know it, and that no other was refused for it. */
   check (): void {
+    const refused = this.#host.watch.calls.filter(({ end }) => end.body.includes('quarantined'))
+    if (refused.length > 0) this.#host.watch.violate('requests that harm nobody were refused for others', `${refused.length}, ${refused[0].id} first`)
     const ran = new Set(this.#host.stage.endpoints.flatMap(({ standin }) => standin.runs.map(run => run.requestId)))
     for (const body of this.#bodies) {
       const third = this.#listEnds(body).sort((a, b) => a - b)[2] ?? Infinity
--- a/src/soak/soak-stage.ts
+++ b/src/soak/soak-stage.ts
@@ -209,6 +209,6 @@
     await endpoint.road.listen(host, endpoint.port)
     endpoint.sequence = 0
     endpoint.born = Date.now()
-    await this.register(endpoint)
+    if (await this.register(endpoint)) endpoint.standin.noteKnown()
   }
 }
--- a/src/standin/standin-endpoint.ts
+++ b/src/standin/standin-endpoint.ts
@@ -90,6 +90,8 @@
   readonly ends: string[] = []
   /** When each of these was, on this process's rising clock, ms. */
   readonly endedAt: number[] = []
+  /** After each restart, from `noteKnown` to its first run, ms. */
+  readonly backMs: number[] = []
   /** Called as it ends under a request. */
   noteEnd: () => void = () => {}
   /** Called once it listens again after it has ended. */
@@ -99,6 +101,8 @@
   #host = ''
   #sockets = new Set<Socket>()
   #isDown = false
+  /** When its new life's first word was taken; null once it has had work since. */
+  #knownAt: number | null = null
   #isClosed = false
   #engine: PacedEngine | null
   #begun = 0
@@ -141,6 +145,9 @@
     setTimeout(() => { if (!this.#isClosed) void this.#restart() }, downMs)
   }
 
+  /** Takes word that a box has taken the first word of its new life. */
+  noteKnown (): void { this.#knownAt = performance.now() }
+
   /** True from its end under a request until it listens again. */
   get isDown (): boolean { return this.#isDown }
 
@@ -159,6 +166,8 @@
     if (this.fault.type === 'full') return this.#refuse(response, requestId, 503)
     const run: EndpointRun = { requestId, method: request.method ?? '', path: request.url ?? '', headers: request.headers, body, isCalledOff: false }
     this.runs.push(run)
+    if (this.#knownAt !== null) this.backMs.push(performance.now() - this.#knownAt)
+    this.#knownAt = null
     response.on('close', () => { if (!response.writableFinished) run.isCalledOff = true })
     const { crash } = this
     const isCrash = crash !== null && body.startsWith(crashMark)
--- a/test/crash-watch.test.ts
+++ b/test/crash-watch.test.ts
@@ -30,6 +30,8 @@
   { name: 'two ends of short runs', ends: composeEnds([10, 11], { request: 60 }), ruling: 'suspect' },
   { name: 'three ends of runs of three seconds', ends: composeEnds([10, 20, 30], { request: 3000 }), ruling: 'suspect' },
   { name: 'six ends of runs of three seconds', ends: composeEnds([1, 5, 10, 15, 20, 25], { request: 3000 }), ruling: 'refused' },
+  { name: 'six ends of runs of three seconds, beside others now and then', ends: [...composeEnds([1, 5, 10, 15, 20, 25], { request: 3000 }), ...composeEnds([2, 6, 12, 18, 24, 28, 33, 38], { other: 300 }, 'others')], ruling: 'refused' },
+  { name: 'six ends of runs of three seconds, while all endpoints end all the time', ends: [...composeEnds([1, 5, 10, 15, 20, 25], { request: 3000 }), ...composeEnds(Array.from({ length: 120 }, (_, i) => i / 4), { other: 300 }, 'others')], ruling: 'suspect' },
   { name: 'three ends, each beside a rack of four that failed without it', ends: [...composeEnds([10, 20, 30], { request: 400 }), ...composeEnds([10, 10, 10, 10, 20, 20, 20, 20, 30, 30, 30, 30], { other: 400 }, 'rack')], ruling: 'suspect' },
   { name: 'an endpoint that ends every two seconds, thrice under it', ends: Array.from({ length: 12 }, (_, i) => ({ ...composeEnds([2 * i], i % 4 === 0 ? { request: 200 } : { other: 200 })[0] })), ruling: 'suspect' },
   { name: 'another request that was at all these ends, and at more', ends: [...composeEnds([10, 11, 12], { request: 60, other: 60 }), ...composeEnds([13], { other: 60 }, 'more')], ruling: 'suspect' },
