A request is digested once, and the software of endpoints is listed only for one in quarantine

Read again: the digest stood in the guard and was worked out anew for the log; each request looked through all endpoints for their software while any end was known; each request that was named at an end counted the endpoints of its service, though two ends never decide.

--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -94,10 +94,11 @@
   applyRecords (records: readonly EndpointRecord[]): void {
     for (const record of records) {
       const known = this.#views.get(record.id)
+      const isOver = record.stage === 'gone' || record.stage === 'lost'
       const isNewLife = known !== undefined && isOtherLife(record, known.record)
       // A new life holds and has nothing of the one before it.
-      if (record.stage === 'gone' || record.stage === 'lost' || isNewLife) this.#forget(record)
-      if (record.stage === 'gone' || record.stage === 'lost') continue
+      if (isOver || isNewLife) this.#forget(record)
+      if (isOver) continue
       if (known !== undefined && !isNewLife) known.record = record
       else this.#views.set(record.id, this.#createView(record))
     }
@@ -166,7 +167,7 @@
     if (patient && waitedMs < work.targetMs && this.#findPressed(state, at) < work.level) return 'later'
     const parted = (patient ? apart.slice(0, counts.count) : listBrisk(apart, counts.count, engine)).filter(view => !tried.includes(view.id))
     const side = narrowing === null ? parted : left
-    const homes = narrowing !== null ? left : patient ? apart.slice(0, counts.base) : side
+    const homes = patient && narrowing === null ? apart.slice(0, counts.base) : side
     const prompt: PromptCase = { work, cost: work.cost, engine, waitedMs, patienceMs: this.#findPatience(state, at), isPatient: patient }
     const holders = this.#listHolders(work.cost, engine.transfer, at, work.service)
     const choice = chooseEngine({ side: side.length > 0 ? side : left, homes, holders, prompt, share: counts.count, from: this.#standpoint }, at, draw)
--- a/src/core/crashes/crash-watch.ts
+++ b/src/core/crashes/crash-watch.ts
@@ -88,12 +88,13 @@
     return { ends, entries: this.#quarantine.merge([composeLift(entry, at)], at) }
   }
 
-  /** What may be done with a request, where endpoints with these labels are ready. */
-  rule (fingerprint: Fingerprint, labels: ReadonlySet<string>, at: number): Ruling {
+  /** What may be done with a request. `listLabels`, asked only for one in quarantine: software of the endpoints that are ready. */
+  rule (fingerprint: Fingerprint, listLabels: () => ReadonlySet<string>, at: number): Ruling {
     const entry = this.#quarantine.find(fingerprint)
     const ended = new Set(this.#book.listUnder(fingerprint).map(({ endpoint }) => endpoint))
     if (entry === undefined || entry.state === 'lifted') return ended.size === 0 ? free : { type: 'suspect', ended }
     if (at >= entry.until) return { type: 'trial', labels: [], ended }
+    const labels = listLabels()
     const sound = entry.sound.filter(label => labels.has(label))
     if (sound.length > 0) return { type: 'sound', labels: sound }
     const untried = [...labels].filter(label => mayTrySoftware(entry, label))
@@ -107,7 +108,7 @@
     const newest = under.at(-1)
     if (newest === undefined) return null
     const known = this.#quarantine.find(fingerprint)
-    const { ends, weight, isHarmful } = weighEvidence(fingerprint, this.#book.ends, this.#countEndpoints(newest.service))
+    const { ends, weight, isHarmful } = weighEvidence(fingerprint, this.#book.ends, () => this.#countEndpoints(newest.service))
     const labels = [...new Set(under.map(labelSoftware))].sort()
     if (known !== undefined && known.state === 'refused') return this.#extend(known, labels, ends, at)
     if (!isHarmful) return null
--- a/src/core/crashes/evidence.ts
+++ b/src/core/crashes/evidence.ts
@@ -36,11 +36,12 @@
 /** Chance of e^-8, three in ten thousand, of a request that has met so many ends already: one that waits for seconds at busy endpoints gains little weight with each. */
 const weightOfMany = 8
 
-/** Weighs what is known against a request. `endpoints`: how many of its service may be used. */
-export function weighEvidence (fingerprint: Fingerprint, ends: readonly KnownEnd[], endpoints: number): Evidence {
+/** Weighs what is known against a request. `countEndpoints`: how many of its service may be used; asked only where enough ends are known. */
+export function weighEvidence (fingerprint: Fingerprint, ends: readonly KnownEnd[], countEndpoints: () => number): Evidence {
   const under = ends.filter(({ runs }) => isUnder(runs, fingerprint))
   if (under.length < leastEnds) return { ends: under.length, weight: 0, isHarmful: false }
-  const weight = under.reduce((sum, end) => sum + weighEnd(end, fingerprint, ends, Math.max(1, endpoints)), 0)
+  const endpoints = Math.max(1, countEndpoints())
+  const weight = under.reduce((sum, end) => sum + weighEnd(end, fingerprint, ends, endpoints), 0)
   const isHarmful = weight >= (under.length < manyEnds ? leastWeight : weightOfMany) && !isExplained(fingerprint, under, ends)
   return { ends: under.length, weight, isHarmful }
 }
--- a/src/gateway/crash-guard.ts
+++ b/src/gateway/crash-guard.ts
@@ -9,7 +9,7 @@
 import { Gatherer } from '../runtime/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import type { EndpointProber } from './endpoint-prober.js'
-import { computeFingerprint } from './fingerprint.js'
+import { identifyRequest } from './fingerprint.js'
 import type { Order } from './order.js'
 
 /** What the guard needs of its box. */
@@ -63,7 +63,6 @@
   #watch: CrashWatch
   #untold: Gatherer<CrashNews>
   #broken = new Map<EndpointId, BrokenLife>()
-  #fingerprints = new WeakMap<Order, Fingerprint>()
   /** Requests in quarantine of which one send is under way here. */
   #trials = new Map<Fingerprint, Order>()
 
@@ -76,10 +75,10 @@
   /** What may be done with a request now. */
   rule (order: Order): Ruling {
     if (this.#watch.isIdle) return free
-    const fingerprint = this.#identify(order)
+    const fingerprint = identifyRequest(order)
     const at = this.#host.now()
-    const labels = new Set(this.#host.fleet.listUsable(order.service, at).map(({ record }) => labelSoftware(record)))
-    const ruling = this.#watch.rule(fingerprint, labels, at)
+    const listLabels = (): ReadonlySet<string> => new Set(this.#host.fleet.listUsable(order.service, at).map(({ record }) => labelSoftware(record)))
+    const ruling = this.#watch.rule(fingerprint, listLabels, at)
     if (ruling.type !== 'trial') return ruling
     const running = this.#trials.get(fingerprint)
     if (running !== undefined && running !== order) return { type: 'refused', retryAfterMs: trialRetryMs, ends: this.#watch.find(fingerprint)?.ends ?? 0 }
@@ -92,16 +91,16 @@
     switch (ruling.type) {
       case 'free':
       case 'refused': return null
-      case 'suspect': return { key: this.#identify(order), avoids: ruling.ended, mayUse: () => true }
+      case 'suspect': return { key: identifyRequest(order), avoids: ruling.ended, mayUse: () => true }
       case 'sound': return { key: null, avoids: new Set(), mayUse: record => ruling.labels.includes(labelSoftware(record)) }
-      case 'trial': return { key: this.#identify(order), avoids: ruling.ended, mayUse: record => ruling.labels.length === 0 || ruling.labels.includes(labelSoftware(record)) }
+      case 'trial': return { key: identifyRequest(order), avoids: ruling.ended, mayUse: record => ruling.labels.length === 0 || ruling.labels.includes(labelSoftware(record)) }
     }
   }
 
   /** False where another send of a request may end one endpoint too many. */
   maySendAgain (order: Order): boolean {
     if (this.#watch.isIdle && this.#broken.size === 0) return true
-    const fingerprint = this.#identify(order)
+    const fingerprint = identifyRequest(order)
     if (this.#trials.get(fingerprint) === order) return false
     return this.#countEnds(fingerprint) < endsToSendOnce && this.#watch.find(fingerprint)?.state !== 'refused'
   }
@@ -127,7 +126,7 @@
   /** A request has its final answer. */
   forget (order: Order): void {
     if (this.#trials.size === 0) return
-    const fingerprint = this.#identify(order)
+    const fingerprint = identifyRequest(order)
     if (this.#trials.get(fingerprint) === order) this.#trials.delete(fingerprint)
   }
 
@@ -152,7 +151,7 @@
 
   #noteAnswered (order: Order, view: EndpointView): void {
     if (this.#watch.isIdle && this.#broken.size === 0) return
-    const fingerprint = this.#identify(order)
+    const fingerprint = identifyRequest(order)
     for (const { runs } of this.#broken.values()) runs.delete(fingerprint)
     this.#tell(this.#watch.noteAnswered(fingerprint, labelSoftware(view.record), this.#host.now()))
   }
@@ -168,7 +167,7 @@
     const life: BrokenLife = isKnown ? known : { record: view.record, at, runs: new Map<Fingerprint, BrokenRun>(), state: 'unknown' }
     life.at = at
     this.#broken.set(view.id, life)
-    const fingerprint = this.#identify(order)
+    const fingerprint = identifyRequest(order)
     life.runs.set(fingerprint, { ms, at })
     return life
   }
@@ -210,14 +209,6 @@
   #forgetOld (at: number): void {
     for (const [id, life] of this.#broken) if (at - life.at > keepBrokenMs || this.#broken.size > mostBroken) this.#broken.delete(id)
   }
-
-  #identify (order: Order): Fingerprint {
-    const known = this.#fingerprints.get(order)
-    if (known !== undefined) return known
-    const fingerprint = computeFingerprint(order)
-    this.#fingerprints.set(order, fingerprint)
-    return fingerprint
-  }
 }
 
 // True for a new start at the same address, or under the same id.
--- a/src/gateway/exchange-report.ts
+++ b/src/gateway/exchange-report.ts
@@ -2,7 +2,7 @@
 import type { Admission } from '../core/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import type { Attempt, ExchangeSummary } from './exchange-summary.js'
-import { computeFingerprint } from './fingerprint.js'
+import { identifyRequest } from './fingerprint.js'
 
 /** Logs how an exchange went, and counts it. */
 export function tellEnd (summary: ExchangeSummary, log: EventLog, metrics: Metrics): void {
@@ -29,7 +29,7 @@
     pauseLimitMs: order.work.pauseMs ?? undefined,
     priority: order.work.cost === null ? undefined : order.work.priority,
     prompt: order.work.cost?.parts.at(-1)?.id,
-    fingerprint: outcome === 'quarantined' || attempts.some(isBroken) ? computeFingerprint(order) : undefined,
+    fingerprint: outcome === 'quarantined' || attempts.some(isBroken) ? identifyRequest(order) : undefined,
     admission: summary.admission === null ? undefined : formatAdmission(summary.admission),
     attempts: attempts.map(one => formatAttempt(one, order.arrivedAt)).join(';')
   }
--- a/test/crash-watch.test.ts
+++ b/test/crash-watch.test.ts
@@ -12,7 +12,7 @@
 const request = brandId<Fingerprint>('request')
 const other = brandId<Fingerprint>('other')
 const endpoints = 12
-const v1 = new Set(['desk v1'])
+function listV1 (): ReadonlySet<string> { return new Set(['desk v1']) }
 
 /** Ends at these times, s; `ms`: how long each of the named requests had run there. */
 function composeEnds (times: readonly number[], runs: Readonly<Record<string, number>>, name = 'e', software = 'v1'): EndpointEnd[] {
@@ -40,14 +40,14 @@
 ]
 
 for (const { name, ends, ruling } of cases) {
-  test(`${name}: ${ruling}`, () => assert.equal(createWatch(ends).rule(request, v1, 60_000).type, ruling))
+  test(`${name}: ${ruling}`, () => assert.equal(createWatch(ends).rule(request, listV1, 60_000).type, ruling))
 }
 
 test('both of two requests at the same ends are held harmful only after six', () => {
   const five = composeEnds([10, 11, 12, 13, 14], { request: 60, other: 60 })
-  assert.equal(createWatch(five).rule(other, v1, 60_000).type, 'suspect')
+  assert.equal(createWatch(five).rule(other, listV1, 60_000).type, 'suspect')
   const watch = createWatch([...five, ...composeEnds([15], { request: 60 }, 'alone')])
-  assert.deepEqual([request, other].map(one => watch.rule(one, v1, 60_000).type), ['refused', 'suspect'])
+  assert.deepEqual([request, other].map(one => watch.rule(one, listV1, 60_000).type), ['refused', 'suspect'])
 })
 
 const harmful = composeEnds([10, 11, 12], { request: 60 })
@@ -68,7 +68,7 @@
   test(`in quarantine, then ${name}: ${ruling}`, () => {
     const watch = createWatch(harmful)
     hear(watch, at)
-    assert.equal(watch.rule(request, new Set(labels), at).type, ruling)
+    assert.equal(watch.rule(request, () => new Set(labels), at).type, ruling)
   })
 }
 
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -110,10 +110,10 @@
 /** Sends a request until it is in quarantine, and gives its fingerprint. */
 async function condemn (body: string): Promise<string> {
   await repeat('/again/q', body, 6)
-  const before = await listQuarantine()
+  const entries = await listQuarantine()
   assert.equal((await place.ask('/again/q', { body })).status, 503)
   await awaitEndpoints()
-  return before.at(-1)?.fingerprint ?? ''
+  return entries.at(-1)?.fingerprint ?? ''
 }
 
 async function listQuarantine (): Promise<{ fingerprint: string, state: string, ends: number }[]> {
@@ -174,8 +174,7 @@
   for (const endpoint of place.endpoints) endpoint.fault = { type: 'none' }
   await sleep(1100)
   for (const endpoint of place.endpoints) {
-    const ended = place.ask('/again/l', { body: `${crashMark}: ${endpoint.id}`, gateway: 0 })
-    await ended
+    await place.ask('/again/l', { body: `${crashMark}: ${endpoint.id}`, gateway: 0 })
   }
   await awaitEndpoints()
   const { ends } = place.gateways[0].listCrashes()
