--- a/src/soak/crash-callers.ts
+++ b/src/soak/crash-callers.ts
@@ -6,6 +6,7 @@
 import { performance } from 'node:perf_hooks'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { crashMark } from '../standin/index.js'
+import { composeCaller } from './caller-words.js'
 import type { Disturbances } from './disturbances.js'
 import { callHttp } from './http-call.js'
 import { holdMs } from './promise-watch.js'
@@ -42,7 +43,6 @@
   readonly wasInTouch: boolean
 }
 
-const headers = { host: 'camp.example', authorization: 'Bearer soak-key', 'x-wrenlane-deadline-ms': '5000' }
 const paths = ['/again/harmful', '/once/harmful', '/resume/events-200']
 /** A harmful request comes again so long after its last answer, ms. */
 const leastPauseMs = 150
@@ -137,7 +137,7 @@
 
   #ask (gateway: number, id: string, path: string, body: string): ReturnType<typeof callHttp> {
     const { host } = this.#host.stage.gateways[gateway]
-    return callHttp({ host, port: callerPort, method: 'POST', path, headers: { ...headers, 'x-wrenlane-request-id': id }, timeout: 4 * holdMs }, body)
+    return callHttp({ host, port: callerPort, method: 'POST', path, headers: composeCaller(id), timeout: 4 * holdMs }, body)
   }
 
   #nextId (): string {
--- a/src/soak/ranked-callers.ts
+++ b/src/soak/ranked-callers.ts
@@ -6,6 +6,7 @@
 import { Agent } from 'node:http'
 import { performance } from 'node:perf_hooks'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { callerHost, composeCaller } from './caller-words.js'
 import { callHttp } from './http-call.js'
 import type { HttpEnd } from './http-call.js'
 import type { PrecedenceWatch } from './precedence-watch.js'
@@ -48,8 +49,6 @@
 const leastPatienceMs = 2000
 /** A caller comes back where the time named is at most this part of what is left to it. */
 const returnShare = 1 / 3
-const host = 'camp.example'
-const key = 'soak-key'
 
 export class RankedCallers {
   #host: RankedCallersHost
@@ -115,10 +114,7 @@
     const box = this.#host.stage.gateways[gateway]
     const sentAt = performance.now()
     const headers = {
-      host,
-      authorization: `Bearer ${key}`,
-      'x-wrenlane-request-id': id,
-      'x-wrenlane-deadline-ms': String(Math.max(1, Math.round(until - sentAt))),
+      ...composeCaller(id, Math.max(1, Math.round(until - sentAt))),
       'x-wrenlane-tokens': `${tokens},${kind.events * 10}`,
       'x-wrenlane-prompt-parts': `${id}:${tokens}`
     }
@@ -146,6 +142,6 @@
 /** The routes that the kinds take, and their service. */
 export function composeRankedRoutes (service: string): object[] {
   return rankedKinds.map(({ name, priority, targetMs, pauseMs, timeoutMs }) => ({
-    name, host, prefix: `/${name}/`, kind: 'events', timeoutMs, targetMs, pauseMs, priority, mostAttempts: 1, services: [{ service }]
+    name, host: callerHost, prefix: `/${name}/`, kind: 'events', timeoutMs, targetMs, pauseMs, priority, mostAttempts: 1, services: [{ service }]
   }))
 }
--- a/src/soak/soak-callers.ts
+++ b/src/soak/soak-callers.ts
@@ -6,6 +6,7 @@
 import { Agent } from 'node:http'
 import { performance } from 'node:perf_hooks'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { callerHost, callerKey, composeCaller } from './caller-words.js'
 import { callHttp } from './http-call.js'
 import { holdMs } from './promise-watch.js'
 import type { PromiseWatch, WatchedCall } from './promise-watch.js'
@@ -24,8 +25,6 @@
   countLives (gateway: string): number
 }
 
-const host = 'camp.example'
-const key = 'soak-key'
 /** Callers at each gateway. */
 const callersPerGateway = 3
 /** Pause of a caller between its calls, ms. */
@@ -136,10 +135,9 @@
   async #send (gateway: number, agent: Agent, { id, kind, path, version }: Pick<WatchedCall, 'id' | 'kind' | 'path' | 'version'>): Promise<WatchedCall> {
     const { name, host: to } = this.#host.stage.gateways[gateway]
     const body = `body of ${id}`
-    const headers = { host, authorization: `Bearer ${key}`, 'x-wrenlane-request-id': id, 'x-wrenlane-deadline-ms': '5000' }
     const life = this.#host.countLives(name)
     const sentAt = performance.now()
-    const end = await callHttp({ host: to, port: callerPort, method: 'POST', path, headers, agent, timeout: 4 * holdMs }, body)
+    const end = await callHttp({ host: to, port: callerPort, method: 'POST', path, headers: composeCaller(id), agent, timeout: 4 * holdMs }, body)
     return { id, gateway: name, life, kind, path, body, version, sentAt, endedAt: performance.now(), end }
   }
 
@@ -152,7 +150,7 @@
 // The language-model service stands in it where there are engines.
 function composeDocument (version: number, hasEngines: boolean): object {
   const services = [{ service: plainService }]
-  const route = (name: string, kind: string, more: object = {}) => ({ name, host, prefix: `/${name}/`, kind, timeoutMs: holdMs, targetMs: 300, mostAttempts: 2, services, ...more })
+  const route = (name: string, kind: string, more: object = {}) => ({ name, host: callerHost, prefix: `/${name}/`, kind, timeoutMs: holdMs, targetMs: 300, mostAttempts: 2, services, ...more })
   const routes = [
     route('once', 'once'),
     route('again', 'repeatable'),
@@ -163,5 +161,5 @@
   ]
   const { batch: slots, kvTokens: memoryTokens, tokensPerEvent } = engineShape
   const engines = hasEngines ? [{ name: engineService, engine: { slots, memoryTokens, tokensPerEvent } }] : []
-  return { version, routes, services: [{ name: plainService }, ...engines], workspaces: [{ name: 'camp', keys: [key] }] }
+  return { version, routes, services: [{ name: plainService }, ...engines], workspaces: [{ name: 'camp', keys: [callerKey] }] }
 }
