--- a/src/config/route-settings.ts
+++ b/src/config/route-settings.ts
@@ -43,6 +43,7 @@
       windowSeconds: { type: 'number', about: 'The window, which slides.', least: 0.1, most: 600, whole: false, unit: 's', fallback: 10 }
     }
   },
+  usageWindowSeconds: { type: 'number', about: 'Length of the windows of time in which requests that began are counted for each workspace, the same at all boxes; 0 where they are not counted.', least: 0, most: 3600, whole: false, unit: 's', fallback: 0 },
   drainSeconds: { type: 'number', about: 'The longest that a planned stop waits for requests in flight.', least: 0, most: 86_400, whole: false, unit: 's', fallback: 30 },
   maxConnections: whole('Connections of callers at a time.', 'connections', 1, 100_000, 2000)
 }
@@ -58,6 +59,17 @@
   heartbeatMs: whole('Time between heartbeats of the leader.', 'ms', 10, 10_000, 70),
   electionMs: whole('Shortest time without a heartbeat before an election.', 'ms', 50, 60_000, 350),
   snapshotEvery: whole('Entries of the log between snapshots; fewer where they hold large documents.', 'entries', 10, 1_000_000, 100),
+  duties: {
+    type: 'table',
+    about: 'What one registry at a time does for all boxes, at whoever runs the platform below; left out where there is nobody.',
+    fallback: null,
+    fields: {
+      address: hostPort('Where the calls go.'),
+      leaseMs: whole('After one registry has acted, it doesn\'t act again within this time once another has.', 'ms', 500, 600_000, 3000),
+      usageWindowSeconds: { type: 'number', about: 'Length of the windows in which requests that began are counted, as gateways have it.', least: 1, most: 3600, whole: false, unit: 's', fallback: 5 },
+      usageLateSeconds: { type: 'number', about: 'A window is told at latest so long after its end.', least: 1, most: 3600, whole: false, unit: 's', fallback: 10 }
+    }
+  },
   lostMs: whole('An endpoint that was silent for so long counts as lost.', 'ms', 1000, 24 * 3_600_000, 30_000),
   maxBodyBytes: whole('Largest body of a call.', 'bytes', 1024, 256 * 2 ** 20, 16 * 2 ** 20)
 }
@@ -82,10 +94,20 @@
   readonly listen: string
   readonly ready: string
   readonly retries: { readonly ratio: number, readonly extra: number, readonly windowSeconds: number }
+  /** 0 where usage is not counted. */
+  readonly usageWindowSeconds: number
   readonly drainSeconds: number
   readonly maxConnections: number
 }
 
+/** Where duties are carried out, and within which bounds. */
+export interface DutySettings {
+  readonly address: string
+  readonly leaseMs: number
+  readonly usageWindowSeconds: number
+  readonly usageLateSeconds: number
+}
+
 /** What a registry is told. */
 export interface RegistrySettings extends RouteBoxSettings {
   readonly listen: string
@@ -96,6 +118,8 @@
   readonly heartbeatMs: number
   readonly electionMs: number
   readonly snapshotEvery: number
+  /** Null where there are none. */
+  readonly duties: DutySettings | null
   readonly lostMs: number
   readonly maxBodyBytes: number
 }
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -1,6 +1,7 @@
 /**
  * Coordination parts for embedding: a replicated log, a ledger of
- * configuration, claims of calls that may not be repeated, and fenced orders.
+ * configuration, claims of calls that may not be repeated, leases on duties with
+ * fencing numbers, and usage that is counted once.
  */
 export * from './log/index.js'
 export * from './claims/claim-types.js'
@@ -16,8 +17,17 @@
 export type { HolderState, PullChoice, PullPatience, PullReason } from './spread/document-pull.js'
 export { applySteps, compareTexts } from './spread/text-patch.js'
 export type { PatchStep } from './spread/text-patch.js'
-export { OrderBook } from './orders/order-book.js'
-export type { Order, OrderAction, OrderBookState, OrderCommand, OrderResult } from './orders/order-book.js'
+export { LeaseBook } from './leases/lease-book.js'
+export type { LeaseBookState, LeaseCommand, LeaseResult, LeaseState } from './leases/lease-book.js'
+export { LeaseHolder } from './leases/lease-holder.js'
+export { planLeaseTiming } from './leases/lease-timing.js'
+export type { LeaseTiming } from './leases/lease-timing.js'
+export { ElapsedClock } from './leases/elapsed-clock.js'
+export type { ClockReading } from './leases/elapsed-clock.js'
+export { UsageBook } from './usage/usage-book.js'
+export type { UsageTelling } from './usage/usage-book.js'
+export { UsageLedger } from './usage/usage-ledger.js'
+export type { SettledWindow, UsageCommand, UsageCounts, UsageLedgerState, UsageResult, UsageWindow } from './usage/usage-ledger.js'
 export { KeeperState, defaultBounds } from './keeper-state.js'
 export type { KeeperBounds, KeeperCommand, KeeperResult, KeeperSnapshot } from './keeper-state.js'
 export { KeeperLog } from './keeper-log.js'
--- a/src/coordination/keeper-state.ts
+++ b/src/coordination/keeper-state.ts
@@ -1,6 +1,7 @@
 /**
- * All that keepers agree on: the configuration, the claims, the orders and the
- * routing document, as one state machine that a replicated log drives.
+ * All that keepers agree on: the configuration, the claims, the leases on duties,
+ * the usage and the routing document, as one state machine that a replicated log
+ * drives.
  */
 import { ClaimTable } from './claims/claim-table.js'
 import type { ClaimBounds, ClaimTableState } from './claims/claim-table.js'
@@ -10,18 +11,21 @@
 import type { LedgerCommand, LedgerResult } from './ledger/ledger-types.js'
 import { DocumentRegister } from './ledger/document-register.js'
 import type { DocumentCommand, DocumentResult, VersionedText } from './ledger/document-register.js'
-import { OrderBook } from './orders/order-book.js'
-import type { OrderBookState, OrderCommand, OrderResult } from './orders/order-book.js'
+import { LeaseBook } from './leases/lease-book.js'
+import type { LeaseBookState, LeaseCommand, LeaseResult } from './leases/lease-book.js'
+import { UsageLedger } from './usage/usage-ledger.js'
+import type { UsageCommand, UsageLedgerState, UsageResult } from './usage/usage-ledger.js'
 
 /** Any command that keepers agree on. */
 export type KeeperCommand =
   | { readonly part: 'claims', readonly command: ClaimCommand }
   | { readonly part: 'config', readonly command: LedgerCommand }
-  | { readonly part: 'orders', readonly command: OrderCommand }
+  | { readonly part: 'leases', readonly command: LeaseCommand }
+  | { readonly part: 'usage', readonly command: UsageCommand }
   | { readonly part: 'routing', readonly command: DocumentCommand }
 
 /** Any answer. */
-export type KeeperResult = ClaimResult | LedgerResult | OrderResult | DocumentResult
+export type KeeperResult = ClaimResult | LedgerResult | LeaseResult | UsageResult | DocumentResult
 
 /** The bounds of each part. */
 export interface KeeperBounds {
@@ -39,7 +43,9 @@
 export interface KeeperSnapshot {
   readonly claims: ClaimTableState
   readonly config: LedgerState
-  readonly orders: OrderBookState
+  /** Absent, as the next, in snapshots from before there were duties. */
+  readonly leases?: LeaseBookState
+  readonly usage?: UsageLedgerState
   /** Absent in snapshots from before there were routes. */
   readonly routing?: VersionedText | null
 }
@@ -47,13 +53,15 @@
 export class KeeperState {
   readonly claims: ClaimTable
   readonly config: ConfigLedger
-  readonly orders: OrderBook
+  readonly leases: LeaseBook
+  readonly usage: UsageLedger
   readonly routing: DocumentRegister
 
   constructor (bounds: KeeperBounds, snapshot: KeeperSnapshot | null) {
     this.claims = new ClaimTable(bounds.claims, snapshot?.claims)
     this.config = new ConfigLedger(bounds.config, snapshot?.config)
-    this.orders = new OrderBook(snapshot?.orders)
+    this.leases = new LeaseBook(snapshot?.leases)
+    this.usage = new UsageLedger(snapshot?.usage)
     this.routing = new DocumentRegister(snapshot?.routing)
   }
 
@@ -62,12 +70,13 @@
     switch (command.part) {
       case 'claims': return this.claims.apply(command.command, time)
       case 'config': return this.config.apply(command.command, time)
-      case 'orders': return this.orders.apply(command.command, time)
+      case 'leases': return this.leases.apply(command.command)
+      case 'usage': return this.usage.apply(command.command)
       case 'routing': return this.routing.apply(command.command)
     }
   }
 
   save (): KeeperSnapshot {
-    return { claims: this.claims.save(), config: this.config.save(), orders: this.orders.save(), routing: this.routing.save() }
+    return { claims: this.claims.save(), config: this.config.save(), leases: this.leases.save(), usage: this.usage.save(), routing: this.routing.save() }
   }
 }
--- /dev/null
+++ b/src/coordination/leases/lease-timing.ts
@@ -0,0 +1,26 @@
+/** The times of a lease, all ms. */
+export interface LeaseTiming {
+  /** From asking for a renewal, how long the holder may act on it. */
+  readonly holdMs: number
+  /** Between renewals. */
+  readonly renewMs: number
+  /** How long a mark must have stood still before another may claim. */
+  readonly waitMs: number
+  /** How long one that held the lease before leaves it to others once one of them has it. */
+  readonly coolMs: number
+}
+
+/** Part of the bound that a holder acts within: the rest is for calls that arrive late and for claims. */
+const holdShare = 0.8
+/** Renewals in the time of a lease: one may be lost, and another one late. */
+const renewals = 5
+/** Clocks of boxes differ by less in their pace: crystals by 0.0002, virtual ones by a few in a hundred. */
+const driftShare = 0.05
+/** A call that was written at the last moment has arrived, or was called off, ms. */
+const arrivalMs = 250
+
+/** Works the times out from the bound within which holders may not come back, ms. */
+export function planLeaseTiming (boundMs: number): LeaseTiming {
+  const holdMs = boundMs * holdShare
+  return { holdMs, renewMs: holdMs / renewals, waitMs: holdMs * (1 + driftShare) + arrivalMs, coolMs: boundMs * (1 + driftShare) + arrivalMs }
+}
--- a/src/core/balance/endpoint-record.ts
+++ b/src/core/balance/endpoint-record.ts
@@ -19,6 +19,8 @@
   readonly born: number
   /** Version of what it runs; empty where it doesn't say. */
   readonly software: string
+  /** There for one that may be taken back at short notice. */
+  readonly isSpot?: true
   /** Rises with each word of the endpoint; tells a late one. */
   readonly sequence: number
   readonly stage: EndpointStage
--- a/src/core/routes/route.ts
+++ b/src/core/routes/route.ts
@@ -62,11 +62,26 @@
   readonly transfer: PromptTransfer | null
 }
 
+/** How many endpoints of a service may be ordered, and what they cost. */
+export interface EndpointSizing {
+  /** Bounds in each zone, on both kinds together. */
+  readonly least: number
+  readonly most: number
+  /** From an order to the first request, ms. */
+  readonly bootMs: number
+  /** Price of an endpoint that may be taken back, in that of an ordinary one; null where there are none. */
+  readonly spotPrice: number | null
+  /** Price of an endpoint's second by zone; 1 where a zone is not named. */
+  readonly zonePrices: ReadonlyMap<string, number>
+}
+
 /** A service that routes lead to. */
 export interface RoutedService {
   readonly name: ServiceName
   /** Connections that one endpoint takes from all boxes together. */
   readonly mostConnections: number
+  /** Null where endpoints are not ordered. */
+  readonly sizing: EndpointSizing | null
   /** Null for a plain service. */
   readonly engine: EngineProfile | null
 }
--- /dev/null
+++ b/src/gateway/exchange-host.ts
@@ -0,0 +1,29 @@
+import type { Fleet } from '../core/index.js'
+import type { Dialect } from '../protocol/index.js'
+import type { CrashGuard } from './crash-guard.js'
+import type { EndpointAgent } from './endpoint-agent.js'
+import type { Exchange } from './exchange.js'
+import type { ExchangeSummary } from './exchange-summary.js'
+import type { Order } from './order.js'
+
+/** What an exchange needs of its box. */
+export interface ExchangeHost {
+  readonly dialect: Dialect
+  readonly fleet: Fleet
+  readonly agent: EndpointAgent
+  readonly guard: CrashGuard
+  now (): number
+  /** A number from 0 up to 1. */
+  draw (): number
+  /** Takes one second send from the retry budget. */
+  takeRetry (order: Order): boolean
+  /** The work at the endpoints has changed. */
+  noteLoad (): void
+  /** Holds the exchange until `tryPlace` finds room for it. */
+  hold (exchange: Exchange): void
+  /** The exchange waits no more. */
+  unhold (exchange: Exchange): void
+  /** An endpoint began with the request at `at`, as far as this box can tell. */
+  noteRun (order: Order, at: number): void
+  noteEnd (exchange: Exchange, summary: ExchangeSummary): void
+}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -3,17 +3,16 @@
  * and relays. What a failure allows is decided by its `SendCourse`.
  */
 import type { ServerResponse } from 'node:http'
-import type { Admission, EndpointId, EndpointView, Fleet, PromptPlan } from '../core/index.js'
-import type { Dialect } from '../protocol/index.js'
+import type { Admission, EndpointId, EndpointView, PromptPlan } from '../core/index.js'
 import { sendRefusal } from './answers.js'
 import type { Refusal } from './answers.js'
 import { composeTarget } from './call-target.js'
-import type { CrashGuard, SendEvidence } from './crash-guard.js'
-import type { EndpointAgent } from './endpoint-agent.js'
+import type { SendEvidence } from './crash-guard.js'
 import { EndpointCall } from './endpoint-call.js'
 import type { AnswerHead, CallFailure } from './endpoint-call.js'
 import { EventCutter } from './event-cutter.js'
 import type { NumberedEvent } from './event-cutter.js'
+import type { ExchangeHost } from './exchange-host.js'
 import type { Attempt, ExchangeSummary } from './exchange-summary.js'
 import type { Order } from './order.js'
 import { passHeaders } from './pass-headers.js'
@@ -23,26 +22,6 @@
 import type { NextStep } from './send-course.js'
 import type { Sent } from './sent.js'
 
-/** What an exchange needs of its box. */
-export interface ExchangeHost {
-  readonly dialect: Dialect
-  readonly fleet: Fleet
-  readonly agent: EndpointAgent
-  readonly guard: CrashGuard
-  now (): number
-  /** A number from 0 up to 1. */
-  draw (): number
-  /** Takes one second send from the retry budget. */
-  takeRetry (order: Order): boolean
-  /** The work at the endpoints has changed. */
-  noteLoad (): void
-  /** Holds the exchange until `tryPlace` finds room for it. */
-  hold (exchange: Exchange): void
-  /** The exchange waits no more. */
-  unhold (exchange: Exchange): void
-  noteEnd (exchange: Exchange, summary: ExchangeSummary): void
-}
-
 type Phase = 'waiting' | 'relaying' | 'ended'
 
 /** Answers that are not passed on event by event are held whole, up to this, bytes. */
@@ -61,6 +40,7 @@
   #course: SendCourse
   #events: PassedEvents
   #firstAt: number | null = null
+  #hasRun = false
 
   constructor (host: ExchangeHost, order: Order, response: ServerResponse) {
     this.#host = host
@@ -218,9 +198,18 @@
     const now = this.#host.now()
     this.#firstAt ??= now
     sent.view.noteFirst(sent.placed, now)
+    // A stream begins with its first event; a plain call about when it was sent.
+    this.#noteRun(sent.cutter === null ? sent.attempt.sentAt : now)
     this.#host.noteLoad()
   }
 
+  // One request counts once, wherever it goes on.
+  #noteRun (at: number): void {
+    if (this.#hasRun) return
+    this.#hasRun = true
+    this.#host.noteRun(this.order, at)
+  }
+
   #finish (sent: Sent): void {
     if (sent.cutter !== null) return this.#finishStream(sent, sent.cutter)
     const { head } = sent
@@ -256,6 +245,7 @@
 
   #noteFailed (sent: Sent, head: AnswerHead): void {
     sent.view.trust.noteFailure()
+    this.#noteRun(sent.attempt.sentAt)
     this.#noteSendEnd(sent, 'answered')
     const next = this.#course.decide({ type: 'failed' })
     if (next.type === 'pass') return this.#receive(sent, head)
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -17,13 +17,14 @@
 import { EndpointAgent } from './endpoint-agent.js'
 import { EndpointProber } from './endpoint-prober.js'
 import { Exchange } from './exchange.js'
-import type { ExchangeHost } from './exchange.js'
+import type { ExchangeHost } from './exchange-host.js'
 import { tellEnd } from './exchange-report.js'
 import type { ExchangeSummary } from './exchange-summary.js'
 import { LoadReporter } from './load-reporter.js'
 import type { Order } from './order.js'
 import { ReadyDoor } from './ready-door.js'
 import { RegistryFollower } from './registry-follower.js'
+import { UsageTeller } from './usage-teller.js'
 import { WaitingLine } from './waiting-line.js'
 
 /** What a gateway is given beside its settings. */
@@ -74,6 +75,8 @@
   #line: WaitingLine
   #prober: EndpointProber
   #guard: CrashGuard
+  /** Null where usage is not asked for. */
+  #usage: UsageTeller | null
   #leaving = false
   #leavesAt: number | null = null
   #busyAt = 0
@@ -98,6 +101,8 @@
     })
     this.#prober = new EndpointProber(log, now)
     this.#guard = new CrashGuard({ log, metrics: around.metrics, fleet: this.#fleet, prober: this.#prober, now, tell: news => this.#follower.tell({ type: 'crashes', news }) })
+    const windowMs = settings.usageWindowSeconds * 1000
+    this.#usage = windowMs === 0 ? null : new UsageTeller({ windowMs, now, findLink: () => this.#follower.findNear() })
     this.#exchangeHost = this.#createExchangeHost()
     this.#door = this.#createDoor()
     this.#ready = new ReadyDoor(dialect.readyPath, () => this.isReady)
@@ -126,6 +131,7 @@
     this.#follower.start(seeds)
     this.#timer = setInterval(() => this.#sweep(), sweepMs)
     this.#teller = setInterval(() => this.#tellBeliefs(), beliefsMs)
+    this.#usage?.start()
     this.#around.log.info('gateway-started', { listen, seeds: seeds.join(',') })
   }
 
@@ -142,6 +148,8 @@
     while (now() < until && !this.#isQuiet(startedAt)) await new Promise(resolve => setTimeout(resolve, sweepMs))
     const cut = this.inFlight
     for (const exchange of [...this.#exchanges]) exchange.cut()
+    this.#usage?.end()
+    await new Promise(resolve => setImmediate(resolve))
     this.kill()
     this.#around.log.info('gateway-stopped', { cut, ms: Math.round(now() - startedAt) })
     return cut
@@ -151,6 +159,7 @@
   kill (): void {
     if (this.#timer !== null) clearInterval(this.#timer)
     if (this.#teller !== null) clearInterval(this.#teller)
+    this.#usage?.close()
     this.#line.close()
     this.#door.close()
     this.#ready.close()
@@ -218,6 +227,7 @@
       noteLoad: () => this.#loads.noteChange(),
       hold: exchange => this.#hold(exchange),
       unhold: exchange => this.#unhold(exchange),
+      noteRun: ({ workspace }, at) => { if (workspace !== null) this.#usage?.note(workspace.name, at) },
       noteEnd: (exchange, summary) => this.#noteEnd(exchange, summary)
     }
   }
--- a/src/gateway/registry-follower.ts
+++ b/src/gateway/registry-follower.ts
@@ -6,7 +6,7 @@
 import { parseAddress } from '../config/index.js'
 import { DocumentPull } from '../coordination/index.js'
 import type { HolderState, PullPatience, VersionedText } from '../coordination/index.js'
-import { brandId } from '../core/index.js'
+import { brandId, chooseByHash } from '../core/index.js'
 import type { BoxId, CrashNews, EndpointRecord, ReadPrompt, ZoneName } from '../core/index.js'
 import { LinkPool, unpackDocument } from '../protocol/index.js'
 import type { Link, PackedDocument, RouteMessage } from '../protocol/index.js'
@@ -124,6 +124,15 @@
     for (const link of this.#links.dialed) link.send(message)
   }
 
+  /** The link to a registry that is heard, of the own zone where there is one; the same until it is silent. Undefined where there is none. */
+  findNear (): Link<RouteMessage> | undefined {
+    const heard = this.#links.listHeard(this.#host.now() - nearMs)
+    const near = heard.filter(({ link }) => this.#zones.get(link) === this.#host.zone)
+    const hosts = near.length > 0 ? near : heard
+    const host = chooseByHash('usage', hosts.map(one => one.host))
+    return hosts.find(one => one.host === host)?.link
+  }
+
   close (): void {
     if (this.#timer !== null) clearInterval(this.#timer)
     this.#inbox.close()
--- a/src/protocol/dialect.ts
+++ b/src/protocol/dialect.ts
@@ -5,6 +5,7 @@
  * platform brings its own.
  */
 import type { EndpointRecord, EndpointStage, PromptCost, RoutingDocument } from '../core/index.js'
+import type { DutyCall, DutyWords, OutsideCall } from './duty-call.js'
 
 /** Header names in lower case, as Node gives them. */
 export type HeaderMap = Readonly<Record<string, string | string[] | undefined>>
@@ -87,6 +88,7 @@
   decodeDocument (text: string): RoutingDocument
   /** Throws `DocumentError` where a registration can't be read. */
   decodeRegistration (endpoint: string, text: string): EndpointRecord
+  composeDuty (call: DutyCall, words: DutyWords): OutsideCall
   /** The record for an endpoint that says that it is gone. */
   composeGone (endpoint: string, stage: EndpointStage): EndpointRecord
 }
--- a/src/protocol/document-reader.ts
+++ b/src/protocol/document-reader.ts
@@ -48,6 +48,11 @@
     return least
   }
 
+  /** Every field that is a number, by its key. */
+  readNumbers (): [string, number][] {
+    return Object.keys(this.#table).map(key => [key, this.readNumber(key)])
+  }
+
   readSwitch (key: string, fallback: boolean): boolean {
     const found = this.#table[key]
     if (typeof found === 'boolean') return found
--- a/src/protocol/header-dialect.ts
+++ b/src/protocol/header-dialect.ts
@@ -4,6 +4,8 @@
  */
 import { brandId } from '../core/index.js'
 import type { EndpointRecord, EndpointStage, PromptCost, PromptPart, RoutingDocument } from '../core/index.js'
+import { composeDuty } from './duty-call.js'
+import type { DutyCall, DutyNames, DutyWords, OutsideCall } from './duty-call.js'
 import { copyHeaders } from './dialect.js'
 import type { AnswerWords, CallerWords, Dialect, EndpointWords, HeaderMap, RegistryCall } from './dialect.js'
 
@@ -44,6 +46,7 @@
 export interface DialectParts {
   readonly headers: HeaderNames
   readonly paths: CallPaths
+  readonly duties: DutyNames
   /** Whether callers read fractions of a second in Retry-After, beyond the standard. */
   readonly fractionalRetryAfter: boolean
   decodeDocument (text: string): RoutingDocument
@@ -70,6 +73,7 @@
   #lower: HeaderNames
   #paths: CallPaths
   #dropped: Set<string>
+  #duties: DutyNames
   #fractional: boolean
 
   constructor (parts: DialectParts) {
@@ -79,6 +83,7 @@
     this.#names = parts.headers
     this.#lower = lowerNames(parts.headers)
     this.#paths = parts.paths
+    this.#duties = parts.duties
     this.#fractional = parts.fractionalRetryAfter
     const { deadline, expectedEndpoint, workspace, priority, fetchFrom, lastEvent, reserved } = this.#lower
     this.#dropped = new Set([...framingHeaders, 'authorization', deadline, expectedEndpoint, workspace, priority, fetchFrom, lastEvent, ...reserved])
@@ -133,6 +138,8 @@
     return { type: 'unknown' }
   }
 
+  composeDuty (call: DutyCall, words: DutyWords): OutsideCall { return composeDuty(this.#duties, call, words) }
+
   composeGone (endpoint: string, stage: EndpointStage): EndpointRecord {
     return { id: brandId(endpoint), service: brandId(''), host: '', port: 0, zone: brandId(''), slots: 0, born: 0, software: '', sequence: 0, stage }
   }
--- a/src/protocol/native-dialect.ts
+++ b/src/protocol/native-dialect.ts
@@ -3,7 +3,7 @@
  * `docs/ROUTES.md`: JSON documents, `x-wrenlane-` headers.
  */
 import { brandId, defaultCallerLimits } from '../core/index.js'
-import type { EndpointRecord, EndpointStage, KeyedWorkspace, PromptTransfer, Route, RouteKind, RoutedService, RoutingDocument, WeightedService } from '../core/index.js'
+import type { EndpointRecord, EndpointSizing, EndpointStage, KeyedWorkspace, PromptTransfer, Route, RouteKind, RoutedService, RoutingDocument, WeightedService } from '../core/index.js'
 import { DocumentReader, mostPort, parseJson } from './document-reader.js'
 import { createDialect } from './header-dialect.js'
 
@@ -32,6 +32,14 @@
     reserved: []
   },
   paths: { ready: '/readyz', document: '/v1/routing', endpoints: '/v1/endpoints/' },
+  duties: {
+    holder: 'x-wrenlane-holder',
+    fence: 'x-wrenlane-fence',
+    usage: '/v1/usage',
+    orders: '/v1/endpoint-orders',
+    composeUsage: (window, counts) => ({ window, counts: Object.fromEntries(counts) }),
+    composeOrder: ({ service, zone, isSpot, count }) => ({ service, zone, spot: isSpot, count })
+  },
   fractionalRetryAfter: false,
   decodeDocument,
   decodeRegistration
@@ -75,6 +83,7 @@
   return {
     name: brandId(reader.readText('name')),
     mostConnections: reader.readNumber('mostConnections', defaultConnections),
+    sizing: reader.has('sizing') ? reader.readTable('sizing', readSizing) : null,
     engine: reader.has('engine')
       ? reader.readTable('engine', engine => ({
         slots: engine.readNumber('slots'),
@@ -86,6 +95,16 @@
   }
 }
 
+function readSizing (reader: DocumentReader): EndpointSizing {
+  return {
+    least: reader.readWhole('least', 0),
+    most: reader.readWhole('most', 1),
+    bootMs: reader.readNumber('bootMs', 0),
+    spotPrice: reader.has('spotPrice') ? reader.readNumber('spotPrice') : null,
+    zonePrices: new Map(reader.has('zonePrices') ? reader.readTable('zonePrices', prices => prices.readNumbers()) : [])
+  }
+}
+
 function readTransfer (reader: DocumentReader): PromptTransfer {
   return { tokenBytes: reader.readNumber('tokenBytes'), bytesPerMs: reader.readNumber('bytesPerMs') }
 }
@@ -123,6 +142,7 @@
     slots: reader.readWhole('slots', 1),
     born: reader.readWhole('born', 0, 0),
     software: reader.readText('software', ''),
+    ...(reader.readSwitch('spot', false) ? { isSpot: true } : {}),
     sequence: reader.readWhole('sequence'),
     stage: reader.readChoice('stage', stages)
   }
--- a/src/protocol/route-message.ts
+++ b/src/protocol/route-message.ts
@@ -2,7 +2,7 @@
  * What the boxes that route by a document say to each other over links:
  * registries among themselves, gateways with registries.
  */
-import type { RaftMessage, ReplicaId, VersionedText } from '../coordination/index.js'
+import type { RaftMessage, ReplicaId, UsageTelling, VersionedText } from '../coordination/index.js'
 import type { BoxId, CrashNews, EndpointId, EndpointRecord, ReadPrompt } from '../core/index.js'
 import type { PackedDocument } from './packed-document.js'
 
@@ -36,5 +36,7 @@
   | { readonly type: 'crashes', readonly news: CrashNews }
   /** Endpoints that were heard from, with the sequence of the newest word. */
   | { readonly type: 'heard', readonly words: readonly (readonly [EndpointId, number])[] }
+  /** Requests that began at boxes: from a gateway its own, from a registry what it was told. */
+  | { readonly type: 'usage', readonly tellings: readonly UsageTelling[] }
   /** The registries that the sender knows, and how many gateways it is in touch with. */
   | { readonly type: 'boxes', readonly registries: readonly string[], readonly gateways: number }
--- /dev/null
+++ b/src/registry/duty-caller.ts
@@ -0,0 +1,83 @@
+/**
+ * Makes a duty's calls. Each has a connection of its own, and whether it may be
+ * made is asked once that is open, right before the first byte is written: a
+ * connection may take long to come about. A call that isn't answered in time is
+ * reset, so that what the network still holds of it is dropped.
+ */
+import { request as httpRequest } from 'node:http'
+import { connect } from 'node:net'
+import type { Socket } from 'node:net'
+import type { Address } from '../config/index.js'
+import type { OutsideCall } from '../protocol/index.js'
+
+/** How a call ended; `not-held`: it was not made, as the duty is not this box's any more. */
+export type DutyEnd =
+  | { readonly type: 'answered', readonly status: number }
+  | { readonly type: 'failed', readonly reason: string }
+  | { readonly type: 'not-held' }
+
+/** A connection that takes longer won't come about, ms: many times the way to the platform. */
+const connectMs = 400
+/** A call that is answered later is reset, ms: the platform answers in a few ms, and fifty times as late when it is slow. */
+export const dutyCallMs = 700
+
+/** The longest that a call takes from its start to its end, ms. */
+export const longestCallMs = connectMs + dutyCallMs
+
+export class DutyCaller {
+  #address: Address
+  #open = new Set<Socket>()
+  #unsureAt = -Infinity
+
+  constructor (address: Address) {
+    this.#address = address
+  }
+
+  /** Calls under way. */
+  get openCount (): number { return this.#open.size }
+
+  /** When a call last ended of which it isn't known whether it may still arrive, on the process's rising clock, ms. */
+  get unsureAt (): number { return this.#unsureAt }
+
+  /** Makes a call. `compose`: the call as it may go out at this moment; null where it may not. */
+  call (compose: () => OutsideCall | null): Promise<DutyEnd> {
+    return new Promise(resolve => {
+      const socket = connect(this.#address)
+      this.#open.add(socket)
+      let timer = setTimeout(() => end({ type: 'failed', reason: 'no connection' }), connectMs)
+      const end = (result: DutyEnd): void => {
+        clearTimeout(timer)
+        this.#open.delete(socket)
+        socket.resetAndDestroy()
+        resolve(result)
+      }
+      socket.on('error', error => end({ type: 'failed', reason: error.message }))
+      socket.once('connect', () => {
+        clearTimeout(timer)
+        const call = compose()
+        if (call === null) return end({ type: 'not-held' })
+        const endWritten = (result: DutyEnd): void => {
+          if (result.type !== 'answered') this.#unsureAt = performance.now()
+          end(result)
+        }
+        timer = setTimeout(() => endWritten({ type: 'failed', reason: 'no answer' }), dutyCallMs)
+        send(socket, call, endWritten)
+      })
+    })
+  }
+
+  /** Resets all that is under way. */
+  close (): void {
+    for (const socket of this.#open) socket.resetAndDestroy()
+  }
+}
+
+function send (socket: Socket, { method, path, headers, body }: OutsideCall, end: (result: DutyEnd) => void): void {
+  const request = httpRequest({ createConnection: () => socket, method, path, headers: { ...headers, 'content-length': Buffer.byteLength(body), connection: 'close' } }, answer => {
+    answer.resume()
+    answer.on('end', () => end({ type: 'answered', status: answer.statusCode ?? 0 }))
+    answer.on('error', error => end({ type: 'failed', reason: error.message }))
+  })
+  request.on('error', error => end({ type: 'failed', reason: error.message }))
+  request.end(body)
+}
--- a/src/registry/leader-calls.ts
+++ b/src/registry/leader-calls.ts
@@ -78,6 +78,15 @@
     return { sure: true, document: log.state.routing.newest }
   }
 
+  /** Answers a call that another registry passed on. */
+  async answer (link: Link<RouteMessage>, message: Extract<RouteMessage, { type: 'put' | 'read' }>): Promise<void> {
+    const { call } = message
+    if (message.type === 'put') return void link.send({ type: 'put-end', call, end: await this.putHere(message.document) ?? 'not-leader' })
+    const { sure, document } = await this.readHere()
+    const isNews = document !== null && document.version > message.version
+    link.send({ type: 'read-end', call, sure, document: isNews ? document : null })
+  }
+
   /** Takes the leader's answer to a call that was passed on. */
   receive (answer: AnswerMessage): void {
     this.#open.get(answer.call)?.(answer)
--- a/src/registry/open-log.ts
+++ b/src/registry/open-log.ts
@@ -1,11 +1,12 @@
 import type { RegistrySettings } from '../config/index.js'
 import { KeeperLog } from '../coordination/index.js'
+import type { Members, ReplicaId } from '../coordination/index.js'
 import type { EventLog } from '../runtime/index.js'
 
 /** Pause before a disk that refuses is tried again, ms. */
 const diskRetryMs = 150
 /** The second part of the ids of the replicas that begin a log. */
-export const firstDisk = 'first'
+const firstDisk = 'first'
 
 /** What the log needs of its box, beside what the settings say. */
 type LogHost = Omit<Parameters<typeof KeeperLog.open>[1], 'timing' | 'snapshotEvery'>
@@ -28,3 +29,14 @@
     }
   }
 }
+
+/**
+ * Starts the replica. The seeds of the first start all begin the same log, without
+ * a word between them; every other empty disk waits to be let in.
+ */
+export async function beginLog (keeper: KeeperLog, seeds: readonly string[], isFirst: boolean, log: EventLog): Promise<void> {
+  const voters = seeds.map(host => `${host}#${firstDisk}` as ReplicaId).sort()
+  const members: Members = { voters, learners: [] }
+  if (isFirst && await keeper.form(members)) log.info('log-formed', { voters: voters.join(',') })
+  keeper.startReplica()
+}
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -7,20 +7,21 @@
 import { parseAddress } from '../config/index.js'
 import type { RegistrySettings } from '../config/index.js'
 import { KeeperLog, getReplicaHost } from '../coordination/index.js'
-import type { Members, ReplicaId } from '../coordination/index.js'
+import type { ReplicaId } from '../coordination/index.js'
 import { brandId } from '../core/index.js'
 import type { EndpointRecord, ReadPrompt } from '../core/index.js'
 import { LinkPool } from '../protocol/index.js'
 import type { Dialect, Link, RouteMessage } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import { CrashDesk } from './crash-desk.js'
+import { DutyDesk } from './duty-desk.js'
 import { EndpointDesk, restoredMs } from './endpoint-desk.js'
 import { GatewayRoster } from './gateway-roster.js'
 import { LeaderCalls } from './leader-calls.js'
 import { LoadHub } from './load-hub.js'
 import { MemberTender } from './member-tender.js'
 import { OperatorDesk } from './operator-desk.js'
-import { firstDisk, openRegistryLog } from './open-log.js'
+import { beginLog, openRegistryLog } from './open-log.js'
 import { RecentDocuments } from './recent-documents.js'
 import { SavedState } from './saved-state.js'
 
@@ -54,6 +55,8 @@
   #desk: OperatorDesk
   #log: KeeperLog | null = null
   #calls: LeaderCalls | null = null
+  /** Null where there are none. */
+  #duties: DutyDesk | null = null
   #hosts = new Set<string>()
   #seeds: readonly string[] = []
   #members: MemberTender
@@ -83,6 +86,7 @@
   /** Opens the disk and begins to serve. */
   async start (): Promise<void> {
     const { listen, host, bind, linkPort, loadPort, seeds } = this.#settings
+    const { log } = this.#around
     this.setSeeds(seeds)
     await this.#links.listen(bind === '' ? host : bind, linkPort)
     await this.#hub.listen(host, loadPort)
@@ -92,10 +96,11 @@
     this.#timers.push(setTimeout(() => this.#endpoints.tick(), restoredMs))
     this.#log = await this.#openLog()
     this.#calls = new LeaderCalls({ log: this.#log, findLink: replica => this.#links.find(getReplicaHost(replica), linkPort) })
-    await this.#begin(this.#log)
+    await beginLog(this.#log, this.#seeds, this.#settings.first, log)
     // A snapshot is in force from the start; nobody tells of it.
     this.#announce()
     this.port = await this.#desk.listen(parseAddress(listen))
+    this.#startDuties(this.#log)
     this.#timers.push(setInterval(() => this.#tick(), helloMs), setInterval(() => this.#tell(), tellMs))
     this.#around.log.info('registry-started', { replica: this.#log.id, formed: this.#log.isFormed })
   }
@@ -108,6 +113,7 @@
 
   /** Hands leadership over, then ends. */
   async stop (): Promise<void> {
+    await this.#duties?.stop()
     await this.#log?.replica?.transfer()
     this.kill()
     this.#around.log.info('registry-stopped')
@@ -116,6 +122,7 @@
   /** Ends at once, as a crash does. */
   kill (): void {
     for (const timer of this.#timers) clearInterval(timer)
+    this.#duties?.close()
     this.#desk.close()
     this.#hub.close()
     this.#links.close()
@@ -192,13 +199,12 @@
     })
   }
 
-  // The seeds of the first start all begin the same log, without a word between
-  // them; every other empty disk waits to be let in.
-  async #begin (log: KeeperLog): Promise<void> {
-    const voters = this.#seeds.map(host => `${host}#${firstDisk}` as ReplicaId).sort()
-    const members: Members = { voters, learners: [] }
-    if (this.#settings.first && await log.form(members)) this.#around.log.info('log-formed', { voters: voters.join(',') })
-    log.startReplica()
+  #startDuties (keeper: KeeperLog): void {
+    const { id, duties, linkPort } = this.#settings
+    if (duties === null) return
+    const findLeader = () => keeper.leader === null ? undefined : this.#links.find(getReplicaHost(keeper.leader), linkPort)
+    this.#duties = new DutyDesk(duties, { ...this.#around, id, keeper, now, findLeader, step: () => {} })
+    this.#duties.start()
   }
 
   // Meeting the others.
@@ -273,13 +279,14 @@
       case 'raft': return this.#log?.receive(message.from, message.to, message.message)
       case 'registry-hello': return this.#noteHello(message)
       case 'gateway-hello': return this.#noteGateway(link, message)
-      case 'put': return void this.#answerPut(link, message)
-      case 'read': return void this.#answerRead(link, message)
+      case 'put':
+      case 'read': return void this.#opened.calls.answer(link, message)
       case 'put-end':
       case 'read-end': return this.#calls?.receive(message)
       case 'ask-document': return this.#sendDocument(link, message.held)
       case 'endpoints': return this.#endpoints.merge(message.records)
       case 'crashes': return this.#crashes.merge(message.news)
+      case 'usage': return this.#duties?.takeUsage(message.tellings)
       case 'heard': return this.#endpoints.noteHeard(message.words)
       case 'version':
       case 'document':
@@ -302,17 +309,6 @@
     this.#around.log.info('gateway-met', { gateway, version })
   }
 
-  async #answerPut (link: Link<RouteMessage>, { call, document }: Extract<RouteMessage, { type: 'put' }>): Promise<void> {
-    const end = await this.#opened.calls.putHere(document)
-    link.send({ type: 'put-end', call, end: end ?? 'not-leader' })
-  }
-
-  async #answerRead (link: Link<RouteMessage>, { call, version }: Extract<RouteMessage, { type: 'read' }>): Promise<void> {
-    const { sure, document } = await this.#opened.calls.readHere()
-    const isNews = document !== null && document.version > version
-    link.send({ type: 'read-end', call, sure, document: isNews ? document : null })
-  }
-
   #sendDocument (link: Link<RouteMessage>, held: number): void {
     const document = this.#recent.pack(held)
     if (document !== null) link.send({ type: 'document', document })
--- a/src/runtime/index.ts
+++ b/src/runtime/index.ts
@@ -1,4 +1,5 @@
 /** What every process of the product stands on: tasks, logs, metrics, time. */
+export { DayClock } from './day-clock.js'
 export { DatagramPort } from './datagram-port.js'
 export { Gatherer } from './gatherer.js'
 export { Inbox } from './inbox.js'
--- a/test/dialects.test.ts
+++ b/test/dialects.test.ts
@@ -19,7 +19,7 @@
   assert.equal(version, 7)
   assert.deepEqual(routes[0], { name: 'r', host: 'h.example', prefix: '/a/', kind: 'events', timeoutMs: 15000, targetMs: 250, pauseMs: 120, priority: 2, services: [{ service: 's', weight: 1 }], mostAttempts: 2, isPublic: false, resumable: true })
   assert.deepEqual([routes[1].kind, routes[1].services], ['once', [{ service: 's', weight: 90 }, { service: 't', weight: 10 }]])
-  assert.deepEqual(services, [{ name: 's', mostConnections: 370, engine: { slots: 64, memoryTokens: 638949, tokensPerEvent: 5, transfer: { tokenBytes: 163840, bytesPerMs: 22_500_000 } } }, { name: 't', mostConnections: 110, engine: null }])
+  assert.deepEqual(services, [{ name: 's', mostConnections: 370, sizing: null, engine: { slots: 64, memoryTokens: 638949, tokensPerEvent: 5, transfer: { tokenBytes: 163840, bytesPerMs: 22_500_000 } } }, { name: 't', mostConnections: 110, sizing: null, engine: null }])
   assert.deepEqual(limits, { headerBytes: 16384, bodyBytes: 4194304, headerMs: 3000, idleMs: 15000 })
   assert.deepEqual(workspaces, [{ name: 'w', keys: ['k', 'l'], priority: 1 }, { name: 'v', keys: [], priority: null }])
 })
--- a/test/layers.test.ts
+++ b/test/layers.test.ts
@@ -43,7 +43,7 @@
 }
 
 test('the core has no clock, socket or randomness of its own', () => {
-  for (const folder of ['src/core', 'src/coordination/log', 'src/coordination/claims', 'src/coordination/ledger', 'src/coordination/orders', 'src/coordination/members', 'src/coordination/spread']) {
+  for (const folder of ['src/core', 'src/coordination/log', 'src/coordination/claims', 'src/coordination/ledger', 'src/coordination/leases', 'src/coordination/usage', 'src/coordination/members', 'src/coordination/spread']) {
     for (const file of listFiles(folder)) {
       if (/replica\.ts$|log-store\.ts$|record-file\.ts$/.test(file)) continue
       assert.doesNotMatch(readFileSync(file, 'utf8'), /Date\.now|performance\.|Math\.random|from 'node:(net|http|dgram|fs|timers)/, file)
--- a/test/routes.test.ts
+++ b/test/routes.test.ts
@@ -22,7 +22,7 @@
 }
 
 function createDocument (routes: readonly Route[], more: Partial<RoutingDocument> = {}): RoutingDocument {
-  return { version: 1, routes, services: [{ name: brandId('desk'), mostConnections: 10, engine: null }], limits: defaultCallerLimits, workspaces: null, ...more }
+  return { version: 1, routes, services: [{ name: brandId('desk'), mostConnections: 10, sizing: null, engine: null }], limits: defaultCallerLimits, workspaces: null, ...more }
 }
 
 const routes = [createRoute('root', { prefix: '/' }), createRoute('a'), createRoute('a-b', { prefix: '/a/b/' }), createRoute('other', { host: 'Other.Example', prefix: '/' })]
--- a/test/support/fleet-builder.ts
+++ b/test/support/fleet-builder.ts
@@ -12,7 +12,7 @@
 }
 
 /** A service of engines. */
-export const engineService: RoutedService = { name: desk, mostConnections: 10, engine: { slots: 8, memoryTokens: 100_000, tokensPerEvent: 5, transfer: null } }
+export const engineService: RoutedService = { name: desk, mostConnections: 10, sizing: null, engine: { slots: 8, memoryTokens: 100_000, tokensPerEvent: 5, transfer: null } }
 /** One whose engines take prompts from one another. */
 export const movingService: RoutedService = { ...engineService, engine: { slots: 8, memoryTokens: 100_000, tokensPerEvent: 5, transfer: { tokenBytes: 100_000, bytesPerMs: 50_000_000 } } }
 
--- a/test/support/pool-model.ts
+++ b/test/support/pool-model.ts
@@ -189,7 +189,7 @@
 }
 
 function composeService (): RoutedService {
-  return { name: service, mostConnections: 100, engine: { slots: 64, memoryTokens: 600_000, tokensPerEvent: 5, transfer: null } }
+  return { name: service, mostConnections: 100, sizing: null, engine: { slots: 64, memoryTokens: 600_000, tokensPerEvent: 5, transfer: null } }
 }
 
 function composeWork ({ kind, tokens, at }: ModelRequest): Work {
--- a/test/support/route-deployment.ts
+++ b/test/support/route-deployment.ts
@@ -119,6 +119,7 @@
       heartbeatMs: 40,
       electionMs: 200,
       snapshotEvery: 20,
+      duties: null,
       lostMs: 30_000,
       maxBodyBytes: 2 ** 20,
       ...this.shape.registry
@@ -145,6 +146,7 @@
       ready: `${host}:${readyPort}`,
       loadPort,
       retries: { ratio: 0.2, extra: 50, windowSeconds: 10 },
+      usageWindowSeconds: 0,
       drainSeconds: 8,
       maxConnections: 1000,
       ...this.shape.gateway
