--- a/src/config/route-events.ts
+++ b/src/config/route-events.ts
@@ -12,6 +12,7 @@
 }
 
 const request = { request: 'the caller\'s id of the request' }
+const ordered = { service: 'of which service', zone: 'where', kind: '`spot` for those that may be taken back, else `ordinary`', count: 'how many there are to be', why: 'requests at endpoints now, their peak of late, and ms by which what waits in boxes is behind', end: 'how the call ended' }
 const endpoint = { endpoint: 'the endpoint\'s id', service: 'its service' }
 
 /** Every event by its name. */
@@ -62,6 +63,8 @@
   'usage-reported': { about: 'A window was taken by whoever runs the platform (registry that leads).', fields: { window: 'its number', requests: 'how many began in it', lateMs: 'after it was due; below nothing: before', ms: 'how long the call took' } },
   'usage-not-reported': { about: 'A call with a window\'s counts failed; it is made again with the same counts (registry that leads).', fields: { window: 'its number', requests: 'how many began in it', lateMs: 'after it was due', ms: 'how long the call took', failures: 'in a row', why: 'how it ended' } },
   'usage-given-up': { about: 'A window was not taken for so long that it is told no more (registry that leads).', fields: { window: 'its number' } },
+  'endpoints-ordered': { about: 'A number of endpoints was ordered (registry that leads).', fields: { ...ordered } },
+  'endpoints-not-ordered': { about: 'An order was refused or not answered; it is given again (registry that leads).', fields: { ...ordered } },
   members: { about: 'The leader changed the members of the log (registry).', fields: { voters: 'those who vote', learners: 'those who don\'t', end: '`applied`, `lost` or why not' } },
   'log-formed': { about: 'A new log was begun at the first start (registry).', fields: { voters: 'its first members' } },
   'disk-refuses': { about: 'The disk takes no more; it is tried again, nothing is acknowledged meanwhile (registry).', fields: { error: 'why' } },
--- a/src/coordination/leases/lease-timing.ts
+++ b/src/coordination/leases/lease-timing.ts
@@ -4,6 +4,8 @@
   readonly holdMs: number
   /** Between renewals. */
   readonly renewMs: number
+  /** The longest that one call of the holder may take. */
+  readonly callMs: number
   /** How long a mark must have stood still before another may claim. */
   readonly waitMs: number
   /** How long one that held the lease before leaves it to others once one of them has it. */
@@ -12,6 +14,8 @@
 
 /** Part of the bound that a holder acts within: the rest is for calls that arrive late and for claims. */
 const holdShare = 0.8
+/** Part of that for one call, so that one more fits in between two renewals: an answer takes a few ms, and fifty times as long from a slow platform. */
+const callShare = 0.3
 /** Renewals in the time of a lease: one may be lost, and another one late. */
 const renewals = 5
 /** Clocks of boxes differ by less in their pace: crystals by 0.0002, virtual ones by a few in a hundred. */
@@ -22,5 +26,5 @@
 /** Works the times out from the bound within which holders may not come back, ms. */
 export function planLeaseTiming (boundMs: number): LeaseTiming {
   const holdMs = boundMs * holdShare
-  return { holdMs, renewMs: holdMs / renewals, waitMs: holdMs * (1 + driftShare) + arrivalMs, coolMs: boundMs * (1 + driftShare) + arrivalMs }
+  return { holdMs, renewMs: holdMs / renewals, callMs: holdMs * callShare, waitMs: holdMs * (1 + driftShare) + arrivalMs, coolMs: boundMs * (1 + driftShare) + arrivalMs }
 }
--- a/src/gateway/exchange-host.ts
+++ b/src/gateway/exchange-host.ts
@@ -2,12 +2,11 @@
 import type { Dialect } from '../protocol/index.js'
 import type { CrashGuard } from './crash-guard.js'
 import type { EndpointAgent } from './endpoint-agent.js'
-import type { Exchange } from './exchange.js'
 import type { ExchangeSummary } from './exchange-summary.js'
 import type { Order } from './order.js'
 
-/** What an exchange needs of its box. */
-export interface ExchangeHost {
+/** What an exchange needs of its box; `One` is the exchange. */
+export interface ExchangeHost<One> {
   readonly dialect: Dialect
   readonly fleet: Fleet
   readonly agent: EndpointAgent
@@ -20,10 +19,10 @@
   /** The work at the endpoints has changed. */
   noteLoad (): void
   /** Holds the exchange until `tryPlace` finds room for it. */
-  hold (exchange: Exchange): void
+  hold (exchange: One): void
   /** The exchange waits no more. */
-  unhold (exchange: Exchange): void
+  unhold (exchange: One): void
   /** An endpoint began with the request at `at`, as far as this box can tell. */
   noteRun (order: Order, at: number): void
-  noteEnd (exchange: Exchange, summary: ExchangeSummary): void
+  noteEnd (exchange: One, summary: ExchangeSummary): void
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -29,7 +29,7 @@
 
 export class Exchange {
   readonly order: Order
-  #host: ExchangeHost
+  #host: ExchangeHost<Exchange>
   #response: ServerResponse
   #phase: Phase = 'waiting'
   #isHeld = false
@@ -42,7 +42,7 @@
   #firstAt: number | null = null
   #hasRun = false
 
-  constructor (host: ExchangeHost, order: Order, response: ServerResponse) {
+  constructor (host: ExchangeHost<Exchange>, order: Order, response: ServerResponse) {
     this.#host = host
     this.order = order
     this.#response = response
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -71,7 +71,7 @@
   #ready: ReadyDoor
   #loads: LoadReporter
   #follower: RegistryFollower
-  #exchangeHost: ExchangeHost
+  #exchangeHost: ExchangeHost<Exchange>
   #line: WaitingLine
   #prober: EndpointProber
   #guard: CrashGuard
@@ -215,7 +215,7 @@
     })
   }
 
-  #createExchangeHost (): ExchangeHost {
+  #createExchangeHost (): ExchangeHost<Exchange> {
     return {
       dialect: this.#around.dialect,
       fleet: this.#fleet,
--- a/src/proof/lease-history.ts
+++ b/src/proof/lease-history.ts
@@ -37,8 +37,7 @@
 const boundMs = 3000
 /** Length of a step of virtual time, ms. */
 const stepMs = 20
-/** A call is reset after this, ms. */
-const callMs = 700
+const { callMs } = planLeaseTiming(boundMs)
 /** Calls that arrive so soon after their sender was suspended, or its link came back, aren't held against it, ms. */
 const excuseMs = 300
 
--- a/src/registry/duty-caller.ts
+++ b/src/registry/duty-caller.ts
@@ -18,21 +18,20 @@
 
 /** A connection that takes longer won't come about, ms: many times the way to the platform. */
 const connectMs = 400
-/** A call that is answered later is reset, ms: the platform answers in a few ms, and fifty times as late when it is slow. */
-export const dutyCallMs = 700
-
-/** The longest that a call takes from its start to its end, ms. */
-export const longestCallMs = connectMs + dutyCallMs
-
 export class DutyCaller {
   #address: Address
+  /** A call that is answered later is reset, ms. */
+  readonly callMs: number
   #open = new Set<Socket>()
   #unsureAt = -Infinity
 
-  constructor (address: Address) {
+  constructor (address: Address, callMs: number) {
     this.#address = address
+    this.callMs = callMs
   }
 
+  /** The longest that a call takes from its start to its end, ms. */
+  get longestMs (): number { return connectMs + this.callMs }
   /** Calls under way. */
   get openCount (): number { return this.#open.size }
 
@@ -47,9 +46,10 @@
       let timer = setTimeout(() => end({ type: 'failed', reason: 'no connection' }), connectMs)
       const end = (result: DutyEnd): void => {
         clearTimeout(timer)
-        this.#open.delete(socket)
-        socket.resetAndDestroy()
+        if (!this.#open.delete(socket)) return
         resolve(result)
+        if (result.type === 'answered') socket.destroy()
+        else socket.resetAndDestroy()
       }
       socket.on('error', error => end({ type: 'failed', reason: error.message }))
       socket.once('connect', () => {
@@ -60,7 +60,7 @@
           if (result.type !== 'answered') this.#unsureAt = performance.now()
           end(result)
         }
-        timer = setTimeout(() => endWritten({ type: 'failed', reason: 'no answer' }), dutyCallMs)
+        timer = setTimeout(() => endWritten({ type: 'failed', reason: 'no answer' }), this.callMs)
         send(socket, call, endWritten)
       })
     })
--- a/src/registry/duty-desk.ts
+++ b/src/registry/duty-desk.ts
@@ -9,23 +9,19 @@
 import type { ClockReading, KeeperCommand, KeeperLog, KeeperResult, LeaseCommand, LeaseResult, UsageResult, UsageTelling } from '../coordination/index.js'
 import type { Dialect, DutyCall, Link, RouteMessage } from '../protocol/index.js'
 import { DayClock, waitUntil } from '../runtime/index.js'
-import type { EventLog, Metrics } from '../runtime/index.js'
-import { DutyCaller, dutyCallMs, longestCallMs } from './duty-caller.js'
+import { DutyCaller } from './duty-caller.js'
 import type { DutyEnd } from './duty-caller.js'
+import { EndpointOrders } from './endpoint-orders.js'
+import type { EndpointOrdersHost } from './endpoint-orders.js'
 import { UsageReporter } from './usage-reporter.js'
 
 /** What the desk needs of its box. */
-export interface DutyDeskHost {
+export interface DutyDeskHost extends EndpointOrdersHost {
   readonly id: string
   readonly dialect: Dialect
-  readonly log: EventLog
-  readonly metrics: Metrics
   readonly keeper: KeeperLog
-  now (): number
   /** The link to the registry that leads; undefined where it is not known or not reached. */
   findLeader (): Link<RouteMessage> | undefined
-  /** Carries on with the duties beside the telling of usage, under a lease that lasts. */
-  step (call: (call: DutyCall) => Promise<DutyEnd>): void
 }
 
 /** One lease stands for all calls to the platform. */
@@ -42,6 +38,7 @@
   #lease: LeaseHolder
   #caller: DutyCaller
   #usage: UsageReporter
+  #orders: EndpointOrders
   #leaseMs: number
   #fence: number | null = null
   #ticks = 0
@@ -52,8 +49,10 @@
   constructor (settings: DutySettings, host: DutyDeskHost) {
     this.#host = host
     this.#leaseMs = settings.leaseMs
-    this.#lease = new LeaseHolder(duty, host.id, planLeaseTiming(settings.leaseMs), this.#read())
-    this.#caller = new DutyCaller(parseAddress(settings.address))
+    const timing = planLeaseTiming(settings.leaseMs)
+    this.#lease = new LeaseHolder(duty, host.id, timing, this.#read())
+    this.#caller = new DutyCaller(parseAddress(settings.address), timing.callMs)
+    this.#orders = new EndpointOrders(host)
     const day = new DayClock(host.now, Date.now)
     this.#usage = new UsageReporter({
       log: host.log,
@@ -76,7 +75,7 @@
   /** Makes no more calls, and gives the lease back once none is under way, so that the next holder need not wait for its end. */
   async stop (): Promise<void> {
     this.#isStopping = true
-    await waitUntil(() => this.#caller.openCount === 0, longestCallMs)
+    await waitUntil(() => this.#caller.openCount === 0, this.#caller.longestMs)
     // What may still be under way must not arrive after the next holder's first call: then the lease has to run out.
     const isQuiet = this.#caller.openCount === 0 && this.#host.now() - this.#caller.unsureAt > this.#leaseMs
     const command = isQuiet ? this.#lease.release() : null
@@ -100,19 +99,24 @@
     const command = this.#lease.decide(now, keeper.isLeader && !this.#isStopping)
     if (command !== null) void this.#ask(command)
     if (this.#ticks % forwardTicks === 0) this.#forward()
-    this.#noteHeld(this.#lease.findFence(now, dutyCallMs))
+    this.#noteHeld(this.#lease.findFence(now, this.#caller.callMs))
     if (this.#fence === null || !keeper.isLeader || this.#isStopping) return
     this.#usage.step()
-    this.#host.step(call => this.#call(call))
+    this.#orders.step(call => this.#call(call))
   }
 
   #noteHeld (fence: number | null): void {
     if (fence === this.#fence) return
     if (fence === null) this.#host.log.warn('lease', { duty, state: 'run-out', fence: this.#fence ?? 0 })
-    else this.#host.log.info('lease', { duty, state: 'held', fence })
+    else this.#noteTaken(fence)
     this.#fence = fence
   }
 
+  #noteTaken (fence: number): void {
+    this.#host.log.info('lease', { duty, state: 'held', fence })
+    this.#orders.reset()
+  }
+
   async #ask (command: LeaseCommand): Promise<void> {
     this.#lease.noteEnd(await this.#propose({ part: 'leases', command }) as LeaseResult | null)
   }
@@ -127,7 +131,7 @@
     if (this.#caller.openCount >= mostCalls) return { type: 'failed', reason: 'too many calls are under way' }
     const startedAt = this.#host.now()
     const end = await this.#caller.call(() => {
-      const fence = this.#isStopping ? null : this.#lease.findFence(this.#read(), dutyCallMs)
+      const fence = this.#isStopping ? null : this.#lease.findFence(this.#read(), this.#caller.callMs)
       return fence === null ? null : this.#host.dialect.composeDuty(call, { holder: this.#host.id, fence })
     })
     this.#host.metrics.time('duty-call', this.#host.now() - startedAt, { call: call.type, end: end.type === 'answered' ? String(end.status) : end.type })
--- a/src/registry/load-hub.ts
+++ b/src/registry/load-hub.ts
@@ -99,6 +99,12 @@
     return this.#datagrams.open(host, port)
   }
 
+  /** The work of all boxes, as it stands here. */
+  sumLoads (): LoadTotals {
+    const now = this.#host.now()
+    return this.#book.sumAll(this.#book.sumOwn(now), now)
+  }
+
   /** Ends the hub; a second call does nothing. */
   close (): void {
     if (this.#closed) return
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -23,6 +23,7 @@
 import { OperatorDesk } from './operator-desk.js'
 import { beginLog, openRegistryLog } from './open-log.js'
 import { RecentDocuments } from './recent-documents.js'
+import { ServicesInForce } from './services-in-force.js'
 import { SavedState } from './saved-state.js'
 
 /** What a registry is given beside its settings. */
@@ -60,6 +61,7 @@
   #hosts = new Set<string>()
   #seeds: readonly string[] = []
   #members: MemberTender
+  #services: ServicesInForce
   #gateways = new GatewayRoster()
   #hub: LoadHub
   /** The document in force and those before it. */
@@ -75,6 +77,7 @@
     this.#members = new MemberTender({ zone: settings.zone, faults: settings.faults, log, now })
     this.#endpoints = this.#createEndpointDesk()
     this.#hub = new LoadHub({ id: brandId(settings.id), log, now, listOthers: () => [...this.#hosts] })
+    this.#services = new ServicesInForce(around.dialect, () => this.#recent.newest)
     this.#saved = new SavedState(settings.data, log)
     this.#crashes = this.#createCrashDesk()
     this.#desk = this.#createOperatorDesk()
@@ -203,7 +206,8 @@
     const { id, duties, linkPort } = this.#settings
     if (duties === null) return
     const findLeader = () => keeper.leader === null ? undefined : this.#links.find(getReplicaHost(keeper.leader), linkPort)
-    this.#duties = new DutyDesk(duties, { ...this.#around, id, keeper, now, findLeader, step: () => {} })
+    const listRecords = () => this.#endpoints.records
+    this.#duties = new DutyDesk(duties, { ...this.#around, id, keeper, now, findLeader, listRecords, listServices: () => this.#services.list(), sumLoads: () => this.#hub.sumLoads() })
     this.#duties.start()
   }
 
--- a/src/registry/usage-reporter.ts
+++ b/src/registry/usage-reporter.ts
@@ -43,6 +43,8 @@
 export class UsageReporter {
   #host: UsageReporterHost
   #book = new UsageBook()
+  /** The window in which this box first held the duty: the first that is told, where none was before. */
+  #first: UsageWindow | null = null
   #isSettling = false
   #isReporting = false
   #failures = 0
@@ -74,7 +76,8 @@
 
   async #settleNext (): Promise<void> {
     const { ledger, windowMs, lateMs } = this.#host
-    const window = Math.max((ledger.newest ?? this.#current - 1) + 1, this.#current - mostMadeUp)
+    this.#first ??= this.#current
+    const window = Math.max(ledger.newest === null ? this.#first : ledger.newest + 1, this.#current - mostMadeUp)
     const end = (window + 1) * windowMs
     const sinceMs = this.#host.readDay() - end
     if (sinceMs < settleAfterMs) return
--- a/src/standin/standin-endpoint.ts
+++ b/src/standin/standin-endpoint.ts
@@ -172,12 +172,14 @@
     const { crash } = this
     const isCrash = crash !== null && body.startsWith(crashMark)
     if (isCrash) setTimeout(() => this.end(body, crash.downMs), crash.afterMs)
+    // As it was when the run began: a fault that is lifted meanwhile is not lifted for it.
+    const { fault } = this
     await sleep(this.answerMs)
     // A stream may begin before; nothing else is ever answered.
     if (isCrash && !run.path.includes('/events')) return
-    if (this.fault.type === 'lose') return void request.socket.destroy()
-    if (this.fault.type === 'hang') return
-    if (this.fault.type === 'error') return this.#finish(response, requestId, 500, 'failed')
+    if (fault.type === 'lose') return void request.socket.destroy()
+    if (fault.type === 'hang') return
+    if (fault.type === 'error') return this.#finish(response, requestId, 500, 'failed')
     if (run.path.includes('/events')) return await this.#stream(run, request, response)
     this.#finish(response, requestId, 200, composeWhole(run))
   }
--- /dev/null
+++ b/test/duties.test.ts
@@ -0,0 +1,117 @@
+/**
+ * The calls that one registry makes for all, over real sockets, at a stand-in of
+ * the platform that looks at no fence: usage is told once and the same whoever
+ * tells it, however often it is asked again, and no two registries call at a time.
+ */
+import assert from 'node:assert/strict'
+import { after, before, test } from 'node:test'
+import { StandinPlatform, findBreaches } from '../src/standin/index.js'
+import type { PlatformFault } from '../src/standin/index.js'
+import { until } from './support/deployment.js'
+import { RouteDeployment, composeDocument } from './support/route-deployment.js'
+
+const leaseMs = 800
+const windowSeconds = 1
+let place: RouteDeployment
+let platform: StandinPlatform
+
+interface Report {
+  readonly window: number
+  readonly counts: Record<string, number>
+}
+
+before(async () => {
+  platform = new StandinPlatform()
+  await platform.listen('127.0.0.1')
+  const duties = { address: `127.0.0.1:${platform.port}`, leaseMs, usageWindowSeconds: windowSeconds, usageLateSeconds: 3 }
+  place = await RouteDeployment.start({ number: 33, registries: 3, gateways: 2, registry: { duties }, gateway: { usageWindowSeconds: windowSeconds } })
+  const sizing = { least: 1, most: 4, bootMs: 500, spotPrice: 0.25, zonePrices: { 'zone-a': 1 } }
+  await place.putDocument(composeDocument(1, { services: [{ name: 'desk', sizing }] }))
+  await place.addEndpoint('desk')
+})
+after(async () => {
+  await place.stop()
+  platform.close()
+})
+
+function listReports (): Report[] { return platform.listTaken('/v1/usage').map(body => JSON.parse(body) as Report) }
+
+/** Reports of a window whose counts differ. */
+function findConflicts (): number[] {
+  const bodies = new Map<number, string>()
+  const conflicts: number[] = []
+  for (const report of listReports()) {
+    const text = JSON.stringify(report.counts)
+    if ((bodies.get(report.window) ?? text) !== text) conflicts.push(report.window)
+    bodies.set(report.window, text)
+  }
+  return conflicts
+}
+
+/** Requests that all windows reported so far come to. */
+function countReported (): number {
+  const windows = new Map(listReports().map(({ window, counts }) => [window, counts.camp ?? 0]))
+  return [...windows.values()].reduce((sum, one) => sum + one, 0)
+}
+
+async function askMany (count: number): Promise<void> {
+  const paths = ['/again/x', '/stream/events-3']
+  for (let i = 0; i < count; i++) {
+    const answer = await place.ask(paths[i % 2], { gateway: i % 2 })
+    assert.equal(answer.status, 200)
+  }
+}
+
+let asked = 0
+
+const faults: readonly { fault: PlatformFault, name: string }[] = [
+  { fault: 'none', name: 'a platform that is well' },
+  { fault: 'lose', name: 'answers that get lost' },
+  { fault: 'busy', name: 'a platform that has too many calls' },
+  { fault: 'error', name: 'a platform that fails' },
+  { fault: 'refuse', name: 'a platform that refuses' },
+  { fault: 'silent', name: 'a platform that says nothing' },
+  { fault: 'garbage', name: 'answers that are none' }
+]
+
+for (const { fault, name } of faults) {
+  test(`what ran is told once for each window: ${name}`, async () => {
+    platform.fault = fault
+    await askMany(10)
+    asked += 10
+    const before = platform.calls.length
+    await until(() => platform.calls.length > before + (fault === 'silent' ? 1 : 2), 'calls')
+    platform.fault = 'none'
+    await until(() => countReported() >= asked, `${asked} requests told`)
+    assert.equal(countReported(), asked)
+    assert.deepEqual(findConflicts(), [])
+  })
+}
+
+test('a planned stop of the holder, then the end of the next, cost no window and no breach', async () => {
+  for (const stop of ['stop', 'kill'] as const) {
+    const leader = place.registries.findIndex(one => one?.keeperLog.isLeader === true)
+    await askMany(6)
+    asked += 6
+    await place.registries[leader]?.[stop]()
+    place.registries[leader] = null
+    await askMany(6)
+    asked += 6
+    await until(() => countReported() >= asked, `${asked} requests told after the ${stop}`)
+    assert.equal(countReported(), asked)
+    await place.startRegistry(leader, false)
+    await until(() => place.registries.some(one => one?.keeperLog.isLeader === true), 'a leader')
+  }
+  assert.deepEqual(findConflicts(), [])
+  assert.ok(new Set(platform.calls.map(({ holder }) => holder)).size >= 2)
+})
+
+test('endpoints of both kinds are ordered in the zone, within its bounds', async () => {
+  const orders = platform.listTaken('/v1/endpoint-orders').map(body => JSON.parse(body) as { zone: string, spot: boolean, count: number })
+  assert.ok(orders.some(({ spot }) => spot))
+  for (const { zone, count } of orders) assert.ok(zone === 'zone-a' && count >= 0 && count <= 4, `${zone} ${count}`)
+})
+
+test('over all of it, one at a time called', () => {
+  assert.deepEqual(findBreaches(platform.calls, leaseMs), [])
+})
