--- a/src/core/sizing/size-planner.ts
+++ b/src/core/sizing/size-planner.ts
@@ -56,8 +56,8 @@
 const learnMs = 20_000
 /** Callers that wait for so long in boxes show that there is too little of everything, ms. */
 const behindMs = 500
-/** Ordinary endpoints of a zone, as part of the most that it may have. */
-const baseShare = 0.02
+/** Ordinary endpoints that a zone keeps at least: what it goes on with once the others were taken back. */
+const leastOrdinary = 1
 /** Once so much of the cheap ones of a zone takes work, the ordinary ones are sent back. */
 const readyShare = 0.75
 
@@ -78,7 +78,7 @@
     this.#load.note(sight.at, sight.running + (sight.heldMs > behindMs ? Infinity : 0))
     const { least, most, spotPrice } = sight.sizing
     const perZone = Math.max(least, Math.min(most, this.#countPerZone(sight)))
-    const base = Math.min(perZone, Math.max(least, Math.ceil(most * baseShare)))
+    const base = Math.min(perZone, Math.max(least, leastOrdinary))
     return sight.zones.flatMap(zone => spotPrice === null ? [this.#wish(zone, false, perZone, sight)] : this.#planZone(zone, perZone, base, sight))
   }
 
