--- a/src/core/sizing/size-planner.ts
+++ b/src/core/sizing/size-planner.ts
@@ -78,7 +78,7 @@
     this.#load.note(sight.at, sight.running + (sight.heldMs > behindMs ? Infinity : 0))
     const { least, most, spotPrice } = sight.sizing
     const perZone = Math.max(least, Math.min(most, this.#countPerZone(sight)))
-    const base = Math.min(perZone, Math.max(least, leastOrdinary))
+    const base = Math.min(perZone, leastOrdinary)
     return sight.zones.flatMap(zone => spotPrice === null ? [this.#wish(zone, false, perZone, sight)] : this.#planZone(zone, perZone, base, sight))
   }
 
--- a/src/protocol/dialect.ts
+++ b/src/protocol/dialect.ts
@@ -61,6 +61,8 @@
   | { readonly type: 'list-quarantine' }
   /** Has one of them sent again. */
   | { readonly type: 'lift-quarantine', readonly fingerprint: string }
+  /** Asks for what ran in the newest windows, by workspace. */
+  | { readonly type: 'list-usage' }
   | { readonly type: 'unknown' }
 
 /** A document that can't be read, or must not be put in force. */
--- a/src/protocol/header-dialect.ts
+++ b/src/protocol/header-dialect.ts
@@ -55,6 +55,8 @@
 
 /** Where operators find requests in quarantine, in every dialect; the fingerprint of one follows. */
 const quarantinePath = '/v1/quarantine'
+/** Where operators find what ran, in every dialect. */
+const usagePath = '/v1/usage'
 /** "Misdirected": the endpoint at that address is another one, and did not run the request. */
 const otherEndpointStatus = 421
 /** Headers of a message's framing: it is framed anew. */
@@ -131,6 +133,7 @@
     if (bare === this.#paths.document && method === 'GET') return { type: 'read-document' }
     if (bare === quarantinePath && method === 'GET') return { type: 'list-quarantine' }
     if (bare.startsWith(`${quarantinePath}/`) && method === 'DELETE') return { type: 'lift-quarantine', fingerprint: decodePart(bare.slice(quarantinePath.length + 1)) }
+    if (bare === usagePath && method === 'GET') return { type: 'list-usage' }
     const endpoint = bare.startsWith(this.#paths.endpoints) ? decodePart(bare.slice(this.#paths.endpoints.length)) : ''
     if (endpoint === '' || endpoint.includes('/')) return { type: 'unknown' }
     if (method === 'PUT') return { type: 'register', endpoint }
--- a/src/registry/operator-desk.ts
+++ b/src/registry/operator-desk.ts
@@ -2,7 +2,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Address } from '../config/index.js'
-import type { VersionedText } from '../coordination/index.js'
+import type { SettledWindow, VersionedText } from '../coordination/index.js'
 import { brandId, findDocumentMistakes } from '../core/index.js'
 import type { EndpointRecord, Fingerprint, QuarantineEntry } from '../core/index.js'
 import { DocumentError } from '../protocol/index.js'
@@ -24,6 +24,8 @@
   listQuarantine (): readonly QuarantineEntry[]
   /** Has one of them sent again; false where there is none. */
   liftQuarantine (fingerprint: Fingerprint): boolean
+  /** What ran in the windows that are kept, as this box has them. */
+  listUsage (): readonly SettledWindow[]
   noteCall (call: string, status: number, ms: number): void
 }
 
@@ -100,6 +102,7 @@
       case 'list-quarantine': return { status: 200, body: JSON.stringify(this.#host.listQuarantine()) }
       case 'lift-quarantine':
         return this.#host.liftQuarantine(brandId(call.fingerprint)) ? { status: 200, body: '{}' } : { status: 404, body: 'no such request is in quarantine' }
+      case 'list-usage': return { status: 200, body: JSON.stringify(this.#host.listUsage()) }
       case 'unknown': return { status: 404, body: 'no such call' }
     }
   }
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -182,6 +182,7 @@
       noteEndpoint: word => this.#endpoints.note(word),
       listQuarantine: () => this.#crashes.news.entries,
       liftQuarantine: fingerprint => this.#crashes.lift(fingerprint),
+      listUsage: () => this.#opened.log.state.usage.windows,
       noteCall: (call, status, ms) => metrics.time('registry-call', ms, { call, status: String(status) })
     }, this.#settings.maxBodyBytes)
   }
--- a/src/registry/usage-reporter.ts
+++ b/src/registry/usage-reporter.ts
@@ -61,9 +61,10 @@
   /** What the leader is to be told: what is new, or everything. */
   takeNews (all: boolean): UsageTelling[] { return this.#book.takeNews(all) }
 
-  /** Drops what can't be reported any more. */
+  /** Drops what is settled, and what can't be reported any more. */
   tidy (): void {
-    this.#book.forget(this.#current - 2 * mostMadeUp, this.#host.now())
+    const settled = this.#host.ledger.newest ?? -1
+    this.#book.forget(Math.max(settled + 1, this.#current - mostMadeUp), this.#host.now())
   }
 
   /** Settles and reports what is due; to be called a few times a second by the holder alone. */
