--- a/src/core/balance/endpoint-weights.ts
+++ b/src/core/balance/endpoint-weights.ts
@@ -88,7 +88,7 @@
   const again = rateAgain(read, cost) * Math.max(0, work.targetMs * holderWaitShare - waitedMs)
   const queued = Math.max(0, running + 1 - engine.slots) * queueMs
   const short = view.memoryInUse + cost.promptTokens > engine.memoryTokens * memoryLimit ? memoryMs : 0
-  const harm = view.countBrisk(patienceMs) * harmMs * (isPatient ? rateBreak(readingMs, patienceMs) : rateStretch(readingMs, patienceMs))
+  const harm = isPatient ? view.countBrisk(patienceMs) * harmMs * rateBreak(readingMs, patienceMs) : 0
   return ms + again + queued + short + harm
 }
 
@@ -104,11 +104,6 @@
   return Math.min(1, Math.max(0, (share - harmlessShare) / (1 - harmlessShare)))
 }
 
-// The same for a short prompt among others like it: each breaks few pauses, several one after the other break all.
-function rateStretch (readingMs: number, patienceMs: number): number {
-  return Math.min(1, readingMs / patienceMs) ** 2
-}
-
 /** What distance, a missing connection, silence and failures count against an endpoint, ms. `middle`: share of failures of the middle one beside it. */
 export function weighTrust (view: EndpointView, from: Standpoint, middle: number, isStream: boolean, at: number): number {
   const { zone } = view.record
