--- a/src/registry/duty-caller.ts
+++ b/src/registry/duty-caller.ts
@@ -18,6 +18,7 @@
 
 /** A connection that takes longer won't come about, ms: many times the way to the platform. */
 const connectMs = 400
+
 export class DutyCaller {
   #address: Address
   /** A call that is answered later is reset, ms. */
@@ -32,6 +33,7 @@
 
   /** The longest that a call takes from its start to its end, ms. */
   get longestMs (): number { return connectMs + this.callMs }
+
   /** Calls under way. */
   get openCount (): number { return this.#open.size }
 
@@ -43,10 +45,12 @@
     return new Promise(resolve => {
       const socket = connect(this.#address)
       this.#open.add(socket)
+      let isWritten = false
       let timer = setTimeout(() => end({ type: 'failed', reason: 'no connection' }), connectMs)
       const end = (result: DutyEnd): void => {
         clearTimeout(timer)
         if (!this.#open.delete(socket)) return
+        if (isWritten && result.type !== 'answered') this.#unsureAt = performance.now()
         resolve(result)
         if (result.type === 'answered') socket.destroy()
         else socket.resetAndDestroy()
@@ -56,12 +60,9 @@
         clearTimeout(timer)
         const call = compose()
         if (call === null) return end({ type: 'not-held' })
-        const endWritten = (result: DutyEnd): void => {
-          if (result.type !== 'answered') this.#unsureAt = performance.now()
-          end(result)
-        }
-        timer = setTimeout(() => endWritten({ type: 'failed', reason: 'no answer' }), this.callMs)
-        send(socket, call, endWritten)
+        isWritten = true
+        timer = setTimeout(() => end({ type: 'failed', reason: 'no answer' }), this.callMs)
+        send(socket, call, end)
       })
     })
   }
