--- a/src/runtime/metrics.ts
+++ b/src/runtime/metrics.ts
@@ -1,5 +1,8 @@
 import { StatsD } from 'hot-shots'
-import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import Counter from 'prom-client/lib/counter.js'
+import Gauge from 'prom-client/lib/gauge.js'
+import Histogram from 'prom-client/lib/histogram.js'
+import Registry from 'prom-client/lib/registry.js'
 
 /** Where StatsD metrics go; null sends none. */
 export interface MetricsTarget {
--- /dev/null
+++ b/src/runtime/prom-client-parts.d.ts
@@ -0,0 +1,20 @@
+/** Types of the parts of `prom-client` that are loaded by themselves: the whole also loads what pushes metrics over TLS. */
+declare module 'prom-client/lib/counter.js' {
+  import { Counter } from 'prom-client'
+  export default Counter
+}
+
+declare module 'prom-client/lib/gauge.js' {
+  import { Gauge } from 'prom-client'
+  export default Gauge
+}
+
+declare module 'prom-client/lib/histogram.js' {
+  import { Histogram } from 'prom-client'
+  export default Histogram
+}
+
+declare module 'prom-client/lib/registry.js' {
+  import { Registry } from 'prom-client'
+  export default Registry
+}
