After a loss of power a leader is elected sooner, and gateways take the document of a registry that is sure of it at once

Changes: a replica that heard no leader since its start waits a third of the time (pre-vote: followers of a leader that lives refuse); a box that is called calls back at once; a registry says whether its document is the newest accepted, which a gateway that starts takes at once. Found on the way: a link that opens before a registry's disk does never told the gateway its zone.

--- a/src/coordination/keeper-log.ts
+++ b/src/coordination/keeper-log.ts
@@ -59,6 +59,8 @@
   get isForming (): boolean { return this.#forming }
   get isLeader (): boolean { return this.#replica?.isLeader === true }
   get leader (): ReplicaId | null { return this.#replica?.leader ?? null }
+  /** True where a leader is known and what was accepted before its term is applied here. */
+  get isCurrent (): boolean { return this.#replica?.node.isCurrent === true }
 
   /** Begins a new log with these members; every one of them must begin the same. */
   async form (members: Members): Promise<boolean> {
--- /dev/null
+++ b/src/coordination/log/election-timer.ts
@@ -0,0 +1,37 @@
+import type { RaftTiming } from './log-types.js'
+
+/**
+ * Part of the usual time after which an election is tried by a replica that has heard no leader
+ * since it started: where all lost power none will be heard, and where one leads its followers refuse.
+ */
+const startShare = 1 / 3
+
+/** When a replica tries an election: after a random time without a leader. Times in ms, on a clock that only rises. */
+export class ElectionTimer {
+  #timing: RaftTiming
+  #random: () => number
+  #dueAt = 0
+  #heardAt = -Infinity
+
+  constructor (timing: RaftTiming, random: () => number) {
+    this.#timing = timing
+    this.#random = random
+  }
+
+  isDue (at: number): boolean { return at >= this.#dueAt }
+
+  /** True where a leader was heard so lately that it may still lead. */
+  hasHeardLeader (at: number): boolean { return at - this.#heardAt < this.#timing.electionMs }
+
+  /** Begins the wait anew. */
+  reset (at: number): void {
+    const share = this.#heardAt === -Infinity ? startShare : 1
+    this.#dueAt = at + this.#timing.electionMs * share * (1 + this.#random())
+  }
+
+  /** Takes word of a leader. */
+  noteLeader (at: number): void {
+    this.#heardAt = at
+    this.reset(at)
+  }
+}
--- a/src/coordination/log/raft-node.ts
+++ b/src/coordination/log/raft-node.ts
@@ -3,6 +3,7 @@
  * check-quorum, learners, single-server changes of members, leader transfer and
  * read index. Pure: events in, effects out; it has no clock, disk or wire.
  */
+import { ElectionTimer } from './election-timer.js'
 import { EntryList } from './entry-list.js'
 import type { HardState, LogEntry, Members, RaftTiming, ReplicaId, Snapshot, StoredLog } from './log-types.js'
 import { hasQuorum } from './quorum.js'
@@ -16,7 +17,6 @@
 export class RaftNode {
   readonly id: ReplicaId
   #timing: RaftTiming
-  #random: () => number
   #log: EntryList
   #hard: HardState
   #role: RaftRole = 'follower'
@@ -25,8 +25,7 @@
   #applied: number
   #synced: number
   #now = 0
-  #electionAt = 0
-  #leaderHeardAt = -Infinity
+  #election: ElectionTimer
   #votes = new Set<ReplicaId>()
   #preVoting = false
   #leadership: RaftLeader | null = null
@@ -35,7 +34,7 @@
   constructor (id: ReplicaId, stored: StoredLog, timing: RaftTiming, random: () => number, at: number) {
     this.id = id
     this.#timing = timing
-    this.#random = random
+    this.#election = new ElectionTimer(timing, random)
     this.#log = new EntryList(stored.snapshot, stored.entries)
     this.#hard = stored.hard
     this.#commit = this.#log.base
@@ -59,6 +58,9 @@
   /** True where the leader's last change of members is committed. */
   get isSettled (): boolean { return this.#log.membersIndex <= this.#commit }
 
+  /** True where all that was accepted before the present leader's term is applied here: the leader has committed an entry of its own. */
+  get isCurrent (): boolean { return this.#leader !== null && this.#log.termAt(this.#applied) === this.#hard.term }
+
   /** On the leader, the synced index of each replica that was heard from lately; empty elsewhere. */
   get matches (): ReadonlyMap<ReplicaId, number> { return this.#leadership?.matches ?? new Map() }
 
@@ -92,7 +94,7 @@
 
   #tick (): void {
     if (this.#leadership !== null) return this.#tickLeader(this.#leadership)
-    if (this.#now < this.#electionAt) return
+    if (!this.#election.isDue(this.#now)) return
     if (!this.#isVoter(this.id)) return this.#resetElection()
     this.#campaign(true, false)
   }
@@ -102,9 +104,7 @@
     this.#follow(this.#hard.term, null)
   }
 
-  #resetElection (): void {
-    this.#electionAt = this.#now + this.#timing.electionMs * (1 + this.#random())
-  }
+  #resetElection (): void { this.#election.reset(this.#now) }
 
   // Elections.
 
@@ -133,8 +133,7 @@
   }
 
   #handleVote (from: ReplicaId, message: MessageOf<'vote'>): void {
-    const recent = this.#now - this.#leaderHeardAt < this.#timing.electionMs
-    if ((recent || this.#role === 'leader') && !message.transfer && message.term > this.#hard.term) {
+    if ((this.#election.hasHeardLeader(this.#now) || this.#role === 'leader') && !message.transfer && message.term > this.#hard.term) {
       return this.#send(from, { type: 'voteReply', term: this.#hard.term, pre: message.pre, granted: false })
     }
     if (!message.pre && message.term > this.#hard.term) this.#follow(message.term, null)
@@ -262,8 +261,7 @@
       return this.#violate('election-safety', `two leaders in term ${term}`)
     }
     if (term > this.#hard.term || this.#role !== 'follower' || this.#leader !== from) this.#follow(term, from)
-    this.#leaderHeardAt = this.#now
-    this.#resetElection()
+    this.#election.noteLeader(this.#now)
   }
 
   #reply (to: ReplicaId, ok: boolean, match: number, round: number): void {
--- a/src/gateway/registry-follower.ts
+++ b/src/gateway/registry-follower.ts
@@ -62,7 +62,7 @@
  * a gateway's link; a box that takes seconds over it is held up.
  */
 const patience: PullPatience = { firstMs: 1000, longestMs: 8000 }
-/** At the start, documents are taken from the first registry only after the others had so long to name a newer one, ms. */
+/** At the start, documents are taken from a registry that isn't sure of them only after the others had so long to name a newer one, ms. */
 const settleMs = 250
 /** Links to registries at most: one for each of a system of today's size. */
 const mostLinks = 12
@@ -81,6 +81,8 @@
   #wantsWhole = false
   #askedAt = 0
   #firstNamedAt: number | null = null
+  /** A registry that was sure of it has named the newest document. */
+  #knowsNewest = false
   #timer: NodeJS.Timeout | null = null
 
   constructor (host: FollowerHost) {
@@ -170,6 +172,7 @@
       case 'version':
         this.#pull.noteNamed(link, message.version)
         if (message.version > 0) this.#firstNamedAt ??= this.#host.now()
+        if (message.version > 0 && message.isCurrent) this.#knowsNewest = true
         return this.#ask()
       case 'document': return this.#takeDocument(link, message.document)
       case 'endpoints': return this.#host.takeRecords(message.records)
@@ -218,9 +221,10 @@
     holder.send({ type: 'ask-document', held })
   }
 
-  // At the start the others may still name a newer version.
+  // At the start, before one of them is sure, the others may still name a newer version.
   #isSettling (now: number): boolean {
     if (this.#firstNamedAt === null) return true
+    if (this.#knowsNewest) return false
     return this.#held === null && this.#pull.namedCount < this.#hosts.size && now - this.#firstNamedAt < settleMs
   }
 
--- a/src/protocol/link-pool.ts
+++ b/src/protocol/link-pool.ts
@@ -45,7 +45,10 @@
       pulse: host.pulse,
       clock: host.clock,
       receive: (link, message) => host.receive(link, message),
-      noteOpen: link => host.noteOpen(link),
+      noteOpen: link => {
+        this.#hasten(link.peerHost)
+        host.noteOpen(link)
+      },
       noteFault: (fault, peer) => host.noteFault(fault, peer),
       noteClosed: link => {
         this.#forget(link)
@@ -132,6 +135,15 @@
     })
   }
 
+  // Who calls us has started: the next try to call them need not wait.
+  #hasten (host: string): void {
+    for (const dialed of this.#dialed.values()) {
+      if (dialed.host !== host || dialed.timer === null) continue
+      clearTimeout(dialed.timer)
+      this.#connect(dialed)
+    }
+  }
+
   #accept (socket: Socket, side: 'caller' | 'listener'): Link<Message> {
     this.#sockets.add(socket)
     socket.once('close', () => this.#sockets.delete(socket))
--- a/src/protocol/link.ts
+++ b/src/protocol/link.ts
@@ -83,6 +83,7 @@
   #out: FrameCode | null = null
   #in: FrameCode | null = null
   #peer = ''
+  #peerHost: string
   #queue: Message[] = []
   #scheduled = false
   #helloTimer: NodeJS.Timeout
@@ -96,6 +97,7 @@
     this.#socket = socket
     this.#side = side
     this.#host = host
+    this.#peerHost = socket.remoteAddress ?? ''
     socket.setNoDelay(true)
     socket.on('data', chunk => this.#read(chunk))
     socket.on('error', () => {})
@@ -107,6 +109,8 @@
 
   /** When anything was last heard on this link, on the process's rising clock, ms. */
   get heardAt (): number { return this.#heardAt }
+  /** The other box's IP number. */
+  get peerHost (): string { return this.#peerHost }
   /** The other box's name, once the link is open. */
   get peer (): string { return this.#peer }
   get isOpen (): boolean { return this.#out !== null && !this.#socket.destroyed }
--- a/src/protocol/route-message.ts
+++ b/src/protocol/route-message.ts
@@ -23,8 +23,8 @@
   | { readonly type: 'read', readonly call: number, readonly version: number }
   /** `sure` is false where the asked one can't be sure of the newest; the document is null where the asking side has it. */
   | { readonly type: 'read-end', readonly call: number, readonly document: VersionedText | null, readonly sure: boolean }
-  /** A document with this version is in force; it is sent when asked for. */
-  | { readonly type: 'version', readonly version: number }
+  /** A document with this version is in force; it is sent when asked for. `isCurrent`: it is the newest that was accepted, but for what is on its way. */
+  | { readonly type: 'version', readonly version: number, readonly isCurrent: boolean }
   /** Asks for the newest document; `held`: the version to tell it against, 0 where the whole is wanted. */
   | { readonly type: 'ask-document', readonly held: number }
   | { readonly type: 'document', readonly document: PackedDocument }
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -9,20 +9,21 @@
 import { KeeperLog, getReplicaHost } from '../coordination/index.js'
 import type { ReplicaId } from '../coordination/index.js'
 import { brandId } from '../core/index.js'
-import type { EndpointRecord, ReadPrompt } from '../core/index.js'
+import type { EndpointRecord } from '../core/index.js'
 import { LinkPool } from '../protocol/index.js'
 import type { Dialect, Link, RouteMessage } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import { CrashDesk } from './crash-desk.js'
+import { DocumentAnnouncer } from './document-announcer.js'
 import { DutyDesk } from './duty-desk.js'
 import { EndpointDesk, restoredMs } from './endpoint-desk.js'
 import { GatewayRoster } from './gateway-roster.js'
 import { LeaderCalls } from './leader-calls.js'
 import { LoadHub } from './load-hub.js'
 import { MemberTender } from './member-tender.js'
+import { listNearPrompts } from './near-prompts.js'
 import { OperatorDesk } from './operator-desk.js'
 import { beginLog, openRegistryLog } from './open-log.js'
-import { RecentDocuments } from './recent-documents.js'
 import { ServicesInForce } from './services-in-force.js'
 import { SavedState } from './saved-state.js'
 
@@ -64,8 +65,7 @@
   #services: ServicesInForce
   #gateways = new GatewayRoster()
   #hub: LoadHub
-  /** The document in force and those before it. */
-  #recent = new RecentDocuments()
+  #documents: DocumentAnnouncer
   #timers: NodeJS.Timeout[] = []
   port = 0
 
@@ -77,7 +77,13 @@
     this.#members = new MemberTender({ zone: settings.zone, faults: settings.faults, log, now })
     this.#endpoints = this.#createEndpointDesk()
     this.#hub = new LoadHub({ id: brandId(settings.id), log, now, listOthers: () => [...this.#hosts] })
-    this.#services = new ServicesInForce(around.dialect, () => this.#recent.newest)
+    this.#documents = new DocumentAnnouncer({
+      ...around,
+      findNewest: () => this.#log?.state.routing.newest ?? null,
+      isCurrent: () => this.#log?.isCurrent === true,
+      tellGateways: message => this.#gateways.tell(message)
+    })
+    this.#services = new ServicesInForce(around.dialect, () => this.#documents.newest)
     this.#saved = new SavedState(settings.data, log)
     this.#crashes = this.#createCrashDesk()
     this.#desk = this.#createOperatorDesk()
@@ -98,10 +104,12 @@
     this.#crashes.restore(await this.#saved.loadQuarantine())
     this.#timers.push(setTimeout(() => this.#endpoints.tick(), restoredMs))
     this.#log = await this.#openLog()
+    // Those whose link opened before the disk did don't know yet who this is.
+    this.#gateways.tell(this.#composeHello(this.#log))
     this.#calls = new LeaderCalls({ log: this.#log, findLink: replica => this.#links.find(getReplicaHost(replica), linkPort) })
     await beginLog(this.#log, this.#seeds, this.#settings.first, log)
     // A snapshot is in force from the start; nobody tells of it.
-    this.#announce()
+    this.#documents.announce()
     this.port = await this.#desk.listen(parseAddress(listen))
     this.#startDuties(this.#log)
     this.#timers.push(setInterval(() => this.#tick(), helloMs), setInterval(() => this.#tell(), tellMs))
@@ -196,9 +204,12 @@
     const { log } = this.#around
     return openRegistryLog(this.#settings, this.#seeds.includes(this.#settings.host), log, {
       send: (to, message) => this.#sendRaft(to, message),
-      noteRole: (role, term, leader) => log.info('role', { role, term, leader }),
+      noteRole: (role, term, leader) => {
+        this.#documents.noteRole()
+        log.info('role', { role, term, leader })
+      },
       noteViolation: (rule, detail) => this.#noteViolation(rule, detail),
-      noteApplied: () => this.#announce(),
+      noteApplied: () => this.#documents.announce(),
       noteDiskFault: error => log.error('disk-failed', { error: error.message })
     })
   }
@@ -229,8 +240,11 @@
   }
 
   #sendHello (link: Link<RouteMessage>): void {
-    if (this.#log === null) return
-    link.send({ type: 'registry-hello', replica: this.#log.id, zone: this.#settings.zone, registries: [...this.#hosts] })
+    if (this.#log !== null) link.send(this.#composeHello(this.#log))
+  }
+
+  #composeHello ({ id }: KeeperLog): RouteMessage {
+    return { type: 'registry-hello', replica: id, zone: this.#settings.zone, registries: [...this.#hosts] }
   }
 
   #noteHello (message: Extract<RouteMessage, { type: 'registry-hello' }>): void {
@@ -258,12 +272,6 @@
     this.#saved.savePrompts(this.#hub.prompts)
   }
 
-  // Of the own zone's engines: the registries of the other zones tell of theirs.
-  #listNearPrompts (): ReadPrompt[] {
-    const near = new Set(this.#endpoints.records.filter(({ zone }) => zone === this.#settings.zone).map(({ id }) => id))
-    return this.#hub.prompts.prompts.filter(([endpoint]) => near.has(endpoint))
-  }
-
   #composeBoxes (): RouteMessage {
     return { type: 'boxes', registries: [this.#settings.host, ...this.#hosts], gateways: this.#gateways.count }
   }
@@ -302,20 +310,20 @@
 
   #noteGateway (link: Link<RouteMessage>, { gateway, version }: Extract<RouteMessage, { type: 'gateway-hello' }>): void {
     const isNew = this.#gateways.note(link, gateway)
-    const newest = this.#recent.newest?.version ?? 0
+    const newest = this.#documents.newest?.version ?? 0
     // Before the version: a gateway that starts serves once it has the document.
     if (isNew) link.send({ type: 'crashes', news: this.#crashes.news })
-    if (isNew || newest > version) link.send({ type: 'version', version: newest })
+    if (isNew || newest > version) link.send(this.#documents.composeVersion())
     if (!isNew) return
     // Changes are told only to gateways that are known: what came since the link opened is told here.
     link.send({ type: 'endpoints', records: this.#endpoints.records, whole: true })
-    link.send({ type: 'prompts', prompts: this.#listNearPrompts() })
+    link.send({ type: 'prompts', prompts: listNearPrompts(this.#hub.prompts.prompts, this.#endpoints.records, this.#settings.zone) })
     link.send(this.#composeBoxes())
     this.#around.log.info('gateway-met', { gateway, version })
   }
 
   #sendDocument (link: Link<RouteMessage>, held: number): void {
-    const document = this.#recent.pack(held)
+    const document = this.#documents.pack(held)
     if (document !== null) link.send({ type: 'document', document })
   }
 
@@ -326,14 +334,6 @@
 
   // Spreading.
 
-  #announce (): void {
-    const newest = this.#log?.state.routing.newest ?? null
-    if (newest === null || !this.#recent.add(newest)) return
-    this.#around.log.info('document-in-force', { version: newest.version, bytes: newest.text.length })
-    this.#around.metrics.gauge('document-version', newest.version)
-    this.#gateways.tell({ type: 'version', version: newest.version })
-  }
-
   #tellAll (message: RouteMessage): void {
     this.#gateways.tell(message)
     this.#tellRegistries(message)
--- a/test/links.test.ts
+++ b/test/links.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { connect, createServer } from 'node:net'
 import type { Socket } from 'node:net'
-import { test } from 'node:test'
+import { mock, test } from 'node:test'
 import { FrameSplitter, LinkPool, encodeValue, frameBytes } from '../src/protocol/index.js'
 import { HybridClock } from '../src/runtime/index.js'
 import { host, until } from './support/deployment.js'
@@ -43,6 +43,34 @@
   b.pool.close()
 })
 
+// Boxes that start together call each other before the other listens, and wait longer each time.
+test('a box that is called by one that it could not reach calls that one at once', async () => {
+  const [a, b] = [createSide('a'), createSide('b')]
+  const portOfA = await a.pool.listen(host, 0)
+  const closed = createServer()
+  await new Promise<void>(resolve => closed.listen(0, host, resolve))
+  const { port } = closed.address() as { port: number }
+  await new Promise<void>(resolve => closed.close(() => resolve()))
+  mock.timers.enable({ apis: ['setTimeout'] })
+  try {
+    a.pool.dial(host, port)
+    await spin(100)
+    await b.pool.listen(host, port)
+    b.pool.dial(host, portOfA)
+    for (let turns = 0; turns < 100_000 && a.pool.find(host, port) === undefined; turns++) await spin(1)
+    assert.notEqual(a.pool.find(host, port), undefined)
+  } finally {
+    mock.timers.reset()
+    a.pool.close()
+    b.pool.close()
+  }
+})
+
+/** Lets sockets go on for some turns, without any timer. */
+async function spin (turns: number): Promise<void> {
+  for (let i = 0; i < turns; i++) await new Promise(resolve => setImmediate(resolve))
+}
+
 test('a box with another secret gets nothing through, and is counted', async () => {
   const [a, b] = [createSide('a', 'another long secret'), createSide('b')]
   const port = await b.pool.listen(host, 0)
--- a/test/raft-node.test.ts
+++ b/test/raft-node.test.ts
@@ -147,3 +147,34 @@
     assert.ok(sent >= least && sent <= most, `${sent} times`)
   })
 }
+
+// After a loss of power nobody leads, and what was accepted isn't known to be committed until somebody does: gateways wait for
+// that. A leader that lives is not disturbed, as its followers refuse.
+const firstTries: { name: string, at: number, hasHeard: boolean, tries: boolean }[] = [
+  { name: 'a replica that heard no leader since it started', at: 150, hasHeard: false, tries: true },
+  { name: 'the same, too soon after its start', at: 90, hasHeard: false, tries: false },
+  { name: 'a replica that has heard one', at: 150, hasHeard: true, tries: false },
+  { name: 'a replica that has heard one, which is silent now', at: 520, hasHeard: true, tries: true }
+]
+
+for (const { name, at, hasHeard, tries } of firstTries) {
+  test(`an election is ${tries ? '' : 'not '}tried after ${at} ms by ${name}`, () => {
+    const node = new RaftNode(a, stored(), timing, () => 0.5, 0)
+    if (hasHeard) receive(node, 50, b, { type: 'append', term: 1, prevIndex: 1, prevTerm: 1, entries: [], commit: 1, round: 1 })
+    const effects = node.step({ type: 'tick', at })
+    assert.equal(effects.some(effect => effect.type === 'send' && effect.message.type === 'vote'), tries)
+  })
+}
+
+test('a replica is current once it has applied an entry of its leader\'s own term, and no more once it knows no leader', () => {
+  const node = new RaftNode(a, stored(), timing, () => 0.5, 0)
+  const noop: LogEntry = { index: 2, term: 2, time: 0, content: { type: 'noop' } }
+  const known: boolean[] = [node.isCurrent]
+  receive(node, 10, b, { type: 'append', term: 2, prevIndex: 1, prevTerm: 1, entries: [noop], commit: 1, round: 1 })
+  known.push(node.isCurrent)
+  receive(node, 20, b, { type: 'append', term: 2, prevIndex: 2, prevTerm: 2, entries: [], commit: 2, round: 2 })
+  known.push(node.isCurrent)
+  node.step({ type: 'tick', at: 2000 })
+  known.push(node.isCurrent)
+  assert.deepEqual(known, [false, false, true, false])
+})
--- a/test/registry-follower.test.ts
+++ b/test/registry-follower.test.ts
@@ -21,7 +21,7 @@
   #follower: RegistryFollower
   #link: Link<RouteMessage> | null = null
 
-  private constructor () {
+  private constructor (now: () => number) {
     const log = new EventLog('test', () => {})
     const nothing = (): void => {}
     this.#links = new LinkPool<RouteMessage>({
@@ -39,7 +39,7 @@
       linkPort,
       id: brandId('gateway'),
       zone: brandId('zone-a'),
-      now: () => performance.now(),
+      now,
       draw: () => 0,
       takeDocument: ({ version, text }) => {
         assert.equal(text, compose(version).text)
@@ -54,10 +54,11 @@
     })
   }
 
-  static async run (play: (stage: Stage) => Promise<void>): Promise<void> {
-    const stage = new Stage()
+  /** `others`: registries that are never reached. */
+  static async run (play: (stage: Stage) => Promise<void>, others: readonly string[] = [], now = () => performance.now()): Promise<void> {
+    const stage = new Stage(now)
     await stage.#links.listen(host, linkPort)
-    stage.#follower.start([`${host}:1`])
+    stage.#follower.start([`${host}:1`, ...others])
     try {
       await until(() => stage.#link !== null, 'the follower presents itself')
       await play(stage)
@@ -67,7 +68,7 @@
     }
   }
 
-  name (version: number): void { this.#link?.send({ type: 'version', version }) }
+  name (version: number, isCurrent = false): void { this.#link?.send({ type: 'version', version, isCurrent }) }
   give (document: PackedDocument): void { this.#link?.send({ type: 'document', document }) }
 
   #receive (link: Link<RouteMessage>, message: RouteMessage): void {
@@ -102,3 +103,16 @@
   await until(() => stage.taken.length === 2, 'the second taken')
   assert.deepEqual([stage.asked, stage.taken], [[0, 3, 0, 3], [3, 4]])
 }))
+
+// Gateways that start beside a registry that is lost waited each time for what it might have named.
+test('a document is asked for at once where a registry is sure of it, and not before where none is', () => {
+  const startedAt = performance.now()
+  return Stage.run(async stage => {
+    stage.name(3)
+    stage.name(4, true)
+    await until(() => stage.asked.length === 1, 'the sure one asked for')
+    stage.give(packDocument(compose(4), null))
+    await until(() => stage.taken.length === 1, 'it is taken')
+    assert.deepEqual([stage.asked, stage.taken], [[0], [4]])
+  }, ['127.44.0.9:1'], () => startedAt)
+})
