Boxes that start anew are told all that engines hold, by one registry of their zone, once they have routes

Cause, by sums: the largest deployment has some 3,200 prompts with shared parts on 55 engines; a registry's book held 800, and each told those of its own zone's engines, so that a box which starts knew a fifth at most. Change: the book holds 8,000; a gateway asks one registry near it once it has routes (a few thousand prompts on the link would keep the document waiting), and that one tells of all engines, in batches. A registry with an empty book asks another. Clean-up: the hosts that a registry knows have a class of their own. prompts.test.ts: 6,000 prompts are kept (800 before).

--- a/src/core/balance/prompt-book.ts
+++ b/src/core/balance/prompt-book.ts
@@ -1,8 +1,11 @@
 import type { EndpointId } from '../ids.js'
 import type { ReadPrompt } from './load-word.js'
 
-/** Prompts that are remembered: some hundred shared parts at a few engines each; the oldest give way. */
-const mostKept = 800
+/**
+ * Prompts that are remembered, over all engines: some thousand shared parts at one or two engines each, in about
+ * a megabyte. The oldest give way: what is forgotten is read anew by whichever engine a box that has just started chooses.
+ */
+const mostKept = 8000
 
 /** Which engine holds which shared prompt, as boxes told it, for a box that starts anew. */
 export class PromptBook {
@@ -11,6 +14,7 @@
 
   /** Rises with each change. */
   get version (): number { return this.#version }
+  get isEmpty (): boolean { return this.#prompts.size === 0 }
   get prompts (): ReadPrompt[] { return [...this.#prompts.values()] }
 
   /** Forgets what an endpoint held: it has started again, and holds nothing. */
--- a/src/gateway/registry-follower.ts
+++ b/src/gateway/registry-follower.ts
@@ -64,6 +64,10 @@
 const patience: PullPatience = { firstMs: 1000, longestMs: 8000 }
 /** At the start, documents are taken from a registry that isn't sure of them only after the others had so long to name a newer one, ms. */
 const settleMs = 250
+/** Prompts that engines hold are asked for again after this: the registry that was asked may know of none yet, or be gone, ms. */
+const promptsMs = 1500
+/** They are asked for so often: there may be none. */
+const mostPromptTries = 4
 /** Links to registries at most: one for each of a system of today's size. */
 const mostLinks = 12
 /** Messages that may wait; they are few, as registries send only changes. */
@@ -80,6 +84,8 @@
   /** What came last was told against the document held, yet could not be made out: the whole is asked for. */
   #wantsWhole = false
   #askedAt = 0
+  #promptsAskedAt = -Infinity
+  #promptTries = 0
   #firstNamedAt: number | null = null
   /** A registry that was sure of it has named the newest document. */
   #knowsNewest = false
@@ -177,7 +183,9 @@
       case 'document': return this.#takeDocument(link, message.document)
       case 'endpoints': return this.#host.takeRecords(message.records)
       case 'crashes': return this.#host.takeCrashes(message.news)
-      case 'prompts': return this.#host.takePrompts(message.prompts)
+      case 'prompts':
+        this.#promptTries = mostPromptTries
+        return this.#host.takePrompts(message.prompts)
       case 'boxes':
         for (const host of message.registries) this.#meet(host)
         return this.#host.takeGatewayCount(message.gateways)
@@ -199,6 +207,7 @@
   #adopt (document: VersionedText): void {
     this.#held = document
     this.#host.takeDocument(document)
+    this.#askPrompts()
     this.tell({ type: 'gateway-hello', gateway: this.#host.id, version: document.version })
   }
 
@@ -207,6 +216,18 @@
       if (this.#host.now() - link.heardAt < 2 * pulse.everyMs) this.#host.noteZone(zone)
     }
     this.#ask()
+    this.#askPrompts()
+  }
+
+  // Once there are routes: a few thousand prompts would keep the document waiting on a box's link.
+  #askPrompts (): void {
+    const now = this.#host.now()
+    if (this.#held === null || this.#promptTries >= mostPromptTries || now - this.#promptsAskedAt < promptsMs) return
+    const link = this.findNear()
+    if (link === undefined) return
+    link.send({ type: 'ask-prompts' })
+    this.#promptsAskedAt = now
+    this.#promptTries += 1
   }
 
   #ask (): void {
--- a/src/protocol/route-message.ts
+++ b/src/protocol/route-message.ts
@@ -30,7 +30,9 @@
   | { readonly type: 'document', readonly document: PackedDocument }
   /** Records of endpoints; `whole` where they are all that the sender has. */
   | { readonly type: 'endpoints', readonly records: readonly EndpointRecord[], readonly whole: boolean }
-  /** Prompts that engines of the sender's zone hold, for a gateway that starts anew. */
+  /** Asks which prompts engines hold, for a box that starts anew. */
+  | { readonly type: 'ask-prompts' }
+  /** All that some engines hold, as far as the sender knows. */
   | { readonly type: 'prompts', readonly prompts: readonly ReadPrompt[] }
   /** Ends of endpoints, and requests in quarantine: what is news, or all of it to a box that may know nothing. */
   | { readonly type: 'crashes', readonly news: CrashNews }
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -2,4 +2,5 @@
 export { RegistryBox } from './registry-box.js'
 export type { RegistrySurroundings } from './registry-box.js'
 export { isSavedPrompt } from './saved-kinds.js'
+export { listBatches } from './prompt-batches.js'
 export { LoadHub } from './load-hub.js'
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -18,12 +18,13 @@
 import { DutyDesk } from './duty-desk.js'
 import { EndpointDesk, restoredMs } from './endpoint-desk.js'
 import { GatewayRoster } from './gateway-roster.js'
+import { KnownHosts } from './known-hosts.js'
 import { LeaderCalls } from './leader-calls.js'
 import { LoadHub } from './load-hub.js'
 import { MemberTender } from './member-tender.js'
-import { listNearPrompts } from './near-prompts.js'
 import { OperatorDesk } from './operator-desk.js'
 import { beginLog, openRegistryLog } from './open-log.js'
+import { listBatches } from './prompt-batches.js'
 import { ServicesInForce } from './services-in-force.js'
 import { SavedState } from './saved-state.js'
 
@@ -59,8 +60,7 @@
   #calls: LeaderCalls | null = null
   /** Null where there are none. */
   #duties: DutyDesk | null = null
-  #hosts = new Set<string>()
-  #seeds: readonly string[] = []
+  #hosts: KnownHosts
   #members: MemberTender
   #services: ServicesInForce
   #gateways = new GatewayRoster()
@@ -74,9 +74,10 @@
     this.#around = around
     const { log } = around
     this.#links = this.#createLinks()
+    this.#hosts = new KnownHosts(settings.host, settings.linkPort, this.#links)
     this.#members = new MemberTender({ zone: settings.zone, faults: settings.faults, log, now })
     this.#endpoints = this.#createEndpointDesk()
-    this.#hub = new LoadHub({ id: brandId(settings.id), log, now, listOthers: () => [...this.#hosts] })
+    this.#hub = new LoadHub({ id: brandId(settings.id), log, now, listOthers: () => this.#hosts.others })
     this.#documents = new DocumentAnnouncer({
       ...around,
       findNewest: () => this.#log?.state.routing.newest ?? null,
@@ -107,7 +108,7 @@
     // Those whose link opened before the disk did don't know yet who this is.
     this.#gateways.tell(this.#composeHello(this.#log))
     this.#calls = new LeaderCalls({ log: this.#log, findLink: replica => this.#links.find(getReplicaHost(replica), linkPort) })
-    await beginLog(this.#log, this.#seeds, this.#settings.first, log)
+    await beginLog(this.#log, this.#hosts.seeds, this.#settings.first, log)
     // A snapshot is in force from the start; nobody tells of it.
     this.#documents.announce()
     this.port = await this.#desk.listen(parseAddress(listen))
@@ -117,10 +118,7 @@
   }
 
   /** Takes other seeds; those known before stay known. */
-  setSeeds (seeds: readonly string[]): void {
-    this.#seeds = seeds.map(seed => parseAddress(seed).host)
-    for (const host of this.#seeds) this.#meet(host)
-  }
+  setSeeds (seeds: readonly string[]): void { this.#hosts.setSeeds(seeds) }
 
   /** Hands leadership over, then ends. */
   async stop (): Promise<void> {
@@ -202,7 +200,7 @@
 
   #openLog (): Promise<KeeperLog> {
     const { log } = this.#around
-    return openRegistryLog(this.#settings, this.#seeds.includes(this.#settings.host), log, {
+    return openRegistryLog(this.#settings, this.#hosts.seeds.includes(this.#settings.host), log, {
       send: (to, message) => this.#sendRaft(to, message),
       noteRole: (role, term, leader) => {
         this.#documents.noteRole()
@@ -225,18 +223,13 @@
 
   // Meeting the others.
 
-  #meet (host: string): void {
-    if (host === this.#settings.host || this.#hosts.has(host)) return
-    this.#hosts.add(host)
-    this.#links.dial(host, this.#settings.linkPort)
-  }
-
   #greet (link: Link<RouteMessage>): void {
     this.#sendHello(link)
     // Between registries; a gateway gets them once it has presented itself.
     if (!this.#links.dialed.includes(link)) return
     link.send({ type: 'endpoints', records: this.#endpoints.records, whole: true })
     link.send({ type: 'crashes', news: this.#crashes.news })
+    if (this.#hub.prompts.isEmpty) link.send({ type: 'ask-prompts' })
   }
 
   #sendHello (link: Link<RouteMessage>): void {
@@ -244,14 +237,14 @@
   }
 
   #composeHello ({ id }: KeeperLog): RouteMessage {
-    return { type: 'registry-hello', replica: id, zone: this.#settings.zone, registries: [...this.#hosts] }
+    return { type: 'registry-hello', replica: id, zone: this.#settings.zone, registries: this.#hosts.others }
   }
 
   #noteHello (message: Extract<RouteMessage, { type: 'registry-hello' }>): void {
     const host = getReplicaHost(message.replica)
     this.#members.noteHeard(message.replica, message.zone)
-    this.#meet(host)
-    for (const other of message.registries) this.#meet(other)
+    this.#hosts.meet(host)
+    for (const other of message.registries) this.#hosts.meet(other)
   }
 
   #noteClosed (link: Link<RouteMessage>): void {
@@ -273,16 +266,11 @@
   }
 
   #composeBoxes (): RouteMessage {
-    return { type: 'boxes', registries: [this.#settings.host, ...this.#hosts], gateways: this.#gateways.count }
+    return { type: 'boxes', registries: [this.#settings.host, ...this.#hosts.others], gateways: this.#gateways.count }
   }
 
   #forgetSilent (): void {
-    for (const replica of this.#members.forgetSilent()) {
-      const host = getReplicaHost(replica)
-      if (this.#seeds.includes(host)) continue
-      this.#hosts.delete(host)
-      this.#links.hangUp(host, this.#settings.linkPort)
-    }
+    for (const replica of this.#members.forgetSilent()) this.#hosts.forget(getReplicaHost(replica))
   }
 
   // Messages.
@@ -301,9 +289,10 @@
       case 'crashes': return this.#crashes.merge(message.news)
       case 'usage': return this.#duties?.takeUsage(message.tellings)
       case 'heard': return this.#endpoints.noteHeard(message.words)
+      case 'ask-prompts': return this.#sendPrompts(link)
+      case 'prompts': return this.#hub.prompts.note(message.prompts)
       case 'version':
       case 'document':
-      case 'prompts':
       case 'boxes': return this.#noteViolation('messages-for-registries', message.type)
     }
   }
@@ -317,7 +306,6 @@
     if (!isNew) return
     // Changes are told only to gateways that are known: what came since the link opened is told here.
     link.send({ type: 'endpoints', records: this.#endpoints.records, whole: true })
-    link.send({ type: 'prompts', prompts: listNearPrompts(this.#hub.prompts.prompts, this.#endpoints.records, this.#settings.zone) })
     link.send(this.#composeBoxes())
     this.#around.log.info('gateway-met', { gateway, version })
   }
@@ -327,6 +315,10 @@
     if (document !== null) link.send({ type: 'document', document })
   }
 
+  #sendPrompts (link: Link<RouteMessage>): void {
+    for (const prompts of listBatches(this.#hub.prompts.prompts)) link.send({ type: 'prompts', prompts })
+  }
+
   #sendRaft (to: ReplicaId, message: Extract<RouteMessage, { type: 'raft' }>['message']): void {
     const from = this.#log?.id
     if (from !== undefined) this.#links.find(getReplicaHost(to), this.#settings.linkPort)?.send({ type: 'raft', from, to, message })
--- a/test/prompts.test.ts
+++ b/test/prompts.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { Fleet, PromptBook, PromptMemory, PromptRelay, brandId, noTotals } from '../src/core/index.js'
-import { isSavedPrompt } from '../src/registry/index.js'
+import { isSavedPrompt, listBatches } from '../src/registry/index.js'
 import type { LoadTotals, RoutedService } from '../src/core/index.js'
 import { createFleet, createRecord, engineService, long, movingService, readShared } from './support/fleet-builder.js'
 
@@ -95,11 +95,38 @@
   assert.deepEqual([book.prompts, book.version], [[], 0])
   book.note([prompt(1), prompt(1)])
   assert.deepEqual([book.prompts, book.version], [[prompt(1)], 1])
-  book.note(Array.from({ length: 900 }, (_, i) => prompt(1000 + i)))
-  assert.equal(book.prompts.length, 800)
-  assert.deepEqual(book.prompts.at(-1), prompt(1899))
+  book.note(Array.from({ length: 9000 }, (_, i) => prompt(1000 + i)))
+  assert.equal(book.prompts.length, 8000)
+  assert.deepEqual(book.prompts.at(-1), prompt(9999))
 })
 
+// Some 3,200 prompts shared parts on the largest of the users' deployments, on 55 engines. A book of 800 had boxes that started
+// anew have most of them read again, beside engines that held them.
+test('a book of prompts holds three thousand shared parts at two engines each', () => {
+  const book = new PromptBook()
+  const all = Array.from({ length: 6000 }, (_, i): LoadTotals['prompts'][number] => [brandId(`e${i % 55}`), [[`part-${i >> 1}`, 1000]], true])
+  book.note(all)
+  assert.deepEqual(new Set(book.prompts), new Set(all))
+})
+
+const batches: readonly { name: string, held: Readonly<Record<string, number>>, sizes: readonly number[] }[] = [
+  { name: 'nothing', held: {}, sizes: [] },
+  { name: 'a few engines with little each', held: { a: 100, b: 100, c: 200 }, sizes: [400] },
+  { name: 'one engine with much', held: { a: 900 }, sizes: [900] },
+  { name: 'engines that fill a batch', held: { a: 300, b: 300, c: 50 }, sizes: [300, 350] }
+]
+
+for (const { name, held, sizes } of batches) {
+  test(`what engines hold is told in batches that part no engine: ${name}`, () => {
+    const prompts = Object.entries(held).flatMap(([id, count]) => Array.from({ length: count }, (_, i): LoadTotals['prompts'][number] => [brandId(id), [[`part-${i}`, 1]], true]))
+    // In the order in which they were heard of, not by engine.
+    const told = listBatches(prompts.sort(([, a], [, b]) => a[0][0].localeCompare(b[0][0])))
+    assert.deepEqual(told.map(batch => batch.length), sizes)
+    const owners = told.map(batch => new Set(batch.map(([id]) => id)))
+    assert.equal(owners.reduce((sum, ids) => sum + ids.size, 0), Object.keys(held).length)
+  })
+}
+
 test('what registries tell of an engine counts, in whatever order record, service and prompt come', () => {
   const told: readonly ((fleet: Fleet) => void)[] = [fleet => fleet.notePrompts(readShared), fleet => fleet.applyRecords([createRecord('e1')]), fleet => fleet.configure([movingService])]
   for (const order of [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]]) {
