A late heartbeat of an endpoint at whose address another runs changes nothing

Change: a registry passes over words of an endpoint at whose address another has spoken since and was heard within 4 s. One that goes on speaking after the other fell silent has its address back; a last word is always taken.

--- a/src/core/balance/endpoint-directory.ts
+++ b/src/core/balance/endpoint-directory.ts
@@ -20,6 +20,12 @@
 
   find (id: EndpointId): EndpointRecord | undefined { return this.#records.get(id) }
 
+  /** The endpoint that spoke last from the address of a word. */
+  findAt ({ host, port }: Pick<EndpointRecord, 'host' | 'port'>): EndpointRecord | undefined {
+    const id = this.#byAddress.get(`${host}:${port}`)
+    return id === undefined ? undefined : this.#records.get(id)
+  }
+
   /** Takes in a word; returns the records that it changed for others, or none. */
   merge (word: EndpointRecord): EndpointRecord[] {
     const known = this.#records.get(word.id)
--- a/src/registry/endpoint-desk.ts
+++ b/src/registry/endpoint-desk.ts
@@ -30,6 +30,12 @@
  */
 const lateGoneMs = 1500
 
+/**
+ * Who spoke last from an address has it until silent for so long, ms: three heartbeats, or one told by another registry
+ * and one more. A late heartbeat of the one before would take its work away until its next word.
+ */
+const ownerSilentMs = 4000
+
 export class EndpointDesk {
   #host: EndpointDeskHost
   #directory = new EndpointDirectory()
@@ -58,6 +64,7 @@
 
   /** Takes an endpoint's own word. */
   note (word: EndpointRecord): void {
+    if (this.#isOvertaken(word)) return this.#host.log.info('endpoint-overtaken', { endpoint: word.id, sequence: word.sequence })
     if (word.stage === 'gone' && this.#host.now() - (this.#bornAt.get(word.id) ?? -Infinity) < lateGoneMs) return
     this.#heardAt.set(word.id, this.#host.now())
     this.#heard.set(word.id, word.sequence)
@@ -80,6 +87,14 @@
     this.#host.spread(changed)
   }
 
+  // A known endpoint at whose address another has spoken since, and still does: the word was held back on its way.
+  #isOvertaken (word: EndpointRecord): boolean {
+    const owner = this.#directory.findAt(word)
+    if (word.stage === 'gone' || owner === undefined || owner.id === word.id || this.#directory.find(word.id) === undefined) return false
+    if (owner.stage === 'gone' || owner.stage === 'lost') return false
+    return this.#host.now() - (this.#heardAt.get(owner.id) ?? -Infinity) < ownerSilentMs
+  }
+
   #noteNewLife (id: EndpointId): void {
     this.#bornAt.set(id, this.#host.now())
     this.#host.noteNewLife(id)
