--- a/test/duties.test.ts
+++ b/test/duties.test.ts
@@ -24,7 +24,7 @@
   platform = new StandinPlatform()
   await platform.listen('127.0.0.1')
   const duties = { address: `127.0.0.1:${platform.port}`, leaseMs, usageWindowSeconds: windowSeconds, usageLateSeconds: 3 }
-  place = await RouteDeployment.start({ number: 33, registries: 3, gateways: 2, registry: { duties }, gateway: { usageWindowSeconds: windowSeconds } })
+  place = await RouteDeployment.start({ number: 35, registries: 3, gateways: 2, registry: { duties }, gateway: { usageWindowSeconds: windowSeconds } })
   const sizing = { least: 1, most: 4, bootMs: 500, spotPrice: 0.25, zonePrices: { 'zone-a': 1 } }
   await place.putDocument(composeDocument(1, { services: [{ name: 'desk', sizing }] }))
   await place.addEndpoint('desk')
