Gateways are told loads without the names of their fields, and the speeds of engines twice a second

Cause, by sums: at 61 endpoints a word to a gateway is 4,048 bytes, of which 1,398 are speeds and some 800 names of fields; twenty a second to each of 194 gateways, which decode them all. Change: the coding of words between hubs serves here too.

--- a/src/core/balance/sum-news.ts
+++ b/src/core/balance/sum-news.ts
@@ -1,18 +1,19 @@
 /**
- * A hub's sum as it is told to other hubs: whole now and then, and in between
- * only what changed. Such words cross between zones, where bytes are dear, and
- * each of six hubs tells five others up to a hundred times a second.
+ * A hub's sum as it is told. To other hubs: whole now and then, and in between
+ * only what changed, as such words cross between zones, where bytes are dear, and
+ * each of six hubs tells five others up to a hundred times a second. To gateways:
+ * whole, as most of it changes between two words; the speeds of engines now and then.
  */
 import type { EndpointId } from '../ids.js'
 import type { EndpointLoad, EngineGap, LoadTotals } from './load-word.js'
 
-/** What a hub tells another of its sum. */
+/** What a hub tells of its sum. */
 export interface SumNews extends Omit<LoadTotals, 'gaps'> {
   /** True where `loads` are all that there is; else they are those that changed of late. */
   readonly isWhole: boolean
   /** Endpoints at which nothing is left; none in a whole word. */
   readonly gone: readonly EndpointId[]
-  /** Null in a word that isn't whole: the speeds of engines change slowly. */
+  /** Null where they are as told before: the speeds of engines change slowly. */
   readonly gaps: readonly EngineGap[] | null
 }
 
@@ -52,16 +53,18 @@
   }
 }
 
-/** Puts another hub's sum together again from its news. */
+/** Puts a hub's sum together again from its news. */
 export class SumReader {
   #loads = new Map<EndpointId, EndpointLoad>()
-  #gaps: readonly EngineGap[] | null = null
+  #gaps: readonly EngineGap[] = []
+  #hasWhole = false
 
   /** The sum with the news in it; null before the first whole one. */
   take ({ isWhole, gone, ...news }: SumNews): LoadTotals | null {
     if (isWhole) this.#loads.clear()
-    if (news.gaps !== null) this.#gaps = news.gaps
-    if (this.#gaps === null) return null
+    this.#hasWhole ||= isWhole
+    this.#gaps = news.gaps ?? this.#gaps
+    if (!this.#hasWhole) return null
     for (const load of news.loads) this.#loads.set(load.endpoint, load)
     for (const id of gone) this.#loads.delete(id)
     return { ...news, loads: [...this.#loads.values()], gaps: this.#gaps }
--- a/src/gateway/load-reporter.ts
+++ b/src/gateway/load-reporter.ts
@@ -4,7 +4,7 @@
  * zone where one can be reached; where it falls silent, another.
  */
 import { randomInt } from 'node:crypto'
-import { chooseByHash, dropWaiting, noTotals, staleMs, subtractOwn } from '../core/index.js'
+import { SumReader, chooseByHash, dropWaiting, noTotals, staleMs, subtractOwn } from '../core/index.js'
 import type { BoxId, BoxLoad, LoadTotals, ZoneName } from '../core/index.js'
 import { decodeTotalsWord, encodeLoadWord, isNewerWord, startLimit } from '../protocol/index.js'
 import type { WordNumber } from '../protocol/index.js'
@@ -32,6 +32,7 @@
   readonly host: string
   /** When the first word went there. */
   readonly chosenAt: number
+  readonly reader: SumReader
   /** Its newest word; undefined before the first. */
   newest: WordNumber | undefined
   heardAt: number
@@ -124,7 +125,8 @@
     hub.heardAt = now
     this.#heardAt = now
     this.#intervalMs = word.intervalMs
-    this.#passOthers(subtractOwn(word.totals, this.#kept.get(word.ownNumber) ?? null), word.intervalMs)
+    const totals = hub.reader.take(word.news)
+    if (totals !== null) this.#passOthers(subtractOwn(totals, this.#kept.get(word.ownNumber) ?? null), word.intervalMs)
   }
 
   #tick (): void {
@@ -156,7 +158,7 @@
     if (best === hub?.host || best === undefined) return
     this.#host.log.info('hub-chosen', { hub: best, before: hub?.host ?? '' })
     if (hub !== null) this.#tell(hub.host, null)
-    this.#hub = { host: best, chosenAt: now, newest: undefined, heardAt: -Infinity }
+    this.#hub = { host: best, chosenAt: now, reader: new SumReader(), newest: undefined, heardAt: -Infinity }
     this.#send()
   }
 
--- a/src/protocol/load-datagram.ts
+++ b/src/protocol/load-datagram.ts
@@ -3,7 +3,7 @@
  * other hubs the sum of its gateways' work, and its gateways the totals of all.
  * Each is whole, so that a lost one costs only time.
  */
-import type { BoxId, BoxLoad, EndpointId, EndpointLoad, EngineGap, LoadTotals, ReadPrompt, ServiceTotal, SumNews, WaitingTokens, ZoneName } from '../core/index.js'
+import type { BoxId, BoxLoad, EndpointId, EndpointLoad, EngineGap, ReadPrompt, ServiceTotal, SumNews, WaitingTokens, ZoneName } from '../core/index.js'
 import { decodeValue, encodeValue } from './value-codec.js'
 
 /** Tells a sender's words apart: a later one replaces those before it. */
@@ -35,7 +35,7 @@
   readonly ownNumber: number
   /** How often the hub tells changes, ms. */
   readonly intervalMs: number
-  readonly totals: LoadTotals
+  readonly news: SumNews
 }
 
 const wireVersion = 4
@@ -62,36 +62,35 @@
 
 /** Encodes a hub's word to another hub. */
 export function encodeHubWord ({ hub, start, number, news }: HubWord): Buffer {
-  const { isWhole, loads, gone, demands, gaps, prompts, zones } = news
-  return encodeValue([wireVersion, hub, start, number, [isWhole, loads.map(packLoad), gone, demands, gaps, prompts, zones]])
+  return encodeValue([wireVersion, hub, start, number, encodeNews(news)])
 }
 
 /** Decodes a hub's word to another hub; null for bytes that are none. */
 export function decodeHubWord (bytes: Uint8Array): HubWord | null {
   const fields = decodeFields(bytes, 5)
   if (fields === null) return null
-  const [, hub, start, number, packed] = fields as [number, BoxId, number, number, unknown]
-  if (!Array.isArray(packed) || packed.length !== 7) return null
-  const [isWhole, loads, gone, demands, gaps, prompts, zones] = packed as [boolean, PackedLoad[], EndpointId[], ServiceTotal[], EngineGap[] | null, ReadPrompt[], ZoneName[]]
-  const isSound = [loads, gone, demands, gaps ?? [], prompts, zones].every(list => Array.isArray(list)) && loads.every(isPackedLoad)
-  return isSound ? { hub, start, number, news: { isWhole, loads: loads.map(unpackLoad), gone, demands, gaps, prompts, zones } } : null
+  const [, hub, start, number, encoded] = fields as [number, BoxId, number, number, unknown]
+  const news = decodeNews(encoded)
+  return news === null ? null : { hub, start, number, news }
 }
 
-/** Encodes the part of a hub's words that is the same for all gateways that they go to. */
-export function encodeTotals (totals: LoadTotals): Buffer { return encodeValue(totals) }
+/** Encodes the part of a hub's words that is the same for all that they go to. */
+export function encodeNews ({ isWhole, loads, gone, demands, gaps, prompts, zones }: SumNews): Buffer {
+  return encodeValue([isWhole, loads.map(packLoad), gone, demands, gaps, prompts, zones])
+}
 
-/** Encodes a hub's word to one gateway, around totals that are encoded already. */
-export function encodeTotalsWord (word: Omit<TotalsWord, 'totals'>, totals: Buffer): Buffer {
-  return encodeValue([wireVersion, word.start, word.number, word.ownNumber, word.intervalMs, totals])
+/** Encodes a hub's word to one gateway, around news that are encoded already. */
+export function encodeTotalsWord (word: Omit<TotalsWord, 'news'>, news: Buffer): Buffer {
+  return encodeValue([wireVersion, word.start, word.number, word.ownNumber, word.intervalMs, news])
 }
 
 /** Decodes a hub's word to a gateway; null for bytes that are none. */
 export function decodeTotalsWord (bytes: Uint8Array): TotalsWord | null {
   const fields = decodeFields(bytes, 6)
-  if (fields === null || !(fields[5] instanceof Uint8Array)) return null
-  const [, start, number, ownNumber, intervalMs, encoded] = fields as [number, number, number, number, number, Uint8Array]
-  const totals = decodeTotals(encoded)
-  return totals === null ? null : { start, number, ownNumber, intervalMs, totals }
+  if (fields === null) return null
+  const [, start, number, ownNumber, intervalMs, encoded] = fields as [number, number, number, number, number, unknown]
+  const news = decodeNews(encoded)
+  return news === null ? null : { start, number, ownNumber, intervalMs, news }
 }
 
 /** A load without the names of its fields, as most of a word is loads. */
@@ -109,9 +108,12 @@
   return Array.isArray(value) && value.length === 6 && Array.isArray(value[4])
 }
 
-function decodeTotals (bytes: Uint8Array): LoadTotals | null {
-  const totals = decodeOrNull(bytes) as LoadTotals
-  return hasLists(totals, ['loads', 'demands', 'gaps', 'zones', 'prompts']) ? totals : null
+function decodeNews (encoded: unknown): SumNews | null {
+  const packed = encoded instanceof Uint8Array ? decodeOrNull(encoded) : null
+  if (!Array.isArray(packed) || packed.length !== 7) return null
+  const [isWhole, loads, gone, demands, gaps, prompts, zones] = packed as [boolean, PackedLoad[], EndpointId[], ServiceTotal[], EngineGap[] | null, ReadPrompt[], ZoneName[]]
+  const isSound = [loads, gone, demands, gaps ?? [], prompts, zones].every(list => Array.isArray(list)) && loads.every(isPackedLoad)
+  return isSound ? { isWhole, loads: loads.map(unpackLoad), gone, demands, gaps, prompts, zones } : null
 }
 
 function decodeFields (bytes: Uint8Array, length: number): unknown[] | null {
--- a/src/registry/load-hub.ts
+++ b/src/registry/load-hub.ts
@@ -7,7 +7,7 @@
 import { randomInt } from 'node:crypto'
 import { LoadBook, PromptBook, PromptRelay, SumTeller } from '../core/index.js'
 import type { BoxId, LoadTotals, ReadPrompt } from '../core/index.js'
-import { decodeHubWord, decodeLoadWord, encodeHubWord, encodeTotals, encodeTotalsWord, isNewerWord, startLimit } from '../protocol/index.js'
+import { decodeHubWord, decodeLoadWord, encodeHubWord, encodeNews, encodeTotalsWord, isNewerWord, startLimit } from '../protocol/index.js'
 import type { WordNumber } from '../protocol/index.js'
 import { DatagramPort, Inbox } from '../runtime/index.js'
 import type { EventLog } from '../runtime/index.js'
@@ -52,7 +52,7 @@
 const beatMs = 100
 /** The same between hubs, ms: three fit into the time after which what waits no longer counts. */
 const hubBeatMs = 180
-/** All hubs are told the whole sum this often, ms: those without gateways too, as one of them may be chosen at any time. */
+/** All hubs are told the whole sum this often, and gateways the speeds of engines, ms: hubs without gateways too, as one of them may be chosen at any time. */
 const wholeMs = 500
 /** Datagrams that wait to be read; more are dropped, as the network may. */
 const mostWaiting = 5000
@@ -72,6 +72,7 @@
   /** On which all hubs listen. */
   #port = 0
   #allToldAt = -Infinity
+  #gapsToldAt = -Infinity
   #start = randomInt(startLimit)
   #number = 0
   /** When it was last looked at what is to be told. */
@@ -136,6 +137,8 @@
     const { box, zone, start, number, load } = word
     if (!isNewerWord(word, this.#tellers.get(box))) return
     if (load === null) return this.#release(box)
+    // Who is new knows no engine's speed.
+    if (!this.#tellers.has(box)) this.#gapsToldAt = -Infinity
     this.#tellers.set(box, { host, port, start, number })
     this.#isIdle = false
     const now = this.#host.now()
@@ -202,18 +205,20 @@
   }
 
   #tellGateways (sum: LoadTotals, now: number): void {
-    const totals = encodeTotals(sum)
-    if (!this.#toGateways.take(totals, now, sum.prompts.length > 0)) return
+    const tellsGaps = now - this.#gapsToldAt >= wholeMs
+    const news = encodeNews({ ...sum, isWhole: true, gone: [], gaps: tellsGaps ? sum.gaps : null })
+    if (!this.#toGateways.take(news, now, tellsGaps || sum.prompts.length > 0)) return
+    if (tellsGaps) this.#gapsToldAt = now
     const word = { start: this.#start, number: this.#nextNumber(), intervalMs: this.#intervalMs }
     for (const { host, port, number } of this.#tellers.values()) {
-      this.#datagrams.send(encodeTotalsWord({ ...word, ownNumber: number }, totals), host, port)
+      this.#datagrams.send(encodeTotalsWord({ ...word, ownNumber: number }, news), host, port)
     }
   }
 
   // Hubs that have gateways are told at once, the others now and then.
   #tellHubs (own: LoadTotals, now: number): void {
     const tellsAll = now - this.#allToldAt >= wholeMs
-    if (!this.#toHubs.take(encodeTotals(own), now, own.prompts.length > 0) && !tellsAll) return
+    if (!this.#toHubs.take(encodeNews({ ...own, isWhole: true, gone: [] }), now, own.prompts.length > 0) && !tellsAll) return
     if (tellsAll) this.#allToldAt = now
     const hosts = tellsAll ? this.#host.listOthers() : [...this.#others.values()].map(other => other.host)
     if (hosts.length === 0) return
--- a/test/load-datagrams.test.ts
+++ b/test/load-datagrams.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { brandId, noTotals } from '../src/core/index.js'
+import { brandId } from '../src/core/index.js'
 import type { BoxId, BoxLoad, EndpointId, LoadTotals, ServiceName, SumNews, ZoneName } from '../src/core/index.js'
-import { decodeHubWord, decodeLoadWord, decodeTotalsWord, encodeHubWord, encodeLoadWord, encodeTotals, encodeTotalsWord, encodeValue, isNewerWord } from '../src/protocol/index.js'
+import { decodeHubWord, decodeLoadWord, decodeTotalsWord, encodeHubWord, encodeLoadWord, encodeNews, encodeTotalsWord, encodeValue, isNewerWord } from '../src/protocol/index.js'
 
 const newer: readonly { name: string, word: [number, number], known: [number, number] | null, isNewer: boolean }[] = [
   { name: 'the first of all', word: [7, 1], known: null, isNewer: true },
@@ -31,10 +31,10 @@
 test('words about loads come out as they went in, and none is taken for another', () => {
   const told = encodeLoadWord(loadWord)
   const toHub = encodeHubWord(hubWord)
-  const toGateway = encodeTotalsWord(totalsWord, encodeTotals(totals))
+  const toGateway = encodeTotalsWord(totalsWord, encodeNews(news))
   assert.deepEqual([told, toHub, toGateway].map(decodeLoadWord), [loadWord, null, null])
   assert.deepEqual([told, toHub, toGateway].map(decodeHubWord), [null, hubWord, null])
-  assert.deepEqual([told, toHub, toGateway].map(decodeTotalsWord), [null, null, { ...totalsWord, totals }])
+  assert.deepEqual([told, toHub, toGateway].map(decodeTotalsWord), [null, null, { ...totalsWord, news }])
 })
 
 const foreign: readonly { name: string, bytes: Uint8Array }[] = [
@@ -43,10 +43,10 @@
   { name: 'half a word', bytes: encodeLoadWord(loadWord).subarray(0, 20) },
   { name: 'another version', bytes: encodeValue([3, 'gateway-1', 'zone-a', 5, 6, load]) },
   { name: 'a load without lists', bytes: encodeValue([4, 'gateway-1', 'zone-a', 5, 6, { loads: 1 }]) },
-  { name: 'a sum that is no list', bytes: encodeValue([4, 'registry-1', 5, 6, { loads: [] }]) },
-  { name: 'a sum with a load that is none', bytes: encodeValue([4, 'registry-1', 5, 6, [true, [['e-1', 2]], [], [], [], [], []]]) },
+  { name: 'a sum that is no list', bytes: encodeValue([4, 'registry-1', 5, 6, encodeValue({ loads: [] })]) },
+  { name: 'a sum with a load that is none', bytes: encodeValue([4, 'registry-1', 5, 6, encodeValue([true, [['e-1', 2]], [], [], [], [], []])]) },
   { name: 'totals that are no value', bytes: encodeTotalsWord(totalsWord, Buffer.from([0xff])) },
-  { name: 'totals without zones', bytes: encodeTotalsWord(totalsWord, encodeValue({ ...noTotals, zones: null })) }
+  { name: 'totals without zones', bytes: encodeTotalsWord(totalsWord, encodeValue([true, [], [], [], [], [], null])) }
 ]
 
 for (const { name, bytes } of foreign) {
--- a/test/load-hub.test.ts
+++ b/test/load-hub.test.ts
@@ -2,7 +2,7 @@
 import { createSocket } from 'node:dgram'
 import type { Socket } from 'node:dgram'
 import { after, before, test } from 'node:test'
-import { brandId } from '../src/core/index.js'
+import { SumReader, brandId } from '../src/core/index.js'
 import type { BoxId, BoxLoad, EndpointId, LoadTotals, ZoneName } from '../src/core/index.js'
 import { decodeTotalsWord, encodeLoadWord } from '../src/protocol/index.js'
 import { LoadReporter } from '../src/gateway/index.js'
@@ -22,13 +22,15 @@
   running = 1
   #id: BoxId
   #socket: Socket = createSocket('udp4')
+  #reader = new SumReader()
   #timer: NodeJS.Timeout
 
   constructor (i: number) {
     this.#id = brandId<BoxId>(`gateway-${i}`)
     this.#socket.on('message', bytes => {
       const word = decodeTotalsWord(bytes)
-      if (word !== null) this.told.push(word.totals)
+      const totals = word === null ? null : this.#reader.take(word.news)
+      if (totals !== null) this.told.push(totals)
     })
     this.#timer = setInterval(() => this.#send(hosts[i]), wordMs)
   }
--- a/test/sum-news.test.ts
+++ b/test/sum-news.test.ts
@@ -47,3 +47,12 @@
   sum.loads = [composeLoad('i-000000000', 3), ...sum.loads.slice(1)]
   assert.ok(measure(false) * 10 < whole)
 })
+
+// Hundreds of gateways decode twenty words a second: half of each was the speeds of engines and the names of fields.
+test('the speeds of engines stay known where a word leaves them out, and are none before they are told', () => {
+  const [teller, reader] = [new SumTeller(), new SumReader()]
+  const sum = { ...composeSum({ a: 1 }), gaps: [[brandId<EndpointId>('a'), 9.3] as const] }
+  const whole = teller.compose(sum, true)
+  const told = [{ ...whole, gaps: null }, whole, { ...whole, gaps: null }].map(news => reader.take(news)?.gaps)
+  assert.deepEqual(told, [[], sum.gaps, sum.gaps])
+})
