--- a/src/protocol/link-pool.ts
+++ b/src/protocol/link-pool.ts
@@ -46,7 +46,7 @@
       clock: host.clock,
       receive: (link, message) => host.receive(link, message),
       noteOpen: link => {
-        this.#hasten(link.peerHost)
+        this.#callBack(link.peerHost)
         host.noteOpen(link)
       },
       noteFault: (fault, peer) => host.noteFault(fault, peer),
@@ -136,7 +136,7 @@
   }
 
   // Who calls us has started: the next try to call them need not wait.
-  #hasten (host: string): void {
+  #callBack (host: string): void {
     for (const dialed of this.#dialed.values()) {
       if (dialed.host !== host || dialed.timer === null) continue
       clearTimeout(dialed.timer)
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -41,6 +41,8 @@
 const helloMs = 250
 /** How often the boxes in touch, and who was heard from, are told, ms. */
 const tellMs = 2000
+/** Pause between batches of prompts, ms: one takes 20 ms of a small box's link, which also carries its first requests. */
+const batchMs = 50
 /** Heartbeats of links, ms: an eighth of what makes a box count as out of touch on the users' days. */
 const pulse = { everyMs: 400, silentMs: 1500 }
 const dialing = { connectMs: 500, longestRetryMs: 500 }
@@ -321,7 +323,7 @@
   }
 
   #sendPrompts (link: Link<RouteMessage>): void {
-    for (const prompts of listBatches(this.#hub.prompts.prompts)) link.send({ type: 'prompts', prompts })
+    for (const [i, prompts] of listBatches(this.#hub.prompts.prompts).entries()) setTimeout(() => link.send({ type: 'prompts', prompts }), i * batchMs)
   }
 
   #sendRaft (to: ReplicaId, message: Extract<RouteMessage, { type: 'raft' }>['message']): void {
