Registries that start again know the others from their log; what engines hold is composed once a second for all that ask

Changes: prompts are composed once a second at most, and so encoded once; a registry meets the members of its log when it starts. registry.test.ts (seeds that are gone) fails before: a log whose registries start with other seeds never had a quorum again.

--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -2,6 +2,6 @@
 export { RegistryBox } from './registry-box.js'
 export type { RegistrySurroundings } from './registry-box.js'
 export { isSavedPrompt } from './saved-kinds.js'
-export { listBatches } from './prompt-batches.js'
+export { PromptBatches, listBatches } from './prompt-batches.js'
 export { EndpointDesk } from './endpoint-desk.js'
 export { LoadHub } from './load-hub.js'
--- a/src/registry/known-hosts.ts
+++ b/src/registry/known-hosts.ts
@@ -1,4 +1,6 @@
 import { parseAddress } from '../config/index.js'
+import { getReplicaHost } from '../coordination/index.js'
+import type { Replica } from '../coordination/index.js'
 import type { LinkPool, RouteMessage } from '../protocol/index.js'
 
 /** The other registries that a registry knows, each called until it is forgotten. Seeds are never forgotten. */
@@ -24,6 +26,12 @@
     for (const host of this.#seeds) this.meet(host)
   }
 
+  /** Meets the members of the log: seeds may all be gone by the time that a box starts again. */
+  meetMembers (replica: Replica | null): void {
+    if (replica === null) return
+    for (const member of [...replica.members.voters, ...replica.members.learners]) this.meet(getReplicaHost(member))
+  }
+
   meet (host: string): void {
     if (host === this.#own || this.#hosts.has(host)) return
     this.#hosts.add(host)
--- a/src/registry/prompt-batches.ts
+++ b/src/registry/prompt-batches.ts
@@ -1,7 +1,12 @@
 import type { EndpointId, ReadPrompt } from '../core/index.js'
+import type { Link, RouteMessage } from '../protocol/index.js'
 
 /** Prompts in one message at most, but for what one engine holds: others may pass between two messages. */
 const mostInBatch = 400
+/** Pause between batches, ms: one takes 20 ms of a small box's link, which also carries its first requests. */
+const batchMs = 50
+/** The same messages serve all that ask within so long, ms: hundreds of gateways that start together would keep a registry busy for seconds. */
+const keptMs = 1000
 
 /** Parts what engines hold into batches; what one engine holds is never parted, as it replaces what was known of it. */
 export function listBatches (prompts: readonly ReadPrompt[]): ReadPrompt[][] {
@@ -20,3 +25,28 @@
   }
   return batches
 }
+
+/** The messages that tell a box all that engines hold. */
+export class PromptBatches {
+  #list: () => readonly ReadPrompt[]
+  #messages: readonly RouteMessage[] = []
+  #composedAt = -Infinity
+
+  /** `list`: what engines hold now. */
+  constructor (list: () => readonly ReadPrompt[]) {
+    this.#list = list
+  }
+
+  /** Tells a box, one batch after another; `at`: now, ms. */
+  tell (link: Link<RouteMessage>, at: number): void {
+    for (const [i, message] of this.compose(at).entries()) setTimeout(() => link.send(message), i * batchMs)
+  }
+
+  /** The messages, as of a second ago at most; `at` in ms. */
+  compose (at: number): readonly RouteMessage[] {
+    if (at - this.#composedAt < keptMs) return this.#messages
+    this.#composedAt = at
+    this.#messages = listBatches(this.#list()).map(prompts => ({ type: 'prompts', prompts }))
+    return this.#messages
+  }
+}
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -24,7 +24,7 @@
 import { MemberTender } from './member-tender.js'
 import { OperatorDesk } from './operator-desk.js'
 import { beginLog, openRegistryLog } from './open-log.js'
-import { listBatches } from './prompt-batches.js'
+import { PromptBatches } from './prompt-batches.js'
 import { ServicesInForce } from './services-in-force.js'
 import { SavedState } from './saved-state.js'
 
@@ -41,8 +41,6 @@
 const helloMs = 250
 /** How often the boxes in touch, and who was heard from, are told, ms. */
 const tellMs = 2000
-/** Pause between batches of prompts, ms: one takes 20 ms of a small box's link, which also carries its first requests. */
-const batchMs = 50
 /** Heartbeats of links, ms: an eighth of what makes a box count as out of touch on the users' days. */
 const pulse = { everyMs: 400, silentMs: 1500 }
 const dialing = { connectMs: 500, longestRetryMs: 500 }
@@ -67,6 +65,7 @@
   #services: ServicesInForce
   #gateways = new GatewayRoster()
   #hub: LoadHub
+  #prompts = new PromptBatches(() => this.#hub.prompts.prompts)
   #documents: DocumentAnnouncer
   /** What was last composed of all endpoints. */
   #whole: Extract<RouteMessage, { type: 'endpoints' }> | null = null
@@ -109,6 +108,7 @@
     this.#log = await this.#openLog()
     this.#calls = new LeaderCalls({ log: this.#log, findLink: replica => this.#links.find(getReplicaHost(replica), linkPort) })
     await beginLog(this.#log, this.#hosts.seeds, this.#settings.first, log)
+    this.#hosts.meetMembers(this.#log.replica)
     // A snapshot is in force from the start; nobody tells of it.
     this.#documents.announce()
     // Only now: hundreds of gateways that call a seed which starts would keep it from its disk, and the log from its quorum.
@@ -296,7 +296,7 @@
       case 'crashes': return this.#crashes.merge(message.news)
       case 'usage': return this.#duties?.takeUsage(message.tellings)
       case 'heard': return this.#endpoints.noteHeard(message.words)
-      case 'ask-prompts': return this.#sendPrompts(link)
+      case 'ask-prompts': return this.#prompts.tell(link, now())
       case 'prompts': return this.#hub.prompts.note(message.prompts)
       case 'version':
       case 'document':
@@ -322,10 +322,6 @@
     if (document !== null) link.send({ type: 'document', document })
   }
 
-  #sendPrompts (link: Link<RouteMessage>): void {
-    for (const [i, prompts] of listBatches(this.#hub.prompts.prompts).entries()) setTimeout(() => link.send({ type: 'prompts', prompts }), i * batchMs)
-  }
-
   #sendRaft (to: ReplicaId, message: Extract<RouteMessage, { type: 'raft' }>['message']): void {
     const from = this.#log?.id
     if (from !== undefined) this.#links.find(getReplicaHost(to), this.#settings.linkPort)?.send({ type: 'raft', from, to, message })
--- a/test/prompts.test.ts
+++ b/test/prompts.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { Fleet, PromptBook, PromptMemory, PromptRelay, brandId, noTotals } from '../src/core/index.js'
-import { isSavedPrompt, listBatches } from '../src/registry/index.js'
+import { PromptBatches, isSavedPrompt, listBatches } from '../src/registry/index.js'
 import type { LoadTotals, RoutedService } from '../src/core/index.js'
 import { createFleet, createRecord, engineService, long, movingService, readShared } from './support/fleet-builder.js'
 
@@ -144,3 +144,12 @@
 test('what a torn file of prompts holds is told from prompts', () => {
   for (const [saved, isPrompt] of savedPrompts) assert.equal(isSavedPrompt(saved), isPrompt, JSON.stringify(saved))
 })
+
+test('all that ask within a second are told the same messages, and later ones what came since', () => {
+  const held: LoadTotals['prompts'][number][] = [[brandId('e1'), [['a', 1]], true]]
+  const batches = new PromptBatches(() => held)
+  const first = batches.compose(0)
+  held.push([brandId('e1'), [['b', 1]], true])
+  assert.equal(batches.compose(999)[0], first[0])
+  assert.deepEqual(batches.compose(1000), [{ type: 'prompts', prompts: held }])
+})
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -236,3 +236,13 @@
   await started
   await until(() => countChosen() === 2, 'the hub of the own zone again')
 }))
+
+// Seeds are settings of a moment. A registry that starts again knows the others from its log.
+test('registries that start again find one another though their seeds are gone', () => withPlace(36, async place => {
+  await place.putDocument(composeDocument(4))
+  const [seeds, others] = [[0, 1, 2], [3, 4]]
+  await until(() => place.registries.some(one => (one?.keeperLog.replica?.members.learners.length ?? 0) === 2), 'the others let in')
+  for (const i of [...seeds, ...others]) place.registries[i]?.kill()
+  for (const i of [1, 2]) await place.startRegistry(i, false, ['127.36.9.9:7002'])
+  assert.equal(await readNewest(place, 1), 4)
+}, { registries: 5, gateways: 0 }))
--- a/test/support/route-deployment.ts
+++ b/test/support/route-deployment.ts
@@ -97,7 +97,7 @@
   get endpointHost (): string { return `127.${this.shape.number}.2.1` }
   get seeds (): string[] { return [0, 1, 2].slice(0, this.shape.registries ?? 3).map(i => `${this.registryHost(i)}:${operatorPort}`) }
 
-  async startRegistry (i: number, first: boolean): Promise<RegistryBox> {
+  async startRegistry (i: number, first: boolean, seeds: readonly string[] = this.seeds): Promise<RegistryBox> {
     const host = this.registryHost(i)
     const box = new RegistryBox({
       id: `registry-${i}`,
@@ -105,7 +105,7 @@
       host,
       linkPort,
       loadPort,
-      seeds: this.seeds,
+      seeds,
       secretFile: '',
       openLinks: true,
       metricsPort: 0,
