--- a/src/registry/prompt-batches.ts
+++ b/src/registry/prompt-batches.ts
@@ -3,8 +3,8 @@
 
 /** Prompts in one message at most, but for what one engine holds: others may pass between two messages. */
 const mostInBatch = 400
-/** Pause between batches, ms: one takes 20 ms of a small box's link, which also carries its first requests. */
-const batchMs = 50
+/** Pause between batches, ms: one takes as long on a small box's link, which also carries its first requests. */
+const batchMs = 20
 /** The same messages serve all that ask within so long, ms: hundreds of gateways that start together would keep a registry busy for seconds. */
 const keptMs = 1000
 
