What endpoints say of themselves on answers is read and logged: a rate limit, leaving, a rest

Cause: logs of the incident had no trace of the header that named the limit, so that hypotheses 1 (nobody reads it) and 2 (each box keeps it for itself) could not be told apart. Change: dialects decode the limit, the word of leaving and Retry-After of an answer that turns a request away into one type; a value that can't be read is reported and replaced by a bound. Gateways log what is new. No decision uses any of it yet. Evidence: a search of src/ and platform/ finds no reader of these headers before this commit: hypothesis 1 holds. Tests: 30 cases of faulty and proper values (dialects.test.ts).

--- a/src/gateway/endpoint-call.ts
+++ b/src/gateway/endpoint-call.ts
@@ -95,7 +95,7 @@
     answer.on('error', error => this.#fail(error.message))
     answer.on('close', () => this.#fail('the answer broke off'))
     const status = answer.statusCode ?? 0
-    const words = this.#dialect.readAnswer(status, answer.headers)
+    const words = this.#dialect.readAnswer(status, answer.headers, Date.now())
     // An endpoint that doesn't name the request may only say that it did not run it.
     if (words.requestId !== this.#requestId && !(words.requestId === '' && words.isNotRun)) return this.#fail('an answer to another request', 'broken')
     // The endpoint answered before it had read the request: the connection is not used again.
--- a/src/gateway/exchange-host.ts
+++ b/src/gateway/exchange-host.ts
@@ -1,5 +1,5 @@
-import type { Fleet } from '../core/index.js'
-import type { Dialect } from '../protocol/index.js'
+import type { EndpointView, Fleet } from '../core/index.js'
+import type { Dialect, EndpointNotices } from '../protocol/index.js'
 import type { CrashGuard } from './crash-guard.js'
 import type { EndpointAgent } from './endpoint-agent.js'
 import type { ExchangeSummary } from './exchange-summary.js'
@@ -22,6 +22,8 @@
   hold (exchange: One): void
   /** The exchange waits no more. */
   unhold (exchange: One): void
+  /** An endpoint said something of itself on an answer of its own. */
+  noteNotices (view: EndpointView, notices: EndpointNotices): void
   /** An endpoint began with the request at `at`, as far as this box can tell. */
   noteRun (order: Order, at: number): void
   noteEnd (exchange: One, summary: ExchangeSummary): void
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -140,6 +140,7 @@
 
   #begin (sent: Sent, head: AnswerHead): void {
     sent.head = head
+    if (!head.words.isOtherEndpoint) this.#host.noteNotices(sent.view, head.words.notices)
     if (head.words.isNotRun) return this.#noteNotRun(sent, head)
     const isAnswer = head.words.isMarked && !head.isEncoded
     if (!isAnswer) return this.#moveOn(sent, 'broken', `not an answer of an endpoint (${head.status})`)
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -21,6 +21,7 @@
 import { tellEnd } from './exchange-report.js'
 import type { ExchangeSummary } from './exchange-summary.js'
 import { LoadReporter } from './load-reporter.js'
+import { NoticeLog } from './notice-log.js'
 import type { Order } from './order.js'
 import { ReadyDoor } from './ready-door.js'
 import { RegistryFollower } from './registry-follower.js'
@@ -75,6 +76,7 @@
   #line: WaitingLine
   #prober: EndpointProber
   #guard: CrashGuard
+  #notices: NoticeLog
   /** Null where usage is not asked for. */
   #usage: UsageTeller | null
   #leaving = false
@@ -101,6 +103,7 @@
     })
     this.#prober = new EndpointProber(log, now)
     this.#guard = new CrashGuard({ log, metrics: around.metrics, fleet: this.#fleet, prober: this.#prober, now, tell: news => this.#follower.tell({ type: 'crashes', news }) })
+    this.#notices = new NoticeLog(log, around.metrics)
     const windowMs = settings.usageWindowSeconds * 1000
     this.#usage = windowMs === 0 ? null : new UsageTeller({ windowMs, now, findLink: () => this.#follower.findNear() })
     this.#exchangeHost = this.#createExchangeHost()
@@ -227,6 +230,7 @@
       noteLoad: () => this.#loads.noteChange(),
       hold: exchange => this.#hold(exchange),
       unhold: exchange => this.#unhold(exchange),
+      noteNotices: (view, notices) => this.#notices.note(view, notices, now()),
       noteRun: ({ workspace }, at) => { if (workspace !== null) this.#usage?.note(workspace.name, at) },
       noteEnd: (exchange, summary) => this.#noteEnd(exchange, summary)
     }
--- a/src/protocol/dialect.ts
+++ b/src/protocol/dialect.ts
@@ -6,9 +6,8 @@
  */
 import type { EndpointRecord, EndpointStage, PromptCost, RoutingDocument } from '../core/index.js'
 import type { DutyCall, DutyWords, OutsideCall } from './duty-call.js'
-
-/** Header names in lower case, as Node gives them. */
-export type HeaderMap = Readonly<Record<string, string | string[] | undefined>>
+import type { EndpointNotices } from './endpoint-notices.js'
+import type { HeaderMap } from './header-map.js'
 
 /** What a caller's headers say of a request, beside route and body. */
 export interface CallerWords {
@@ -49,6 +48,7 @@
   readonly isOtherEndpoint: boolean
   /** True where the answer bears the endpoint's mark, which a whole answer must have. */
   readonly isMarked: boolean
+  readonly notices: EndpointNotices
 }
 
 /** A call at a registry. */
@@ -82,7 +82,8 @@
   readCaller (headers: HeaderMap): CallerWords
   /** The headers for the endpoint: the caller's, in their order and letters, less what concerns one connection or the product alone, and the product's. */
   composeRequest (rawHeaders: readonly string[], words: EndpointWords): string[]
-  readAnswer (status: number, headers: HeaderMap): AnswerWords
+  /** `wallMs`: Unix time at which the answer came. */
+  readAnswer (status: number, headers: HeaderMap, wallMs: number): AnswerWords
   /** The value of Retry-After, in seconds. */
   formatRetryAfter (ms: number): string
   readRegistryCall (method: string, path: string): RegistryCall
--- a/src/protocol/header-dialect.ts
+++ b/src/protocol/header-dialect.ts
@@ -7,7 +7,9 @@
 import { composeDuty } from './duty-call.js'
 import type { DutyCall, DutyNames, DutyWords, OutsideCall } from './duty-call.js'
 import { copyHeaders } from './dialect.js'
-import type { AnswerWords, CallerWords, Dialect, EndpointWords, HeaderMap, RegistryCall } from './dialect.js'
+import { readNotices } from './endpoint-notices.js'
+import type { HeaderMap } from './header-map.js'
+import type { AnswerWords, CallerWords, Dialect, EndpointWords, RegistryCall } from './dialect.js'
 
 /** The names of a dialect's headers; all are looked up without regard to case. */
 export interface HeaderNames {
@@ -28,6 +30,10 @@
   readonly notRun: string
   /** In an answer: the endpoint's mark; empty where endpoints set none. */
   readonly mark: string
+  /** In an answer: requests a second that the endpoint takes from all boxes together. */
+  readonly limit: string
+  /** In an answer: "1" where the endpoint leaves. */
+  readonly leaving: string
   /** The word before the key in Authorization. */
   readonly keyScheme: string
   /** More headers that callers may not set, as the product speaks to endpoints in them. */
@@ -112,14 +118,15 @@
     return headers
   }
 
-  readAnswer (status: number, headers: HeaderMap): AnswerWords {
+  readAnswer (status: number, headers: HeaderMap, wallMs: number): AnswerWords {
     const { requestId, notRun, mark } = this.#lower
     const isOtherEndpoint = status === otherEndpointStatus
     return {
       requestId: readText(headers, requestId) ?? '',
       isNotRun: isOtherEndpoint || headers[notRun] !== undefined,
       isOtherEndpoint,
-      isMarked: mark === '' || headers[mark] !== undefined
+      isMarked: mark === '' || headers[mark] !== undefined,
+      notices: readNotices(status, headers, this.#lower, wallMs)
     }
   }
 
--- a/src/protocol/native-dialect.ts
+++ b/src/protocol/native-dialect.ts
@@ -28,6 +28,8 @@
     fetchFrom: 'x-wrenlane-fetch-from',
     notRun: 'x-wrenlane-not-run',
     mark: '',
+    limit: 'x-wrenlane-limit',
+    leaving: 'x-wrenlane-leaving',
     keyScheme: 'Bearer',
     reserved: []
   },
--- a/test/dialects.test.ts
+++ b/test/dialects.test.ts
@@ -99,10 +99,74 @@
 
 test('an answer says whether it ran and whose it is', () => {
   for (const [status, headers, isNotRun, isOtherEndpoint, isMarked] of answers) {
-    assert.deepEqual(platformDialect.readAnswer(status, headers), { requestId: headers['x-attempt-id'] ?? '', isNotRun, isOtherEndpoint, isMarked }, String(status))
+    const notices = { limit: null, isLeaving: false, restMs: null, faulty: [] }
+    assert.deepEqual(platformDialect.readAnswer(status, headers, 0), { requestId: headers['x-attempt-id'] ?? '', isNotRun, isOtherEndpoint, isMarked, notices }, String(status))
   }
 })
 
+const wallMs = Date.parse('Thu, 03 Dec 2026 08:00:00 GMT')
+const limits: readonly { value: string | string[], limit: number | undefined, faulty?: boolean }[] = [
+  { value: '2.6', limit: 2.6 },
+  { value: ' 250 ', limit: 250 },
+  { value: '0.2', limit: 0.2 },
+  { value: '', limit: undefined, faulty: true },
+  { value: 'many', limit: undefined, faulty: true },
+  { value: 'Thu, 03 Dec 2026 08:00:05 GMT', limit: undefined, faulty: true },
+  { value: '-3', limit: 0.1, faulty: true },
+  { value: '0', limit: 0.1, faulty: true },
+  { value: '1e300', limit: 1_000_000, faulty: true },
+  { value: 'Infinity', limit: 1_000_000, faulty: true },
+  { value: '7, 3', limit: 3, faulty: true },
+  { value: ['7', '4'], limit: 4, faulty: true },
+  { value: '9'.repeat(5000), limit: 1_000_000, faulty: true }
+]
+
+for (const { value, limit, faulty = false } of limits) {
+  test(`a limit of ${JSON.stringify(value).slice(0, 40)} is taken for ${limit}`, () => {
+    const { notices } = platformDialect.readAnswer(200, { 'server-limit': value }, wallMs)
+    assert.deepEqual([notices.limit, notices.faulty.length], [limit, faulty ? 1 : 0])
+    assert.ok(notices.faulty.every(one => one.value.length <= 40))
+    assert.equal(nativeDialect.readAnswer(200, { 'x-wrenlane-limit': value }, wallMs).notices.limit, limit)
+  })
+}
+
+const rests: readonly { value: string, status?: number, date?: string, restMs: number | null, faulty?: boolean }[] = [
+  { value: '3', restMs: 3000 },
+  { value: '1.5', restMs: 1500 },
+  { value: '3', status: 429, restMs: 3000 },
+  { value: '3', status: 200, restMs: null },
+  { value: 'Thu, 03 Dec 2026 08:00:04 GMT', restMs: 4000 },
+  { value: 'Thu, 03 Dec 2026 08:00:04 GMT', date: 'Thu, 03 Dec 2026 08:00:02 GMT', restMs: 2000 },
+  { value: 'Thu, 03 Dec 2026 07:00:00 GMT', restMs: 0, faulty: true },
+  { value: 'Thu, 03 Dec 2099 08:00:00 GMT', restMs: 30_000, faulty: true },
+  { value: '1000000', restMs: 30_000, faulty: true },
+  { value: '-1', restMs: 0, faulty: true },
+  { value: '', restMs: 1000, faulty: true },
+  { value: 'later', restMs: 1000, faulty: true },
+  { value: '1, 2', restMs: 2000, faulty: true }
+]
+
+for (const { value, status = 503, date, restMs, faulty = false } of rests) {
+  test(`Retry-After ${JSON.stringify(value)} on a ${status}${date === undefined ? '' : ' with a date'} is a rest of ${restMs} ms`, () => {
+    const { notices } = platformDialect.readAnswer(status, { 'retry-after': value, ...date === undefined ? {} : { date } }, wallMs)
+    assert.deepEqual([notices.restMs, notices.faulty.length], [restMs, faulty ? 1 : 0])
+  })
+}
+
+const leavings: readonly { value: string, isLeaving: boolean, faulty: boolean }[] = [
+  { value: '1', isLeaving: true, faulty: false },
+  { value: '0', isLeaving: false, faulty: false },
+  { value: '', isLeaving: false, faulty: true },
+  { value: 'soon', isLeaving: false, faulty: true }
+]
+
+for (const { value, isLeaving, faulty } of leavings) {
+  test(`leaving ${JSON.stringify(value)} on an answer means ${isLeaving}`, () => {
+    const { notices } = platformDialect.readAnswer(200, { 'server-leaving': value }, wallMs)
+    assert.deepEqual([notices.isLeaving, notices.faulty.length], [isLeaving, faulty ? 1 : 0])
+  })
+}
+
 const calls: readonly (readonly [method: string, path: string, expected: object])[] = [
   ['PUT', '/api/config', { type: 'put-document' }],
   ['GET', '/api/config?x=1', { type: 'read-document' }],
