Red test: an endpoint that named a rate limit gets more than it from all boxes together

Cause: no decision uses the limit that an endpoint names. Change: stand-in endpoints name limits and rests, and keep the time of each arrival; test/rate-limits.test.ts asks four gateways while one of three endpoints names 2.6 and then 0.2 requests a second.

--- a/src/standin/standin-endpoint.ts
+++ b/src/standin/standin-endpoint.ts
@@ -56,6 +56,18 @@
   readonly lastEvent: string
   /** "PROMPT,MOST": tokens of the prompt and the most that may be generated; only engines look at it. */
   readonly tokens?: string
+  /** On answers: requests a second that the endpoint takes from all boxes together. */
+  readonly limit?: string
+  /** On answers: "1" where the endpoint leaves. */
+  readonly leaving?: string
+}
+
+/** How an endpoint under load turns requests away. */
+export interface RestShape {
+  /** Part of the requests that are turned away, 0 to 1. */
+  readonly share: number
+  /** For how long it then wants nothing from the box that sent it, s. */
+  readonly seconds: number
 }
 
 /** One request that the endpoint ran. */
@@ -81,6 +93,13 @@
   readonly id: string
   readonly runs: EndpointRun[] = []
   fault: EndpointFault = { type: 'none' }
+  /** Every request that reached it, on this process's rising clock, ms. */
+  readonly arrivals: number[] = []
+  /** The limit that it names on its answers; null for none. */
+  limit: number | null = null
+  /** True where its answers say that it leaves. */
+  isLeaving = false
+  rest: RestShape | null = null
   eventMs = 5
   answerMs = 1
   port = 0
@@ -158,12 +177,14 @@
   }
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.arrivals.push(performance.now())
     const names = this.#headers
     const requestId = String(request.headers[names.requestId.toLowerCase()] ?? '')
     const body = (await readBody(request)).toString()
     const expected = request.headers[names.expectedEndpoint.toLowerCase()]
     if (expected !== undefined && expected !== this.id) return this.#refuse(response, requestId, 421)
     if (this.fault.type === 'full') return this.#refuse(response, requestId, 503)
+    if (this.rest !== null && Math.random() < this.rest.share) return this.#refuse(response, requestId, 503, { 'retry-after': String(this.rest.seconds) })
     const run: EndpointRun = { requestId, method: request.method ?? '', path: request.url ?? '', headers: request.headers, body, isCalledOff: false }
     this.runs.push(run)
     if (this.#knownAt !== null) this.backMs.push(performance.now() - this.#knownAt)
@@ -184,18 +205,26 @@
     this.#finish(response, requestId, 200, composeWhole(run))
   }
 
-  #refuse (response: ServerResponse, requestId: string, status: number): void {
-    response.writeHead(status, { [this.#headers.requestId]: requestId, [this.#headers.notRun]: '1', 'content-length': 0 })
+  #refuse (response: ServerResponse, requestId: string, status: number, more: Record<string, string> = {}): void {
+    response.writeHead(status, { ...this.#composeNotices(), ...more, [this.#headers.requestId]: requestId, [this.#headers.notRun]: '1', 'content-length': 0 })
     response.end()
   }
 
   #compose (requestId: string): Record<string, string> {
     const { mark } = this.#headers
-    const headers: Record<string, string> = { [this.#headers.requestId]: this.fault.type === 'foreign' ? 'another' : requestId }
+    const headers: Record<string, string> = { ...this.#composeNotices(), [this.#headers.requestId]: this.fault.type === 'foreign' ? 'another' : requestId }
     if (mark !== '' && this.fault.type !== 'unmarked') headers[mark] = `mark of ${this.id}`
     return headers
   }
 
+  #composeNotices (): Record<string, string> {
+    const { limit, leaving } = this.#headers
+    return {
+      ...limit !== undefined && this.limit !== null ? { [limit]: String(this.limit) } : {},
+      ...leaving !== undefined && this.isLeaving ? { [leaving]: '1' } : {}
+    }
+  }
+
   #finish (response: ServerResponse, requestId: string, status: number, body: string): void {
     const headers = this.#compose(requestId)
     if (this.fault.type === 'unframed-reset') {
--- /dev/null
+++ b/test/rate-limits.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict'
+import { Agent } from 'node:http'
+import { after, before, test } from 'node:test'
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { StandinEndpoint } from '../src/standin/index.js'
+import { RouteDeployment, composeDocument } from './support/route-deployment.js'
+
+const gateways = 4
+/** What the users allow of a limit that was named `settleMs` before: within any `windowMs`, `mostTimes` what it comes to, and `extra` more. */
+const settleMs = 3000
+const windowMs = 4000
+const mostTimes = 1.5
+const extra = 5
+/** How long the limit is named, and how often each gateway is asked meanwhile, ms. */
+const namedMs = 9000
+const pauseMs = 30
+
+let place: RouteDeployment
+let limited: StandinEndpoint
+
+before(async () => {
+  place = await RouteDeployment.start({ number: 46, registries: 3, gateways })
+  await place.putDocument(composeDocument(1))
+  limited = await place.addEndpoint('desk')
+  await place.addEndpoint('desk', 'zone-b')
+  await place.addEndpoint('desk', 'zone-c')
+})
+after(() => place.stop())
+
+// Asks every gateway again and again; resolves with the statuses that callers got.
+async function call (ms: number): Promise<number[]> {
+  const until = performance.now() + ms
+  const statuses: number[] = []
+  await Promise.all(Array.from({ length: gateways }, async (_, gateway) => {
+    const agent = new Agent({ keepAlive: true })
+    while (performance.now() < until) {
+      statuses.push((await place.ask(gateway % 2 === 0 ? '/again/x' : '/once/x', { gateway, agent })).status)
+      await sleep(pauseMs)
+    }
+    agent.destroy()
+  }))
+  return statuses
+}
+
+// The most arrivals in any window that ends after `from`.
+function countMost (arrivals: readonly number[], from: number): number {
+  const counts = arrivals.filter(at => at >= from).map(end => arrivals.filter(at => at > end - windowMs && at <= end).length)
+  return Math.max(0, ...counts)
+}
+
+for (const limit of [2.6, 0.2]) {
+  test(`an endpoint that named a limit of ${limit} requests a second got more from all boxes together`, async () => {
+    await call(500)
+    limited.limit = limit
+    const namedAt = performance.now()
+    const statuses = await call(namedMs)
+    limited.limit = null
+    const allowed = Math.floor(mostTimes * limit * windowMs / 1000 + extra)
+    const most = countMost(limited.arrivals, namedAt + settleMs)
+    assert.ok(most <= allowed, `${most} in ${windowMs} ms, allowed ${allowed}`)
+    assert.ok(statuses.every(status => status === 200), 'the other endpoints serve the rest')
+  })
+}
