--- /dev/null
+++ b/test/endpoint-rests.test.ts
@@ -0,0 +1,82 @@
+import assert from 'node:assert/strict'
+import { after, before, beforeEach, test } from 'node:test'
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { StandinEndpoint } from '../src/standin/index.js'
+import { RouteDeployment, composeDocument } from './support/route-deployment.js'
+
+const gateways = 2
+/** What the users allow: so many requests from `toldMs` after an endpoint has asked for rest until the rest is over. */
+const mostInRest = 2
+const toldMs = 500
+/** An endpoint that said on an answer that it leaves gets nothing so long after, ms. */
+const drainMs = 2000
+const callers = 6
+const pauseMs = 15
+const answerMs = 40
+
+let place: RouteDeployment
+let endpoints: StandinEndpoint[]
+
+before(async () => {
+  place = await RouteDeployment.start({ number: 48, registries: 3, gateways })
+  await place.putDocument(composeDocument(1))
+  endpoints = [await place.addEndpoint('desk'), await place.addEndpoint('desk'), await place.addEndpoint('desk', 'zone-b')]
+})
+beforeEach(() => {
+  for (const endpoint of endpoints) {
+    endpoint.answerMs = answerMs
+    endpoint.rest = null
+    endpoint.isLeaving = false
+  }
+})
+after(() => place.stop())
+
+// Several callers at a time, so that all endpoints are used; resolves with the statuses that they got.
+async function call (gateway: number, ms: number): Promise<number[]> {
+  const until = performance.now() + ms
+  const statuses: number[] = []
+  await Promise.all(Array.from({ length: callers }, async (_, caller) => {
+    while (performance.now() < until) {
+      statuses.push((await place.ask(caller % 2 === 0 ? '/again/x' : '/once/x', { gateway })).status)
+      await sleep(pauseMs)
+    }
+  }))
+  return statuses
+}
+
+test('an endpoint that asked a box for rest got more requests from it in that time', async () => {
+  const [resting] = endpoints
+  // An endpoint that was never used is taken last as it is.
+  await call(0, 1000)
+  const before = resting.arrivals.length
+  resting.rest = { share: 1, seconds: 2 }
+  const statuses = await call(0, 5000)
+  const arrivals = resting.arrivals.slice(before)
+  const broken = arrivals.filter(askedAt => arrivals.filter(at => at > askedAt + toldMs && at < askedAt + 2000).length > mostInRest)
+  assert.ok(arrivals.length > 0 && broken.length === 0, `${broken.length} of ${arrivals.length} rests`)
+  const refused = statuses.filter(status => status !== 200).length
+  assert.equal(refused, 0, 'whoever is turned away goes elsewhere')
+})
+
+test('an endpoint that said on an answer that it leaves got new work later, from boxes that it had not told too', async () => {
+  const [, leaving] = endpoints
+  leaving.isLeaving = true
+  // Only the first box hears it from the endpoint itself.
+  await call(0, 300)
+  const saidAt = performance.now()
+  await sleep(200)
+  await Promise.all([call(0, 3000), call(1, 3000)])
+  const late = leaving.arrivals.filter(at => at > saidAt + drainMs).length
+  assert.equal(late, 0)
+})
+
+test('where every endpoint rests, callers hear the shortest rest', async () => {
+  const [first, , third] = endpoints
+  first.rest = { share: 1, seconds: 9 }
+  third.rest = { share: 1, seconds: 4 }
+  await call(1, 300)
+  const answer = await place.ask('/again/x', { gateway: 1 })
+  assert.equal(answer.status, 503)
+  const seconds = Number(answer.headers['retry-after'])
+  assert.ok(seconds >= 3 && seconds <= 4, `${seconds} s`)
+})
