A rest that an endpoint asks of a box holds for that box, and the others take less of it

Cause: Retry-After of a 503 was never used. An endpoint that turns all away is idle and answers at once, so that its weight was the least of all; a request whose route allows one attempt was sent there and refused. Why this works: the gate of an endpoint's life holds the rest, on the box's rising clock, and every send, probe and fetch of prompts passes it; a life that is lost from sight and comes back has the same gate. Others hear over the hubs how many boxes rest, and count it against the endpoint.

--- a/src/core/balance/endpoint-gate.ts
+++ b/src/core/balance/endpoint-gate.ts
@@ -2,7 +2,9 @@
  * Whether one life of an endpoint may be sent requests at all: not while it rests,
  * or leaves, nor beyond the limit that it named for all boxes together.
  */
+import type { EndpointId } from '../ids.js'
 import type { EndpointNotice } from '../limits/index.js'
+import type { EndpointRecord } from './endpoint-record.js'
 
 /** A permit that was given and not used yet is good for so long, ms: the limit is kept by when requests are sent. */
 const permitMs = 100
@@ -73,3 +75,33 @@
     return this.#permits.length > 0
   }
 }
+
+/** Gates that are kept; the oldest go first. */
+const mostKept = 5000
+
+/** The gates of endpoints by their lives: one that is lost from sight and comes back is no other. */
+export class GateBook {
+  #findNotice: (id: EndpointId) => EndpointNotice | undefined
+  #gates = new Map<EndpointId, { readonly born: number, readonly gate: EndpointGate }>()
+
+  /** `findNotice`: what an endpoint has said of itself. */
+  constructor (findNotice: (id: EndpointId) => EndpointNotice | undefined) {
+    this.#findNotice = findNotice
+  }
+
+  /** The gate of the life that a record tells of. */
+  find ({ id, born }: EndpointRecord): EndpointGate {
+    const known = this.#gates.get(id)
+    const gate = known?.born === born ? known.gate : new EndpointGate()
+    const notice = this.#findNotice(id)
+    if (notice?.born === born) gate.setNotice(notice)
+    this.#gates.delete(id)
+    this.#gates.set(id, { born, gate })
+    const [oldest] = this.#gates.keys()
+    if (this.#gates.size > mostKept) this.#gates.delete(oldest)
+    return gate
+  }
+
+  /** Forgets an endpoint that is gone. */
+  forget (id: EndpointId): void { this.#gates.delete(id) }
+}
--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -67,7 +67,7 @@
   /** Of its id: the same at every box. */
   readonly hash: number
   readonly trust = new EndpointTrust()
-  readonly gate = new EndpointGate()
+  readonly gate: EndpointGate
   /** What the engine holds, or will have read before anything that is sent to it now. */
   readonly prompts: PromptMemory
   /** What it holds already, so that others may take it. */
@@ -91,8 +91,9 @@
   isSlow = false
 
   /** `learning`: of the service's engines as a whole, shared by their views. */
-  constructor (record: EndpointRecord, memoryTokens: number, learning: EngineLearning) {
+  constructor (record: EndpointRecord, memoryTokens: number, learning: EngineLearning, gate = new EndpointGate()) {
     this.record = record
+    this.gate = gate
     this.hash = hashText(record.id)
     this.prompts = new PromptMemory(memoryTokens * cacheShare)
     this.kept = new PromptMemory(memoryTokens * cacheShare)
@@ -103,6 +104,9 @@
   /** Time to read a prompt token, ms. */
   get paceMs (): number { return this.#learning.pace.value * this.slowness }
 
+  /** Other boxes from which the endpoint wants nothing for a while. */
+  get restingOthers (): number { return this.#others?.resting ?? 0 }
+
   /** Requests in flight, those of other boxes included. */
   get running (): number {
     return this.#placed.size + (this.#others?.running ?? 0)
@@ -271,7 +275,8 @@
 
   /** What this box tells its hub of its work here; null where it has none. */
   composeLoad (at: number, patienceMs: number): EndpointLoad | null {
-    if (this.#placed.size === 0) return null
+    const resting = this.gate.isResting(at) ? 1 : 0
+    if (this.#placed.size === 0 && resting === 0) return null
     const waiting = new Map<number, number>()
     let memory = 0
     let largest = 0
@@ -282,6 +287,6 @@
       largest = Math.max(largest, left)
       if (left > 0) waiting.set(placed.work.priority, (waiting.get(placed.work.priority) ?? 0) + left)
     }
-    return { endpoint: this.id, running: this.#placed.size, brisk: this.#countOwnBrisk(patienceMs), memory: Math.round(memory), waiting: [...waiting], largest }
+    return { endpoint: this.id, running: this.#placed.size, brisk: this.#countOwnBrisk(patienceMs), memory: Math.round(memory), waiting: [...waiting], largest, resting }
   }
 }
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -14,6 +14,7 @@
 import { chooseEngine, choosePlain } from './choose-endpoint.js'
 import { describeService } from './describe-service.js'
 import { isOtherLife } from './endpoint-directory.js'
+import { GateBook } from './endpoint-gate.js'
 import type { EndpointRecord } from './endpoint-record.js'
 import { EndpointView } from './endpoint-view.js'
 import { hasRoom } from './endpoint-weights.js'
@@ -51,11 +52,11 @@
   #others = new KnownOthers()
   #heldPrompts = new HeldPrompts()
   #outlooks = new Map<ServiceName, Outlook>()
-  #findNotice: (id: EndpointId) => EndpointNotice | undefined
+  #gates: GateBook
 
   /** `isConnected`: whether a connection to an endpoint is open and at rest; `findNotice`: what one has said of itself. */
   constructor (zone: ZoneName, isConnected: (view: EndpointView) => boolean = () => true, findNotice: (id: EndpointId) => EndpointNotice | undefined = () => undefined) {
-    this.#findNotice = findNotice
+    this.#gates = new GateBook(findNotice)
     this.zones = new ZoneWatch(zone, zoneSilentMs)
     this.#standpoint = { zone, zones: this.zones, isConnected }
   }
@@ -299,15 +300,14 @@
 
   #createView (record: EndpointRecord): EndpointView {
     const state = this.#services.get(record.service)
-    const view = new EndpointView(record, state?.service.engine?.memoryTokens ?? 0, state ?? createLearning())
+    const view = new EndpointView(record, state?.service.engine?.memoryTokens ?? 0, state ?? createLearning(), this.#gates.find(record))
     this.#heldPrompts.note(view)
-    const notice = this.#findNotice(record.id)
-    if (notice?.born === record.born) view.gate.setNotice(notice)
     return view
   }
 
-  #forget ({ id }: EndpointRecord): void {
+  #forget ({ id, stage }: EndpointRecord): void {
     this.#views.delete(id)
+    if (stage === 'gone') this.#gates.forget(id)
     this.#heldPrompts.forget(id)
   }
 
--- a/src/core/balance/load-sum.ts
+++ b/src/core/balance/load-sum.ts
@@ -39,7 +39,8 @@
     brisk: sum.brisk + one.brisk,
     memory: sum.memory + one.memory,
     waiting: addWaiting(sum.waiting, one.waiting, 1),
-    largest: Math.max(sum.largest, one.largest)
+    largest: Math.max(sum.largest, one.largest),
+    resting: sum.resting + one.resting
   }
 }
 
--- a/src/core/balance/others-load.ts
+++ b/src/core/balance/others-load.ts
@@ -12,7 +12,7 @@
   const ownDemands = new Map(own.demands.map(demand => [demand.service, demand]))
   return {
     ...totals,
-    loads: totals.loads.map(load => subtractLoad(load, ownLoads.get(load.endpoint))).filter(load => load.running > 0),
+    loads: totals.loads.map(load => subtractLoad(load, ownLoads.get(load.endpoint))).filter(load => load.running > 0 || load.resting > 0),
     demands: totals.demands.map(demand => subtractDemand(demand, ownDemands.get(demand.service)))
   }
 }
@@ -24,7 +24,8 @@
     running: sum.running - own.running,
     brisk: Math.max(0, sum.brisk - own.brisk),
     memory: Math.max(0, sum.memory - own.memory),
-    waiting: addWaiting(sum.waiting, own.waiting, -1)
+    waiting: addWaiting(sum.waiting, own.waiting, -1),
+    resting: Math.max(0, sum.resting - own.resting)
   }
 }
 
--- a/src/gateway/notice-desk.ts
+++ b/src/gateway/notice-desk.ts
@@ -55,7 +55,7 @@
 
   /** Forgets endpoints that are gone. */
   noteRecords (records: readonly EndpointRecord[]): void {
-    for (const { id, stage } of records) if (stage === 'gone' || stage === 'lost') this.#book.forget(id)
+    for (const { id, stage } of records) if (stage === 'gone') this.#book.forget(id)
   }
 
   /** The notices that the hub may not know. */
@@ -74,7 +74,10 @@
     }
   }
 
-  #noteRest ({ id, record: { service } }: EndpointView, restMs: number): void {
+  // The rest holds for this box alone; the others only hear that the endpoint is loaded.
+  #noteRest ({ id, gate, record: { service } }: EndpointView, restMs: number): void {
+    gate.noteRest(this.#host.now() + restMs)
+    this.#host.noteNews()
     this.#host.metrics.count('endpoint-rest', { service })
     this.#host.log.info('endpoint-rest', { endpoint: id, service, restMs: Math.round(restMs) })
   }
--- a/src/protocol/load-datagram.ts
+++ b/src/protocol/load-datagram.ts
@@ -103,18 +103,18 @@
 }
 
 /** A load without the names of its fields, as most of a word is loads. */
-type PackedLoad = readonly [endpoint: EndpointId, running: number, brisk: number, memory: number, waiting: WaitingTokens, largest: number]
+type PackedLoad = readonly [endpoint: EndpointId, running: number, brisk: number, memory: number, waiting: WaitingTokens, largest: number, resting: number]
 
-function packLoad ({ endpoint, running, brisk, memory, waiting, largest }: EndpointLoad): PackedLoad {
-  return [endpoint, running, brisk, memory, waiting, largest]
+function packLoad ({ endpoint, running, brisk, memory, waiting, largest, resting }: EndpointLoad): PackedLoad {
+  return [endpoint, running, brisk, memory, waiting, largest, resting]
 }
 
-function unpackLoad ([endpoint, running, brisk, memory, waiting, largest]: PackedLoad): EndpointLoad {
-  return { endpoint, running, brisk, memory, waiting, largest }
+function unpackLoad ([endpoint, running, brisk, memory, waiting, largest, resting]: PackedLoad): EndpointLoad {
+  return { endpoint, running, brisk, memory, waiting, largest, resting }
 }
 
 function isPackedLoad (value: unknown): value is PackedLoad {
-  return Array.isArray(value) && value.length === 6 && Array.isArray(value[4])
+  return Array.isArray(value) && value.length === 7 && Array.isArray(value[4])
 }
 
 type PackedNotice = readonly [endpoint: EndpointId, born: number, stamp: number, perSecond: number | null, isLeaving: boolean]
--- a/src/registry/load-hub.ts
+++ b/src/registry/load-hub.ts
@@ -189,7 +189,7 @@
 
   /** Forgets what endpoints said that are gone. */
   noteRecords (records: readonly EndpointRecord[]): void {
-    for (const { id, stage } of records) if (stage === 'gone' || stage === 'lost') this.notices.forget(id)
+    for (const { id, stage } of records) if (stage === 'gone') this.notices.forget(id)
   }
 
   #takePrompts (prompts: readonly ReadPrompt[], at: number): void {
--- a/test/endpoint-choice.test.ts
+++ b/test/endpoint-choice.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { brandId, noTotals } from '../src/core/index.js'
-import type { Fleet, ServiceName, Work } from '../src/core/index.js'
-import { createFleet, createRecord, createWork, engineService, nameZone } from './support/fleet-builder.js'
+import type { EndpointGate, EndpointRecord, Fleet, ServiceName, Work } from '../src/core/index.js'
+import { createFleet, createLoad, createRecord, createWork, engineService, nameZone } from './support/fleet-builder.js'
 
 test('work goes only to endpoints that are ready, in touch and not tried', () => {
   const fleet = createFleet([createRecord('e1'), createRecord('e2', { stage: 'draining' }), createRecord('e3'), createRecord('e4', { service: brandId<ServiceName>('other') })])
@@ -76,3 +76,31 @@
     choice.view.place(work, choice.plan, at)
   }
 }
+
+test('an endpoint from which the others were turned away gets less of this box too', () => {
+  const fleet = createFleet([createRecord('e1'), createRecord('e2')])
+  const load = createLoad(1, { loads: [{ endpoint: brandId('e1'), running: 1, brisk: 0, memory: 0, waiting: [], largest: 0, resting: 3 }] })
+  const choose = (): string => { const choice = fleet.choose(createWork(), [], 10, 0); return typeof choice === 'string' ? choice : choice.view.id }
+  fleet.noteOthers({ ...noTotals, loads: [{ ...load.loads[0], resting: 0, running: 0 }] }, 0)
+  assert.equal(choose(), 'e1')
+  fleet.noteOthers({ ...noTotals, ...load, demands: [] }, 0)
+  assert.equal(choose(), 'e2')
+})
+
+const comings: readonly { name: string, record: Partial<EndpointRecord>, isResting: boolean }[] = [
+  { name: 'the same life, seen again', record: { sequence: 3, born: 7 }, isResting: true },
+  { name: 'a later life', record: { sequence: 1, born: 9 }, isResting: false }
+]
+
+for (const { name, record, isResting } of comings) {
+  test(`a rest, a limit and a word of leaving ${isResting ? 'hold on for' : 'end with'} ${name}`, () => {
+    const first = createRecord('e1', { born: 7 })
+    const fleet = createFleet([first, createRecord('e2')])
+    const gate = (): EndpointGate | undefined => fleet.findView(first.id)?.gate
+    gate()?.noteRest(1000)
+    fleet.applyNotices([{ endpoint: first.id, born: 7, stamp: 1, perSecond: 3, isLeaving: true }])
+    fleet.applyRecords([{ ...first, sequence: 2, stage: 'lost' }])
+    fleet.applyRecords([{ ...first, ...record }])
+    assert.deepEqual([gate()?.isResting(500), gate()?.limit, gate()?.isLeaving], [isResting, isResting ? 3 : null, isResting])
+  })
+}
