Soak: endpoints name limits and rests and say on answers that they leave, beside the other faults

Cause: no history over processes had an endpoint that says anything of itself on its answers. A seeded history of 15 s is in the suite.

--- a/src/bin/soak.ts
+++ b/src/bin/soak.ts
@@ -18,6 +18,7 @@
   readonly engines: string | number
   readonly endpoints: string | number
   readonly crashers: string | number
+  readonly notices?: boolean
 }
 
 /** What is asked of any history: the promises that it found broken. */
@@ -48,6 +49,7 @@
   .option('--engines', 'Engines, of processes, with bursts of requests of several ranks before them; 0 for none', 0)
   .option('--endpoints', 'Endpoints of a plain service, of processes', 4)
   .option('--crashers', 'Requests that end each endpoint which runs them and come again and again, of processes; 0 for none', 0)
+  .option('--notices', 'Endpoints name limits and rests on their answers, and say there that they leave, of processes')
   .action((options: Options) => run(options))
   .parse(process.argv)
 
@@ -72,7 +74,7 @@
     const { violations } = await parts[name](seed, options)
     if (violations.length > 0) {
       process.stdout.write(`part=${name} seed=${seed} steps=${options.steps} violations=${JSON.stringify(violations)}\n`)
-      endWith(failureExit, `replay with: npm run soak -- --part ${name} --seed ${seed} --steps ${options.steps} --gateways ${options.gateways} --registries ${options.registries} --engines ${options.engines} --endpoints ${options.endpoints} --crashers ${options.crashers} --seconds 0`)
+      endWith(failureExit, `replay with: npm run soak -- --part ${name} --seed ${seed} --steps ${options.steps} --gateways ${options.gateways} --registries ${options.registries} --engines ${options.engines} --endpoints ${options.endpoints} --crashers ${options.crashers}${options.notices === true ? ' --notices' : ''} --seconds 0`)
     }
     seed += 1
   } while (performance.now() < until)
@@ -80,7 +82,7 @@
 }
 
 async function runProcesses (seed: number, options: Options): Promise<Found> {
-  const shape = { gateways: Number(options.gateways), registries: Number(options.registries), endpoints: Number(options.endpoints), engines: Number(options.engines), crashers: Number(options.crashers) }
+  const shape = { gateways: Number(options.gateways), registries: Number(options.registries), endpoints: Number(options.endpoints), engines: Number(options.engines), crashers: Number(options.crashers), notices: options.notices === true }
   const history = new SoakHistory(seed, Number(options.steps) * stepMs, shape)
   // Whoever ends the soak ends what it started.
   const end = (): void => { void history.stop().then(() => process.exit(failureExit)) }
--- a/src/soak/fault-draw.ts
+++ b/src/soak/fault-draw.ts
@@ -23,6 +23,14 @@
 /** How an endpoint treats its requests. */
 export type EndpointFault = typeof endpointFaults[number]
 
+/** What an endpoint says of itself. */
+export type SoakNotice =
+  | { readonly type: 'limit', readonly perSecond: number }
+  /** It turns a share of the requests away, and asks for rest. */
+  | { readonly type: 'rest', readonly share: number, readonly seconds: number }
+  /** It says on its answers that it leaves, and nowhere else; then it starts again. */
+  | { readonly type: 'leaving' }
+
 /** One fault. `box`, `registry` and `endpoint` count from 0. */
 export type SoakFault =
   | { readonly on: 'gateway', readonly box: number, readonly what: ProcessFault }
@@ -32,6 +40,8 @@
   | { readonly on: 'road', readonly endpoint: number, readonly mode: ProxyMode, readonly ms: number }
   | { readonly on: 'endpoint', readonly endpoint: number, readonly fault: EndpointFault, readonly ms: number }
   | { readonly on: 'drain', readonly endpoint: number, readonly ms: number }
+  /** What an endpoint says of itself on its answers. */
+  | { readonly on: 'notice', readonly endpoint: number, readonly notice: SoakNotice, readonly ms: number }
 
 /** A fault and when it begins, ms from the start. */
 export interface TimedFault {
@@ -48,6 +58,8 @@
   readonly engines: number
   /** Requests that end each endpoint which runs them, and come again and again; 0 for none. */
   readonly crashers: number
+  /** Whether endpoints name limits and rests, and say on their answers that they leave. */
+  readonly notices: boolean
 }
 
 const modes: readonly ProxyMode[] = ['delay', 'narrow', 'reset', 'one-way', 'silent']
@@ -77,6 +89,41 @@
   return faults
 }
 
+/** Limits that endpoints name, requests a second. */
+const limits = [0.2, 1, 2.6, 8, 20]
+const rests = [1.5, 3]
+const restShare = 0.4
+/** Notices last longer than other faults, ms: a limit is judged over some seconds. */
+const leastNoticeMs = 4000
+const mostNoticeMs = 9000
+const leastNoticePauseMs = 500
+const mostNoticePauseMs = 2500
+
+/**
+ * Draws what endpoints say of themselves in a history of `lengthMs`, beside its other faults. An endpoint says one thing at a time,
+ * and one at least says nothing.
+ */
+export function drawNotices (random: () => number, shape: SoakShape, lengthMs: number): TimedFault[] {
+  const notices: TimedFault[] = []
+  const busyUntil = new Map<number, number>()
+  for (let at = calmMs; at < lengthMs; at += draw(random, leastNoticePauseMs, mostNoticePauseMs)) {
+    const endpoint = pickNumber(random, Math.max(1, shape.endpoints - 1))
+    const ms = Math.round(draw(random, leastNoticeMs, mostNoticeMs))
+    const notice = drawNotice(random)
+    if (at < (busyUntil.get(endpoint) ?? 0)) continue
+    busyUntil.set(endpoint, at + ms + mostNoticePauseMs)
+    notices.push({ at: Math.round(at), fault: { on: 'notice', endpoint, notice, ms } })
+  }
+  return notices
+}
+
+function drawNotice (random: () => number): SoakNotice {
+  const kind = random()
+  if (kind < 0.5) return { type: 'limit', perSecond: pick(random, limits) }
+  if (kind < 0.8) return { type: 'rest', share: restShare, seconds: pick(random, rests) }
+  return { type: 'leaving' }
+}
+
 // When a fault of the registries or their links is over; -Infinity for other faults.
 function findCoreEnd (fault: SoakFault, at: number): number {
   switch (fault.on) {
--- a/src/soak/fault-player.ts
+++ b/src/soak/fault-player.ts
@@ -2,7 +2,7 @@
 import { performance } from 'node:perf_hooks'
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Disturbances } from './disturbances.js'
-import type { ProcessFault, SoakFault, TimedFault } from './fault-draw.js'
+import type { ProcessFault, SoakFault, SoakNotice, TimedFault } from './fault-draw.js'
 import type { PromiseWatch } from './promise-watch.js'
 import type { SoakStage, StagedBox, StagedEndpoint } from './soak-stage.js'
 
@@ -64,6 +64,7 @@
         return await this.#hold(`endpoint ${fault.endpoint}`, fault.ms, () => { standin.fault = set }, () => { standin.fault = { type: 'none' } })
       }
       case 'drain': return await this.#drain(endpoints[fault.endpoint], fault.ms)
+      case 'notice': return await this.#say(endpoints[fault.endpoint], fault.notice, fault.ms)
     }
   }
 
@@ -125,6 +126,30 @@
     box.process.start()
   }
 
+  // Has an endpoint say something of itself on its answers. One that said it leaves starts again, as a new life.
+  async #say (endpoint: StagedEndpoint, notice: SoakNotice, ms: number): Promise<void> {
+    const { standin } = endpoint
+    switch (notice.type) {
+      case 'limit':
+        standin.limit = notice.perSecond
+        await sleep(ms)
+        standin.limit = null
+        return
+      case 'rest':
+        standin.rest = notice
+        await sleep(ms)
+        standin.rest = null
+        return
+      case 'leaving':
+        standin.isLeaving = true
+        await sleep(ms)
+        standin.isLeaving = false
+        endpoint.sequence = 0
+        endpoint.born = Date.now()
+        await this.#stage.register(endpoint)
+    }
+  }
+
   // Has an endpoint say that it is leaving, and watches that it gets nothing new.
   async #drain (endpoint: StagedEndpoint, ms: number): Promise<void> {
     if (endpoint.stage === 'draining') return
--- a/src/soak/soak-history.ts
+++ b/src/soak/soak-history.ts
@@ -9,9 +9,10 @@
 import { CrashCallers } from './crash-callers.js'
 import type { CrashSummary } from './crash-callers.js'
 import { Disturbances } from './disturbances.js'
-import { drawFaults } from './fault-draw.js'
+import { drawFaults, drawNotices } from './fault-draw.js'
 import type { SoakShape, TimedFault } from './fault-draw.js'
 import { FaultPlayer } from './fault-player.js'
+import { NoticeWatch } from './notice-watch.js'
 import { PrecedenceWatch } from './precedence-watch.js'
 import type { RankedSummary } from './precedence-watch.js'
 import { PromiseWatch, holdMs } from './promise-watch.js'
@@ -35,6 +36,8 @@
   readonly logs: ReadonlyMap<string, readonly string[]>
 }
 
+/** Added to the seed of what endpoints say: their draws are apart from those of the other faults. */
+const noticeSeed = 1_000_003
 /** The longest that the stage may take to serve, at first and after the faults, ms. */
 const startMs = 20_000
 const recoverMs = 15_000
@@ -48,6 +51,7 @@
   #faults: readonly TimedFault[]
   #stage: SoakStage
   #watch: PromiseWatch
+  #notices: NoticeWatch
   #player: FaultPlayer
   #callers: SoakCallers
   #precedence: PrecedenceWatch
@@ -57,9 +61,11 @@
   constructor (seed: number, lengthMs: number, shape: SoakShape) {
     this.#lengthMs = lengthMs
     const disturbances = new Disturbances()
-    this.#faults = drawFaults(createRandom(seed), shape, lengthMs)
+    const notices = shape.notices ? drawNotices(createRandom(noticeSeed + seed), shape, lengthMs) : []
+    this.#faults = [...drawFaults(createRandom(seed), shape, lengthMs), ...notices]
     this.#watch = new PromiseWatch(disturbances)
     this.#stage = new SoakStage(shape, seed, (name, code) => this.#watch.violate('a process ended by itself', `${name} with ${code}`))
+    this.#notices = new NoticeWatch(disturbances, this.#watch)
     this.#player = new FaultPlayer(this.#stage, disturbances, this.#watch)
     this.#callers = new SoakCallers({
       seed,
@@ -89,6 +95,7 @@
       await this.#checkRecovery()
       await sleep(settleMs)
       this.#watch.settle(this.#stage.endpoints.flatMap(({ standin }) => standin.runs))
+      this.#notices.settle(this.#stage.endpoints)
       this.#crashers?.check()
       for (const broken of this.#precedence.findBroken()) this.#watch.violate('less urgent requests went first', broken)
       this.#checkLogs()
--- a/src/standin/standin-endpoint.ts
+++ b/src/standin/standin-endpoint.ts
@@ -70,6 +70,18 @@
   readonly seconds: number
 }
 
+/** One request that reached the endpoint, whether it ran or not. */
+export interface EndpointArrival {
+  readonly requestId: string
+  /** On this process's rising clock, ms. */
+  readonly at: number
+  /** What its answer was to say, as it stood then. */
+  readonly limit: number | null
+  readonly isLeaving: boolean
+  /** For how long the endpoint asked the box for rest, ms; null where it didn't. */
+  restMs: number | null
+}
+
 /** One request that the endpoint ran. */
 export interface EndpointRun {
   readonly requestId: string
@@ -93,8 +105,7 @@
   readonly id: string
   readonly runs: EndpointRun[] = []
   fault: EndpointFault = { type: 'none' }
-  /** Every request that reached it, on this process's rising clock, ms. */
-  readonly arrivals: number[] = []
+  readonly arrivals: EndpointArrival[] = []
   /** The limit that it names on its answers; null for none. */
   limit: number | null = null
   /** True where its answers say that it leaves. */
@@ -177,14 +188,18 @@
   }
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    this.arrivals.push(performance.now())
     const names = this.#headers
     const requestId = String(request.headers[names.requestId.toLowerCase()] ?? '')
+    const arrival: EndpointArrival = { requestId, at: performance.now(), limit: this.limit, isLeaving: this.isLeaving, restMs: null }
+    this.arrivals.push(arrival)
     const body = (await readBody(request)).toString()
     const expected = request.headers[names.expectedEndpoint.toLowerCase()]
     if (expected !== undefined && expected !== this.id) return this.#refuse(response, requestId, 421)
     if (this.fault.type === 'full') return this.#refuse(response, requestId, 503)
-    if (this.rest !== null && Math.random() < this.rest.share) return this.#refuse(response, requestId, 503, { 'retry-after': String(this.rest.seconds) })
+    if (this.rest !== null && Math.random() < this.rest.share) {
+      arrival.restMs = this.rest.seconds * 1000
+      return this.#refuse(response, requestId, 503, { 'retry-after': String(this.rest.seconds) })
+    }
     const run: EndpointRun = { requestId, method: request.method ?? '', path: request.url ?? '', headers: request.headers, body, isCalledOff: false }
     this.runs.push(run)
     if (this.#knownAt !== null) this.backMs.push(performance.now() - this.#knownAt)
--- a/test/endpoint-rests.test.ts
+++ b/test/endpoint-rests.test.ts
@@ -51,7 +51,7 @@
   const before = resting.arrivals.length
   resting.rest = { share: 1, seconds: 2 }
   const statuses = await call(0, 5000)
-  const arrivals = resting.arrivals.slice(before)
+  const arrivals = resting.arrivals.slice(before).map(({ at }) => at)
   const broken = arrivals.filter(askedAt => arrivals.filter(at => at > askedAt + toldMs && at < askedAt + 2000).length > mostInRest)
   assert.ok(arrivals.length > 0 && broken.length === 0, `${broken.length} of ${arrivals.length} rests`)
   const refused = statuses.filter(status => status !== 200).length
@@ -66,7 +66,7 @@
   const saidAt = performance.now()
   await sleep(200)
   await Promise.all([call(0, 3000), call(1, 3000)])
-  const late = leaving.arrivals.filter(at => at > saidAt + drainMs).length
+  const late = leaving.arrivals.filter(({ at }) => at > saidAt + drainMs).length
   assert.equal(late, 0)
 })
 
--- a/test/fault-draw.test.ts
+++ b/test/fault-draw.test.ts
@@ -4,7 +4,7 @@
 import { drawFaults } from '../src/soak/index.js'
 import type { SoakFault, TimedFault } from '../src/soak/index.js'
 
-const shape = { registries: 3, gateways: 3, endpoints: 4, engines: 0, crashers: 0 }
+const shape = { registries: 3, gateways: 3, endpoints: 4, engines: 0, crashers: 0, notices: false }
 const restMs = 6000
 
 function isWipe ({ fault }: TimedFault): boolean { return fault.on === 'registry' && fault.what.type === 'wipe' }
--- a/test/rate-limits.test.ts
+++ b/test/rate-limits.test.ts
@@ -59,7 +59,7 @@
     const statuses = await call(namedMs)
     limited.limit = null
     const allowed = Math.floor(mostTimes * limit * windowMs / 1000 + extra)
-    const most = countMost(limited.arrivals, namedAt)
+    const most = countMost(limited.arrivals.map(({ at }) => at), namedAt)
     assert.ok(most <= allowed, `${most} in ${windowMs} ms, allowed ${allowed}`)
     assert.ok(statuses.every(status => status === 200), 'the other endpoints serve the rest')
   })
--- a/test/soak-processes.test.ts
+++ b/test/soak-processes.test.ts
@@ -3,17 +3,18 @@
 import { SoakHistory } from '../src/soak/index.js'
 
 /** Short histories over processes; those that ever failed stand here with their cause. */
-const histories: readonly { seed: number, seconds: number, gateways: number, registries: number, engines?: number, endpoints?: number, crashers?: number, why: string }[] = [
+const histories: readonly { seed: number, seconds: number, gateways: number, registries: number, engines?: number, endpoints?: number, crashers?: number, notices?: boolean, why: string }[] = [
   { seed: 1, seconds: 6, gateways: 3, registries: 3, why: 'a signal to read settings ended a gateway that was still starting' },
   { seed: 27, seconds: 6, gateways: 3, registries: 3, why: 'a second signal to end, which asks for an end at once, was taken for a planned stop' },
   { seed: 7, seconds: 6, gateways: 2, registries: 5, why: 'five registries' },
   { seed: 2, seconds: 15, gateways: 3, registries: 3, engines: 4, why: 'claim tags were refused while fitting quotes were let in' },
-  { seed: 4, seconds: 10, gateways: 3, registries: 3, endpoints: 9, crashers: 3, why: 'a request that ended its endpoints was sent to endpoints again and again' }
+  { seed: 4, seconds: 10, gateways: 3, registries: 3, endpoints: 9, crashers: 3, why: 'a request that ended its endpoints was sent to endpoints again and again' },
+  { seed: 5, seconds: 15, gateways: 4, registries: 3, notices: true, why: 'limits, rests and words of leaving on answers beside other faults' }
 ]
 
-for (const { seed, seconds, gateways, registries, engines = 0, endpoints = 4, crashers = 0, why } of histories) {
+for (const { seed, seconds, gateways, registries, engines = 0, endpoints = 4, crashers = 0, notices = false, why } of histories) {
   test(`the promises hold over processes and faults, seed ${seed}: ${why}`, { timeout: 110_000 }, async () => {
-    const { violations, served, faults } = await new SoakHistory(seed, seconds * 1000, { gateways, registries, endpoints, engines, crashers }).run()
+    const { violations, served, faults } = await new SoakHistory(seed, seconds * 1000, { gateways, registries, endpoints, engines, crashers, notices }).run()
     assert.deepEqual(violations, [])
     assert.ok(served > 100 && faults > 2, `${served} served, ${faults} faults`)
   })
