--- a/src/bin/wrenlane.ts
+++ b/src/bin/wrenlane.ts
@@ -3,7 +3,7 @@
 import { createHash, randomBytes } from 'node:crypto'
 import { userInfo } from 'node:os'
 import sade from 'sade'
-import { checkDocument, describeHost, describeName, describePort, describeText, entryFields, gatewayFields, registryFields, findKeyLines, findLine, formatMistake, intentFields, keeperFields, parseToml, standinFields } from '../config/index.js'
+import { checkDocument, describeHost, describeName, describePort, describeText, entryFields, gatewayFields, registryFields, findKeyLines, findLine, formatMistake, intentFields, keeperFields, parseAddress, parseToml, standinFields } from '../config/index.js'
 import type { FieldTable, KeeperAddress, Mistake } from '../config/index.js'
 import { parse } from 'smol-toml'
 import { brandId } from '../core/index.js'
@@ -13,6 +13,7 @@
 import { OperatorClient, OperatorError } from './operator-client.js'
 import { endWith, failureExit, readNamed, readSecret, readSettings, readVersion, usageExit } from './program.js'
 import { countLosses, formatLosses } from './losses.js'
+import { formatNotices, readNotices } from './notice-report.js'
 import { composeReport, formatReport } from './status-report.js'
 import { explainRequest, mergeEvents } from './timeline.js'
 
@@ -24,6 +25,7 @@
   readonly request?: string
   readonly seconds?: number
   readonly undo?: boolean
+  readonly registry?: string
 }
 
 interface OperatorSettings {
@@ -68,7 +70,8 @@
   .action((number: string, options: Options) => withOperator(options, client => confirm(client, number, options)))
 
 program.command('status', 'Show boxes, zones, revisions in force, engines and queues')
-  .action((options: Options) => withOperator(options, client => showStatus(client, options)))
+  .option('--registry', 'HOST:PORT of a registry: show its endpoints\' limits, rests and words of leaving instead')
+  .action((options: Options) => options.registry === undefined ? withOperator(options, client => showStatus(client, options)) : showNotices(options.registry, options))
 
 program.command('drain <engine>', 'Give an engine no new work from now on, through a plan that is confirmed at once')
   .option('--undo', 'Give it work again')
@@ -204,6 +207,18 @@
   show(options, report, formatReport(report))
 }
 
+async function showNotices (registry: string, options: Options): Promise<void> {
+  const address = parseAddress(registry)
+  if (address.host === '' || !(address.port > 0)) return endWith(usageExit, '--registry: HOST:PORT of a registry')
+  try {
+    const notices = await readNotices(address)
+    show(options, notices, formatNotices(notices))
+  } catch (error) {
+    if (!(error instanceof OperatorError)) throw error
+    endWith(failureExit, error.message)
+  }
+}
+
 async function drain (client: OperatorClient, engine: string, options: Options): Promise<void> {
   const reply = await client.call({ type: 'document' })
   if (reply.type !== 'document') return endWith(failureExit, `unexpected answer ${reply.type}`)
--- a/src/core/limits/index.ts
+++ b/src/core/limits/index.ts
@@ -2,7 +2,7 @@
 export { isSameNotice, joinNotices } from './endpoint-notice.js'
 export type { EndpointNotice } from './endpoint-notice.js'
 export { NoticeBook } from './notice-book.js'
-export type { AnswerNotice } from './notice-book.js'
+export type { AnswerNotice, KnownNotice } from './notice-book.js'
 export { NoticeTeller, NoticeUplink } from './notice-relay.js'
 export { PermitIssuer } from './permit-issuer.js'
 export type { ClosedEndpoint, PermitGrant, PermitWants } from './permit-issuer.js'
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -167,7 +167,7 @@
       listHubs: () => this.#follower.listNear(),
       composeLoad: () => this.#fleet.composeLoad(now()),
       listNotices: () => this.#limits.listUntold(),
-      takeNotices: notices => this.#limits.mergeNotices(notices),
+      takeNotices: (notices, hub) => this.#limits.mergeNotices(notices, hub),
       noteHub: () => this.#limits.noteHub(),
       takeOthers: (others, intervalMs) => {
         this.#fleet.noteOthers(others, now())
--- a/src/gateway/limit-desk.ts
+++ b/src/gateway/limit-desk.ts
@@ -3,7 +3,7 @@
  * gives leave to send, and what a request meets that finds all endpoints closed.
  */
 import { NoticeBook, ReturnPlanner } from '../core/index.js'
-import type { EndpointNotice, EndpointRecord, EndpointView, Fleet, ServiceName, ServiceOpening, Work } from '../core/index.js'
+import type { BoxId, EndpointNotice, EndpointRecord, EndpointView, Fleet, ServiceName, ServiceOpening, Work } from '../core/index.js'
 import type { EndpointNotices, RouteMessage } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import { NoticeDesk } from './notice-desk.js'
@@ -59,7 +59,7 @@
   noteAnswer (view: EndpointView, notices: EndpointNotices, hasRun: boolean): void { this.#notices.noteAnswer(view, notices, hasRun) }
 
   /** Takes what the hub tells. */
-  mergeNotices (notices: readonly EndpointNotice[]): void { this.#notices.merge(notices) }
+  mergeNotices (notices: readonly EndpointNotice[], hub: BoxId): void { this.#notices.merge(notices, hub) }
 
   /** The notices that the hub may not know. */
   listUntold (): readonly EndpointNotice[] { return this.#notices.listUntold() }
--- a/src/gateway/load-reporter.ts
+++ b/src/gateway/load-reporter.ts
@@ -4,7 +4,7 @@
  * zone where one can be reached; where it falls silent, another.
  */
 import { randomInt } from 'node:crypto'
-import { SumReader, chooseByHash, dropWaiting, noTotals, staleMs, subtractOwn } from '../core/index.js'
+import { SumReader, brandId, chooseByHash, dropWaiting, noTotals, staleMs, subtractOwn } from '../core/index.js'
 import type { BoxId, BoxLoad, EndpointNotice, LoadTotals, ZoneName } from '../core/index.js'
 import { decodeTotalsWord, encodeLoadWord, isNewerWord, startLimit } from '../protocol/index.js'
 import type { WordNumber } from '../protocol/index.js'
@@ -26,7 +26,7 @@
   /** Notices that the hub may not know. */
   listNotices (): readonly EndpointNotice[]
   /** Takes notices that the hub tells. */
-  takeNotices (notices: readonly EndpointNotice[]): void
+  takeNotices (notices: readonly EndpointNotice[], hub: BoxId): void
   /** Another hub is told from now on. */
   noteHub (): void
   /** Takes what all other boxes have; `intervalMs`: how often that is told. */
@@ -131,7 +131,7 @@
     hub.heardAt = now
     this.#heardAt = now
     this.#intervalMs = word.intervalMs
-    if (word.notices.length > 0) this.#host.takeNotices(word.notices)
+    if (word.notices.length > 0) this.#host.takeNotices(word.notices, brandId(hub.host))
     const totals = hub.reader.take(word.news)
     if (totals !== null) this.#passOthers(subtractOwn(totals, this.#kept.get(word.ownNumber) ?? null), word.intervalMs)
   }
--- a/src/gateway/notice-desk.ts
+++ b/src/gateway/notice-desk.ts
@@ -3,7 +3,7 @@
  * taken from there as other boxes read it.
  */
 import { NoticeBook, NoticeUplink } from '../core/index.js'
-import type { EndpointId, EndpointNotice, EndpointRecord, EndpointView, Fleet } from '../core/index.js'
+import type { BoxId, EndpointId, EndpointNotice, EndpointRecord, EndpointView, Fleet } from '../core/index.js'
 import type { EndpointNotices } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 
@@ -38,7 +38,7 @@
   noteAnswer (view: EndpointView, { limit, isLeaving, restMs, faulty }: EndpointNotices, hasRun: boolean): void {
     const { id, record: { born, service } } = view
     if (restMs !== null) this.#noteRest(view, restMs)
-    const notice = this.#book.note({ endpoint: id, born, limit: limit === null && !hasRun ? undefined : limit, isLeaving })
+    const notice = this.#book.note({ endpoint: id, born, limit: limit === null && !hasRun ? undefined : limit, isLeaving }, this.#host.now())
     if (notice !== null) {
       this.#apply([notice], 'answer')
       this.#uplink.note(notice)
@@ -48,9 +48,9 @@
   }
 
   /** Takes what the hub tells. */
-  merge (notices: readonly EndpointNotice[]): void {
+  merge (notices: readonly EndpointNotice[], from: BoxId): void {
     this.#uplink.confirm(notices)
-    this.#apply(this.#book.merge(notices.filter(({ endpoint }) => this.#host.fleet.findView(endpoint) !== undefined)), 'box')
+    this.#apply(this.#book.merge(notices.filter(({ endpoint }) => this.#host.fleet.findView(endpoint) !== undefined), this.#host.now(), from), 'box')
   }
 
   /** Forgets endpoints that are gone. */
--- a/src/protocol/dialect.ts
+++ b/src/protocol/dialect.ts
@@ -63,6 +63,8 @@
   | { readonly type: 'lift-quarantine', readonly fingerprint: string }
   /** Asks for what ran in the newest windows, by workspace. */
   | { readonly type: 'list-usage' }
+  /** Asks what endpoints say of themselves on their answers, as far as this registry knows. */
+  | { readonly type: 'list-notices' }
   | { readonly type: 'unknown' }
 
 /** A document that can't be read, or must not be put in force. */
--- a/src/protocol/header-dialect.ts
+++ b/src/protocol/header-dialect.ts
@@ -63,6 +63,8 @@
 const quarantinePath = '/v1/quarantine'
 /** Where operators find what ran, in every dialect. */
 const usagePath = '/v1/usage'
+/** Where operators find what endpoints say of themselves, in every dialect. */
+const noticesPath = '/v1/notices'
 /** "Misdirected": the endpoint at that address is another one, and did not run the request. */
 const otherEndpointStatus = 421
 /** Headers of a message's framing: it is framed anew. */
@@ -141,6 +143,7 @@
     if (bare === quarantinePath && method === 'GET') return { type: 'list-quarantine' }
     if (bare.startsWith(`${quarantinePath}/`) && method === 'DELETE') return { type: 'lift-quarantine', fingerprint: decodePart(bare.slice(quarantinePath.length + 1)) }
     if (bare === usagePath && method === 'GET') return { type: 'list-usage' }
+    if (bare === noticesPath && method === 'GET') return { type: 'list-notices' }
     const endpoint = bare.startsWith(this.#paths.endpoints) ? decodePart(bare.slice(this.#paths.endpoints.length)) : ''
     if (endpoint === '' || endpoint.includes('/')) return { type: 'unknown' }
     if (method === 'PUT') return { type: 'register', endpoint }
--- a/src/registry/endpoint-desk.ts
+++ b/src/registry/endpoint-desk.ts
@@ -4,7 +4,7 @@
  * registries now and then, so that all know who has fallen silent.
  */
 import { EndpointDirectory, isOtherLife } from '../core/index.js'
-import type { EndpointId, EndpointRecord } from '../core/index.js'
+import type { EndpointId, EndpointRecord, ServiceName } from '../core/index.js'
 import type { RouteMessage } from '../protocol/index.js'
 import type { EventLog } from '../runtime/index.js'
 
@@ -64,10 +64,10 @@
     return this.#whole
   }
 
-  /** Whether an endpoint is registered, and neither gone nor lost. */
-  knows (id: EndpointId): boolean {
-    const stage = this.#directory.find(id)?.stage
-    return stage === 'ready' || stage === 'draining'
+  /** The service of an endpoint that is registered, and neither gone nor lost. */
+  findService (id: EndpointId): ServiceName | undefined {
+    const record = this.#directory.find(id)
+    return record?.stage === 'ready' || record?.stage === 'draining' ? record.service : undefined
   }
 
   /** Takes what was known before this process started: it counts until endpoints had time to say otherwise. */
--- a/src/registry/load-hub.ts
+++ b/src/registry/load-hub.ts
@@ -6,9 +6,9 @@
  */
 import { randomInt } from 'node:crypto'
 import { LoadBook, NoticeBook, NoticeTeller, PromptBook, PromptRelay, SumTeller } from '../core/index.js'
-import type { BoxId, EndpointId, EndpointNotice, EndpointRecord, LoadTotals, ReadPrompt } from '../core/index.js'
+import type { BoxId, EndpointId, EndpointNotice, EndpointRecord, LoadTotals, ReadPrompt, ServiceName } from '../core/index.js'
 import { decodeHubWord, decodeLoadWord, encodeHubWord, encodeNews, encodeTotalsWord, isNewerWord, startLimit } from '../protocol/index.js'
-import type { WordNumber } from '../protocol/index.js'
+import type { NoticeStatus, WordNumber } from '../protocol/index.js'
 import { DatagramPort, Inbox } from '../runtime/index.js'
 import type { EventLog } from '../runtime/index.js'
 
@@ -19,8 +19,8 @@
   now (): number
   /** Hosts of the other registries. */
   listOthers (): readonly string[]
-  /** Whether an endpoint is registered. */
-  knows (endpoint: EndpointId): boolean
+  /** The service of an endpoint that is registered; undefined for another. */
+  findService (endpoint: EndpointId): ServiceName | undefined
 }
 
 /** A gateway that tells this hub its work: its newest word, and where it came from. */
@@ -115,6 +115,18 @@
     return this.#book.sumAll(this.#book.sumOwn(now), now)
   }
 
+  /** What endpoints say of themselves, for operators. */
+  listNotices (): NoticeStatus[] {
+    const now = this.#host.now()
+    const resting = new Map(this.sumLoads().loads.filter(load => load.resting > 0).map(load => [load.endpoint, load.resting]))
+    const known = new Map(this.notices.known.map(one => [one.notice.endpoint, one]))
+    return [...new Set([...known.keys(), ...resting.keys()])].map(endpoint => {
+      const { notice, at, from } = known.get(endpoint) ?? { notice: null, at: null, from: null }
+      const ageMs = at === null ? null : Math.round(now - at)
+      return { endpoint, service: this.#host.findService(endpoint) ?? '', limit: notice?.perSecond ?? null, isLeaving: notice?.isLeaving ?? false, ageMs, from, resting: resting.get(endpoint) ?? 0 }
+    })
+  }
+
   /** Ends the hub; a second call does nothing. */
   close (): void {
     if (this.#closed) return
@@ -142,7 +154,7 @@
     if (word === null) return this.#receiveSum(bytes, host)
     const { box, zone, start, number, load } = word
     if (!isNewerWord(word, this.#tellers.get(box))) return
-    this.takeNotices(word.notices)
+    this.takeNotices(word.notices, box)
     if (load === null) return this.#release(box)
     // Who is new knows no engine's speed.
     if (!this.#tellers.has(box)) this.#gapsToldAt = -Infinity
@@ -173,14 +185,14 @@
     const now = this.#host.now()
     this.#book.noteSum(hub, news, now)
     this.#takePrompts(news.prompts, now)
-    this.takeNotices(word.notices)
+    this.takeNotices(word.notices, hub)
     if (this.#tellers.size > 0) this.#schedule()
   }
 
   /** Takes what endpoints say of themselves, as another box knows it. */
-  takeNotices (notices: readonly EndpointNotice[]): void {
+  takeNotices (notices: readonly EndpointNotice[], from: BoxId): void {
     const now = this.#host.now()
-    for (const notice of this.notices.merge(notices.filter(({ endpoint }) => this.#host.knows(endpoint)))) {
+    for (const notice of this.notices.merge(notices.filter(({ endpoint }) => this.#host.findService(endpoint) !== undefined), now, from)) {
       this.#noticesToHubs.note(notice, now)
       this.#noticesToGateways.note(notice, now)
       this.#schedule()
--- a/src/registry/operator-desk.ts
+++ b/src/registry/operator-desk.ts
@@ -6,7 +6,7 @@
 import { brandId, findDocumentMistakes } from '../core/index.js'
 import type { EndpointRecord, Fingerprint, QuarantineEntry } from '../core/index.js'
 import { DocumentError } from '../protocol/index.js'
-import type { Dialect, PutEnd } from '../protocol/index.js'
+import type { Dialect, NoticeStatus, PutEnd } from '../protocol/index.js'
 import { listen } from '../runtime/index.js'
 import type { EventLog } from '../runtime/index.js'
 
@@ -26,6 +26,8 @@
   liftQuarantine (fingerprint: Fingerprint): boolean
   /** What ran in the windows that are kept, as this box has them. */
   listUsage (): readonly SettledWindow[]
+  /** What endpoints say of themselves on their answers. */
+  listNotices (): readonly NoticeStatus[]
   noteCall (call: string, status: number, ms: number): void
 }
 
@@ -102,6 +104,7 @@
       case 'list-quarantine': return { status: 200, body: JSON.stringify(this.#host.listQuarantine()) }
       case 'lift-quarantine':
         return this.#host.liftQuarantine(brandId(call.fingerprint)) ? { status: 200, body: '{}' } : { status: 404, body: 'no such request is in quarantine' }
+      case 'list-notices': return { status: 200, body: JSON.stringify(this.#host.listNotices()) }
       case 'list-usage': return { status: 200, body: JSON.stringify(this.#host.listUsage()) }
       case 'unknown': return { status: 404, body: 'no such call' }
     }
--- a/src/registry/permit-counter.ts
+++ b/src/registry/permit-counter.ts
@@ -2,7 +2,7 @@
  * A registry's side of permits: the leader of the log gives them out, as it
  * knows that no other registry does; the others say who leads.
  */
-import { PermitIssuer } from '../core/index.js'
+import { PermitIssuer, brandId } from '../core/index.js'
 import type { BoxId } from '../core/index.js'
 import type { Link, RouteMessage } from '../protocol/index.js'
 import type { EventLog } from '../runtime/index.js'
@@ -51,7 +51,7 @@
   /** Answers a gateway that wants to send to an endpoint with a limit. */
   answer (link: Link<RouteMessage>, { call, notice, wants }: Extract<RouteMessage, { type: 'ask-permits' }>): void {
     const { hub } = this.#host
-    hub.takeNotices([notice])
+    hub.takeNotices([notice], brandId(link.peer))
     if (!this.#host.isLeader()) return void link.send({ type: 'permits-elsewhere', call, leader: this.#host.findLeader() })
     const now = this.#host.now()
     this.#issuer.setShare(this.#computeShare(now))
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -71,7 +71,7 @@
     this.#hosts = new KnownHosts(settings.host, settings.linkPort, this.#links)
     this.#members = new MemberTender({ zone: settings.zone, faults: settings.faults, log, now })
     this.#endpoints = this.#createEndpointDesk()
-    this.#hub = new LoadHub({ id: brandId(settings.id), log, now, listOthers: () => this.#hosts.others, knows: endpoint => this.#endpoints.knows(endpoint) })
+    this.#hub = new LoadHub({ id: brandId(settings.id), log, now, listOthers: () => this.#hosts.others, findService: endpoint => this.#endpoints.findService(endpoint) })
     this.#permits = this.#createPermitCounter()
     this.#documents = new DocumentAnnouncer({
       ...around,
@@ -195,6 +195,7 @@
       noteEndpoint: word => this.#endpoints.note(word),
       listQuarantine: () => this.#crashes.news.entries,
       liftQuarantine: fingerprint => this.#crashes.lift(fingerprint),
+      listNotices: () => this.#hub.listNotices(),
       listUsage: () => this.#opened.log.state.usage.windows,
       noteCall: (call, status, ms) => metrics.time('registry-call', ms, { call, status: String(status) })
     }, this.#settings.maxBodyBytes)
--- a/test/load-hub.test.ts
+++ b/test/load-hub.test.ts
@@ -3,7 +3,7 @@
 import type { Socket } from 'node:dgram'
 import { after, before, test } from 'node:test'
 import { SumReader, brandId } from '../src/core/index.js'
-import type { BoxId, BoxLoad, EndpointId, LoadTotals, ZoneName } from '../src/core/index.js'
+import type { BoxId, BoxLoad, EndpointId, LoadTotals, ServiceName, ZoneName } from '../src/core/index.js'
 import { decodeTotalsWord, encodeLoadWord } from '../src/protocol/index.js'
 import { LoadReporter } from '../src/gateway/index.js'
 import { LoadHub } from '../src/registry/index.js'
@@ -60,7 +60,7 @@
       log: new EventLog(host, () => {}),
       now: () => performance.now(),
       listOthers: () => hosts.filter(one => one !== host),
-      knows: () => true
+      findService: () => brandId<ServiceName>('desk')
     })
     await hub.listen(host, port)
     hubs.push(hub)
@@ -121,7 +121,7 @@
 // A box that is cut off from all hubs kept what the others had told as waiting for 1.5 s, as hubs did with boxes that had ended.
 test('a gateway that hears no hub any more drops what waits by others first, then all of their work', async () => {
   const host = '127.45.0.4'
-  const hub = new LoadHub({ id: brandId<BoxId>(host), log: new EventLog(host, () => {}), now: () => performance.now(), listOthers: () => [], knows: () => true })
+  const hub = new LoadHub({ id: brandId<BoxId>(host), log: new EventLog(host, () => {}), now: () => performance.now(), listOthers: () => [], findService: () => brandId<ServiceName>('desk') })
   await hub.listen(host, port)
   const totals: LoadTotals[] = []
   const [other, reporter] = ['127.45.0.5', '127.45.0.6'].map((address, i) => new LoadReporter({
--- a/test/rate-limits.test.ts
+++ b/test/rate-limits.test.ts
@@ -2,6 +2,7 @@
 import { Agent } from 'node:http'
 import { after, before, test } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { formatNotices, readNotices } from '../src/bin/notice-report.js'
 import type { StandinEndpoint } from '../src/standin/index.js'
 import { RouteDeployment, composeDocument } from './support/route-deployment.js'
 
@@ -57,10 +58,13 @@
     limited.limit = limit
     const namedAt = performance.now()
     const statuses = await call(namedMs)
+    const [told] = await readNotices({ host: place.registryHost(1), port: 7002 })
     limited.limit = null
     const allowed = Math.floor(mostTimes * limit * windowMs / 1000 + extra)
     const most = countMost(limited.arrivals.map(({ at }) => at), namedAt)
     assert.ok(most <= allowed, `${most} in ${windowMs} ms, allowed ${allowed}`)
+    assert.deepEqual([told.endpoint, told.service, told.limit], [limited.id, 'desk', limit])
+    assert.match(formatNotices([told]), new RegExp(`${limited.id}  service desk  limit ${limit}/s  known for \\d+\\.\\d s, told by (gateway|registry)-\\d`))
     assert.ok(statuses.every(status => status === 200), 'the other endpoints serve the rest')
   })
 }
--- a/test/support/limit-model.ts
+++ b/test/support/limit-model.ts
@@ -3,7 +3,7 @@
  * desks and books of gateways, and the registry that gives permits. Callers come
  * at random; those that are refused come back once, when they were told to.
  */
-import { Fleet, NoticeBook, PermitIssuer } from '../../src/core/index.js'
+import { Fleet, NoticeBook, PermitIssuer, brandId } from '../../src/core/index.js'
 import type { EndpointRecord, EndpointView } from '../../src/core/index.js'
 import { EndpointSearch } from '../../src/gateway/endpoint-search.js'
 import type { Searcher } from '../../src/gateway/endpoint-search.js'
@@ -244,9 +244,9 @@
   // Notices go from a box to its hub, and on to all boxes that are reached from there.
   #tellHub (index: number): void {
     if (!this.#isReached(index)) return void this.#queue.after(spreadMs, () => this.#tellHub(index))
-    this.#book.merge(this.#boxes[index].limits.listUntold())
+    this.#book.merge(this.#boxes[index].limits.listUntold(), this.#now, brandId(`box-${index}`))
     this.#queue.after(spreadMs / 2, () => {
-      for (const box of this.#boxes) if (this.#isReached(box.index)) box.limits.mergeNotices(this.#book.notices)
+      for (const box of this.#boxes) if (this.#isReached(box.index)) box.limits.mergeNotices(this.#book.notices, brandId('hub'))
     })
   }
 
@@ -257,7 +257,7 @@
     this.#queue.after(linkMs, () => {
       const { failoverAt } = this.#shape
       if (failoverAt !== undefined && this.#now >= failoverAt && this.#now < failoverAt + electionMs) return
-      this.#book.merge([message.notice])
+      this.#book.merge([message.notice], this.#now, brandId(`box-${index}`))
       this.#issuer.setShare(this.#computeShare())
       const grants = this.#issuer.give(message.notice.endpoint, message.wants, this.#now)
       const closed = this.#issuer.listClosedFor(message.notice.endpoint, grants, this.#now)
