Entry boxes give an engine no work while it rests

Change: the time goes with the end of the stream to the box that schedules the engine, which keeps it out until then; unlike a failure it is not undone by another stream that goes on well.

--- a/src/core/engine-health.ts
+++ b/src/core/engine-health.ts
@@ -18,12 +18,14 @@
   #failures = 0
   #backoffMs = firstBackoffMs
   #outUntil = 0
+  #restUntil = 0
+  #isResting = false
   #tokenMs = 0
   #samples = 0
   #heardAt: number | null = null
   slow = false
 
-  get state (): HealthState { return this.#state }
+  get state (): HealthState { return this.#isResting ? 'out' : this.#state }
   /** Mean time per token, ms, or null before enough was seen. */
   get tokenMs (): number | null { return this.#samples >= samplesToJudge ? this.#tokenMs : null }
 
@@ -57,8 +59,15 @@
     this.#backoffMs = firstBackoffMs
   }
 
-  /** Lets an engine be probed once its back-off has run out. */
+  /** The engine wants no work before that time, whatever streams that it has say of it. */
+  addRest (until: number): void {
+    this.#restUntil = Math.max(this.#restUntil, until)
+    this.#isResting = true
+  }
+
+  /** Lets an engine be probed once its back-off has run out, and used once its rest is over. */
   advance (at: number): void {
+    this.#isResting = at < this.#restUntil
     if (this.#state === 'out' && at >= this.#outUntil) this.#state = 'probing'
   }
 
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -15,7 +15,7 @@
 import type { RequestClass } from './request-class.js'
 import type { SchedulerConfig } from './scheduler-config.js'
 import type { RefusalReason, SchedulerAction } from './scheduler-action.js'
-import type { LoadReport, SchedulerEvent, StreamEnd } from './scheduler-event.js'
+import type { LoadReport, SchedulerEvent } from './scheduler-event.js'
 import type { Submission } from './submission.js'
 import { sumLoad } from './shard-load.js'
 import type { ShardLoad } from './shard-load.js'
@@ -91,7 +91,7 @@
       case 'adopt': return this.#adopt(event.submission, event.engine)
       case 'cancel': return this.#cancel(event.request, event.attempt)
       case 'firstToken': return this.#noteFirstToken(event.request, event.attempt)
-      case 'end': return this.#end(event.request, event.attempt, event.how, event.tokens)
+      case 'end': return this.#end(event)
       case 'report': return this.#report(event.engine, event.report)
       case 'evicted': return this.#engines.find(event.engine)?.prefixes.evict(event.prefixes)
       case 'drain': return this.#drain(event.engine, event.leaving)
@@ -259,11 +259,12 @@
     if (stream !== undefined) this.#openLead(stream.class).add(this.#now - stream.grantedAt)
   }
 
-  #end (request: RequestId, attempt: number, how: StreamEnd, tokens: number): void {
+  #end ({ request, attempt, how, tokens, restMs = 0 }: Extract<SchedulerEvent, { type: 'end' }>): void {
     const placed = this.#placed.get(request)
     if (placed === undefined || placed.submission.attempt !== attempt) return
     this.#placed.delete(request)
     const stream = placed.engine.remove(request)
+    if (restMs > 0) placed.engine.health.addRest(this.#now + restMs)
     if (stream === undefined) return
     const heldMs = this.#now - stream.grantedAt
     const rate = stream.mayWait ? this.#patientRate : this.#quickRate
--- a/src/protocol/endpoint-notices.ts
+++ b/src/protocol/endpoint-notices.ts
@@ -53,6 +53,11 @@
   }
 }
 
+/** How long an answer asks for rest, ms; null where it doesn't. */
+export function readRestMs (status: number, headers: HeaderMap, wallMs: number): number | null {
+  return turnedAway.has(status) ? readRest(headers, wallMs, () => {}) : null
+}
+
 type Report = (name: string, value: string) => void
 
 // Of several values the lowest holds.
