A gateway that starts knows limits before it sends anything

Cause: notices came with the hub's first totals only, some tens to hundreds of ms after a gateway had routes; until then it sent without permits. Change: a registry tells them with the endpoints, on the same link. Figures: rate-limits.test.ts, a new case: 3 of 3 failed without the change, 3 of 3 pass with it.

--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -198,6 +198,7 @@
         this.#fleet.noteBoxes(this.#gatewayCount.find(now(), 1))
       },
       noteZone: heard => this.#fleet.zones.noteHeard(heard, now()),
+      takeNotices: (notices, registry) => this.#limits.mergeNotices(notices, registry),
       takePermits: answer => this.#limits.takePermits(answer)
     })
   }
--- a/src/gateway/registry-follower.ts
+++ b/src/gateway/registry-follower.ts
@@ -7,7 +7,7 @@
 import { DocumentPull } from '../coordination/index.js'
 import type { HolderState, PullPatience, VersionedText } from '../coordination/index.js'
 import { brandId, chooseByHash } from '../core/index.js'
-import type { BoxId, CrashNews, EndpointRecord, ReadPrompt, ZoneName } from '../core/index.js'
+import type { BoxId, CrashNews, EndpointNotice, EndpointRecord, ReadPrompt, ZoneName } from '../core/index.js'
 import { LinkPool, unpackDocument } from '../protocol/index.js'
 import type { Link, PackedDocument, RouteMessage } from '../protocol/index.js'
 import { Inbox } from '../runtime/index.js'
@@ -34,6 +34,8 @@
   /** Takes how many gateways a registry is in touch with. */
   takeGatewayCount (count: number): void
   noteZone (zone: ZoneName): void
+  /** Takes what endpoints say of themselves. */
+  takeNotices (notices: readonly EndpointNotice[], registry: BoxId): void
   /** Takes an answer about permits. */
   takePermits (answer: PermitAnswer): void
 }
@@ -217,6 +219,7 @@
       case 'document': return this.#takeDocument(link, message.document)
       case 'endpoints': return this.#host.takeRecords(message.records)
       case 'crashes': return this.#host.takeCrashes(message.news)
+      case 'notices': return this.#host.takeNotices(message.notices, brandId(link.peer))
       case 'permits':
       case 'permits-elsewhere': return this.#host.takePermits(message)
       case 'prompts':
--- a/src/protocol/route-message.ts
+++ b/src/protocol/route-message.ts
@@ -40,6 +40,8 @@
   | { readonly type: 'heard', readonly words: readonly (readonly [EndpointId, number])[] }
   /** Requests that began at boxes: from a gateway its own, from a registry what it was told. */
   | { readonly type: 'usage', readonly tellings: readonly UsageTelling[] }
+  /** What endpoints say of themselves, for a gateway that starts: it is to know before it sends anything. */
+  | { readonly type: 'notices', readonly notices: readonly EndpointNotice[] }
   /** Asks for permits to send to an endpoint that names a limit; `notice`: what the asking side knows of it. */
   | { readonly type: 'ask-permits', readonly call: number, readonly notice: EndpointNotice, readonly wants: PermitWants }
   /** `closed`: other endpoints that would give none either. */
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -269,7 +269,7 @@
   #tell (): void {
     this.#endpoints.tick()
     this.#gateways.tell(this.#composeBoxes())
-    this.#forgetSilent()
+    for (const replica of this.#members.forgetSilent()) this.#hosts.forget(getReplicaHost(replica))
     this.#saved.savePrompts(this.#hub.prompts)
   }
 
@@ -277,10 +277,6 @@
     return { type: 'boxes', registries: [this.#settings.host, ...this.#hosts.others], gateways: this.#gateways.count }
   }
 
-  #forgetSilent (): void {
-    for (const replica of this.#members.forgetSilent()) this.#hosts.forget(getReplicaHost(replica))
-  }
-
   // Messages.
 
   #receive (link: Link<RouteMessage>, message: RouteMessage): void {
@@ -302,6 +298,7 @@
       case 'prompts': return this.#hub.prompts.note(message.prompts)
       case 'version':
       case 'document':
+      case 'notices':
       case 'permits':
       case 'permits-elsewhere':
       case 'boxes': return this.#noteViolation('messages-for-registries', message.type)
@@ -318,6 +315,7 @@
     if (!isNew) return
     // Changes are told only to gateways that are known: what came since the link opened is told here.
     link.send(this.#endpoints.whole)
+    link.send({ type: 'notices', notices: this.#hub.notices.notices })
     link.send(this.#composeBoxes())
     this.#around.log.info('gateway-met', { gateway, version })
   }
--- a/test/rate-limits.test.ts
+++ b/test/rate-limits.test.ts
@@ -3,7 +3,9 @@
 import { after, before, test } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { formatNotices, readNotices } from '../src/bin/notice-report.js'
+import type { GatewayBox } from '../src/gateway/index.js'
 import type { StandinEndpoint } from '../src/standin/index.js'
+import { until } from './support/deployment.js'
 import { RouteDeployment, composeDocument } from './support/route-deployment.js'
 
 const gateways = 4
@@ -68,3 +70,16 @@
     assert.ok(statuses.every(status => status === 200), 'the other endpoints serve the rest')
   })
 }
+
+test('a gateway that starts knew nothing of a limit when it began to serve', async () => {
+  limited.limit = 1
+  const isKnown = (gateway: GatewayBox): boolean => gateway.fleet.findView(limited.id as never)?.gate.limit === 1
+  await until(async () => {
+    await call(100)
+    return place.gateways.every(isKnown)
+  }, 'the others know it')
+  const gateway = await place.startGateway(gateways)
+  await until(() => gateway.isReady && gateway.fleet.findView(limited.id as never) !== undefined, 'the gateway serves')
+  assert.ok(isKnown(gateway))
+  limited.limit = null
+})
--- a/test/registry-follower.test.ts
+++ b/test/registry-follower.test.ts
@@ -30,6 +30,7 @@
     takeRecords: nothing,
     takeGatewayCount: nothing,
     noteZone: nothing,
+    takeNotices: nothing,
     takePermits: nothing
   })
 }
