Decisions that limits and rests changed say so in their line; metrics by service

Cause: a request that was refused as all endpoints rested had no mark of it in its line; a gauge for each endpoint grew with every endpoint. Change: closedMs beside denied; limited endpoints are counted by service; a permit for an endpoint that rests or leaves meanwhile is not used; a call for permits that failed long ago no longer makes the box keep to its own part.

--- a/src/config/route-events.ts
+++ b/src/config/route-events.ts
@@ -39,6 +39,7 @@
       fingerprint: 'digest of its method, address, caller and body, where a send broke or it is in quarantine: joins the arrivals of one request',
       admission: 'why it was let in or refused at once: expected `wait` ms before an engine begins with it, `reading` ms of its own, `allowed` ms of wait, `late` times that first events came later than expected, which both hold; `less` urgent tokens at engines and ms since such last began; prompt tokens before it, sent by this box (`own`), by `others` and `held` in boxes, `engines` that read them and their `rate`, tokens/ms; `-` where it never waits',
       denied: 'permits for endpoints with a limit that were denied to it; `-` for none',
+      closedMs: 'ms until an endpoint takes requests again, where all rested or had used up their limits; `-` where one always did',
       attempts: 'for each send, parted by `;`: ENDPOINT@ms after arrival, `expected` ms to the first event as decided, `of` so many candidates, `apart` engines set apart, `read` prompt tokens expected to be read, `fetch` tokens expected to be taken from another engine and its name, `-` for none, `home` 1 where the shared part lives there, `permit` ms that a permit took where the endpoint names a limit, and how the send ended'
     }
   },
--- a/src/core/balance/endpoint-gate.ts
+++ b/src/core/balance/endpoint-gate.ts
@@ -30,8 +30,8 @@
   /** True while the endpoint wants nothing from this box. */
   isResting (at: number): boolean { return at < this.#restUntil }
 
-  /** Time until the rest is over, ms; 0 where there is none. */
-  measureRest (at: number): number { return Math.max(0, this.#restUntil - at) }
+  /** True where nothing may be sent, permit or not. */
+  isShut (at: number): boolean { return this.#isLeaving || this.isResting(at) }
 
   /** Takes what the endpoint says of itself. */
   setNotice ({ perSecond, isLeaving }: EndpointNotice): void {
--- a/src/gateway/endpoint-search.ts
+++ b/src/gateway/endpoint-search.ts
@@ -27,6 +27,7 @@
   /** True while a permit is asked for. */
   #isAsking = false
   #denied = 0
+  #closedMs = 0
 
   constructor (host: ExchangeHost<One>, searcher: One) {
     this.#host = host
@@ -36,6 +37,9 @@
   /** Permits that were denied. */
   get denied (): number { return this.#denied }
 
+  /** The longest time until an endpoint takes requests again, ms, as seen when none did; 0 where one always did. */
+  get closedMs (): number { return this.#closedMs }
+
   /** Looks for an endpoint that wasn't tried yet. */
   start (): void {
     const { order } = this.#searcher
@@ -73,7 +77,7 @@
     this.#host.limits.askPermit(choice.view, this.#searcher.order.work, isGiven => {
       this.#isAsking = false
       const at = this.#host.now()
-      const isWanted = !this.#searcher.isEnded && !this.#host.fleet.hasStartedAgain(choice.view)
+      const isWanted = !this.#searcher.isEnded && !this.#host.fleet.hasStartedAgain(choice.view) && !choice.view.gate.isShut(at)
       if (isGiven && isWanted) return this.#take(choice, at - askedAt)
       if (isGiven) choice.view.gate.keepPermit(at)
       else this.#denied += 1
@@ -85,7 +89,9 @@
   #meetClosed (at: number): void {
     const { work, arrivedAt, holdUntil } = this.#searcher.order
     const until = this.#searcher.isBegun ? holdUntil : arrivedAt + work.targetMs
-    const ruling = this.#host.limits.ruleClosed(work, this.#host.fleet.findOpening(work, this.#tried, at), until, at)
+    const openAt = this.#host.fleet.findOpening(work, this.#tried, at)
+    this.#closedMs = Math.max(this.#closedMs, openAt - at)
+    const ruling = this.#host.limits.ruleClosed(work, openAt, until, at)
     switch (ruling.type) {
       case 'wait': return this.#hold()
       case 'return': return this.#fail({ type: 'closed', retryAfterMs: ruling.afterMs })
--- a/src/gateway/exchange-report.ts
+++ b/src/gateway/exchange-report.ts
@@ -32,6 +32,7 @@
     fingerprint: outcome === 'quarantined' || attempts.some(isBroken) ? identifyRequest(order) : undefined,
     admission: summary.admission === null ? undefined : formatAdmission(summary.admission),
     denied: summary.denied === 0 ? undefined : summary.denied,
+    closedMs: summary.closedMs === 0 ? undefined : Math.round(summary.closedMs),
     attempts: attempts.map(one => formatAttempt(one, order.arrivedAt)).join(';')
   }
   if (outcome === 'ok') log.info('exchange', fields)
--- a/src/gateway/exchange-summary.ts
+++ b/src/gateway/exchange-summary.ts
@@ -32,4 +32,6 @@
   readonly longestPauseMs: number
   /** Permits that were denied to it. */
   readonly denied: number
+  /** The longest time until an endpoint takes requests again, ms, as seen when none did; 0 where one always did. */
+  readonly closedMs: number
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -326,7 +326,8 @@
       totalMs: this.#host.now() - order.arrivedAt,
       events: this.#events.count,
       longestPauseMs: this.#events.longestPauseMs,
-      denied: this.#search.denied
+      denied: this.#search.denied,
+      closedMs: this.#search.closedMs
     })
   }
 }
--- a/src/gateway/notice-desk.ts
+++ b/src/gateway/notice-desk.ts
@@ -69,11 +69,16 @@
     fleet.applyNotices(notices)
     for (const { endpoint, perSecond, isLeaving, stamp } of notices) {
       const service = fleet.findView(endpoint)?.record.service ?? ''
-      metrics.gauge('endpoint-limit', perSecond ?? 0, { endpoint })
+      metrics.gauge('limited-endpoints', this.#countLimited(service), { service })
       log.info('endpoint-notice', { endpoint, service, limit: perSecond, isLeaving, stamp, from })
     }
   }
 
+  #countLimited (service: string): number {
+    const { fleet } = this.#host
+    return this.#book.notices.filter(({ endpoint, perSecond }) => perSecond !== null && fleet.findView(endpoint)?.record.service === service).length
+  }
+
   // The rest holds for this box alone; the others only hear that the endpoint is loaded.
   #noteRest ({ id, gate, record: { service } }: EndpointView, restMs: number): void {
     gate.noteRest(this.#host.now() + restMs)
--- a/src/gateway/permit-desk.ts
+++ b/src/gateway/permit-desk.ts
@@ -45,6 +45,8 @@
 const cutOffMs = 1000
 /** Whoever is cut off tries the registries this often, ms. */
 const retryMs = 300
+/** A failed call that was followed by no other for so long no longer counts, ms. */
+const forgetMs = 2000
 /** What got no permit may ask again after this where nobody says when, ms. */
 const deniedMs = 50
 /** Registries that are asked one after another for one permit. */
@@ -117,6 +119,8 @@
     this.#counter += 1
     line.call = this.#counter
     line.sentAt = now
+    // What failed long ago says nothing of now.
+    if (now - this.#triedAt > forgetMs) this.#silentSince = null
     this.#triedAt = now
     this.#calls.set(line.call, line)
     if (this.#host.send({ type: 'ask-permits', call: line.call, notice, wants: countWants(line.asking) })) return
