--- a/src/core/limits/return-planner.ts
+++ b/src/core/limits/return-planner.ts
@@ -43,13 +43,13 @@
     const returns = this.#find(service, priority)
     const latest = at + longestReturnMs
     const returnAt = Math.min(latest, Math.max(returns.nextAt, at + openMs))
-    const left = Math.max(perSecond - this.#rateUrgent(service, priority, at), perSecond * leastLeftShare)
+    const left = Math.max(perSecond - this.#sumUrgent(service, priority, at), perSecond * leastLeftShare)
     returns.nextAt = returnAt + 1000 / left
     return Math.min(longestReturnMs, returnAt - at)
   }
 
   // Requests of more urgent kinds that arrive here a second.
-  #rateUrgent (service: ServiceName, priority: number, at: number): number {
+  #sumUrgent (service: ServiceName, priority: number, at: number): number {
     let rate = 0
     for (const [other, { arrivals }] of this.#services.get(service) ?? []) if (other < priority) rate += arrivals.rate(at)
     return rate
--- a/src/gateway/permit-desk.ts
+++ b/src/gateway/permit-desk.ts
@@ -89,7 +89,7 @@
       case 'permits':
         this.#noteClosed(answer.closed)
         return this.#settle(line, answer.grants)
-      case 'permits-elsewhere': return this.#redirect(line, answer.leader)
+      case 'permits-elsewhere': return this.#follow(line, answer.leader)
     }
   }
 
@@ -133,7 +133,7 @@
     for (const [endpoint, priority, waitMs] of closed) this.#host.findView(endpoint)?.gate.noteDenied(priority, now + waitMs)
   }
 
-  #redirect (line: Line, leader: string | null): void {
+  #follow (line: Line, leader: string | null): void {
     this.#host.setIssuer(leader)
     line.redirects += 1
     if (leader === null || line.redirects > mostRedirects) return this.#fail(line)
--- a/src/soak/fault-player.ts
+++ b/src/soak/fault-player.ts
@@ -64,7 +64,7 @@
         return await this.#hold(`endpoint ${fault.endpoint}`, fault.ms, () => { standin.fault = set }, () => { standin.fault = { type: 'none' } })
       }
       case 'drain': return await this.#drain(endpoints[fault.endpoint], fault.ms)
-      case 'notice': return await this.#say(endpoints[fault.endpoint], fault.notice, fault.ms)
+      case 'notice': return await this.#tell(endpoints[fault.endpoint], fault.notice, fault.ms)
     }
   }
 
@@ -127,7 +127,7 @@
   }
 
   // Has an endpoint say something of itself on its answers. One that said it leaves starts again, as a new life.
-  async #say (endpoint: StagedEndpoint, notice: SoakNotice, ms: number): Promise<void> {
+  async #tell (endpoint: StagedEndpoint, notice: SoakNotice, ms: number): Promise<void> {
     const { standin } = endpoint
     switch (notice.type) {
       case 'limit':
