--- a/src/bin/notice-report.ts
+++ b/src/bin/notice-report.ts
@@ -25,15 +25,15 @@
 
 /** The notices as lines for people. */
 export function formatNotices (notices: readonly NoticeStatus[]): string {
-  if (notices.length === 0) return 'no endpoint names a limit, rests or says on its answers that it leaves'
+  if (notices.length === 0) return 'no endpoint names a limit, asks boxes to back off or says on its answers that it leaves'
   return notices.map(formatNotice).join('\n')
 }
 
-function formatNotice ({ endpoint, service, limit, isLeaving, ageMs, from, resting }: NoticeStatus): string {
+function formatNotice ({ endpoint, service, limit, isLeaving, ageMs, from, backedOff }: NoticeStatus): string {
   const words = [
     limit === null ? '' : `limit ${limit}/s`,
     isLeaving ? 'leaving' : '',
-    resting === 0 ? '' : `rests from ${resting} ${resting === 1 ? 'box' : 'boxes'}`
+    backedOff === 0 ? '' : `asked ${backedOff} ${backedOff === 1 ? 'box' : 'boxes'} to back off`
   ].filter(word => word !== '')
   const told = ageMs === null ? '' : `  known for ${(ageMs / 1000).toFixed(1)} s, told by ${from ?? 'an answer'}`
   return `${endpoint}  service ${service}  ${words.length === 0 ? 'no limit any more' : words.join(', ')}${told}`
--- a/src/bin/soak.ts
+++ b/src/bin/soak.ts
@@ -49,7 +49,7 @@
   .option('--engines', 'Engines, of processes, with bursts of requests of several ranks before them; 0 for none', 0)
   .option('--endpoints', 'Endpoints of a plain service, of processes', 4)
   .option('--crashers', 'Requests that end each endpoint which runs them and come again and again, of processes; 0 for none', 0)
-  .option('--notices', 'Endpoints name limits and rests on their answers, and say there that they leave, of processes')
+  .option('--notices', 'Endpoints name limits on their answers, ask to back off, and say that they leave, of processes')
   .action((options: Options) => run(options))
   .parse(process.argv)
 
--- a/src/bin/wrenlane.ts
+++ b/src/bin/wrenlane.ts
@@ -70,7 +70,7 @@
   .action((number: string, options: Options) => withOperator(options, client => confirm(client, number, options)))
 
 program.command('status', 'Show boxes, zones, revisions in force, engines and queues')
-  .option('--registry', 'HOST:PORT of a registry: show its endpoints\' limits, rests and words of leaving instead')
+  .option('--registry', 'HOST:PORT of a registry: show its endpoints\' limits, back-off and words of leaving instead')
   .action((options: Options) => options.registry === undefined ? withOperator(options, client => showStatus(client, options)) : showNotices(options.registry, options))
 
 program.command('drain <engine>', 'Give an engine no new work from now on, through a plan that is confirmed at once')
--- a/src/config/route-events.ts
+++ b/src/config/route-events.ts
@@ -39,7 +39,7 @@
       fingerprint: 'digest of its method, address, caller and body, where a send broke or it is in quarantine: joins the arrivals of one request',
       admission: 'why it was let in or refused at once: expected `wait` ms before an engine begins with it, `reading` ms of its own, `allowed` ms of wait, `late` times that first events came later than expected, which both hold; `less` urgent tokens at engines and ms since such last began; prompt tokens before it, sent by this box (`own`), by `others` and `held` in boxes, `engines` that read them and their `rate`, tokens/ms; `-` where it never waits',
       denied: 'permits for endpoints with a limit that were denied to it; `-` for none',
-      closedMs: 'ms until an endpoint takes requests again, where all rested or had used up their limits; `-` where one always did',
+      closedMs: 'ms until an endpoint takes requests again, where the box backed off from all, or their limits were used up; `-` where one always did',
       attempts: 'for each send, parted by `;`: ENDPOINT@ms after arrival, `expected` ms to the first event as decided, `of` so many candidates, `apart` engines set apart, `read` prompt tokens expected to be read, `fetch` tokens expected to be taken from another engine and its name, `-` for none, `home` 1 where the shared part lives there, `permit` ms that a permit took where the endpoint names a limit, and how the send ended'
     }
   },
@@ -48,7 +48,7 @@
   endpoint: { about: 'The directory changed (both).', fields: { ...endpoint, stage: '`ready`, `draining`, `gone` or `lost`', sequence: 'the number of the endpoint\'s word', zone: 'its zone' } },
   'endpoint-overtaken': { about: 'A word came of an endpoint at whose address another one runs now: it was held back on its way, and changes nothing (registry).', fields: { endpoint: 'the endpoint\'s id', sequence: 'the number of its word' } },
   'endpoint-notice': { about: 'An endpoint said something new of itself on an answer (gateway).', fields: { ...endpoint, limit: 'requests a second that it takes from all boxes together; `-` for no limit', isLeaving: 'true where it leaves', stamp: 'its logical time: of two notices the one with the higher holds', from: '`answer` where it was read here, `box` where another box told it' } },
-  'endpoint-rest': { about: 'An endpoint turned a request away and wants nothing from this box for a while (gateway).', fields: { ...endpoint, restMs: 'how long' } },
+  'endpoint-backoff': { about: 'An endpoint turned a request away and wants nothing from this box for a while (gateway).', fields: { ...endpoint, backoffMs: 'how long' } },
   'endpoint-header-faulty': { about: 'A header of an endpoint\'s answer could not be taken as it was; a bound stands in for it (gateway). Once a second for each endpoint.', fields: { ...endpoint, name: 'the header', value: 'what it says, cut short' } },
   'permits-silent': { about: 'No registry gives permits: this box keeps to its own part of each limit (gateway).', fields: { boxes: 'boxes that share a limit; 0 where that is not known, and nothing is sent' } },
   'permits-back': { about: 'A registry gives permits again (gateway).', fields: { silentMs: 'since the first call that was not answered' } },
--- a/src/core/balance/choice.ts
+++ b/src/core/balance/choice.ts
@@ -17,7 +17,7 @@
   readonly share: number
 }
 
-/** Why there is no choice: the service has no endpoint at all, none that isn't out, none that takes requests now (they rest, or their limits are used up), or none that has room now. */
+/** Why there is no choice: the service has no endpoint at all, none that isn't out, none that takes requests now (the box backs off, or their limits are used up), or none that has room now. */
 export type NoChoice = 'none-known' | 'none-usable' | 'closed' | 'later'
 
 /** Endpoints that differ by less are alike, ms: less than a word between boxes takes. */
--- a/src/core/balance/endpoint-gate.ts
+++ b/src/core/balance/endpoint-gate.ts
@@ -1,6 +1,6 @@
 /**
- * Whether one life of an endpoint may be sent requests at all: not while it rests,
- * or leaves, nor beyond the limit that it named for all boxes together.
+ * Whether one life of an endpoint may be sent requests at all: not while this
+ * box backs off or the endpoint leaves, nor beyond the limit that it named for all boxes together.
  */
 import type { EndpointId } from '../ids.js'
 import type { EndpointNotice } from '../limits/index.js'
@@ -18,7 +18,7 @@
 export class EndpointGate {
   #limit: number | null = null
   #isLeaving = false
-  #restUntil = -Infinity
+  #backoffUntil = -Infinity
   #denials: Denial[] = []
   /** When permits that nobody has used run out. */
   #permits: number[] = []
@@ -27,23 +27,23 @@
   get limit (): number | null { return this.#limit }
   get isLeaving (): boolean { return this.#isLeaving }
 
-  /** True while the endpoint wants nothing from this box. */
-  isResting (at: number): boolean { return at < this.#restUntil }
+  /** True while this box backs off. */
+  isBackedOff (at: number): boolean { return at < this.#backoffUntil }
 
   /** True where nothing may be sent, permit or not. */
-  isShut (at: number): boolean { return this.#isLeaving || this.isResting(at) }
+  isShut (at: number): boolean { return this.#isLeaving || this.isBackedOff(at) }
 
   /** Takes what the endpoint says of itself. */
   setNotice ({ perSecond, isLeaving }: EndpointNotice): void {
     this.#isLeaving = isLeaving
-    // Denials rest on the limit that was in force.
+    // Denials hold for the limit that was in force.
     if (perSecond !== this.#limit) this.#denials = []
     if (perSecond === null) this.#permits = []
     this.#limit = perSecond
   }
 
-  /** The endpoint wants nothing from this box for a while; a rest that was asked for before goes on. */
-  noteRest (until: number): void { this.#restUntil = Math.max(this.#restUntil, until) }
+  /** The endpoint wants nothing from this box for a while; a longer time that it asked for before holds on. */
+  noteBackoff (until: number): void { this.#backoffUntil = Math.max(this.#backoffUntil, until) }
 
   /** A permit was denied: requests of this priority, and those behind it, may ask again at `until`. */
   noteDenied (priority: number, until: number): void {
@@ -54,9 +54,9 @@
   /** When a request of this priority may be sent, or a permit asked for; in the past where it may now. */
   findOpening (priority: number, at: number): number {
     if (this.#isLeaving) return Infinity
-    if (this.#limit === null || this.#hasPermit(at)) return this.#restUntil
+    if (this.#limit === null || this.#hasPermit(at)) return this.#backoffUntil
     const denials = this.#denials.filter(one => one.priority <= priority).map(({ until }) => until)
-    return Math.max(this.#restUntil, ...denials)
+    return Math.max(this.#backoffUntil, ...denials)
   }
 
   /** Takes leave for one send; false where a permit must be asked for. */
--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -104,8 +104,8 @@
   /** Time to read a prompt token, ms. */
   get paceMs (): number { return this.#learning.pace.value * this.slowness }
 
-  /** Other boxes from which the endpoint wants nothing for a while. */
-  get restingOthers (): number { return this.#others?.resting ?? 0 }
+  /** Other boxes that the endpoint has asked to back off. */
+  get backedOffOthers (): number { return this.#others?.backedOff ?? 0 }
 
   /** Requests in flight, those of other boxes included. */
   get running (): number {
@@ -275,8 +275,8 @@
 
   /** What this box tells its hub of its work here; null where it has none. */
   composeLoad (at: number, patienceMs: number): EndpointLoad | null {
-    const resting = this.gate.isResting(at) ? 1 : 0
-    if (this.#placed.size === 0 && resting === 0) return null
+    const backedOff = this.gate.isBackedOff(at) ? 1 : 0
+    if (this.#placed.size === 0 && backedOff === 0) return null
     const waiting = new Map<number, number>()
     let memory = 0
     let largest = 0
@@ -287,6 +287,6 @@
       largest = Math.max(largest, left)
       if (left > 0) waiting.set(placed.work.priority, (waiting.get(placed.work.priority) ?? 0) + left)
     }
-    return { endpoint: this.id, running: this.#placed.size, brisk: this.#countOwnBrisk(patienceMs), memory: Math.round(memory), waiting: [...waiting], largest, resting }
+    return { endpoint: this.id, running: this.#placed.size, brisk: this.#countOwnBrisk(patienceMs), memory: Math.round(memory), waiting: [...waiting], largest, backedOff }
   }
 }
--- a/src/core/balance/endpoint-weights.ts
+++ b/src/core/balance/endpoint-weights.ts
@@ -34,10 +34,10 @@
 const memoryLimit = 0.9
 /** An endpoint whose failures exceed the middle of its service's by so much is taken last. */
 const worseShare = 0.25
-/** What each box more counts from which an endpoint wants nothing for a while, ms: it is loaded, and this box would be turned away next. */
-const restingMs = 30
-/** What all of them count at most, ms. */
-const mostRestingMs = doubtMs
+/** What each box counts against an endpoint that has asked it to back off, ms: the endpoint is loaded. */
+const backedOffMs = 30
+/** What they count together at most, ms. */
+const mostBackedOffMs = doubtMs
 /**
  * Reading that may wait at an engine, ms. An engine reads prompts in the order in
  * which they came, whatever their rank, so that what is less urgent waits here,
@@ -116,7 +116,7 @@
   if (!from.isConnected(view)) ms += connectMs
   if (from.zones.isCut(zone, at)) ms += doubtMs
   if (view.trust.look(at) !== 'good') ms += doubtMs
-  ms += Math.min(mostRestingMs, view.restingOthers * restingMs)
+  ms += Math.min(mostBackedOffMs, view.backedOffOthers * backedOffMs)
   if (view.trust.failureShare > middle + worseShare) ms += doubtMs
   return ms + Math.max(0, view.measureOverdue(at))
 }
--- a/src/core/balance/load-sum.ts
+++ b/src/core/balance/load-sum.ts
@@ -40,7 +40,7 @@
     memory: sum.memory + one.memory,
     waiting: addWaiting(sum.waiting, one.waiting, 1),
     largest: Math.max(sum.largest, one.largest),
-    resting: sum.resting + one.resting
+    backedOff: sum.backedOff + one.backedOff
   }
 }
 
--- a/src/core/balance/load-word.ts
+++ b/src/core/balance/load-word.ts
@@ -19,8 +19,8 @@
   readonly waiting: WaitingTokens
   /** The most that one waiting prompt still has to be read, tokens: a prompt that is begun is not put back. */
   readonly largest: number
-  /** Boxes from which the endpoint wants nothing for a while: it is loaded. */
-  readonly resting: number
+  /** Boxes that the endpoint has asked to back off. */
+  readonly backedOff: number
 }
 
 /** Time between events at an engine while it reads no prompt, ms: as one box measured it, or the middle of what all did. */
--- a/src/core/balance/others-load.ts
+++ b/src/core/balance/others-load.ts
@@ -12,7 +12,7 @@
   const ownDemands = new Map(own.demands.map(demand => [demand.service, demand]))
   return {
     ...totals,
-    loads: totals.loads.map(load => subtractLoad(load, ownLoads.get(load.endpoint))).filter(load => load.running > 0 || load.resting > 0),
+    loads: totals.loads.map(load => subtractLoad(load, ownLoads.get(load.endpoint))).filter(load => load.running > 0 || load.backedOff > 0),
     demands: totals.demands.map(demand => subtractDemand(demand, ownDemands.get(demand.service)))
   }
 }
@@ -25,7 +25,7 @@
     brisk: Math.max(0, sum.brisk - own.brisk),
     memory: Math.max(0, sum.memory - own.memory),
     waiting: addWaiting(sum.waiting, own.waiting, -1),
-    resting: Math.max(0, sum.resting - own.resting)
+    backedOff: Math.max(0, sum.backedOff - own.backedOff)
   }
 }
 
--- a/src/core/balance/usable-endpoints.ts
+++ b/src/core/balance/usable-endpoints.ts
@@ -26,7 +26,7 @@
 /** Engines from which a prompt may be taken: a holder in trouble would hold up the taker, and one that limits what it gets is spared. */
 export function listSources (usable: readonly EndpointView[], zones: ZoneWatch, at: number): EndpointView[] {
   const isSound = (view: EndpointView): boolean => view.trust.look(at) === 'good' && !zones.isCut(view.record.zone, at) && view.measureOverdue(at) <= 0
-  return usable.filter(view => view.gate.limit === null && !view.gate.isResting(at) && isSound(view))
+  return usable.filter(view => view.gate.limit === null && !view.gate.isBackedOff(at) && isSound(view))
 }
 
 /** Engines for requests whose pauses must stay short, where the first `count` are set apart; all of them where none of those has a slot free. */
--- a/src/core/engine-health.ts
+++ b/src/core/engine-health.ts
@@ -18,14 +18,14 @@
   #failures = 0
   #backoffMs = firstBackoffMs
   #outUntil = 0
-  #restUntil = 0
-  #isResting = false
+  #backoffUntil = 0
+  #isBackedOff = false
   #tokenMs = 0
   #samples = 0
   #heardAt: number | null = null
   slow = false
 
-  get state (): HealthState { return this.#isResting ? 'out' : this.#state }
+  get state (): HealthState { return this.#isBackedOff ? 'out' : this.#state }
   /** Mean time per token, ms, or null before enough was seen. */
   get tokenMs (): number | null { return this.#samples >= samplesToJudge ? this.#tokenMs : null }
 
@@ -60,14 +60,14 @@
   }
 
   /** The engine wants no work before that time, whatever streams that it has say of it. */
-  addRest (until: number): void {
-    this.#restUntil = Math.max(this.#restUntil, until)
-    this.#isResting = true
+  addBackoff (until: number): void {
+    this.#backoffUntil = Math.max(this.#backoffUntil, until)
+    this.#isBackedOff = true
   }
 
-  /** Lets an engine be probed once its back-off has run out, and used once its rest is over. */
+  /** Lets an engine be probed once its back-off has run out, and used once the time that it asked for is over. */
   advance (at: number): void {
-    this.#isResting = at < this.#restUntil
+    this.#isBackedOff = at < this.#backoffUntil
     if (this.#state === 'out' && at >= this.#outUntil) this.#state = 'probing'
   }
 
--- a/src/core/limits/permit-issuer.ts
+++ b/src/core/limits/permit-issuer.ts
@@ -19,22 +19,22 @@
 
 /** Other endpoints without a permit that an answer names at most. */
 const mostClosed = 128
-/** Time over which unused tokens add up, ms: one request for each box may be on its way to ask. */
+/** The burst of a bucket, as time at its rate, ms. */
 const burstMs = 250
-/** Tokens that add up at least: requests don't come evenly. */
+/** The least burst, tokens. */
 const leastBurst = 2
-/** Tokens that add up at least where the limit is as much a second: one for each of three priorities. */
+/** The least burst of a limit of one a second or more, tokens. */
 const usualBurst = 3
 /**
  * An endpoint with a lower limit gets a request this often all the same, ms: only its
  * answer tells that the limit has ended.
  */
 const longestIntervalMs = 1500
-/** A priority that asked within this, ms, has a token kept for it from those behind it. */
+/** A token is reserved for each more urgent priority that asked within this, ms. */
 const recentMs = 2000
-/** A box is told to wait at least this, ms: some journeys there and back. */
+/** The shortest time after which a box may ask again, ms. */
 const leastWaitMs = 20
-/** A box is told to ask again within this, ms: what others want changes. */
+/** The longest time after which a box may ask again, ms. */
 const longestWaitMs = 1000
 /** A limit that nobody asked about for so long is forgotten, ms. */
 const idleMs = 60_000
--- a/src/core/limits/return-planner.ts
+++ b/src/core/limits/return-planner.ts
@@ -1,6 +1,6 @@
 /**
- * How long a request waits where every endpoint of its service rests or has used
- * up its limit, and when a caller that is refused for that is to come back. Both
+ * How long a request waits where the box backs off from every endpoint of its
+ * service or their limits are used up, and when a caller that is refused for that is to come back. Both
  * follow from the limits: this box's part of them is what it may send.
  */
 import { DemandMeter } from '../balance/demand-meter.js'
@@ -14,7 +14,7 @@
   readonly perSecond: number
 }
 
-/** No caller is told to come back later than this, ms: limits change meanwhile. */
+/** The longest Retry-After, ms. */
 const longestReturnMs = 30_000
 /** Part of the limits that is assumed to be left where more urgent requests want all of it. */
 const leastLeftShare = 0.05
--- a/src/core/placer.ts
+++ b/src/core/placer.ts
@@ -79,9 +79,9 @@
     this.#tell(request, placed => ({ type: 'firstToken', request, attempt: placed.submission.attempt }))
   }
 
-  /** A granted stream has ended; `restMs`: how long the engine wants no work. */
-  end (request: RequestId, how: StreamEnd, tokens: number, restMs = 0): void {
-    this.#tell(request, placed => ({ type: 'end', request, attempt: placed.submission.attempt, how, tokens, ...restMs > 0 ? { restMs } : {} }))
+  /** A granted stream has ended; `backoffMs`: how long the engine wants no work. */
+  end (request: RequestId, how: StreamEnd, tokens: number, backoffMs = 0): void {
+    this.#tell(request, placed => ({ type: 'end', request, attempt: placed.submission.attempt, how, tokens, ...backoffMs > 0 ? { backoffMs } : {} }))
     this.#requests.delete(request)
   }
 
--- a/src/core/scheduler-event.ts
+++ b/src/core/scheduler-event.ts
@@ -29,8 +29,8 @@
   | { readonly type: 'adopt', readonly at: number, readonly submission: Submission, readonly engine: EngineId }
   | { readonly type: 'cancel', readonly at: number, readonly request: RequestId, readonly attempt: number }
   | { readonly type: 'firstToken', readonly at: number, readonly request: RequestId, readonly attempt: number }
-  /** `restMs`: how long the engine wants no work, where it turned the request away. */
-  | { readonly type: 'end', readonly at: number, readonly request: RequestId, readonly attempt: number, readonly how: StreamEnd, readonly tokens: number, readonly restMs?: number }
+  /** `backoffMs`: how long the engine wants no work, where it turned the request away. */
+  | { readonly type: 'end', readonly at: number, readonly request: RequestId, readonly attempt: number, readonly how: StreamEnd, readonly tokens: number, readonly backoffMs?: number }
   | { readonly type: 'report', readonly at: number, readonly engine: EngineId, readonly report: LoadReport }
   | { readonly type: 'evicted', readonly at: number, readonly engine: EngineId, readonly prefixes: readonly string[] | 'unknown' }
   | { readonly type: 'drain', readonly at: number, readonly engine: EngineId, readonly leaving: boolean }
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -259,12 +259,12 @@
     if (stream !== undefined) this.#openLead(stream.class).add(this.#now - stream.grantedAt)
   }
 
-  #end ({ request, attempt, how, tokens, restMs = 0 }: Extract<SchedulerEvent, { type: 'end' }>): void {
+  #end ({ request, attempt, how, tokens, backoffMs = 0 }: Extract<SchedulerEvent, { type: 'end' }>): void {
     const placed = this.#placed.get(request)
     if (placed === undefined || placed.submission.attempt !== attempt) return
     this.#placed.delete(request)
     const stream = placed.engine.remove(request)
-    if (restMs > 0) placed.engine.health.addRest(this.#now + restMs)
+    if (backoffMs > 0) placed.engine.health.addBackoff(this.#now + backoffMs)
     if (stream === undefined) return
     const heldMs = this.#now - stream.grantedAt
     const rate = stream.mayWait ? this.#patientRate : this.#quickRate
--- a/src/core/shard-word.ts
+++ b/src/core/shard-word.ts
@@ -9,7 +9,7 @@
   | { readonly type: 'adopt', readonly submission: Submission, readonly engine: EngineId }
   | { readonly type: 'cancel', readonly request: RequestId, readonly attempt: number }
   | { readonly type: 'firstToken', readonly request: RequestId, readonly attempt: number }
-  | { readonly type: 'end', readonly request: RequestId, readonly attempt: number, readonly how: StreamEnd, readonly tokens: number, readonly restMs?: number }
+  | { readonly type: 'end', readonly request: RequestId, readonly attempt: number, readonly how: StreamEnd, readonly tokens: number, readonly backoffMs?: number }
 
 /** A scheduler's answer to a box: a grant or a refusal. */
 export type ShardAnswer = Extract<SchedulerAction, { type: 'grant' | 'refuse' }>
--- a/src/gateway/endpoint-prober.ts
+++ b/src/gateway/endpoint-prober.ts
@@ -40,7 +40,7 @@
   look (views: Iterable<EndpointView>): void {
     const now = this.#now()
     for (const view of views) {
-      if (view.trust.look(now) === 'probing' && !view.gate.isResting(now) && !this.#probing.has(view)) this.#probe(view)
+      if (view.trust.look(now) === 'probing' && !view.gate.isBackedOff(now) && !this.#probing.has(view)) this.#probe(view)
     }
   }
 
--- a/src/gateway/gateway-timing.ts
+++ b/src/gateway/gateway-timing.ts
@@ -8,7 +8,7 @@
 export const lagMs = 2600
 /** How often the log tells what is believed of the engines, ms. */
 export const beliefsMs = 2000
-/** Gateways share the retry budget; one that nobody counted for so long no longer does, ms: longer than cuts of the users' days. */
+/** Gateways share the retry budget; one that nobody counted for so long no longer does, ms. */
 export const gatewayCountMs = 20_000
 /** The box stops once nothing has been in flight for so long, ms. */
 export const quietMs = 400
--- a/src/gateway/limit-desk.ts
+++ b/src/gateway/limit-desk.ts
@@ -1,5 +1,5 @@
 /**
- * Limits and rests of endpoints, as one gateway keeps to them: what was said, who
+ * Limits and back-off that endpoints ask for, as one gateway keeps to them: what was said, who
  * gives leave to send, and what a request meets that finds all endpoints closed.
  */
 import { NoticeBook, ReturnPlanner } from '../core/index.js'
--- a/src/gateway/notice-desk.ts
+++ b/src/gateway/notice-desk.ts
@@ -35,9 +35,9 @@
   }
 
   /** Takes the notices of one answer. Only one that ran says that a limit has ended: an endpoint that turns requests away may leave it out. */
-  noteAnswer (view: EndpointView, { limit, isLeaving, restMs, faulty }: EndpointNotices, hasRun: boolean): void {
+  noteAnswer (view: EndpointView, { limit, isLeaving, backoffMs, faulty }: EndpointNotices, hasRun: boolean): void {
     const { id, record: { born, service } } = view
-    if (restMs !== null) this.#noteRest(view, restMs)
+    if (backoffMs !== null) this.#noteBackoff(view, backoffMs)
     const notice = this.#book.note({ endpoint: id, born, limit: limit === null && !hasRun ? undefined : limit, isLeaving }, this.#host.now())
     if (notice !== null) {
       this.#apply([notice], 'answer')
@@ -79,12 +79,12 @@
     return this.#book.notices.filter(({ endpoint, perSecond }) => perSecond !== null && fleet.findView(endpoint)?.record.service === service).length
   }
 
-  // The rest holds for this box alone; the others only hear that the endpoint is loaded.
-  #noteRest ({ id, gate, record: { service } }: EndpointView, restMs: number): void {
-    gate.noteRest(this.#host.now() + restMs)
+  // Holds for this box alone; the others only hear that the endpoint is loaded.
+  #noteBackoff ({ id, gate, record: { service } }: EndpointView, backoffMs: number): void {
+    gate.noteBackoff(this.#host.now() + backoffMs)
     this.#host.noteNews()
-    this.#host.metrics.count('endpoint-rest', { service })
-    this.#host.log.info('endpoint-rest', { endpoint: id, service, restMs: Math.round(restMs) })
+    this.#host.metrics.count('endpoint-backoff', { service })
+    this.#host.log.info('endpoint-backoff', { endpoint: id, service, backoffMs: Math.round(backoffMs) })
   }
 
   #reportFaulty (id: EndpointId, service: string, faulty: EndpointNotices['faulty']): void {
--- a/src/gateway/permit-desk.ts
+++ b/src/gateway/permit-desk.ts
@@ -39,11 +39,11 @@
   waiting: Seeker[]
 }
 
-/** An answer that isn't there after this is not waited for, ms: a registry is a few ms away. */
+/** Time-out of a call, ms. */
 const answerMs = 100
-/** Without any answer for so long this box is cut off from the registry that gives permits, ms: an election takes less. */
+/** Without any answer for so long this box counts as cut off from the issuer, ms. */
 const cutOffMs = 1000
-/** Whoever is cut off tries the registries this often, ms. */
+/** How often a box that is cut off tries the registries, ms. */
 const retryMs = 300
 /** A failed call that was followed by no other for so long no longer counts, ms. */
 const forgetMs = 2000
--- a/src/gateway/send-course.ts
+++ b/src/gateway/send-course.ts
@@ -14,7 +14,7 @@
 export type SendEnd =
   /** No endpoint could be chosen. */
   | { readonly type: 'unplaced', readonly why: 'none-known' | 'none-usable' }
-  /** Every endpoint rests or has used up its limit; `retryAfterMs`: until one takes the request. */
+  /** The box backs off from every endpoint, or their limits are used up; `retryAfterMs`: until one takes the request. */
   | { readonly type: 'closed', readonly retryAfterMs: number }
   /** The endpoint said that it did not run the request; `isOther`: as another endpoint answers at its address; `openMs`: until an endpoint takes requests. */
   | { readonly type: 'not-run', readonly isOther: boolean, readonly openMs: number }
--- a/src/protocol/endpoint-notices.ts
+++ b/src/protocol/endpoint-notices.ts
@@ -25,37 +25,37 @@
   readonly limit: number | null | undefined
   readonly isLeaving: boolean
   /** How long the endpoint wants nothing from this box, ms; null where it doesn't say. */
-  readonly restMs: number | null
+  readonly backoffMs: number | null
   readonly faulty: readonly FaultyHeader[]
 }
 
 /** The limits that are believed, requests a second. */
 const leastLimit = 0.1
 const mostLimit = 1_000_000
-/** The longest rest that is believed, ms. */
-const mostRestMs = 30_000
-/** The rest of an endpoint that asked for one in words that can't be read, ms. */
-const unreadableRestMs = 1000
+/** The longest back-off that is believed, ms. */
+const mostBackoffMs = 30_000
+/** The back-off of an endpoint that asked for one in words that can't be read, ms. */
+const unreadableBackoffMs = 1000
 /** Statuses with which an endpoint turns a request away. */
 const turnedAway = new Set([429, 503])
 /** Only so much of a faulty value is reported, characters. */
 const reportedLength = 40
 
-/** Reads the notices of one answer. `wallMs`: Unix time, for a rest until a date where the answer bears no date of its own. */
+/** Reads the notices of one answer. `wallMs`: Unix time, for a back-off until a date where the answer bears no date of its own. */
 export function readNotices (status: number, headers: HeaderMap, names: NoticeNames, wallMs: number): EndpointNotices {
   const faulty: FaultyHeader[] = []
   const report = (name: string, value: string): void => { faulty.push({ name, value: value.slice(0, reportedLength) }) }
   return {
     limit: readLimit(headers, names.limit, report),
     isLeaving: readLeaving(headers, names.leaving, report),
-    restMs: turnedAway.has(status) ? readRest(headers, wallMs, report) : null,
+    backoffMs: turnedAway.has(status) ? readBackoff(headers, wallMs, report) : null,
     faulty
   }
 }
 
-/** How long an answer asks for rest, ms; null where it doesn't. */
-export function readRestMs (status: number, headers: HeaderMap, wallMs: number): number | null {
-  return turnedAway.has(status) ? readRest(headers, wallMs, () => {}) : null
+/** For how long an answer asks to back off, ms; null where it doesn't. */
+export function readBackoffMs (status: number, headers: HeaderMap, wallMs: number): number | null {
+  return turnedAway.has(status) ? readBackoff(headers, wallMs, () => {}) : null
 }
 
 type Report = (name: string, value: string) => void
@@ -82,18 +82,18 @@
 }
 
 // Of several values the longest holds. A date is one value, though it has a comma in it.
-function readRest (headers: HeaderMap, wallMs: number, report: Report): number | null {
+function readBackoff (headers: HeaderMap, wallMs: number, report: Report): number | null {
   const text = joinValues(headers['retry-after'])
   if (text === null) return null
   const seconds = text.split(',').map(parseNumber).filter(one => one !== null)
   const sentAt = Date.parse(joinValues(headers.date) ?? '')
-  const restMs = seconds.length > 0 ? Math.max(...seconds) * 1000 : Date.parse(text) - (Number.isNaN(sentAt) ? wallMs : sentAt)
-  if (Number.isNaN(restMs)) {
+  const backoffMs = seconds.length > 0 ? Math.max(...seconds) * 1000 : Date.parse(text) - (Number.isNaN(sentAt) ? wallMs : sentAt)
+  if (Number.isNaN(backoffMs)) {
     report('retry-after', text)
-    return unreadableRestMs
+    return unreadableBackoffMs
   }
-  if (restMs < 0 || restMs > mostRestMs || seconds.length > 1) report('retry-after', text)
-  return Math.min(mostRestMs, Math.max(0, restMs))
+  if (backoffMs < 0 || backoffMs > mostBackoffMs || seconds.length > 1) report('retry-after', text)
+  return Math.min(mostBackoffMs, Math.max(0, backoffMs))
 }
 
 // Null for a text that is no number.
--- a/src/protocol/load-datagram.ts
+++ b/src/protocol/load-datagram.ts
@@ -103,14 +103,14 @@
 }
 
 /** A load without the names of its fields, as most of a word is loads. */
-type PackedLoad = readonly [endpoint: EndpointId, running: number, brisk: number, memory: number, waiting: WaitingTokens, largest: number, resting: number]
+type PackedLoad = readonly [endpoint: EndpointId, running: number, brisk: number, memory: number, waiting: WaitingTokens, largest: number, backedOff: number]
 
-function packLoad ({ endpoint, running, brisk, memory, waiting, largest, resting }: EndpointLoad): PackedLoad {
-  return [endpoint, running, brisk, memory, waiting, largest, resting]
+function packLoad ({ endpoint, running, brisk, memory, waiting, largest, backedOff }: EndpointLoad): PackedLoad {
+  return [endpoint, running, brisk, memory, waiting, largest, backedOff]
 }
 
-function unpackLoad ([endpoint, running, brisk, memory, waiting, largest, resting]: PackedLoad): EndpointLoad {
-  return { endpoint, running, brisk, memory, waiting, largest, resting }
+function unpackLoad ([endpoint, running, brisk, memory, waiting, largest, backedOff]: PackedLoad): EndpointLoad {
+  return { endpoint, running, brisk, memory, waiting, largest, backedOff }
 }
 
 function isPackedLoad (value: unknown): value is PackedLoad {
--- a/src/protocol/notice-status.ts
+++ b/src/protocol/notice-status.ts
@@ -5,10 +5,10 @@
   /** Requests a second that it takes from all boxes together; null for no limit. */
   readonly limit: number | null
   readonly isLeaving: boolean
-  /** Since this registry knows it, ms; null where only rests are known. */
+  /** Since this registry knows it, ms; null where only back-off is known. */
   readonly ageMs: number | null
-  /** The box that told this registry; null where only rests are known. */
+  /** The box that told this registry; null where only back-off is known. */
   readonly from: string | null
-  /** Boxes from which it wants nothing for a while. */
-  readonly resting: number
+  /** Boxes that it has asked to back off. */
+  readonly backedOff: number
 }
--- a/src/registry/load-hub.ts
+++ b/src/registry/load-hub.ts
@@ -118,12 +118,12 @@
   /** What endpoints say of themselves, for operators. */
   listNotices (): NoticeStatus[] {
     const now = this.#host.now()
-    const resting = new Map(this.sumLoads().loads.filter(load => load.resting > 0).map(load => [load.endpoint, load.resting]))
+    const backedOff = new Map(this.sumLoads().loads.filter(load => load.backedOff > 0).map(load => [load.endpoint, load.backedOff]))
     const known = new Map(this.notices.known.map(one => [one.notice.endpoint, one]))
-    return [...new Set([...known.keys(), ...resting.keys()])].map(endpoint => {
+    return [...new Set([...known.keys(), ...backedOff.keys()])].map(endpoint => {
       const { notice, at, from } = known.get(endpoint) ?? { notice: null, at: null, from: null }
       const ageMs = at === null ? null : Math.round(now - at)
-      return { endpoint, service: this.#host.findService(endpoint) ?? '', limit: notice?.perSecond ?? null, isLeaving: notice?.isLeaving ?? false, ageMs, from, resting: resting.get(endpoint) ?? 0 }
+      return { endpoint, service: this.#host.findService(endpoint) ?? '', limit: notice?.perSecond ?? null, isLeaving: notice?.isLeaving ?? false, ageMs, from, backedOff: backedOff.get(endpoint) ?? 0 }
     })
   }
 
--- a/src/registry/permit-counter.ts
+++ b/src/registry/permit-counter.ts
@@ -20,7 +20,7 @@
   countGateways (): number
 }
 
-/** A gateway that fell silent keeps its part of each limit for so long, ms: longer than zones are cut off on the users' days. */
+/** A part of each limit is kept for a gateway that fell silent for so long, ms. */
 const keepPartMs = 20_000
 /** How often limits that nobody asks about are looked for, ms. */
 const tidyMs = 10_000
--- a/src/soak/fault-draw.ts
+++ b/src/soak/fault-draw.ts
@@ -26,8 +26,8 @@
 /** What an endpoint says of itself. */
 export type SoakNotice =
   | { readonly type: 'limit', readonly perSecond: number }
-  /** It turns a share of the requests away, and asks for rest. */
-  | { readonly type: 'rest', readonly share: number, readonly seconds: number }
+  /** It turns a share of the requests away, and asks the box to back off. */
+  | { readonly type: 'backoff', readonly share: number, readonly seconds: number }
   /** It says on its answers that it leaves, and nowhere else; then it starts again. */
   | { readonly type: 'leaving' }
 
@@ -58,7 +58,7 @@
   readonly engines: number
   /** Requests that end each endpoint which runs them, and come again and again; 0 for none. */
   readonly crashers: number
-  /** Whether endpoints name limits and rests, and say on their answers that they leave. */
+  /** Whether endpoints name limits, ask to back off, and say on their answers that they leave. */
   readonly notices: boolean
 }
 
@@ -91,8 +91,8 @@
 
 /** Limits that endpoints name, requests a second. */
 const limits = [0.2, 1, 2.6, 8, 20]
-const rests = [1.5, 3]
-const restShare = 0.4
+const backoffs = [1.5, 3]
+const backoffShare = 0.4
 /** Notices last longer than other faults, ms: a limit is judged over some seconds. */
 const leastNoticeMs = 4000
 const mostNoticeMs = 9000
@@ -120,7 +120,7 @@
 function drawNotice (random: () => number): SoakNotice {
   const kind = random()
   if (kind < 0.5) return { type: 'limit', perSecond: pick(random, limits) }
-  if (kind < 0.8) return { type: 'rest', share: restShare, seconds: pick(random, rests) }
+  if (kind < 0.8) return { type: 'backoff', share: backoffShare, seconds: pick(random, backoffs) }
   return { type: 'leaving' }
 }
 
--- a/src/soak/fault-player.ts
+++ b/src/soak/fault-player.ts
@@ -135,10 +135,10 @@
         await sleep(ms)
         standin.limit = null
         return
-      case 'rest':
-        standin.rest = notice
+      case 'backoff':
+        standin.backoff = notice
         await sleep(ms)
-        standin.rest = null
+        standin.backoff = null
         return
       case 'leaving':
         standin.isLeaving = true
--- a/src/soak/notice-watch.ts
+++ b/src/soak/notice-watch.ts
@@ -1,6 +1,6 @@
 /**
  * Checks what endpoints saw against what they had said on their answers: limits
- * of all boxes together, rests of one box, and leaving. Each arrival is joined
+ * of all boxes together, back-off of one box, and leaving. Each arrival is joined
  * with the gateway that sent it by the request's id.
  */
 import type { EndpointArrival } from '../standin/index.js'
@@ -15,8 +15,8 @@
 const extra = 5
 /** A box counts as told so long after the answer, ms. */
 const toldMs = 500
-/** Requests from a box while the endpoint rests from it. */
-const mostInRest = 2
+/** Requests from a box that the endpoint has asked to back off. */
+const mostInBackoff = 2
 /** An endpoint that said on an answer that it leaves gets nothing so long after, ms. */
 const drainMs = 2000
 /** A box that was disturbed within this before is excused, ms: it may have learned nothing since. */
@@ -49,7 +49,7 @@
       // What a disturbed road held back arrives at once, whoever sent it when; an endpoint with a fault may have told nobody.
       const isCalm = (from: number, to: number): boolean => !this.#disturbances.hasTouched([`road ${i}`, `endpoint ${i}`], from, to)
       this.#checkLimit(standin.id, sent, isCalm)
-      this.#checkRests(standin.id, sent, isCalm)
+      this.#checkBackoff(standin.id, sent, isCalm)
       this.#checkLeaving(standin.id, sent, isCalm)
     }
   }
@@ -73,11 +73,11 @@
     }
   }
 
-  #checkRests (id: string, sent: readonly SentArrival[], isCalm: (from: number, to: number) => boolean): void {
-    for (const { at, gateway, restMs } of sent) {
-      if (restMs === null || !isCalm(at, at + restMs)) continue
-      const meanwhile = sent.filter(one => one.gateway === gateway && one.at > at + toldMs && one.at < at + restMs && !this.#isExcused(one))
-      if (meanwhile.length > mostInRest) this.#watch.violate('an endpoint got requests from a box while it rested', `${id}: ${meanwhile.length} from ${gateway} in ${restMs} ms`)
+  #checkBackoff (id: string, sent: readonly SentArrival[], isCalm: (from: number, to: number) => boolean): void {
+    for (const { at, gateway, backoffMs } of sent) {
+      if (backoffMs === null || !isCalm(at, at + backoffMs)) continue
+      const meanwhile = sent.filter(one => one.gateway === gateway && one.at > at + toldMs && one.at < at + backoffMs && !this.#isExcused(one))
+      if (meanwhile.length > mostInBackoff) this.#watch.violate('an endpoint got requests from a box that it had asked to back off', `${id}: ${meanwhile.length} from ${gateway} in ${backoffMs} ms`)
     }
   }
 
--- a/src/standin/standin-endpoint.ts
+++ b/src/standin/standin-endpoint.ts
@@ -63,7 +63,7 @@
 }
 
 /** How an endpoint under load turns requests away. */
-export interface RestShape {
+export interface BackoffShape {
   /** Part of the requests that are turned away, 0 to 1. */
   readonly share: number
   /** For how long it then wants nothing from the box that sent it, s. */
@@ -78,8 +78,8 @@
   /** What its answer was to say, as it stood then. */
   readonly limit: number | null
   readonly isLeaving: boolean
-  /** For how long the endpoint asked the box for rest, ms; null where it didn't. */
-  restMs: number | null
+  /** For how long the endpoint asked the box to back off, ms; null where it didn't. */
+  backoffMs: number | null
 }
 
 /** One request that the endpoint ran. */
@@ -110,7 +110,7 @@
   limit: number | null = null
   /** True where its answers say that it leaves. */
   isLeaving = false
-  rest: RestShape | null = null
+  backoff: BackoffShape | null = null
   eventMs = 5
   answerMs = 1
   port = 0
@@ -190,15 +190,15 @@
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const names = this.#headers
     const requestId = String(request.headers[names.requestId.toLowerCase()] ?? '')
-    const arrival: EndpointArrival = { requestId, at: performance.now(), limit: this.limit, isLeaving: this.isLeaving, restMs: null }
+    const arrival: EndpointArrival = { requestId, at: performance.now(), limit: this.limit, isLeaving: this.isLeaving, backoffMs: null }
     this.arrivals.push(arrival)
     const body = (await readBody(request)).toString()
     const expected = request.headers[names.expectedEndpoint.toLowerCase()]
     if (expected !== undefined && expected !== this.id) return this.#refuse(response, requestId, 421)
     if (this.fault.type === 'full') return this.#refuse(response, requestId, 503)
-    if (this.rest !== null && Math.random() < this.rest.share) {
-      arrival.restMs = this.rest.seconds * 1000
-      return this.#refuse(response, requestId, 503, { 'retry-after': String(this.rest.seconds) })
+    if (this.backoff !== null && Math.random() < this.backoff.share) {
+      arrival.backoffMs = this.backoff.seconds * 1000
+      return this.#refuse(response, requestId, 503, { 'retry-after': String(this.backoff.seconds) })
     }
     const run: EndpointRun = { requestId, method: request.method ?? '', path: request.url ?? '', headers: request.headers, body, isCalledOff: false }
     this.runs.push(run)
--- a/src/tasks/caller-exchanges.ts
+++ b/src/tasks/caller-exchanges.ts
@@ -83,7 +83,7 @@
       canResume: engine => this.#host.getConfiguration().pools.get(engine.pool)?.protocol === 'wrenlane',
       place: (submission, mayWait) => new Promise(resolve => placer.place(submission, mayWait, resolve)),
       noteFirstToken: request => placer.noteFirstToken(request),
-      end: (request, how, tokens, restMs) => placer.end(request, how, tokens, restMs),
+      end: (request, how, tokens, backoffMs) => placer.end(request, how, tokens, backoffMs),
       cancel: request => placer.cancel(request),
       takeRetry: name => this.#openBudget(name).take(),
       noteEnd: summary => this.#noteChatEnd(summary)
--- a/src/tasks/chat-exchange.ts
+++ b/src/tasks/chat-exchange.ts
@@ -25,8 +25,8 @@
   canResume (engine: EngineEntry): boolean
   place (submission: Submission, mayWait: boolean): Promise<Placement>
   noteFirstToken (request: RequestId): void
-  /** `restMs`: how long the engine wants no work. */
-  end (request: RequestId, how: StreamEnd, tokens: number, restMs?: number): void
+  /** `backoffMs`: how long the engine wants no work. */
+  end (request: RequestId, how: StreamEnd, tokens: number, backoffMs?: number): void
   cancel (request: RequestId): void
   /** Takes a retry from the class's budget. */
   takeRetry (name: string): boolean
@@ -153,7 +153,7 @@
       take: events => this.#take(events),
       finish: () => this.#finish(),
       reject: (status, text) => this.#reject(status, text),
-      fail: (failure, restMs) => this.#retry(failure, restMs)
+      fail: (failure, backoffMs) => this.#retry(failure, backoffMs)
     }, firstMs, idleMs)
   }
 
@@ -227,12 +227,12 @@
     this.#summarise('bad-request', status, 0)
   }
 
-  #retry (failure: EngineFailure, restMs = 0): void {
+  #retry (failure: EngineFailure, backoffMs = 0): void {
     if (this.#ended) return
     const wrote = this.#stream?.wroteBytes === true
     this.#wroteBytes ||= wrote
     if (!wrote) this.#unreached += 1
-    this.#release(wrote ? 'engine-failed' : 'engine-unreachable', restMs)
+    this.#release(wrote ? 'engine-failed' : 'engine-unreachable', backoffMs)
     const engine = this.#engine
     if (engine !== null) this.#exclude.push(engine.id)
     if (this.#mayTryAgain(engine)) return void this.#attempt()
@@ -247,10 +247,10 @@
     return this.#host.takeRetry(this.#order.class.name)
   }
 
-  #release (how: StreamEnd, restMs = 0): void {
+  #release (how: StreamEnd, backoffMs = 0): void {
     if (!this.#isPlaced) return
     this.#isPlaced = false
-    this.#host.end(this.#order.requestId, how, this.#parts.tokens, restMs)
+    this.#host.end(this.#order.requestId, how, this.#parts.tokens, backoffMs)
   }
 
   #leave (): void {
--- a/src/tasks/engine-stream.ts
+++ b/src/tasks/engine-stream.ts
@@ -4,7 +4,7 @@
  */
 import { request as httpRequest } from 'node:http'
 import type { Agent, ClientRequest, IncomingMessage } from 'node:http'
-import { SseSplitter, readRestMs } from '../protocol/index.js'
+import { SseSplitter, readBackoffMs } from '../protocol/index.js'
 
 /** Where and what to ask. */
 export interface EngineCall {
@@ -33,8 +33,8 @@
   finish (): void
   /** The engine answered with an error of its own: the request is at fault. */
   reject (status: number, body: string): void
-  /** `restMs`: how long the engine wants no work, where it says so. */
-  fail (failure: EngineFailure, restMs?: number): void
+  /** `backoffMs`: how long the engine wants no work, where it says so. */
+  fail (failure: EngineFailure, backoffMs?: number): void
 }
 
 const largestErrorBody = 64 * 1024
@@ -126,7 +126,7 @@
   #readError (status: number, response: IncomingMessage): void {
     if (engineBusyStatuses.has(status)) {
       response.resume()
-      return this.#fail('status', readRestMs(status, response.headers, Date.now()) ?? 0)
+      return this.#fail('status', readBackoffMs(status, response.headers, Date.now()) ?? 0)
     }
     let body = ''
     response.on('data', (chunk: Buffer) => { if (body.length < largestErrorBody) body += chunk.toString() })
@@ -137,11 +137,11 @@
     })
   }
 
-  #fail (failure: EngineFailure, restMs = 0): void {
+  #fail (failure: EngineFailure, backoffMs = 0): void {
     if (this.#ended) return
     this.#end()
     this.#request.destroy()
-    this.#sink.fail(failure, restMs)
+    this.#sink.fail(failure, backoffMs)
   }
 
   #end (): void {
--- a/test/dialects.test.ts
+++ b/test/dialects.test.ts
@@ -99,7 +99,7 @@
 
 test('an answer says whether it ran and whose it is', () => {
   for (const [status, headers, isNotRun, isOtherEndpoint, isMarked] of answers) {
-    const notices = { limit: null, isLeaving: false, restMs: null, faulty: [] }
+    const notices = { limit: null, isLeaving: false, backoffMs: null, faulty: [] }
     assert.deepEqual(platformDialect.readAnswer(status, headers, 0), { requestId: headers['x-attempt-id'] ?? '', isNotRun, isOtherEndpoint, isMarked, notices }, String(status))
   }
 })
@@ -130,26 +130,26 @@
   })
 }
 
-const rests: readonly { value: string, status?: number, date?: string, restMs: number | null, faulty?: boolean }[] = [
-  { value: '3', restMs: 3000 },
-  { value: '1.5', restMs: 1500 },
-  { value: '3', status: 429, restMs: 3000 },
-  { value: '3', status: 200, restMs: null },
-  { value: 'Thu, 03 Dec 2026 08:00:04 GMT', restMs: 4000 },
-  { value: 'Thu, 03 Dec 2026 08:00:04 GMT', date: 'Thu, 03 Dec 2026 08:00:02 GMT', restMs: 2000 },
-  { value: 'Thu, 03 Dec 2026 07:00:00 GMT', restMs: 0, faulty: true },
-  { value: 'Thu, 03 Dec 2099 08:00:00 GMT', restMs: 30_000, faulty: true },
-  { value: '1000000', restMs: 30_000, faulty: true },
-  { value: '-1', restMs: 0, faulty: true },
-  { value: '', restMs: 1000, faulty: true },
-  { value: 'later', restMs: 1000, faulty: true },
-  { value: '1, 2', restMs: 2000, faulty: true }
+const backoffs: readonly { value: string, status?: number, date?: string, backoffMs: number | null, faulty?: boolean }[] = [
+  { value: '3', backoffMs: 3000 },
+  { value: '1.5', backoffMs: 1500 },
+  { value: '3', status: 429, backoffMs: 3000 },
+  { value: '3', status: 200, backoffMs: null },
+  { value: 'Thu, 03 Dec 2026 08:00:04 GMT', backoffMs: 4000 },
+  { value: 'Thu, 03 Dec 2026 08:00:04 GMT', date: 'Thu, 03 Dec 2026 08:00:02 GMT', backoffMs: 2000 },
+  { value: 'Thu, 03 Dec 2026 07:00:00 GMT', backoffMs: 0, faulty: true },
+  { value: 'Thu, 03 Dec 2099 08:00:00 GMT', backoffMs: 30_000, faulty: true },
+  { value: '1000000', backoffMs: 30_000, faulty: true },
+  { value: '-1', backoffMs: 0, faulty: true },
+  { value: '', backoffMs: 1000, faulty: true },
+  { value: 'later', backoffMs: 1000, faulty: true },
+  { value: '1, 2', backoffMs: 2000, faulty: true }
 ]
 
-for (const { value, status = 503, date, restMs, faulty = false } of rests) {
-  test(`Retry-After ${JSON.stringify(value)} on a ${status}${date === undefined ? '' : ' with a date'} is a rest of ${restMs} ms`, () => {
+for (const { value, status = 503, date, backoffMs, faulty = false } of backoffs) {
+  test(`Retry-After ${JSON.stringify(value)} on a ${status}${date === undefined ? '' : ' with a date'} is a back-off of ${backoffMs} ms`, () => {
     const { notices } = platformDialect.readAnswer(status, { 'retry-after': value, ...date === undefined ? {} : { date } }, wallMs)
-    assert.deepEqual([notices.restMs, notices.faulty.length], [restMs, faulty ? 1 : 0])
+    assert.deepEqual([notices.backoffMs, notices.faulty.length], [backoffMs, faulty ? 1 : 0])
   })
 }
 
--- a/test/endpoint-rests.test.ts
+++ b/test/endpoint-backoff.test.ts
@@ -5,8 +5,8 @@
 import { RouteDeployment, composeDocument } from './support/route-deployment.js'
 
 const gateways = 2
-/** What the users allow: so many requests from `toldMs` after an endpoint has asked for rest until the rest is over. */
-const mostInRest = 2
+/** What the users allow: so many requests from `toldMs` after an endpoint has asked it to back off until that time is over. */
+const mostInBackoff = 2
 const toldMs = 500
 /** An endpoint that said on an answer that it leaves gets nothing so long after, ms. */
 const drainMs = 2000
@@ -25,7 +25,7 @@
 beforeEach(() => {
   for (const endpoint of endpoints) {
     endpoint.answerMs = answerMs
-    endpoint.rest = null
+    endpoint.backoff = null
     endpoint.isLeaving = false
   }
 })
@@ -44,16 +44,16 @@
   return statuses
 }
 
-test('an endpoint that asked a box for rest got more requests from it in that time', async () => {
-  const [resting] = endpoints
+test('an endpoint that asked a box to back off got more requests from it in that time', async () => {
+  const [loaded] = endpoints
   // An endpoint that was never used is taken last as it is.
   await call(0, 1000)
-  const before = resting.arrivals.length
-  resting.rest = { share: 1, seconds: 2 }
+  const before = loaded.arrivals.length
+  loaded.backoff = { share: 1, seconds: 2 }
   const statuses = await call(0, 5000)
-  const arrivals = resting.arrivals.slice(before).map(({ at }) => at)
-  const broken = arrivals.filter(askedAt => arrivals.filter(at => at > askedAt + toldMs && at < askedAt + 2000).length > mostInRest)
-  assert.ok(arrivals.length > 0 && broken.length === 0, `${broken.length} of ${arrivals.length} rests`)
+  const arrivals = loaded.arrivals.slice(before).map(({ at }) => at)
+  const broken = arrivals.filter(askedAt => arrivals.filter(at => at > askedAt + toldMs && at < askedAt + 2000).length > mostInBackoff)
+  assert.ok(arrivals.length > 0 && broken.length === 0, `${broken.length} of ${arrivals.length} times`)
   const refused = statuses.filter(status => status !== 200).length
   assert.equal(refused, 0, 'whoever is turned away goes elsewhere')
 })
@@ -70,10 +70,10 @@
   assert.equal(late, 0)
 })
 
-test('where every endpoint rests, callers hear the shortest rest', async () => {
+test('where every endpoint asked to back off, callers hear the shortest time', async () => {
   const [first, , third] = endpoints
-  first.rest = { share: 1, seconds: 9 }
-  third.rest = { share: 1, seconds: 4 }
+  first.backoff = { share: 1, seconds: 9 }
+  third.backoff = { share: 1, seconds: 4 }
   await call(1, 300)
   const answer = await place.ask('/again/x', { gateway: 1 })
   assert.equal(answer.status, 503)
--- a/test/endpoint-choice.test.ts
+++ b/test/endpoint-choice.test.ts
@@ -79,28 +79,28 @@
 
 test('an endpoint from which the others were turned away gets less of this box too', () => {
   const fleet = createFleet([createRecord('e1'), createRecord('e2')])
-  const load = createLoad(1, { loads: [{ endpoint: brandId('e1'), running: 1, brisk: 0, memory: 0, waiting: [], largest: 0, resting: 3 }] })
+  const load = createLoad(1, { loads: [{ endpoint: brandId('e1'), running: 1, brisk: 0, memory: 0, waiting: [], largest: 0, backedOff: 3 }] })
   const choose = (): string => { const choice = fleet.choose(createWork(), [], 10, 0); return typeof choice === 'string' ? choice : choice.view.id }
-  fleet.noteOthers({ ...noTotals, loads: [{ ...load.loads[0], resting: 0, running: 0 }] }, 0)
+  fleet.noteOthers({ ...noTotals, loads: [{ ...load.loads[0], backedOff: 0, running: 0 }] }, 0)
   assert.equal(choose(), 'e1')
   fleet.noteOthers({ ...noTotals, ...load, demands: [] }, 0)
   assert.equal(choose(), 'e2')
 })
 
-const comings: readonly { name: string, record: Partial<EndpointRecord>, isResting: boolean }[] = [
-  { name: 'the same life, seen again', record: { sequence: 3, born: 7 }, isResting: true },
-  { name: 'a later life', record: { sequence: 1, born: 9 }, isResting: false }
+const comings: readonly { name: string, record: Partial<EndpointRecord>, isBackedOff: boolean }[] = [
+  { name: 'the same life, seen again', record: { sequence: 3, born: 7 }, isBackedOff: true },
+  { name: 'a later life', record: { sequence: 1, born: 9 }, isBackedOff: false }
 ]
 
-for (const { name, record, isResting } of comings) {
-  test(`a rest, a limit and a word of leaving ${isResting ? 'hold on for' : 'end with'} ${name}`, () => {
+for (const { name, record, isBackedOff } of comings) {
+  test(`a back-off, a limit and a word of leaving ${isBackedOff ? 'hold on for' : 'end with'} ${name}`, () => {
     const first = createRecord('e1', { born: 7 })
     const fleet = createFleet([first, createRecord('e2')])
     const gate = (): EndpointGate | undefined => fleet.findView(first.id)?.gate
-    gate()?.noteRest(1000)
+    gate()?.noteBackoff(1000)
     fleet.applyNotices([{ endpoint: first.id, born: 7, stamp: 1, perSecond: 3, isLeaving: true }])
     fleet.applyRecords([{ ...first, sequence: 2, stage: 'lost' }])
     fleet.applyRecords([{ ...first, ...record }])
-    assert.deepEqual([gate()?.isResting(500), gate()?.limit, gate()?.isLeaving], [isResting, isResting ? 3 : null, isResting])
+    assert.deepEqual([gate()?.isBackedOff(500), gate()?.limit, gate()?.isLeaving], [isBackedOff, isBackedOff ? 3 : null, isBackedOff])
   })
 }
--- a/test/endpoint-limits.test.ts
+++ b/test/endpoint-limits.test.ts
@@ -112,18 +112,18 @@
   assert.ok(model.ends.every(({ priority, waitMs }) => priority > 0 || (waitMs !== null && waitMs < 400)), 'urgent ones were')
 })
 
-/** What the users allow: so many requests of a box from `restToldMs` after an endpoint has turned it away until the rest is over. */
-const mostInRest = 2
-const restToldMs = 500
+/** What the users allow: so many requests of a box from `backoffToldMs` after an endpoint has turned it away until that time is over. */
+const mostInBackoff = 2
+const backoffToldMs = 500
 
 for (const ms of [1500, 3000]) {
-  test(`an endpoint that turns requests away with a rest of ${ms} ms gets nothing more from that box meanwhile, and is back after it`, () => {
+  test(`an endpoint that turns requests away with a back-off of ${ms} ms gets nothing more from that box meanwhile, and is back after it`, () => {
     const until = 10_000
-    const model = new LimitModel({ ...shape, restOf: (endpoint, at) => endpoint === 0 && at < until ? { share: 1, ms } : null }).run()
+    const model = new LimitModel({ ...shape, backoffOf: (endpoint, at) => endpoint === 0 && at < until ? { share: 1, ms } : null }).run()
     const arrivals = model.arrivals.filter(({ endpoint }) => endpoint === 0)
     for (const { at, box } of arrivals.filter(one => one.at < until - 100)) {
-      const meanwhile = arrivals.filter(one => one.box === box && one.at > at + restToldMs && one.at < at + ms)
-      assert.ok(meanwhile.length <= mostInRest, `${meanwhile.length} from box ${box}`)
+      const meanwhile = arrivals.filter(one => one.box === box && one.at > at + backoffToldMs && one.at < at + ms)
+      assert.ok(meanwhile.length <= mostInBackoff, `${meanwhile.length} from box ${box}`)
     }
     const others = Array.from({ length: 11 }, (_, i) => model.count(i + 1, until + ms, 20_000))
     assert.ok(model.count(0, until + ms, 20_000) >= 0.8 * others.reduce((sum, one) => sum + one, 0) / others.length)
--- a/test/load-hub.test.ts
+++ b/test/load-hub.test.ts
@@ -42,7 +42,7 @@
 
   #send (host: string): void {
     this.sent += 1
-    const load: BoxLoad = { loads: [{ endpoint: brandId<EndpointId>('e1'), running: this.running, brisk: 0, memory: 0, waiting: [], largest: 0, resting: 0 }], demands: [], gaps: [], prompts: [] }
+    const load: BoxLoad = { loads: [{ endpoint: brandId<EndpointId>('e1'), running: this.running, brisk: 0, memory: 0, waiting: [], largest: 0, backedOff: 0 }], demands: [], gaps: [], prompts: [] }
     this.#socket.send(encodeLoadWord({ box: this.#id, zone: brandId<ZoneName>('zone-a'), start: 1, number: this.sent, load, notices: [] }), port, host)
   }
 }
@@ -102,7 +102,7 @@
     ...noNotices,
     now: () => performance.now(),
     listHubs: () => [{ host: hosts[hub], zone: brandId<ZoneName>('zone-a') }],
-    composeLoad: () => ({ loads: [{ endpoint: moving, running: 7, brisk: 0, memory: 0, waiting: [], largest: 0, resting: 0 }], demands: [], gaps: [], prompts: [] }),
+    composeLoad: () => ({ loads: [{ endpoint: moving, running: 7, brisk: 0, memory: 0, waiting: [], largest: 0, backedOff: 0 }], demands: [], gaps: [], prompts: [] }),
     takeOthers: () => {}
   })
   await reporter.open('127.45.0.3')
@@ -132,7 +132,7 @@
     ...noNotices,
     now: () => performance.now(),
     listHubs: () => [{ host, zone: brandId<ZoneName>('zone-a') }],
-    composeLoad: () => ({ loads: [{ endpoint: moving, running: 3, brisk: 0, memory: 0, waiting: [[1, 900]], largest: 900, resting: 0 }], demands: [], gaps: [], prompts: [] }),
+    composeLoad: () => ({ loads: [{ endpoint: moving, running: 3, brisk: 0, memory: 0, waiting: [[1, 900]], largest: 900, backedOff: 0 }], demands: [], gaps: [], prompts: [] }),
     takeOthers: others => { if (i === 1) totals.push(others) }
   }))
   await other.open('127.45.0.5')
--- a/test/loads.test.ts
+++ b/test/loads.test.ts
@@ -34,7 +34,7 @@
   book.note(brandId('a'), nameZone('zone-a'), createLoad(2), 0)
   book.note(brandId('b'), nameZone('zone-b'), createLoad(3), 1000)
   const totals = book.sumOwn(1100)
-  assert.deepEqual(totals.loads, [{ endpoint: 'e1', running: 5, brisk: 2, memory: 50, waiting: [[1, 300]], largest: 300, resting: 0 }])
+  assert.deepEqual(totals.loads, [{ endpoint: 'e1', running: 5, brisk: 2, memory: 50, waiting: [[1, 300]], largest: 300, backedOff: 0 }])
   assert.deepEqual(totals.zones, ['zone-b'])
   assert.deepEqual(book.forgetSilent(1600), ['a'])
   assert.deepEqual(book.sumOwn(1600).loads[0].running, 3)
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -50,13 +50,13 @@
 
 const cases: readonly Case[] = [
   {
-    name: 'an engine that asked for rest gets nothing until it is over, though another stream of it goes on well',
+    name: 'an engine that asked to back off gets nothing until that is over, though another stream of it goes on well',
     engines: 2,
     steps: [
       [submit('d1', draft), ['grant d1 e0']],
       [submit('d2', draft), ['grant d2 e1']],
       [submit('d3', draft), ['grant d3 e0']],
-      [{ type: 'end', at: 10, request: brandId<RequestId>('d3'), attempt: 1, how: 'engine-failed', tokens: 0, restMs: 1500 }, []],
+      [{ type: 'end', at: 10, request: brandId<RequestId>('d3'), attempt: 1, how: 'engine-failed', tokens: 0, backoffMs: 1500 }, []],
       [{ type: 'firstToken', at: 20, request: brandId<RequestId>('d1'), attempt: 1 }, []],
       [submit('d4', draft, 30), ['grant d4 e1']],
       [submit('d5', draft, 1509), ['grant d5 e1']],
--- a/test/sum-news.test.ts
+++ b/test/sum-news.test.ts
@@ -5,7 +5,7 @@
 import type { EndpointId, EndpointLoad, LoadTotals } from '../src/core/index.js'
 import { encodeHubWord } from '../src/protocol/index.js'
 
-const composeLoad = (id: string, running: number): EndpointLoad => ({ endpoint: brandId<EndpointId>(id), running, brisk: 0, memory: 900 * running, waiting: [], largest: 0, resting: 0 })
+const composeLoad = (id: string, running: number): EndpointLoad => ({ endpoint: brandId<EndpointId>(id), running, brisk: 0, memory: 900 * running, waiting: [], largest: 0, backedOff: 0 })
 const composeSum = (running: Readonly<Record<string, number>>): LoadTotals => ({ ...noTotals, loads: Object.entries(running).filter(([, count]) => count > 0).map(([id, count]) => composeLoad(id, count)) })
 const describe = (sum: LoadTotals | null): string => JSON.stringify(sum?.loads.map(load => [load.endpoint, load.running]).sort() ?? null)
 
--- a/test/support/fleet-builder.ts
+++ b/test/support/fleet-builder.ts
@@ -31,7 +31,7 @@
 
 /** A box's word: so many requests at one endpoint. */
 export function createLoad (running: number, more: Partial<BoxLoad> = {}): BoxLoad {
-  return { loads: [{ endpoint: brandId('e1'), running, brisk: 1, memory: 10 * running, waiting: [[1, 100 * running]], largest: 100 * running, resting: 0 }], demands: [], gaps: [], prompts: [], ...more }
+  return { loads: [{ endpoint: brandId('e1'), running, brisk: 1, memory: 10 * running, waiting: [[1, 100 * running]], largest: 100 * running, backedOff: 0 }], demands: [], gaps: [], prompts: [], ...more }
 }
 
 /** A prompt of 8,000 tokens, of which others share 6,000, and word that `e1` keeps these. */
--- a/test/support/limit-model.ts
+++ b/test/support/limit-model.ts
@@ -25,7 +25,7 @@
 }
 
 /** What an endpoint asks of a box that it turns away. */
-export interface ModelRest {
+export interface ModelBackoff {
   readonly share: number
   readonly ms: number
 }
@@ -44,7 +44,7 @@
   readonly isFrozen?: (box: number, at: number) => boolean
   /** When another registry takes over; it knows what the others told, and gives nothing for `electionMs`. */
   readonly failoverAt?: number
-  readonly restOf?: (endpoint: number, at: number) => ModelRest | null
+  readonly backoffOf?: (endpoint: number, at: number) => ModelBackoff | null
 }
 
 /** A request that reached an endpoint. */
@@ -229,12 +229,12 @@
     const endpoint = this.#records.findIndex(({ id }) => id === view.id)
     const placed = view.place(createWork(), { readTokens: 0, fetch: null }, this.#now)
     this.arrivals.push({ at: this.#now, box: box.index, endpoint, priority })
-    const rest = this.#shape.restOf?.(endpoint, this.#now) ?? null
-    const isTurnedAway = rest !== null && this.#random() < rest.share
+    const backoff = this.#shape.backoffOf?.(endpoint, this.#now) ?? null
+    const isTurnedAway = backoff !== null && this.#random() < backoff.share
     this.#queue.after(answerMs, () => {
       view.remove(placed, this.#now)
       const limit = this.#shape.limitOf(endpoint, this.#now)
-      box.limits.noteAnswer(view, { limit, isLeaving: false, restMs: isTurnedAway && rest !== null ? rest.ms : null, faulty: [] }, !isTurnedAway)
+      box.limits.noteAnswer(view, { limit, isLeaving: false, backoffMs: isTurnedAway && backoff !== null ? backoff.ms : null, faulty: [] }, !isTurnedAway)
     })
   }
 
