A connection that is being shut down is destroyed in place of reset

Cause: Node can't reset a connection that is being shut down: the reset fails with EINVAL, the descriptor stays open, and Node's clean-up at the end of the process waits for it without sleeping. Evidence: gdb on that process (CleanupHandles, uv_run, no system call in 5 s, one socket left); nine lines of Node alone do the same, 1 of 1. Why it is not the soak's alone: the registry's calls to the platform reset connections that their peer may have closed just before.

--- a/src/registry/duty-caller.ts
+++ b/src/registry/duty-caller.ts
@@ -8,6 +8,7 @@
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import type { Address } from '../config/index.js'
+import { resetSocket } from '../protocol/index.js'
 import type { OutsideCall } from '../protocol/index.js'
 
 /** How a call ended; `not-held`: it was not made, as the duty is not this box's any more. */
@@ -53,7 +54,7 @@
         if (isWritten && result.type !== 'answered') this.#unsureAt = performance.now()
         resolve(result)
         if (result.type === 'answered') socket.destroy()
-        else socket.resetAndDestroy()
+        else resetSocket(socket)
       }
       socket.on('error', error => end({ type: 'failed', reason: error.message }))
       socket.once('connect', () => {
@@ -69,7 +70,7 @@
 
   /** Resets all that is under way. */
   close (): void {
-    for (const socket of this.#open) socket.resetAndDestroy()
+    for (const socket of this.#open) resetSocket(socket)
   }
 }
 
--- a/src/soak/fault-proxy.ts
+++ b/src/soak/fault-proxy.ts
@@ -3,6 +3,7 @@
 import type { Server, Socket } from 'node:net'
 import { performance } from 'node:perf_hooks'
 import { listen } from '../runtime/index.js'
+import { resetSocket } from '../standin/index.js'
 import { DelayLine } from './delay-line.js'
 import type { ProxyMode } from './fault-draw.js'
 
@@ -32,13 +33,13 @@
   set (mode: ProxyMode): void {
     const isOver = this.#mode === 'silent' || this.#mode === 'one-way'
     this.#mode = mode
-    if (mode === 'reset' || isOver) for (const socket of this.#sockets) socket.resetAndDestroy()
+    if (mode === 'reset' || isOver) for (const socket of this.#sockets) resetSocket(socket)
   }
 
   /** Resets all connections and takes no more until `listen`, as where a process has died. */
   halt (): void {
     this.#server.close()
-    for (const socket of this.#sockets) socket.resetAndDestroy()
+    for (const socket of this.#sockets) resetSocket(socket)
   }
 
   /** Ends the proxy and its connections. */
@@ -50,7 +51,7 @@
   #join (inner: Socket, outer: Socket): void {
     if (this.#mode === 'reset') {
       outer.destroy()
-      inner.resetAndDestroy()
+      resetSocket(inner)
       return
     }
     this.#pass(inner, outer, true)
--- a/src/standin/standin-endpoint.ts
+++ b/src/standin/standin-endpoint.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { resetSocket } from '../protocol/index.js'
 import { listenOn, readBody } from './http-tools.js'
 import { PacedEngine } from './paced-engine.js'
 import type { PacedEngineShape } from './paced-engine.js'
@@ -171,7 +172,7 @@
     this.endedAt.push(performance.now())
     this.noteEnd()
     this.#server.close()
-    for (const socket of this.#sockets) socket.resetAndDestroy()
+    for (const socket of this.#sockets) resetSocket(socket)
     setTimeout(() => { if (!this.#isClosed) void this.#restart() }, downMs)
   }
 
@@ -245,7 +246,7 @@
     if (this.fault.type === 'unframed-reset') {
       const head = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')
       const { socket } = response
-      return void socket?.write(`HTTP/1.1 ${status} OK\r\n${head}\r\n${body.slice(0, body.length >> 1)}`, () => socket.resetAndDestroy())
+      return void socket?.write(`HTTP/1.1 ${status} OK\r\n${head}\r\n${body.slice(0, body.length >> 1)}`, () => resetSocket(socket))
     }
     if (this.fault.type === 'unframed') {
       response.useChunkedEncodingByDefault = false
--- a/src/standin/standin-platform.ts
+++ b/src/standin/standin-platform.ts
@@ -5,6 +5,7 @@
  */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { resetSocket } from '../protocol/index.js'
 import { listenOn, readBody } from './http-tools.js'
 
 /** How the platform misbehaves; `lose`: it takes calls, and their answers get lost. */
@@ -56,7 +57,7 @@
     const { 'x-wrenlane-holder': holder, 'x-wrenlane-fence': fence } = request.headers
     this.calls.push({ at: performance.now(), path: request.url ?? '', holder: String(holder), fence: Number(fence), body, isTaken: status === 200 })
     if (fault === 'silent') return
-    if (fault === 'lose') return void request.socket.resetAndDestroy()
+    if (fault === 'lose') return void resetSocket(request.socket)
     if (fault === 'garbage') return void request.socket.end('what is this\r\n\r\n')
     response.writeHead(status, { 'content-length': 0 })
     response.end()
