Tests that were compiled from a file that is gone are not run

Cause: the compiler leaves files of sources that are gone. A fresh clone has none. Change: only compiled tests that have a source are run; every source has one, as the build comes before.

--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -9,6 +9,7 @@
 import { spec as Spec } from 'node:test/reporters'
 
 const folder = 'dist/test'
+const sources = 'test'
 const listFile = 'KNOWN-RED.txt'
 /** Files that run beside each other. */
 const concurrency = 4
@@ -22,8 +23,10 @@
   return lines.map(line => line.split('|')[0].trim())
 }
 
+// What was compiled from a file that is gone by now stays in the folder: it is no test any more.
 function listFiles () {
-  return readdirSync(folder).filter(name => name.endsWith('.test.js')).sort().map(name => join(folder, name))
+  const isTest = name => name.endsWith('.test.js') && existsSync(join(sources, name.replace(/js$/, 'ts')))
+  return readdirSync(folder).filter(isTest).sort().map(name => join(folder, name))
 }
 
 function report (known, failed) {
