Notices are encoded once for all gateways; gateways are counted when they change; the users' bounds stand once

Change: notices go encoded into each word; the roster keeps its count until a link comes or goes; soak/limit-bounds.ts has the bounds. What is decided, allowed and asserted is the same; words of hubs that can't be read have one case more.

--- a/scripts/measure-limits.js
+++ b/scripts/measure-limits.js
@@ -10,6 +10,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { callerHost, composeCaller } from '../dist/src/soak/caller-words.js'
 import { callHttp } from '../dist/src/soak/http-call.js'
+import { countAllowed, countMost, drainMs, mostInBackoff, settleMs, toldMs, windowMs } from '../dist/src/soak/limit-bounds.js'
 import { SoakStage, callerPort, plainService } from '../dist/src/soak/soak-stage.js'
 
 const gateways = 8
@@ -20,15 +21,10 @@
 /** When endpoints begin to name what they do, and when they end, ms from the start. */
 const fromMs = 5000
 const untilMs = 20_000
-/** The users' bounds: see test/rate-limits.test.ts. */
-const settleMs = 3000
-const windowMs = 4000
-const toldMs = 500
-const drainMs = 2000
 const kinds = [
-  { name: 'urgent', kind: 'repeatable', share: 0.4, priority: 0, targetMs: 600 },
-  { name: 'once', kind: 'once', share: 0.2, priority: 1, targetMs: 800 },
-  { name: 'later', kind: 'repeatable', share: 0.4, priority: 2, targetMs: 1500 }
+  { name: 'urgent', kind: 'repeatable', priority: 0, targetMs: 600 },
+  { name: 'once', kind: 'once', priority: 1, targetMs: 800 },
+  { name: 'later', kind: 'repeatable', priority: 2, targetMs: 1500 }
 ]
 const at = process.argv.indexOf('--all')
 const all = at < 0 ? null : Number(process.argv[at + 1])
@@ -53,22 +49,18 @@
   ends.push({ kind, status: end.status, ms: performance.now() - startedAt, retryAfterMs: end.retryAfterMs, at: startedAt })
 }
 
-function countMost (arrivals, namedAt, untilAt) {
-  const told = arrivals.filter(one => one >= namedAt + toldMs && one < untilAt)
-  return Math.max(0, ...told.filter(one => one >= namedAt + settleMs).map(end => told.filter(one => one > end - windowMs && one <= end).length))
-}
-
 function report (namedAt, endedAt) {
   const times = i => stage.endpoints[i].standin.arrivals.map(one => one.at)
   limits.forEach((limit, i) => {
-    const allowed = Math.floor(1.5 * limit * windowMs / 1000 + 5)
+    const allowed = countAllowed(limit)
+    const told = times(i).filter(one => one >= namedAt + toldMs && one < endedAt)
     const used = times(i).filter(one => one >= namedAt + settleMs && one < endedAt).length / (limit * (endedAt - namedAt - settleMs) / 1000)
-    console.log(`limit ${limit}/s: most in 4 s ${countMost(times(i), namedAt, endedAt)}, allowed ${allowed}; arrivals for each allowed ${used.toFixed(2)}`)
+    console.log(`limit ${limit}/s: most in 4 s ${countMost(told, windowMs, namedAt + settleMs)}, allowed ${allowed}; arrivals for each allowed ${used.toFixed(2)}`)
   })
   backoffs.forEach((seconds, j) => {
     const sent = stage.endpoints[limits.length + j].standin.arrivals.map(one => ({ ...one, gateway: senders.get(one.requestId) }))
     const asked = sent.filter(one => one.backoffMs !== null)
-    const broken = asked.filter(one => sent.filter(other => other.gateway === one.gateway && other.at > one.at + toldMs && other.at < one.at + one.backoffMs).length > 2)
+    const broken = asked.filter(one => sent.filter(other => other.gateway === one.gateway && other.at > one.at + toldMs && other.at < one.at + one.backoffMs).length > mostInBackoff)
     console.log(`back-off of ${seconds} s: asked ${asked.length}, with three requests or more ${broken.length}`)
   })
   if (all === null) {
--- a/src/protocol/load-datagram.ts
+++ b/src/protocol/load-datagram.ts
@@ -87,9 +87,12 @@
   return encodeValue([isWhole, loads.map(packLoad), gone, demands, gaps, prompts, zones])
 }
 
-/** Encodes a hub's word to one gateway, around news that are encoded already. */
-export function encodeTotalsWord (word: Omit<TotalsWord, 'news'>, news: Buffer): Buffer {
-  return encodeValue([wireVersion, word.start, word.number, word.ownNumber, word.intervalMs, news, word.notices.map(packNotice)])
+/** Encodes notices that are the same for all that they go to. */
+export function encodeNotices (notices: readonly EndpointNotice[]): Buffer { return encodeValue(notices.map(packNotice)) }
+
+/** Encodes a hub's word to one gateway, around news and notices that are encoded already. */
+export function encodeTotalsWord (word: Omit<TotalsWord, 'news' | 'notices'>, news: Buffer, notices: Buffer): Buffer {
+  return encodeValue([wireVersion, word.start, word.number, word.ownNumber, word.intervalMs, news, notices])
 }
 
 /** Decodes a hub's word to a gateway; null for bytes that are none. */
@@ -98,7 +101,7 @@
   if (fields === null) return null
   const [, start, number, ownNumber, intervalMs, encoded, packed] = fields as [number, number, number, number, number, unknown, unknown]
   const news = decodeNews(encoded)
-  const notices = unpackNotices(packed)
+  const notices = packed instanceof Uint8Array ? unpackNotices(decodeForeign(packed)) : null
   return news === null || notices === null ? null : { start, number, ownNumber, intervalMs, news, notices }
 }
 
--- a/src/registry/gateway-roster.ts
+++ b/src/registry/gateway-roster.ts
@@ -4,14 +4,20 @@
 
 export class GatewayRoster {
   #gateways = new Map<Link<RouteMessage>, BoxId>()
+  /** Null where it is to be counted anew. */
+  #count: number | null = null
   #hasNews = false
 
   /** Gateways in touch; one that dialed twice counts once. */
-  get count (): number { return new Set(this.#gateways.values()).size }
+  get count (): number {
+    this.#count ??= new Set(this.#gateways.values()).size
+    return this.#count
+  }
 
   /** Notes that a gateway presented itself on a link; true where it is new there. */
   note (link: Link<RouteMessage>, gateway: BoxId): boolean {
     const isNew = !this.#gateways.has(link)
+    if (this.#gateways.get(link) !== gateway) this.#count = null
     this.#gateways.set(link, gateway)
     this.#hasNews ||= isNew
     return isNew
@@ -20,7 +26,7 @@
   /** Forgets a link that ended; gives the gateway whose it was, null where it was another box's. */
   forget (link: Link<RouteMessage>): BoxId | null {
     const gateway = this.#gateways.get(link) ?? null
-    this.#gateways.delete(link)
+    if (this.#gateways.delete(link)) this.#count = null
     return gateway
   }
 
--- a/src/registry/load-hub.ts
+++ b/src/registry/load-hub.ts
@@ -7,7 +7,7 @@
 import { randomInt } from 'node:crypto'
 import { LoadBook, NoticeBook, NoticeTeller, PromptBook, PromptRelay, SumTeller } from '../core/index.js'
 import type { BoxId, EndpointId, EndpointNotice, EndpointRecord, LoadTotals, ReadPrompt, ServiceName } from '../core/index.js'
-import { decodeHubWord, decodeLoadWord, encodeHubWord, encodeNews, encodeTotalsWord, isNewerWord, startLimit } from '../protocol/index.js'
+import { decodeHubWord, decodeLoadWord, encodeHubWord, encodeNews, encodeNotices, encodeTotalsWord, isNewerWord, startLimit } from '../protocol/index.js'
 import type { NoticeStatus, WordNumber } from '../protocol/index.js'
 import { DatagramPort, Inbox } from '../runtime/index.js'
 import type { EventLog } from '../runtime/index.js'
@@ -245,9 +245,10 @@
     const notices = this.#noticesToGateways.draw(now)
     if (!this.#toGateways.take(news, now, tellsGaps || sum.prompts.length > 0 || notices.length > 0)) return
     if (tellsGaps) this.#gapsToldAt = now
-    const word = { notices, start: this.#start, number: this.#nextNumber(), intervalMs: this.#intervalMs }
+    const told = encodeNotices(notices)
+    const word = { start: this.#start, number: this.#nextNumber(), intervalMs: this.#intervalMs }
     for (const { host, port, number } of this.#tellers.values()) {
-      this.#datagrams.send(encodeTotalsWord({ ...word, ownNumber: number }, news), host, port)
+      this.#datagrams.send(encodeTotalsWord({ ...word, ownNumber: number }, news, told), host, port)
     }
   }
 
--- a/src/soak/notice-watch.ts
+++ b/src/soak/notice-watch.ts
@@ -5,20 +5,10 @@
  */
 import type { EndpointArrival } from '../standin/index.js'
 import type { Disturbances } from './disturbances.js'
+import { countAllowed, drainMs, mostInBackoff, settleMs, toldMs, windowMs } from './limit-bounds.js'
 import type { PromiseWatch } from './promise-watch.js'
 import type { StagedEndpoint } from './soak-stage.js'
 
-/** From so long after a limit was first named, no more than `mostTimes` what it comes to and `extra` within any `windowMs`. */
-const settleMs = 3000
-const windowMs = 4000
-const mostTimes = 1.5
-const extra = 5
-/** A box counts as told so long after the answer, ms. */
-const toldMs = 500
-/** Requests from a box that the endpoint has asked to back off. */
-const mostInBackoff = 2
-/** An endpoint that said on an answer that it leaves gets nothing so long after, ms. */
-const drainMs = 2000
 /** A box that was disturbed within this before is excused, ms: it may have learned nothing since. */
 const excusedMs = 4000
 /** A pause between answers that name a limit after which it counts as named anew, ms. */
@@ -65,7 +55,7 @@
       if (at < namedAt + settleMs || !isCalm(at - windowMs - settleMs, at)) continue
       const inWindow = sent.slice(0, i + 1).filter(one => one.at > Math.max(at - windowMs, namedAt + toldMs) && one.limit !== null && !this.#isExcused(one))
       const most = Math.max(...inWindow.map(one => one.limit ?? 0), limit)
-      const allowed = Math.floor(mostTimes * most * windowMs / 1000 + extra)
+      const allowed = countAllowed(most)
       if (inWindow.length <= allowed) continue
       this.#watch.violate('an endpoint got more than the limit that it had named', `${id}: ${inWindow.length} in ${windowMs} ms, limit ${most}, allowed ${allowed}`)
       // The windows that follow hold the same arrivals.
--- a/test/endpoint-backoff.test.ts
+++ b/test/endpoint-backoff.test.ts
@@ -1,15 +1,11 @@
 import assert from 'node:assert/strict'
 import { after, before, beforeEach, test } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { drainMs, mostInBackoff, toldMs } from '../src/soak/limit-bounds.js'
 import type { StandinEndpoint } from '../src/standin/index.js'
 import { RouteDeployment, composeDocument } from './support/route-deployment.js'
 
 const gateways = 2
-/** What the users allow: so many requests from `toldMs` after an endpoint has asked it to back off until that time is over. */
-const mostInBackoff = 2
-const toldMs = 500
-/** An endpoint that said on an answer that it leaves gets nothing so long after, ms. */
-const drainMs = 2000
 const callers = 6
 const pauseMs = 15
 const answerMs = 40
--- a/test/endpoint-limits.test.ts
+++ b/test/endpoint-limits.test.ts
@@ -1,18 +1,11 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { countAllowed, mostInBackoff, toldMs, windowMs } from '../src/soak/limit-bounds.js'
 import { LimitModel } from './support/limit-model.js'
 import type { KindShape, LimitShape } from './support/limit-model.js'
 
-/** What the users allow of a limit: within any `windowMs`, `mostTimes` what it comes to, and `extra` more. */
-const windowMs = 4000
-const mostTimes = 1.5
-const extra = 5
 /** The part of a limit that is used at least where requests want all of it. */
 const leastUsed = 0.9
-/** Boxes know of a limit so long after it was named, ms: the first answer that bears it, and its way over the hubs. */
-const toldMs = 500
-
-const allow = (limit: number): number => Math.floor(mostTimes * limit * windowMs / 1000 + extra)
 const kinds: readonly KindShape[] = [{ priority: 0, perSecond: 60 }, { priority: 1, perSecond: 30 }, { priority: 2, perSecond: 60 }]
 const manyKinds = kinds.map(kind => ({ ...kind, perSecond: kind.perSecond * 2.3 }))
 const shape: LimitShape = { seed: 1, boxes: 8, endpoints: 12, kinds, lengthMs: 20_000, limitOf: () => null }
@@ -29,7 +22,7 @@
   test(`a limit ${name}, is kept by all boxes together and used`, () => {
     const model = new LimitModel({ ...shape, ...more, limitOf: endpoint => endpoint === 0 ? limit : null }).run()
     const most = model.countMost(0, windowMs, 0, Infinity, toldMs)
-    assert.ok(most <= allow(limit), `${most} in ${windowMs} ms, allowed ${allow(limit)}`)
+    assert.ok(most <= countAllowed(limit), `${most} in ${windowMs} ms, allowed ${countAllowed(limit)}`)
     const used = model.count(0, 1000, 20_000) / (19 * limit)
     const least = more?.failoverAt === undefined ? leastUsed : leastUsed - 1.5 / 19
     assert.ok(used >= least, `${used.toFixed(2)} of it is used`)
@@ -40,7 +33,7 @@
 test('a limit of one in five seconds is asked after often enough to see its end, and no more', () => {
   const model = new LimitModel({ ...shape, boxes: 194, kinds: manyKinds, limitOf: endpoint => endpoint === 0 ? 0.2 : null }).run()
   const most = model.countMost(0, windowMs, 0, Infinity, toldMs)
-  assert.ok(most <= allow(0.2), `${most} in ${windowMs} ms`)
+  assert.ok(most <= countAllowed(0.2), `${most} in ${windowMs} ms`)
 })
 
 const endAt = 10_000
@@ -57,8 +50,8 @@
 test('a limit that falls from 20 to 1, and rises to 5, is kept from when boxes were told', () => {
   const limitAt = (at: number): number => at < 7000 ? 20 : at < 14_000 ? 1 : 5
   const model = new LimitModel({ ...shape, limitOf: (endpoint, at) => endpoint === 0 ? limitAt(at) : null }).run()
-  assert.ok(model.countMost(0, windowMs, 0, 7000, toldMs) <= allow(20))
-  assert.ok(model.countMost(0, windowMs, 7000 + windowMs, 14_000, 7000 + toldMs) <= allow(1))
+  assert.ok(model.countMost(0, windowMs, 0, 7000, toldMs) <= countAllowed(20))
+  assert.ok(model.countMost(0, windowMs, 7000 + windowMs, 14_000, 7000 + toldMs) <= countAllowed(1))
   assert.ok(model.count(0, 14_000 + 2000, 20_000) >= leastUsed * 4 * 5)
 })
 
@@ -67,7 +60,7 @@
   const isCut = (at: number): boolean => at >= 6000 && at < 18_000
   const model = new LimitModel({ ...shape, endpoints: 3, limitOf: endpoint => endpoint === 0 ? limit : null, isReached: (box, at) => box < 4 || !isCut(at) }).run()
   const most = model.countMost(0, windowMs, 0, Infinity, toldMs)
-  assert.ok(most <= allow(limit), `${most} in ${windowMs} ms`)
+  assert.ok(most <= countAllowed(limit), `${most} in ${windowMs} ms`)
   const during = model.arrivals.filter(({ at, endpoint }) => endpoint === 0 && at >= 9000 && at < 18_000)
   const beyond = during.filter(({ box }) => box >= 4).length
   assert.ok(during.length <= 1.1 * limit * 9, `${during.length} in 9 s`)
@@ -77,15 +70,15 @@
 
 test('a box that comes back from a freeze spends nothing that it thinks it has saved up', () => {
   const model = new LimitModel({ ...shape, limitOf: endpoint => endpoint === 0 ? 4 : null, isFrozen: (box, at) => box < 4 && at > 5000 && at < 10_000 }).run()
-  assert.ok(model.countMost(0, 1000, 0, Infinity, toldMs) <= allow(4) / 2, 'no burst')
-  assert.ok(model.countMost(0, windowMs, 0, Infinity, toldMs) <= allow(4))
+  assert.ok(model.countMost(0, 1000, 0, Infinity, toldMs) <= countAllowed(4) / 2, 'no burst')
+  assert.ok(model.countMost(0, windowMs, 0, Infinity, toldMs) <= countAllowed(4))
 })
 
 for (const seed of [1, 2, 3]) {
   test(`where all endpoints name limits below what comes, urgent requests are served, and the others are told when to come back (seed ${seed})`, () => {
     const limit = 8
     const model = new LimitModel({ ...shape, seed, limitOf: () => limit }).run()
-    for (let i = 0; i < 12; i++) assert.ok(model.countMost(i, windowMs, 0, Infinity, toldMs) <= allow(limit))
+    for (let i = 0; i < 12; i++) assert.ok(model.countMost(i, windowMs, 0, Infinity, toldMs) <= countAllowed(limit))
     const settled = model.ends.filter(({ arrivedAt }) => arrivedAt > 3000 && arrivedAt < 18_000)
     const rate = (priority: number): number => {
       const all = settled.filter(one => one.priority === priority && !one.isReturn)
@@ -112,17 +105,13 @@
   assert.ok(model.ends.every(({ priority, waitMs }) => priority > 0 || (waitMs !== null && waitMs < 400)), 'urgent ones were')
 })
 
-/** What the users allow: so many requests of a box from `backoffToldMs` after an endpoint has turned it away until that time is over. */
-const mostInBackoff = 2
-const backoffToldMs = 500
-
 for (const ms of [1500, 3000]) {
   test(`an endpoint that turns requests away with a back-off of ${ms} ms gets nothing more from that box meanwhile, and is back after it`, () => {
     const until = 10_000
     const model = new LimitModel({ ...shape, backoffOf: (endpoint, at) => endpoint === 0 && at < until ? { share: 1, ms } : null }).run()
     const arrivals = model.arrivals.filter(({ endpoint }) => endpoint === 0)
     for (const { at, box } of arrivals.filter(one => one.at < until - 100)) {
-      const meanwhile = arrivals.filter(one => one.box === box && one.at > at + backoffToldMs && one.at < at + ms)
+      const meanwhile = arrivals.filter(one => one.box === box && one.at > at + toldMs && one.at < at + ms)
       assert.ok(meanwhile.length <= mostInBackoff, `${meanwhile.length} from box ${box}`)
     }
     const others = Array.from({ length: 11 }, (_, i) => model.count(i + 1, until + ms, 20_000))
--- a/test/load-datagrams.test.ts
+++ b/test/load-datagrams.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import { brandId } from '../src/core/index.js'
 import type { BoxId, BoxLoad, EndpointId, EndpointNotice, LoadTotals, ServiceName, SumNews, ZoneName } from '../src/core/index.js'
-import { decodeHubWord, decodeLoadWord, decodeTotalsWord, encodeHubWord, encodeLoadWord, encodeNews, encodeTotalsWord, encodeValue, isNewerWord } from '../src/protocol/index.js'
+import { decodeHubWord, decodeLoadWord, decodeTotalsWord, encodeHubWord, encodeLoadWord, encodeNews, encodeNotices, encodeTotalsWord, encodeValue, isNewerWord } from '../src/protocol/index.js'
 
 const newer: readonly { name: string, word: [number, number], known: [number, number] | null, isNewer: boolean }[] = [
   { name: 'the first of all', word: [7, 1], known: null, isNewer: true },
@@ -27,15 +27,15 @@
 const loadWord = { box: brandId<BoxId>('gateway-1'), zone: brandId<ZoneName>('zone-a'), start: 5, number: 6, load, notices: [notice] }
 const news: SumNews = { ...totals, isWhole: false, gone: [brandId<EndpointId>('e-2')], gaps: null }
 const hubWord = { hub: brandId<BoxId>('registry-1'), start: 5, number: 6, news, notices: [notice] }
-const totalsWord = { start: 5, number: 6, ownNumber: 4, intervalMs: 10, notices: [notice] }
+const totalsWord = { start: 5, number: 6, ownNumber: 4, intervalMs: 10 }
 
 test('words about loads come out as they went in, and none is taken for another', () => {
   const told = encodeLoadWord(loadWord)
   const toHub = encodeHubWord(hubWord)
-  const toGateway = encodeTotalsWord(totalsWord, encodeNews(news))
+  const toGateway = encodeTotalsWord(totalsWord, encodeNews(news), encodeNotices([notice]))
   assert.deepEqual([told, toHub, toGateway].map(decodeLoadWord), [loadWord, null, null])
   assert.deepEqual([told, toHub, toGateway].map(decodeHubWord), [null, hubWord, null])
-  assert.deepEqual([told, toHub, toGateway].map(decodeTotalsWord), [null, null, { ...totalsWord, news }])
+  assert.deepEqual([told, toHub, toGateway].map(decodeTotalsWord), [null, null, { ...totalsWord, news, notices: [notice] }])
 })
 
 const foreign: readonly { name: string, bytes: Uint8Array }[] = [
@@ -49,8 +49,9 @@
   { name: 'notices that are no list', bytes: encodeValue([5, 'gateway-1', 'zone-a', 5, 6, load, 7]) },
   { name: 'a notice without a life', bytes: encodeValue([5, 'gateway-1', 'zone-a', 5, 6, load, [['e-1', null, 3, 2.6, false]]]) },
   { name: 'a limit of nothing', bytes: encodeValue([5, 'registry-1', 5, 6, encodeNews(news), [['e-1', 12, 3, 0, false]]]) },
-  { name: 'totals that are no value', bytes: encodeTotalsWord(totalsWord, Buffer.from([0xff])) },
-  { name: 'totals without zones', bytes: encodeTotalsWord(totalsWord, encodeValue([true, [], [], [], [], [], null])) }
+  { name: 'totals that are no value', bytes: encodeTotalsWord(totalsWord, Buffer.from([0xff]), encodeNotices([])) },
+  { name: 'totals with notices that are no value', bytes: encodeTotalsWord(totalsWord, encodeNews(news), Buffer.from([0xff])) },
+  { name: 'totals without zones', bytes: encodeTotalsWord(totalsWord, encodeValue([true, [], [], [], [], [], null]), encodeNotices([])) }
 ]
 
 for (const { name, bytes } of foreign) {
--- a/test/rate-limits.test.ts
+++ b/test/rate-limits.test.ts
@@ -4,18 +4,12 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { formatNotices, readNotices } from '../src/bin/notice-report.js'
 import type { GatewayBox } from '../src/gateway/index.js'
+import { countAllowed, countMost, settleMs, toldMs, windowMs } from '../src/soak/limit-bounds.js'
 import type { StandinEndpoint } from '../src/standin/index.js'
 import { until } from './support/deployment.js'
 import { RouteDeployment, composeDocument } from './support/route-deployment.js'
 
 const gateways = 4
-/** What the users allow of a limit that was named `settleMs` before: within any `windowMs`, `mostTimes` what it comes to, and `extra` more. */
-const settleMs = 3000
-const windowMs = 4000
-const mostTimes = 1.5
-const extra = 5
-/** Boxes have been told of a limit so long after it was named, ms: what they sent before doesn't count. */
-const toldMs = 500
 /** How long the limit is named, and how often each gateway is asked meanwhile, ms. */
 const namedMs = 9000
 const pauseMs = 30
@@ -47,13 +41,6 @@
   return statuses
 }
 
-// The most arrivals in any window that ends when the limit was named long enough before.
-function countMost (arrivals: readonly number[], namedAt: number): number {
-  const told = arrivals.filter(at => at >= namedAt + toldMs)
-  const counts = told.filter(at => at >= namedAt + settleMs).map(end => told.filter(at => at > end - windowMs && at <= end).length)
-  return Math.max(0, ...counts)
-}
-
 for (const limit of [2.6, 0.2]) {
   test(`an endpoint that named a limit of ${limit} requests a second got more from all boxes together`, async () => {
     await call(500)
@@ -62,8 +49,9 @@
     const statuses = await call(namedMs)
     const [told] = await readNotices({ host: place.registryHost(1), port: 7002 })
     limited.limit = null
-    const allowed = Math.floor(mostTimes * limit * windowMs / 1000 + extra)
-    const most = countMost(limited.arrivals.map(({ at }) => at), namedAt)
+    const allowed = countAllowed(limit)
+    const arrivals = limited.arrivals.map(({ at }) => at).filter(at => at >= namedAt + toldMs)
+    const most = countMost(arrivals, windowMs, namedAt + settleMs)
     assert.ok(most <= allowed, `${most} in ${windowMs} ms, allowed ${allowed}`)
     assert.deepEqual([told.endpoint, told.service, told.limit], [limited.id, 'desk', limit])
     assert.match(formatNotices([told]), new RegExp(`${limited.id}  service desk  limit ${limit}/s  known for \\d+\\.\\d s, told by (gateway|registry)-\\d`))
--- a/test/support/limit-model.ts
+++ b/test/support/limit-model.ts
@@ -13,6 +13,7 @@
 import { EventQueue } from '../../src/measure/event-queue.js'
 import type { RouteMessage } from '../../src/protocol/index.js'
 import { EventLog, Metrics, createRandom } from '../../src/runtime/index.js'
+import { countMost } from '../../src/soak/limit-bounds.js'
 import { createRecord, createWork, desk, engineService } from './fleet-builder.js'
 
 /** A kind of request. */
@@ -145,8 +146,7 @@
   /** The most arrivals at an endpoint in any `windowMs` that ends in a stretch of time. */
   countMost (endpoint: number, windowMs: number, from: number, until = Infinity, first = -Infinity): number {
     const times = this.arrivals.filter(one => one.endpoint === endpoint && one.at >= first).map(one => one.at)
-    const ends = times.filter(at => at >= from && at <= until)
-    return Math.max(0, ...ends.map(end => times.filter(at => at > end - windowMs && at <= end).length))
+    return countMost(times, windowMs, from, until)
   }
 
   /** Arrivals at an endpoint in a stretch of time. */
