Count prompts with an overdue first event as unread

User impact: in a long burst of questions, all of them were served seconds late, and the tags and quotes sent alongside them were not served at all. Engines with half a second of prompts left to read were treated as idle and were sent more.

Cause: the unread tokens of a prompt were estimated from elapsed time alone. Once the expected time had passed, the prompt counted as read even though no first event had arrived. Where boxes receive each other's load reports late, each prompt queues behind prompts that its box did not know of when it sent it, so all boxes counted zero waiting tokens and reported zero. The logs of soak beside load show the same: engines with 65 and 76 requests in flight and 0 tokens ahead, while first events took 1.3 s and longer and callers left.

Change: a prompt whose first event is overdue counts again. The delay is converted to tokens at the expected read rate, up to the whole prompt.

--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -165,10 +165,13 @@
     return { own, others, behind, largest: Math.max(largest, this.#others.largest) }
   }
 
-  // What is still to be read of a prompt, if it was read as fast as expected.
+  // Estimates the unread tokens of a prompt from the expected read rate. An overdue first event indicates that the prompt is queued
+  // behind prompts unknown to this box, so the delay is converted to tokens and counted, up to the size of the prompt.
   #countLeft (placed: Placed, at: number): number {
-    const readingMs = at - placed.sentAt - placed.aheadTokens * this.paceMs
-    return Math.max(0, placed.readTokens - Math.max(0, readingMs) / this.paceMs)
+    const waitedMs = at - placed.sentAt
+    const expectedLeft = placed.readTokens - Math.max(0, waitedMs - placed.aheadTokens * this.paceMs) / this.paceMs
+    const overdueTokens = (waitedMs - this.expectAnswer(placed)) / this.paceMs
+    return Math.max(0, expectedLeft, Math.min(placed.readTokens, overdueTokens))
   }
 
   /** How long the endpoint has been overdue with an answer or an event, ms; 0 where it isn't. */
