Limit requests to engine capacity and reserve a share for less urgent kinds

Impact: in a long burst of more questions than the engines can read, every question was admitted and served seconds late, none within its target. Tags and quotes found no free slot, and none was served.

Cause: requests that are sent immediately were never refused because of their own excess, and overflowed to all engines as soon as none of the others had a free slot. The backlog was bounded only by the slots of the engines.

Change: while engines are congested for a kind that is sent immediately, and it and the more urgent kinds demand half of the capacity or more, the reading capacity is divided among the kinds by rank. Each less urgent kind has a reserved share (0.6 of the next kind, 0.25 of each kind after it, 0.35 of the capacity in total); the rest goes to the most urgent kinds first. Requests beyond a kind's share are refused on arrival, with a retry time derived from the excess. A kind that fits into the capacity gives up at most a fifth. Capacity is the measured reading rate of the engines after a second of congestion, before that at least their expected rate. Questions overflow to the engines set apart also while kinds are limited.

Rationale: the admitted load matches what the engines read, so the backlog stays below the target. All boxes divide the same rates, so that they don't admit and refuse in turns.

--- a/src/core/balance/admission.ts
+++ b/src/core/balance/admission.ts
@@ -2,7 +2,9 @@
  * Whether a request is let in, or refused at once because too much waits before
  * it, and when it had better come back. What decided it is kept for the log.
  */
+import type { AdmissionCredits } from './admission-credits.js'
 import type { EndpointView } from './endpoint-view.js'
+import { rateWindowMs } from './kind-watch.js'
 
 /** What waits before a request and how fast it is read. Prompt tokens, of requests that go before it. */
 export interface Backlog {
@@ -32,6 +34,8 @@
   readonly allowedMs: number
   /** Since a less urgent request last began; Infinity where none did. */
   readonly sinceLessMs: number
+  /** Fraction of its kind's requests that is admitted; 1 if the kind is not limited. */
+  readonly share: number
   /** When the request had better come back; null where it is let in. */
   readonly returnMs: number | null
 }
@@ -61,6 +65,8 @@
 const leastWaitShare = 0.5
 /** Lower bound on the share of the reading rate that more urgent kinds are assumed to leave. */
 const leastLeftShare = 0.2
+/** Longest wait of a request that is never held and whose kind is limited, as a fraction of the longest with which it is in time. */
+const maxImmediateWaitShare = 0.85
 /** Times to come back, ms: sooner, nothing has changed; a burst lasts some seconds. */
 const leastReturnMs = 300
 const mostReturnMs = 5000
@@ -79,7 +85,46 @@
   const inTimeMs = Math.max(targetMs - ownMs, targetMs * leastWaitShare)
   const allowedMs = sinceLessMs < yieldMs ? Math.max(inTimeMs, Math.min(lessTargetMs, targetMs * mostLateTimes)) : inTimeMs
   const returnMs = waitMs <= allowedMs ? null : Math.min(mostReturnMs, Math.max(leastReturnMs, waitMs + ownMs))
-  return { backlog, lateness, waitMs, ownMs, allowedMs, sinceLessMs, returnMs }
+  return { backlog, lateness, waitMs, ownMs, allowedMs, sinceLessMs, share: 1, returnMs }
+}
+
+/** What a decision on a request that is never held rests on. */
+export interface ImmediateAdmissionCase {
+  readonly backlog: Backlog
+  readonly lateness: number
+  /** Expected time until the first engine can begin with it, not adjusted for lateness, ms. */
+  readonly engineWaitMs: number
+  readonly readingMs: number
+  readonly targetMs: number
+  /** Fraction of its kind that the engines can read beside the other kinds. */
+  readonly share: number
+  readonly credits: AdmissionCredits
+  readonly level: number
+}
+
+/**
+ * Decides whether to admit a request that is never held, when engines are congested for it. All requests of a kind that fits
+ * beside the others are admitted; of any other kind, the given share, and none whose expected wait exceeds the limit.
+ */
+export function decideImmediateAdmission ({ backlog, lateness, engineWaitMs, readingMs, targetMs, share, credits, level }: ImmediateAdmissionCase): Admission {
+  const waitMs = engineWaitMs * Math.max(1, lateness)
+  const ownMs = readingMs * Math.max(1, lateness)
+  const allowedMs = Math.max(targetMs - ownMs, targetMs * leastWaitShare) * maxImmediateWaitShare
+  const admittedShare = share >= 1 || waitMs <= allowedMs ? share : 0
+  const returnMs = admittedShare >= 1 || credits.tryConsume(level, admittedShare) ? null : computeReturnMs(share, waitMs + ownMs)
+  return { backlog, lateness, waitMs, ownMs, allowedMs, sinceLessMs: Infinity, share: admittedShare, returnMs }
+}
+
+/** Restricts admission to a share of a kind's requests, counted over those that would otherwise be admitted. */
+export function limitAdmission (admission: Admission, share: number, credits: AdmissionCredits, level: number): Admission {
+  if (admission.returnMs !== null || share >= 1) return admission
+  return { ...admission, share, returnMs: credits.tryConsume(level, share) ? null : computeReturnMs(share, admission.waitMs + admission.ownMs) }
+}
+
+// At least the time that the engines need to read the excess that arrives within one rate window, within the bounds on return times.
+function computeReturnMs (share: number, waitMs: number): number {
+  const excessRatio = share > 0 ? 1 / share - 1 : Infinity
+  return Math.min(mostReturnMs, Math.max(leastReturnMs, waitMs, excessRatio * rateWindowMs))
 }
 
 /** True where requests of a kind wait so long that most of them are late: what is less urgent is then held. */
--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -11,7 +11,7 @@
 import { EndpointTrust } from './endpoint-trust.js'
 import type { EndpointLoad, ReadPrompt } from './load-word.js'
 import { PromptMemory } from './prompt-memory.js'
-import { isPatient, listShared } from './prompt-reading.js'
+import { countExpected, isPatient, listShared } from './prompt-reading.js'
 import type { PromptPlan } from './prompt-plan.js'
 import type { PromptCost, PromptPart, Work } from './work.js'
 
@@ -214,6 +214,7 @@
     const { cost } = placed.work
     if (cost === null) return this.answerMs.add(took)
     this.#tellPrompt(cost, true, at)
+    this.#learning.readMeter.add(at, countExpected(cost))
     this.#learning.lateness.add(placed.work.level, took / this.expectAnswer(placed))
     const tokens = placed.readTokens + placed.aheadTokens
     if (tokens >= leastTokensToLearn) this.#learning.pace.add(Math.max(0, took - overheadMs - placed.fetchMs) / tokens / this.slowness)
--- a/src/core/balance/endpoint-weights.ts
+++ b/src/core/balance/endpoint-weights.ts
@@ -20,7 +20,7 @@
 /** What each stream more slows the others, ms. */
 const crowdMs = 0.4
 /** What each request beyond the slots waits, ms: a slot comes free every so often. */
-const queueMs = 60
+export const queueMs = 60
 /** What a request waits where memory is used up, ms. */
 const memoryMs = 1500
 /**
--- a/src/core/balance/engine-learning.ts
+++ b/src/core/balance/engine-learning.ts
@@ -1,5 +1,7 @@
 /** What is learned of the engines of a service as a whole, shared by the views of its engines. */
 import { RunningQuantile } from './average.js'
+import { DemandMeter } from './demand-meter.js'
+import { rateWindowMs } from './kind-watch.js'
 import { Lateness } from './lateness.js'
 import { ReadingPause } from './reading-pause.js'
 
@@ -16,6 +18,8 @@
   /** Pauses of streams beside reading. */
   readonly readingPause: ReadingPause
   readonly lateness: Lateness
+  /** Prompt tokens of this box's requests whose first event has arrived. */
+  readonly readMeter: DemandMeter
 }
 
 /** What is believed before anything was measured. */
@@ -23,6 +27,7 @@
   return {
     pace: new RunningQuantile(firstPaceMs, paceQuantile, paceStep),
     readingPause: new ReadingPause(),
-    lateness: new Lateness()
+    lateness: new Lateness(),
+    readMeter: new DemandMeter(rateWindowMs)
   }
 }
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -31,11 +31,11 @@
 import type { PromptHolder } from './prompt-plan.js'
 import { countExpected, findPatience, guessPause, isPatient } from './prompt-reading.js'
 import type { ApartCount } from './reading-share.js'
-import { admitToEngines, findPressed } from './service-admission.js'
+import { admitToEngines, findPressed, listImmediateEngines } from './service-admission.js'
 import type { AdmissionContext } from './service-admission.js'
 import { composeDemand, createState } from './service-state.js'
 import type { ServiceState } from './service-state.js'
-import { groupByService, isOpen, listBrisk, listSources, listUsable } from './usable-endpoints.js'
+import { groupByService, isOpen, listSources, listUsable } from './usable-endpoints.js'
 import type { PromptCost, Work } from './work.js'
 import { ZoneWatch } from './zone-watch.js'
 
@@ -175,7 +175,7 @@
     const { engine, patienceMs } = context
     const patient = isPatient(work, patienceMs)
     if (patient && waitedMs < work.targetMs && findPressed(context, at) < work.level) return 'later'
-    const parted = (patient ? apart.slice(0, counts.count) : listBrisk(apart, counts.count, engine)).filter(view => !tried.includes(view.id) && isOpen(view, work, at))
+    const parted = (patient ? apart.slice(0, counts.count) : listImmediateEngines(context, work.targetMs, at)).filter(view => !tried.includes(view.id) && isOpen(view, work, at))
     const side = narrowing === null ? parted : left
     const homes = patient && narrowing === null ? apart.slice(0, counts.base) : side
     const prompt: PromptCase = { work, cost: work.cost, engine, waitedMs, patienceMs, isPatient: patient }
@@ -232,7 +232,7 @@
     return Math.max(this.#services.get(service)?.share.counts.count ?? 0, this.#others.find(service)?.apart ?? 0)
   }
 
-  /** Decides whether a request is let in; null for one that never waits, as it is always let in. */
+  /** Decides whether to admit a request; returns null if no decision is needed: for a plain service, or engines that are not congested for the request. */
   admit (work: Work, at: number): Admission | null {
     const context = this.#composeContext(work.service, at)
     return context === null || work.cost === null ? null : admitToEngines(context, work, work.cost, at)
@@ -248,6 +248,7 @@
       engine,
       outlook: this.#look(service, at),
       others: this.#others.find(service),
+      sharers: this.#others.countUnheard(at),
       patienceMs: this.#findPatience(state, at),
       listHolders: cost => this.#listHolders(cost, engine.transfer, at, service)
     }
@@ -313,7 +314,7 @@
     const state = this.#services.get(service)
     const apart = state?.service.engine == null ? [] : listApart(usable)
     const counts = state === undefined || apart.length === 0 ? noneApart : this.#agreeShare(state, apart, at)
-    const outlook: Outlook = { at, usable, apart, counts, pressed: null }
+    const outlook: Outlook = { at, usable, apart, counts, pressed: null, kindShares: null }
     this.#outlooks.set(service, outlook)
     return outlook
   }
--- a/src/core/balance/load-sum.ts
+++ b/src/core/balance/load-sum.ts
@@ -55,6 +55,7 @@
     readingPauseMs: null,
     held: addWaiting(sum.held, one.held, 1),
     rates: addWaiting(sum.rates ?? [], one.rates ?? [], 1),
+    read: (sum.read ?? 0) + (one.read ?? 0),
     holders: sum.holders + one.holders
   }
 }
--- a/src/core/balance/load-word.ts
+++ b/src/core/balance/load-word.ts
@@ -49,6 +49,8 @@
   readonly held: WaitingTokens
   /** Arrival rate of each kind; not sent by boxes of earlier versions. */
   readonly rates?: KindRates
+  /** Reading rate of requests whose first event has arrived, in prompt tokens/s; not sent by boxes of earlier versions. */
+  readonly read?: number
 }
 
 /** What a box tells its hub of its work. */
--- a/src/core/balance/others-load.ts
+++ b/src/core/balance/others-load.ts
@@ -38,6 +38,7 @@
     brisk: Math.max(0, sum.brisk - own.brisk),
     held: addWaiting(sum.held, own.held, -1),
     rates: addWaiting(sum.rates ?? [], own.rates ?? [], -1),
+    read: Math.max(0, (sum.read ?? 0) - (own.read ?? 0)),
     holders: sum.holders - (own.held.length > 0 ? 1 : 0)
   }
 }
--- a/src/core/balance/outlook.ts
+++ b/src/core/balance/outlook.ts
@@ -13,6 +13,8 @@
   readonly counts: ApartCount
   /** The most urgent kind whose requests wait so long that most are late, by its level; Infinity for none, null until it was looked for. */
   pressed: number | null
+  /** Fraction of each kind's requests that the engines can read, by level; empty if kinds are not limited, null until computed. */
+  kindShares: ReadonlyMap<number, number> | null
 }
 
 /** Of a plain service, or one without an engine that may be used. */
--- a/src/core/balance/service-admission.ts
+++ b/src/core/balance/service-admission.ts
@@ -2,11 +2,13 @@
  * Admission of requests to a service's engines, and the check that holds back
  * less urgent requests while more urgent ones are late. Patient requests, which
  * tolerate the pauses of prompt reading, are held in the box until an engine has
- * room; all others are sent immediately, whichever engine they go to.
+ * room; all others are sent immediately or refused, whichever engine they go to.
  */
-import { decideAdmission, isPressed, measureBacklog } from './admission.js'
+import { decideAdmission, decideImmediateAdmission, isPressed, limitAdmission, measureBacklog } from './admission.js'
 import type { Admission, Backlog } from './admission.js'
 import { countHeld } from './agreed-share.js'
+import { divideCapacity } from './capacity-division.js'
+import type { EndpointView } from './endpoint-view.js'
 import type { KnownKind } from './kind-watch.js'
 import { addWaiting } from './load-sum.js'
 import type { KindRates, ServiceTotal } from './load-word.js'
@@ -16,6 +18,7 @@
 import { isPatient } from './prompt-reading.js'
 import type { EngineProfile } from '../routes/index.js'
 import type { ServiceState } from './service-state.js'
+import { congestedWaitShare, findShortestWait, listBrisk, listWithinWait } from './usable-endpoints.js'
 import type { PromptCost, Work } from './work.js'
 
 /** State of a service, as known to this box, on which admission is decided. */
@@ -25,14 +28,19 @@
   readonly outlook: Outlook
   /** Load reported for the other boxes; null if none is reported. */
   readonly others: ServiceTotal | null
+  /** Boxes that may use the same engines without their load being known here, including this one. */
+  readonly sharers: number
   /** The shortest tolerated pause with which a request is patient, ms. */
   readonly patienceMs: number
   listHolders (cost: PromptCost): PromptHolder[]
 }
 
-/** Decides whether to admit a request; returns null for one that is not patient, which is always admitted. */
+/** Fraction of the reading capacity that is divided among the kinds while they are limited. */
+const plannedCapacityShare = 0.95
+
+/** Decides whether to admit a request; returns null for one that is not patient if engines are not congested for it. */
 export function admitToEngines (context: AdmissionContext, work: Work, cost: PromptCost, at: number): Admission | null {
-  return isPatient(work, context.patienceMs) ? admitPatient(context, work, cost, at) : null
+  return isPatient(work, context.patienceMs) ? admitPatient(context, work, cost, at) : admitImmediate(context, work, cost, at)
 }
 
 function admitPatient (context: AdmissionContext, work: Work, cost: PromptCost, at: number): Admission {
@@ -40,7 +48,7 @@
   const side = apart.slice(0, Math.max(1, counts.count))
   const backlog = measureBacklogFor(context, work, at)
   if (backlog.lessTokens > 0) state.kinds.noteBegun(work.level + 1, at)
-  return decideAdmission({
+  const admission = decideAdmission({
     backlog,
     lateness: state.lateness.find(work.level),
     readingMs: expectReading(cost, side, context.listHolders(cost), context.engine.transfer),
@@ -49,6 +57,25 @@
     sinceLessMs: at - state.kinds.findLessBegun(work.level),
     lessTargetMs: state.kinds.findLessTarget(work.level, at)
   })
+  return limitAdmission(admission, findKindShares(context, at).get(work.level) ?? 1, state.credits, work.level)
+}
+
+function admitImmediate (context: AdmissionContext, work: Work, cost: PromptCost, at: number): Admission | null {
+  const { state, outlook: { apart } } = context
+  const share = findKindShares(context, at).get(work.level) ?? 1
+  const engineWaitMs = findShortestWait(listImmediateEngines(context, work.targetMs, at), context.engine.slots, at)
+  const lateness = state.lateness.find(work.level)
+  if (!isCongested(engineWaitMs, lateness, work.targetMs)) return null
+  return decideImmediateAdmission({
+    backlog: measureBacklog(apart, 0, work.priority, state.kinds.findLowest(work.level, work.priority), at),
+    lateness,
+    engineWaitMs,
+    readingMs: expectReading(cost, apart, context.listHolders(cost), context.engine.transfer),
+    targetMs: work.targetMs,
+    share,
+    credits: state.credits,
+    level: work.level
+  })
 }
 
 /**
@@ -80,3 +107,44 @@
 function listTotalRates ({ state, others }: AdmissionContext, at: number): KindRates {
   return addWaiting(state.kinds.measureRates(at), others?.rates ?? [], 1)
 }
+
+// Fraction of each kind's requests that the engines can read beside the other kinds, by level; empty if kinds are not limited.
+function findKindShares (context: AdmissionContext, at: number): ReadonlyMap<number, number> {
+  const { outlook } = context
+  outlook.kindShares ??= computeKindShares(context, at)
+  return outlook.kindShares
+}
+
+function computeKindShares (context: AdmissionContext, at: number): ReadonlyMap<number, number> {
+  const { state, outlook: { usable }, others, sharers } = context
+  const congestedLevel = state.congestion.update(findCongestedLevel(context, at), at)
+  const expectedRate = usable.reduce((sum, view) => sum + 1000 / view.paceMs, 0) / sharers
+  const readRate = state.readMeter.rate(at) + (others?.read ?? 0)
+  // The measured rate equals the capacity only if engines have been busy for the whole window.
+  const capacity = state.congestion.isSustained(at) ? readRate : Math.max(readRate, expectedRate)
+  return divideCapacity(capacity * plannedCapacityShare, listTotalRates(context, at), congestedLevel)
+}
+
+// Level of the most urgent kind, of those that are never held, for which engines are congested; Infinity if there is none.
+function findCongestedLevel (context: AdmissionContext, at: number): number {
+  const { state, engine, patienceMs, outlook: { apart, counts } } = context
+  const engineWaitMs = findShortestWait(listBrisk(apart, counts.count, engine), engine.slots, at)
+  const isCongestedFor = ({ level, targetMs, pauseMs }: KnownKind): boolean => !isPatient({ pauseMs }, patienceMs) && isCongested(engineWaitMs, state.lateness.find(level), targetMs)
+  return state.kinds.list(at).find(isCongestedFor)?.level ?? Infinity
+}
+
+function isCongested (engineWaitMs: number, lateness: number, targetMs: number): boolean {
+  return Number.isFinite(engineWaitMs) && engineWaitMs * Math.max(1, lateness) > targetMs * congestedWaitShare
+}
+
+/**
+ * Engines for requests that are never held. Includes those set apart only if the others have no free slot, or are congested
+ * while kinds are limited: streams pause longer beside prompt reading, but idle engines set apart would waste capacity.
+ */
+export function listImmediateEngines (context: AdmissionContext, targetMs: number, at: number): readonly EndpointView[] {
+  const { outlook: { apart, counts }, engine } = context
+  const side = listBrisk(apart, counts.count, engine)
+  const maxWaitMs = targetMs * congestedWaitShare
+  if (findShortestWait(side, engine.slots, at) <= maxWaitMs || findKindShares(context, at).size === 0) return side
+  return listWithinWait(apart, engine.slots, maxWaitMs, at)
+}
--- a/src/core/balance/usable-endpoints.ts
+++ b/src/core/balance/usable-endpoints.ts
@@ -2,11 +2,14 @@
 import type { ServiceName } from '../ids.js'
 import type { EngineProfile } from '../routes/index.js'
 import type { EndpointView } from './endpoint-view.js'
+import { queueMs } from './endpoint-weights.js'
 import type { Work } from './work.js'
 import type { ZoneWatch } from './zone-watch.js'
 
 /** At least this part of a service's endpoints is used, however often their answers break. */
 const leastUsed = 0.6
+/** Engines are congested for requests whose expected wait there exceeds this fraction of their target. */
+export const congestedWaitShare = 0.3
 
 /**
  * Endpoints that aren't out. Where most are out for broken answers, the fault is
@@ -29,12 +32,31 @@
   return usable.filter(view => view.gate.limit === null && !view.gate.isBackedOff(at) && isSound(view))
 }
 
-/** Engines for requests whose pauses must stay short, where the first `count` are set apart; all of them where none of those has a slot free. */
+/**
+ * Engines for requests whose pauses must stay short, where the first `count` are set apart; all engines if none of the others has a
+ * free slot.
+ */
 export function listBrisk (apart: readonly EndpointView[], count: number, { slots }: EngineProfile): readonly EndpointView[] {
   const side = apart.slice(count)
   return side.some(view => view.running < slots) ? side : apart
 }
 
+/** Engines expected to begin with a new prompt within `maxWaitMs`; if there are none, those with the shortest wait. */
+export function listWithinWait (views: readonly EndpointView[], slots: number, maxWaitMs: number, at: number): EndpointView[] {
+  const limitMs = Math.max(maxWaitMs, findShortestWait(views, slots, at))
+  return views.filter(view => expectEngineWait(view, slots, at) <= limitMs)
+}
+
+/** Shortest expected time until any of the engines begins with a new prompt, ms; Infinity if there are none. */
+export function findShortestWait (views: readonly EndpointView[], slots: number, at: number): number {
+  return views.reduce((least, view) => Math.min(least, expectEngineWait(view, slots, at)), Infinity)
+}
+
+// Engines read in order of arrival, so prompts of any priority count.
+function expectEngineWait (view: EndpointView, slots: number, at: number): number {
+  return view.countAhead(Infinity, at) * view.paceMs + Math.max(0, view.running + 1 - slots) * queueMs
+}
+
 /** Endpoints by their service. */
 export function groupByService (views: Iterable<EndpointView>): Map<ServiceName, EndpointView[]> {
   const groups = new Map<ServiceName, EndpointView[]>()
--- a/src/gateway/exchange-report.ts
+++ b/src/gateway/exchange-report.ts
@@ -43,10 +43,10 @@
 function isBroken ({ end }: Attempt): boolean { return end.startsWith('broken') || end.startsWith('lost') }
 
 // What was expected to wait, the request's own reading, what was allowed, and what these rest on.
-function formatAdmission ({ waitMs, ownMs, allowedMs, lateness, sinceLessMs, backlog }: Admission): string {
+function formatAdmission ({ waitMs, ownMs, allowedMs, lateness, sinceLessMs, share, backlog }: Admission): string {
   const { ownTokens, otherTokens, heldTokens, lessTokens, engines, rate } = backlog
   const times = `wait=${Math.round(waitMs)}:reading=${Math.round(ownMs)}:allowed=${Math.round(allowedMs)}:late=${lateness.toFixed(2)}:less=${Math.round(lessTokens)}/${Number.isFinite(sinceLessMs) ? Math.round(sinceLessMs) : '-'}`
-  return `${times}:own=${Math.round(ownTokens)}:others=${Math.round(otherTokens)}:held=${Math.round(heldTokens)}:engines=${engines}:rate=${rate.toFixed(1)}`
+  return `${times}:own=${Math.round(ownTokens)}:others=${Math.round(otherTokens)}:held=${Math.round(heldTokens)}:engines=${engines}:rate=${rate.toFixed(1)}:share=${share.toFixed(2)}`
 }
 
 // The endpoint, when it was sent there, ms after arrival, what decided for it, and how it ended.
--- a/test/precedence.test.ts
+++ b/test/precedence.test.ts
@@ -80,19 +80,52 @@
 
 const longBursts: readonly { readonly name: string, readonly times: number }[] = [
   { name: 'that comes to 70 in 100 of all that the engines read', times: 10 },
-  // None of either was served in twenty seconds: questions are never refused for their own excess, and overflow to all engines.
+  // None of either was served in twenty seconds: questions took every slot of all engines.
   { name: 'of more than all that the engines read', times: 15 }
 ]
 /** Of those that came in the burst, so many are served at least. */
 const leastServed: Readonly<Record<string, number>> = { tag: 0.5, quote: 0.2 }
 
+/** A long burst in which questions arrive at `times` the usual rate. */
+function createLongBurst (times: number): PoolShape {
+  return { ...usual, lengthMs: 30_000, times: (at, kind) => kind === 'question' && at > 2000 ? times : 1 }
+}
+
+/** Requests of a kind that arrive in the steady part of such a burst. */
+function listBurstRequests (requests: readonly ModelRequest[], kind: string): ModelRequest[] {
+  return requests.filter(one => one.kind.name === kind && one.at > 4000 && one.at < 24_000)
+}
+
 for (const { name, times } of longBursts) {
   test(`tags and quotes still finish in a long burst of questions ${name}`, () => {
-    const requests = new PoolModel({ ...usual, lengthMs: 30_000, times: (at, kind) => kind === 'question' && at > 2000 ? times : 1 }, 1).play()
+    const requests = new PoolModel(createLongBurst(times), 1).play()
     for (const [kind, least] of Object.entries(leastServed)) {
-      const asked = requests.filter(one => one.kind.name === kind && one.at > 4000 && one.at < 24_000)
+      const asked = listBurstRequests(requests, kind)
       const served = asked.filter(one => one.firstAt !== null).length / asked.length
       assert.ok(served >= least, `${kind}: ${served}`)
     }
   })
 }
+
+const questionBursts: readonly { readonly name: string, readonly shape: PoolShape }[] = [
+  { name: '10 times the usual', shape: createLongBurst(10) },
+  { name: '15 times the usual', shape: createLongBurst(15) },
+  { name: '30 times the usual', shape: createLongBurst(30) },
+  { name: '15 times the usual at 24 boxes', shape: { ...createLongBurst(15), boxes: 24 } },
+  { name: '8 times the usual with engines half as fast', shape: { ...createLongBurst(8), engineRate: 25 } }
+]
+/** Lower bound on the fraction in time of the questions that the engines can read beside `leastServed` of the other kinds. */
+const minInTimeShare = 0.8
+
+for (const { name, shape } of questionBursts) {
+  // Guards against admitting more questions than the engines can read, which delays all of them past their target.
+  test(`questions within engine capacity are in time in a long burst of ${name}, and no request is refused after being held`, () => {
+    const requests = new PoolModel(shape, 1).play()
+    const questions = listBurstRequests(requests, 'question')
+    const reservedTokens = Object.entries(leastServed).reduce((sum, [kind, least]) => sum + least * sumTokens(listBurstRequests(requests, kind)), 0)
+    const readableShare = Math.min(1, (shape.engines * shape.engineRate * 20_000 - reservedTokens) / sumTokens(questions))
+    const inTime = questions.filter(({ firstAt, at, kind }) => firstAt !== null && firstAt - at <= kind.targetMs).length / questions.length
+    assert.ok(inTime >= minInTimeShare * readableShare, `${inTime} of ${readableShare}`)
+    assert.deepEqual(requests.filter(({ deniedAt, at }) => deniedAt !== null && deniedAt > at), [])
+  })
+}
