Share one result among all calls for a repair, and end its waits on loss of leadership

Operators: `wrenlane repair` failed with "another repair is under way" whenever the repair took longer than 0.7 s. When run again, it failed with "is a member with the disk that it has", although the keeper had been repaired.

Cause: a call that is not answered within 0.7 s is resent. The leader rejected the resent call, and the caller took the rejection as the answer and discarded the reply to the first call. In addition, a leader that lost leadership during a repair kept waiting for up to 30 s and rejected every repair in the meantime, and a repair resumed by the next leader could add a replica again that was already a voter.

Change: a repair has a single result, which is returned to every call for the same keeper, including a call that is resent to the same leader after the repair has completed. The waits of a repair end when leadership is lost; the call is then redirected to the next leader, which resumes the repair from the current membership. If the keeper returns with yet another disk, that one is admitted. Learners that belong to other keepers are kept.

Measured: repair.test.ts has three new cases.

--- a/src/tasks/keeper-box.ts
+++ b/src/tasks/keeper-box.ts
@@ -7,7 +7,7 @@
 import type { KeeperSettings } from '../config/index.js'
 import { checkDocument, formatMistake, parseIntent, planIntent } from '../config/index.js'
 import { KeeperLog, applyChanges, getReplicaHost } from '../coordination/index.js'
-import type { KeeperCommand, KeeperState, LogStore, Members, Replica, ReplicaId } from '../coordination/index.js'
+import type { CommandId, KeeperCommand, KeeperState, LogStore, Members, Replica, ReplicaId } from '../coordination/index.js'
 import { LinkPool } from '../protocol/index.js'
 import type { BoxMessage, BoxStatus, KeeperCall, KeeperReply, KeeperStatus, Link } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
@@ -212,7 +212,7 @@
     switch (body.type) {
       case 'command': return await this.#propose(body.command)
       case 'plan': return await this.#plan(body)
-      case 'repair': return await this.#repair(body.replace)
+      case 'repair': return await this.#repair(body.replace, body.id)
       case 'document': return await this.#readDocument()
       case 'status': return { type: 'status', status: this.#composeStatus() }
     }
@@ -253,16 +253,24 @@
 
   // Repair: let a keeper with another disk in, and its old replica out.
 
-  async #repair (name: string): Promise<KeeperReply> {
+  async #repair (name: string, id: CommandId): Promise<KeeperReply> {
     const { replica } = this
     if (replica?.isLeader !== true) return this.#redirect()
-    const fresh = this.#hellos.get(name)?.replica
-    const old = replica.members.voters.find(id => id.startsWith(`${name}#`))
+    const completed = this.#repairs.findCompleted(id)
+    if (completed !== undefined) return { type: 'repaired', members: completed }
+    const findFreshReplica = (): ReplicaId | undefined => this.#hellos.get(name)?.replica
+    const fresh = findFreshReplica()
     if (fresh === undefined) return { type: 'fault', text: `keeper ${name} has not been heard from` }
-    if (fresh === old) return { type: 'fault', text: `keeper ${name} is a member with the disk that it has` }
-    if (this.#repairs.isRunning) return { type: 'fault', text: 'another repair is under way' }
-    await this.#repairs.replace(replica, fresh, old)
-    return { type: 'repaired', members: replica.members }
+    const { keeperUnderRepair } = this.#repairs
+    if (keeperUnderRepair !== null && keeperUnderRepair !== name) return { type: 'fault', text: `keeper ${keeperUnderRepair} is being repaired` }
+    const isRepaired = replica.members.voters.every(id => id === fresh || getReplicaHost(id) !== name) && replica.members.voters.includes(fresh)
+    if (keeperUnderRepair === null && isRepaired) return { type: 'fault', text: `keeper ${name} is already a member with its current disk` }
+    const end = await this.#repairs.repair(replica, name, id, () => findFreshReplica() ?? fresh)
+    switch (end.type) {
+      case 'repaired': return end
+      case 'not-leader': return this.#redirect()
+      case 'failed': return { type: 'fault', text: end.text }
+    }
   }
 
   // Spreading the configuration.
--- a/src/tasks/keeper-repair.ts
+++ b/src/tasks/keeper-repair.ts
@@ -1,47 +1,122 @@
-/** Lets a keeper with another disk into the log, and its old replica out, one change of members after another. */
-import type { Members, Replica, ReplicaId } from '../coordination/index.js'
+/**
+ * Replaces the replica of a keeper whose disk has changed, by one membership
+ * change at a time. A repair that was interrupted resumes from the current
+ * membership.
+ */
+import { performance } from 'node:perf_hooks'
+import { getReplicaHost } from '../coordination/index.js'
+import type { CommandId, Members, Replica, ReplicaId } from '../coordination/index.js'
 import { waitUntil } from '../runtime/index.js'
 import type { EventLog } from '../runtime/index.js'
 
 /** A step of a repair is given up after this, ms. */
 const stepMs = 30_000
+/** Delay before retrying a membership change that the leader was not ready for, ms. */
+const retryMs = 50
+
+/** Number of completed commands that are kept to answer resent calls; the oldest is evicted first. */
+const maxCompletedCommands = 32
+
+export type RepairEnd =
+  | { readonly type: 'repaired', readonly members: Members }
+  | { readonly type: 'not-leader' }
+  | { readonly type: 'failed', readonly text: string }
+
+/** `restart`: the keeper has reported another replica, so the repair starts over with that one. */
+type StepEnd = 'done' | 'restart' | Exclude<RepairEnd, { readonly type: 'repaired' }>
+
+interface Repair {
+  readonly name: string
+  readonly end: Promise<RepairEnd>
+}
 
 export class KeeperRepair {
   #log: EventLog
-  #isRunning = false
+  #running: Repair | null = null
+  /** Resulting members of completed repairs, by command key, oldest first. */
+  #completed = new Map<string, Members>()
 
   constructor (log: EventLog) {
     this.#log = log
   }
 
-  get isRunning (): boolean { return this.#isRunning }
+  /** Name of the keeper whose repair is in progress, or null. */
+  get keeperUnderRepair (): string | null { return this.#running?.name ?? null }
+
+  /** Returns the resulting members if this command has already completed. */
+  findCompleted (id: CommandId): Members | undefined { return this.#completed.get(composeCommandKey(id)) }
+
+  /**
+   * Replaces all earlier replicas of a keeper with its current one. Concurrent calls for the same keeper share one repair and its
+   * result; the caller must not start a repair while another keeper is under repair. `getFreshReplica` returns the replica that the
+   * keeper last reported.
+   */
+  async repair (replica: Replica, name: string, id: CommandId, getFreshReplica: () => ReplicaId): Promise<RepairEnd> {
+    this.#running ??= { name, end: this.#repair(replica, name, getFreshReplica).finally(() => { this.#running = null }) }
+    const end = await this.#running.end
+    if (end.type === 'repaired') this.#recordCompleted(id, end.members)
+    return end
+  }
+
+  #recordCompleted (id: CommandId, members: Members): void {
+    this.#completed.set(composeCommandKey(id), members)
+    const [oldest] = this.#completed.keys()
+    if (this.#completed.size > maxCompletedCommands) this.#completed.delete(oldest)
+  }
 
-  /** Puts `fresh` in the place of `old`, if there is one. Throws where that can't be done in time or leadership is lost; it may be tried again. */
-  async replace (replica: Replica, fresh: ReplicaId, old: ReplicaId | undefined): Promise<void> {
-    this.#isRunning = true
-    try {
-      await this.#replace(replica, fresh, old)
-    } finally {
-      this.#isRunning = false
+  async #repair (replica: Replica, name: string, getFreshReplica: () => ReplicaId): Promise<RepairEnd> {
+    let end: StepEnd = 'restart'
+    while (end === 'restart') end = await replaceReplica(replica, name, getFreshReplica)
+    if (end !== 'done') {
+      this.#log.warn('repair-failed', { keeper: name, reason: end.type === 'failed' ? end.text : 'leadership was lost' })
+      return end
     }
+    this.#log.info('repaired', { voters: replica.members.voters.join(',') })
+    return { type: 'repaired', members: replica.members }
   }
+}
+
+function composeCommandKey ({ operator, number, digest }: CommandId): string { return JSON.stringify([operator, number, digest]) }
 
-  async #replace (replica: Replica, fresh: ReplicaId, old: ReplicaId | undefined): Promise<void> {
-    const { voters } = replica.members
-    await changeMembers(replica, { voters, learners: [fresh] })
-    const target = replica.node.commitIndex
-    const caughtUp = (): boolean => (replica.node.matches.get(fresh) ?? 0) >= target
-    if (!await waitUntil(caughtUp, stepMs)) throw new Error('the new replica did not catch up in time; try again')
-    await changeMembers(replica, { voters: [...voters, fresh], learners: [] })
-    const kept = [...voters, fresh].filter(id => id !== old)
-    if (old !== undefined) await changeMembers(replica, { voters: kept, learners: [] })
-    this.#log.info('repaired', { voters: kept.join(',') })
+async function replaceReplica (replica: Replica, name: string, getFreshReplica: () => ReplicaId): Promise<StepEnd> {
+  const fresh = getFreshReplica()
+  const isOld = (id: ReplicaId): boolean => id !== fresh && getReplicaHost(id) === name
+  if (!replica.members.voters.includes(fresh)) {
+    const added = await changeMembers(replica, ({ voters, learners }) => ({ voters, learners: [...learners.filter(id => id !== fresh && !isOld(id)), fresh] }))
+    if (added !== 'done') return added
+    const caughtUp = await waitForCatchUp(replica, fresh, getFreshReplica)
+    if (caughtUp !== 'done') return caughtUp
+    const promoted = await changeMembers(replica, ({ voters, learners }) => ({ voters: [...voters, fresh], learners: learners.filter(id => id !== fresh) }))
+    if (promoted !== 'done') return promoted
   }
+  for (let old = replica.members.voters.find(isOld); old !== undefined; old = replica.members.voters.find(isOld)) {
+    const removed = await changeMembers(replica, ({ voters, learners }) => ({ voters: voters.filter(id => id !== old), learners }))
+    if (removed !== 'done') return removed
+  }
+  return 'done'
+}
+
+// Waits until the new replica has every entry that is committed at the time of the call.
+async function waitForCatchUp (replica: Replica, fresh: ReplicaId, getFreshReplica: () => ReplicaId): Promise<StepEnd> {
+  const target = replica.node.commitIndex
+  const isCaughtUp = (): boolean => (replica.node.matches.get(fresh) ?? 0) >= target
+  const isInTime = await waitUntil(() => isCaughtUp() || !replica.isLeader || getFreshReplica() !== fresh, stepMs)
+  if (!replica.isLeader) return { type: 'not-leader' }
+  if (getFreshReplica() !== fresh) return 'restart'
+  return isInTime ? 'done' : { type: 'failed', text: 'the new replica did not catch up in time; try again' }
 }
 
-async function changeMembers (replica: Replica, members: Members): Promise<void> {
-  await waitUntil(() => replica.node.isSettled, stepMs)
-  const end = await replica.changeMembers(members)
-  if (end.type === 'applied') return
-  throw new Error(`members not changed: ${end.type === 'rejected' ? end.fault : 'leadership was lost'}; try again`)
+// Proposes a membership change when no other is in progress, and retries while the leader is not ready for it.
+async function changeMembers (replica: Replica, change: (members: Members) => Members): Promise<StepEnd> {
+  const deadline = performance.now() + stepMs
+  while (performance.now() < deadline) {
+    await waitUntil(() => replica.node.isSettled || !replica.isLeader, stepMs)
+    if (!replica.isLeader) return { type: 'not-leader' }
+    const end = await replica.changeMembers(change(replica.members))
+    if (end.type === 'applied') return 'done'
+    if (end.type === 'lost' || end.fault === 'not-leader') return { type: 'not-leader' }
+    if (end.fault !== 'not-ready' && end.fault !== 'change-in-progress') return { type: 'failed', text: `members could not be changed: ${end.fault}; try again` }
+    await new Promise(resolve => setTimeout(resolve, retryMs))
+  }
+  return { type: 'failed', text: 'members could not be changed in time; try again' }
 }
--- a/test/repair.test.ts
+++ b/test/repair.test.ts
@@ -2,6 +2,8 @@
 import { rmSync } from 'node:fs'
 import { join } from 'node:path'
 import { test } from 'node:test'
+import type { OperatorClient } from '../src/bin/operator-client.js'
+import type { ReplicaId } from '../src/coordination/index.js'
 import type { KeeperBox } from '../src/tasks/index.js'
 import { Deployment, until } from './support/deployment.js'
 
@@ -27,6 +29,72 @@
   }
 }
 
+// Gives a keeper an empty disk and kills it when the leader has seen the new replica.
+async function loseDiskAndKill (place: Deployment, operator: OperatorClient, i: number): Promise<void> {
+  await loseDisk(place, i)
+  const fresh = place.keepers[i].store?.id as ReplicaId
+  await until(async () => {
+    const at = place.keepers.findIndex(keeper => keeper === place.leader)
+    const reply = at < 0 ? null : await operator.ask(place.keeperAddresses[at], { type: 'status' })
+    return reply?.type === 'status' && reply.status.waiting.includes(fresh)
+  }, 'the leader has seen the new replica')
+  place.keepers[i].kill()
+}
+
+const learners = (place: Deployment): number => place.leader?.replica?.members.learners.length ?? 0
+
+const interruptions: readonly { readonly name: string, readonly interrupt: (place: Deployment) => Promise<void> }[] = [
+  {
+    name: 'that takes longer than the resend interval',
+    interrupt: async place => {
+      await new Promise(resolve => setTimeout(resolve, 1500))
+      await place.startKeeper(1)
+    }
+  },
+  {
+    name: 'during which leadership moves to another keeper and back',
+    interrupt: async place => {
+      const first = place.leader
+      for (let i = 0; i < 2; i++) {
+        const { leader } = place
+        await leader?.replica?.transfer()
+        await until(() => place.leader !== undefined && place.leader !== leader, 'another leader')
+      }
+      assert.equal(place.leader, first)
+      await place.startKeeper(1)
+    }
+  },
+  {
+    name: 'during which the disk is lost again',
+    interrupt: async place => await loseDisk(place, 1)
+  }
+]
+
+// Guards against rejecting calls that are resent during a repair or after its completion.
+for (const [i, { name, interrupt }] of interruptions.entries()) {
+  test(`a repair call and its resends are answered with success: a repair ${name}`, async () => {
+    const place = await Deployment.start({ port: 21_850 + 50 * i, entries: 1, engines: 1 })
+    const operator = place.createOperator()
+    try {
+      await loseDiskAndKill(place, operator, 1)
+      const body = { type: 'repair', replace: 'keeper-2', id: operator.identify('keeper-2') } as const
+      const call = operator.call(body)
+      await until(() => learners(place) > 0, 'the new replica is a learner')
+      await interrupt(place)
+      const reply = await call
+      assert.equal(reply.type, 'repaired', JSON.stringify(reply))
+      assert.equal((await operator.call(body)).type, 'repaired')
+      const fresh = place.keepers[1].store?.id
+      assert.deepEqual(place.leader?.replica?.members.voters.filter(id => id.startsWith('keeper-2#')), [fresh])
+      assert.equal(voters(place.leader as KeeperBox), 3)
+      assert.equal(learners(place), 0)
+    } finally {
+      operator.close()
+      await place.stop()
+    }
+  })
+}
+
 const voters = (keeper: KeeperBox): number => keeper.replica?.members.voters.length ?? 0
 
 test('a keeper with an empty disk has no vote until it is repaired, and nothing accepted is lost', async () => {
