--- a/src/config/route-events.ts
+++ b/src/config/route-events.ts
@@ -92,6 +92,7 @@
   'hubs-silent': { about: 'No hub sends load totals: the gateway takes only its own load into account (gateway).', fields: { hub: 'host of the last hub' } },
   'load-port-fault': { about: 'The UDP socket for load reports failed (both).', fields: { error: 'the reason' } },
   'link-fault': { about: 'This side closed a link because of a fault (both).', fields: { fault: 'the fault; `silent`: no heartbeat', peer: 'the other box; empty before its hello' } },
+  'contention-handled': { about: 'The measures of `[contention]` are in force (gateway).', fields: { why: '`settings`, `feature` (the platform marks the deployment) or `uneven-boxes` (boxes of different CPU share are known)' } },
   'gateway-started': { about: 'The gateway has started.', fields: { listen: 'address for callers', seeds: 'the configured registries' } },
   'gateway-leaving': { about: 'A planned stop has begun; readiness checks fail from now on (gateway).', fields: { inFlight: 'requests in flight' } },
   'gateway-stopped': { about: 'A planned stop is complete (gateway).', fields: { cut: 'requests that were aborted', ms: 'duration of the stop' } },
--- a/src/config/route-settings.ts
+++ b/src/config/route-settings.ts
@@ -1,6 +1,7 @@
 /** Settings of gateways and registries, the programs that route by a document. */
 import { describeHost, describeName, describePort, describeText, describeInteger } from './field.js'
 import type { Field, FieldTable } from './field.js'
+import type { ContentionMode } from '../core/index.js'
 import type { Address } from './settings.js'
 
 const addressPattern = /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/
@@ -45,7 +46,25 @@
   },
   usageWindowSeconds: { type: 'number', about: 'Length of the windows in which started requests are counted per workspace; must be the same on all boxes; 0 disables counting.', min: 0, max: 3600, isInteger: false, unit: 's', fallback: 0 },
   drainSeconds: { type: 'number', about: 'Longest time that a planned stop waits for requests in flight.', min: 0, max: 86_400, isInteger: false, unit: 's', fallback: 30 },
-  maxConnections: describeInt('Maximum number of concurrent connections from callers.', 'connections', 1, 100_000, 2000)
+  maxConnections: describeInt('Maximum number of concurrent connections from callers.', 'connections', 1, 100_000, 2000),
+  features: { type: 'list', minItems: 0, of: describeText('A feature.'), about: 'Names by which the platform marks this deployment; the dialect knows their meaning, and ignores unknown ones.', fallback: [] },
+  box: {
+    type: 'table',
+    about: 'Resources of this box.',
+    fallback: null,
+    fields: {
+      cpuShare: { type: 'number', about: 'CPU share.', min: 0.01, max: 1024, isInteger: false, unit: 'cores' },
+      memoryMb: describeInt('Memory limit of the process.', 'MB', 32, 1_048_576),
+      linkMbps: { type: 'number', about: 'Bandwidth of the network link.', min: 0.1, max: 1_000_000, isInteger: false, unit: 'Mbit/s' }
+    }
+  },
+  contention: {
+    type: 'table',
+    about: 'Measures for deployments whose callers compete for too little capacity, or whose demand and servers are uneven.',
+    fields: {
+      mode: { type: 'choice', of: ['off', 'on', 'auto'], about: '`auto` turns the measures on if a feature marks the deployment, or once boxes of different CPU share are known.', fallback: 'off' }
+    }
+  }
 }
 
 /** Settings of `wrenlane-registry`. */
@@ -97,6 +116,18 @@
   readonly usageWindowSeconds: number
   readonly drainSeconds: number
   readonly maxConnections: number
+  readonly features: readonly string[]
+  /** Null if they are not configured. */
+  readonly box: BoxResources | null
+  readonly contention: { readonly mode: ContentionMode }
+}
+
+/** Resources of a box. */
+export interface BoxResources {
+  /** Cores. */
+  readonly cpuShare: number
+  readonly memoryMb: number
+  readonly linkMbps: number
 }
 
 /** Address and timing of the calls for duties. */
--- a/src/core/balance/box-load.ts
+++ b/src/core/balance/box-load.ts
@@ -3,6 +3,7 @@
  * and the hub sends the totals to all boxes.
  */
 import type { EndpointId, ServiceName, ZoneName } from '../ids.js'
+import type { CpuRange } from './contention.js'
 
 /** Prompt tokens waiting to be read, by the priority of their requests. */
 export type WaitingTokens = readonly (readonly [priority: number, tokens: number])[]
@@ -51,6 +52,8 @@
   readonly rates?: KindRates
   /** Reading rate of requests whose first event has arrived, in prompt tokens/s; not sent by boxes of earlier versions. */
   readonly read?: number
+  /** CPU shares of the boxes; only sent where boxes need to know whether they are alike. */
+  readonly boxCpu?: CpuRange
 }
 
 /** The load report of a box to its hub. */
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -8,6 +8,7 @@
 import type { EndpointNotice } from '../limits/index.js'
 import type { PromptTransfer, RoutedService } from '../routes/index.js'
 import type { Admission } from './admission.js'
+import { ContentionSwitch } from './contention.js'
 import { agreeDedicatedCount, countQueuedTokens } from './agreed-dedicated-count.js'
 import type { Choice, NoChoice } from './choice.js'
 import { chooseEngine, choosePlain } from './choose-endpoint.js'
@@ -44,6 +45,7 @@
 
 export class Fleet {
   readonly zones: ZoneMonitor
+  readonly contention: ContentionSwitch
   #boxContext: BoxContext
   #services = new Map<ServiceName, ServiceState>()
   #views = new Map<EndpointId, EndpointView>()
@@ -54,8 +56,9 @@
   #gates: GateStore
 
   /** `isConnected`: whether there is an open, idle connection to an endpoint; `findNotice`: returns the latest notice of an endpoint. */
-  constructor (zone: ZoneName, isConnected: (view: EndpointView) => boolean = () => true, findNotice: (id: EndpointId) => EndpointNotice | undefined = () => undefined) {
+  constructor (zone: ZoneName, isConnected: (view: EndpointView) => boolean = () => true, findNotice: (id: EndpointId) => EndpointNotice | undefined = () => undefined, contention = new ContentionSwitch()) {
     this.#gates = new GateStore(findNotice)
+    this.contention = contention
     this.zones = new ZoneMonitor(zone, zoneTimeoutMs)
     this.#boxContext = { zone, zones: this.zones, isConnected }
   }
@@ -130,6 +133,7 @@
     for (const view of this.#views.values()) view.noteOthers(loads.get(view.id) ?? null)
     for (const [endpoint, gapMs] of others.gaps) this.#views.get(endpoint)?.noteMedianGap(gapMs)
     this.#others.note(others, at)
+    for (const { boxCpu } of others.demands) this.contention.note(boxCpu)
     for (const prompt of others.prompts) {
       const view = this.#views.get(prompt[0])
       if (view !== undefined) notePrompt(view, prompt)
@@ -153,7 +157,8 @@
       prompts.push(...view.listPromptReports(at))
       if (view.ownGapMs !== null) gaps.push([view.id, Math.round(view.ownGapMs * 10) / 10])
     }
-    const demands = [...this.#services.values()].map(state => composeDemand(state, at)).filter(({ patient, brisk, readingPauseMs }) => patient > 0 || brisk > 0 || readingPauseMs !== null)
+    const { reported: boxCpu } = this.contention
+    const demands = [...this.#services.values()].map(state => ({ ...composeDemand(state, at), ...(boxCpu === undefined ? {} : { boxCpu }) })).filter(({ patient, brisk, readingPauseMs }) => patient > 0 || brisk > 0 || readingPauseMs !== null)
     return { loads, demands, gaps, prompts }
   }
 
--- a/src/core/balance/load-sum.ts
+++ b/src/core/balance/load-sum.ts
@@ -1,6 +1,8 @@
 /** Sums of loads over boxes or hubs. */
 import type { EndpointId, ServiceName, ZoneName } from '../ids.js'
 import { findMedian } from './average.js'
+import { joinCpuRanges } from './contention.js'
+import type { CpuRange } from './contention.js'
 import type { EndpointLoad, EngineGap, LoadTotals, ServiceTotal, WaitingTokens } from './box-load.js'
 
 /**
@@ -59,10 +61,16 @@
     held: addAmounts(sum.held, one.held, 1),
     rates: addAmounts(sum.rates ?? [], one.rates ?? [], 1),
     read: (sum.read ?? 0) + (one.read ?? 0),
+    ...composeCpuRange(sum.boxCpu, one.boxCpu),
     holders: sum.holders + one.holders
   }
 }
 
+function composeCpuRange (a: CpuRange | undefined, b: CpuRange | undefined): { boxCpu?: CpuRange } {
+  if (a === undefined || b === undefined) return a === b ? {} : { boxCpu: a ?? b }
+  return { boxCpu: joinCpuRanges(a, b) }
+}
+
 function findMedians (gaps: ReadonlyMap<EndpointId, readonly number[]>): EngineGap[] {
   return [...gaps].map(([endpoint, measured]) => [endpoint, findMedian(measured) ?? 0])
 }
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -13,6 +13,7 @@
 import type { CallerHeaders } from '../protocol/index.js'
 import type { Refusal } from './answers.js'
 import { CallerServer } from './caller-server.js'
+import { BeliefsLog, createContentionSwitch } from './beliefs-log.js'
 import { CrashGuard } from './crash-guard.js'
 import { EndpointAgent } from './endpoint-agent.js'
 import { EndpointProber } from './endpoint-prober.js'
@@ -72,7 +73,7 @@
     this.#dependencies = dependencies
     const { dialect, log } = dependencies
     const notices = new NoticeStore()
-    this.#fleet = new Fleet(brandId<ZoneName>(settings.zone), ({ record }) => this.#agent.isConnected(record.host, record.port), id => notices.find(id))
+    this.#fleet = new Fleet(brandId<ZoneName>(settings.zone), ({ record }) => this.#agent.isConnected(record.host, record.port), id => notices.find(id), createContentionSwitch(settings, dialect))
     this.#retryBudgets = new RetryBudgets(settings.retries)
     this.#loadReporter = this.#createLoadReporter()
     this.#follower = this.#createFollower()
@@ -114,7 +115,8 @@
     await this.#loadReporter.open(host)
     this.#follower.start(seeds)
     this.#sweepTimer = setInterval(() => this.#sweep(), sweepIntervalMs)
-    this.#beliefsTimer = setInterval(() => this.#logBeliefs(), beliefsIntervalMs)
+    const beliefsLog = new BeliefsLog(this.#fleet, this.#dependencies.log)
+    this.#beliefsTimer = setInterval(() => beliefsLog.write(now()), beliefsIntervalMs)
     this.#usageReporter?.start()
     this.#dependencies.log.info('gateway-started', { listen, seeds: seeds.join(',') })
   }
@@ -328,10 +330,6 @@
     this.#prober.probeDue(this.#fleet.views)
   }
 
-  #logBeliefs (): void {
-    for (const { service, text } of this.#fleet.describe(now())) this.#dependencies.log.info('beliefs', { service, text })
-  }
-
   #noteRefused (headers: CallerHeaders | null, refusal: Refusal): void {
     this.#dependencies.metrics.count('refused', { kind: refusal.kind })
     this.#dependencies.log.warn('refused', { request: headers?.requestId, kind: refusal.kind, version: this.#table?.version ?? 0, text: refusal.text })
--- a/src/protocol/dialect.ts
+++ b/src/protocol/dialect.ts
@@ -88,6 +88,8 @@
   readAnswer (status: number, headers: HeaderMap, wallMs: number): AnswerHeaders
   /** The value of Retry-After, in seconds. */
   formatRetryAfter (ms: number): string
+  /** True if one of these features marks a deployment as contended. */
+  isContended (features: readonly string[]): boolean
   readRegistryCall (method: string, path: string): RegistryCall
   /** Throws `DocumentError` for an invalid document. */
   decodeDocument (text: string): RoutingDocument
--- a/src/protocol/header-dialect.ts
+++ b/src/protocol/header-dialect.ts
@@ -54,6 +54,8 @@
   readonly duties: DutyNames
   /** Whether Retry-After has fractions of a second, an extension of the standard. */
   readonly fractionalRetryAfter: boolean
+  /** Features that mark a contended deployment. */
+  readonly contendedFeatures: readonly string[]
   decodeDocument (text: string): RoutingDocument
   decodeRegistration (endpoint: string, text: string): EndpointRecord
 }
@@ -83,6 +85,7 @@
   #strippedHeaders: Set<string>
   #duties: DutyNames
   #hasFractionalRetryAfter: boolean
+  #contendedFeatures: readonly string[]
 
   constructor (parts: DialectParts) {
     this.readyPath = parts.paths.ready
@@ -93,10 +96,13 @@
     this.#paths = parts.paths
     this.#duties = parts.duties
     this.#hasFractionalRetryAfter = parts.fractionalRetryAfter
+    this.#contendedFeatures = parts.contendedFeatures
     const { deadline, expectedEndpoint, workspace, priority, fetchFrom, lastEvent, reserved } = this.#lowerNames
     this.#strippedHeaders = new Set([...framingHeaders, 'authorization', deadline, expectedEndpoint, workspace, priority, fetchFrom, lastEvent, ...reserved])
   }
 
+  isContended (features: readonly string[]): boolean { return features.some(feature => this.#contendedFeatures.includes(feature)) }
+
   readCaller (headers: HeaderMap): CallerHeaders {
     return {
       requestId: readString(headers, this.#lowerNames.requestId) ?? '',
--- a/src/protocol/native-dialect.ts
+++ b/src/protocol/native-dialect.ts
@@ -42,6 +42,7 @@
     composeOrder: ({ service, zone, isSpot, count }) => ({ service, zone, spot: isSpot, count })
   },
   fractionalRetryAfter: false,
+  contendedFeatures: ['contended'],
   decodeDocument,
   decodeRegistration
 })
--- /dev/null
+++ b/test/contention.test.ts
@@ -0,0 +1,47 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { ContentionSwitch, LoadSum } from '../src/core/index.js'
+import type { ContentionMode, CpuRange } from '../src/core/index.js'
+import { createFleet, createLoad, createRecord, createWork, desk } from './support/fleet-builder.js'
+
+interface SwitchCase {
+  readonly name: string
+  readonly mode: ContentionMode
+  readonly cpuShare?: number
+  readonly isMarked?: boolean
+  /** Ranges of the other boxes, in the order in which they are received. */
+  readonly others?: readonly (CpuRange | undefined)[]
+  readonly reason: ContentionSwitch['reason']
+}
+
+const switchCases: readonly SwitchCase[] = [
+  { name: 'settings that say nothing, beside different boxes', mode: 'off', cpuShare: 0.2, isMarked: true, others: [[0.2, 0.8]], reason: null },
+  { name: 'settings that turn them on', mode: 'on', reason: 'settings' },
+  { name: 'a marked deployment', mode: 'auto', isMarked: true, reason: 'feature' },
+  { name: 'boxes that are alike', mode: 'auto', cpuShare: 0.32, others: [[0.3, 0.35], undefined], reason: null },
+  { name: 'boxes that differ', mode: 'auto', cpuShare: 0.24, others: [[0.24, 0.81]], reason: 'uneven-boxes' },
+  { name: 'boxes that differed before the totals were lost', mode: 'auto', cpuShare: 0.24, others: [[0.24, 0.81], undefined, [0.24, 0.24]], reason: 'uneven-boxes' },
+  { name: 'a box of unknown size', mode: 'auto', others: [[0.24, 0.81]], reason: null }
+]
+
+for (const { name, mode, cpuShare = null, isMarked = false, others = [], reason } of switchCases) {
+  test(`measures against contention: ${name}`, () => {
+    const contention = new ContentionSwitch({ mode, cpuShare, isMarked })
+    for (const range of others) contention.note(range)
+    assert.equal(contention.reason, reason)
+  })
+}
+
+test('hubs join the CPU shares of boxes, also of those that report none', () => {
+  const sum = new LoadSum()
+  const createDemand = (boxCpu?: CpuRange) => ({ service: desk, patient: 1, brisk: 0, apart: 0, base: 0, readingPauseMs: null, held: [], holders: 0, ...(boxCpu === undefined ? {} : { boxCpu }) })
+  for (const range of [[0.24, 0.24], undefined, [0.81, 0.81]] as const) sum.add({ loads: [], demands: [createDemand(range)], gaps: [], zones: [] })
+  assert.deepEqual(sum.totals.demands[0].boxCpu, [0.24, 0.81])
+})
+
+test('a box whose settings do not ask for the measures reports no CPU share', () => {
+  const fleet = createFleet([createRecord('e1')])
+  fleet.noteArrival(createWork(), 0)
+  assert.equal(fleet.composeLoad(1).demands.some(demand => 'boxCpu' in demand), false)
+  assert.equal(createLoad(1).demands.length, 0)
+})
--- a/test/support/route-deployment.ts
+++ b/test/support/route-deployment.ts
@@ -149,6 +149,9 @@
       usageWindowSeconds: 0,
       drainSeconds: 8,
       maxConnections: 1000,
+      features: [],
+      box: null,
+      contention: { mode: 'off' },
       ...this.shape.gateway
     }, { dialect: this.spoken.dialect, ...this.#createDependencies(`gateway-${i}`) })
     this.gateways[i] = box
