Entry box: events of an engine that are no chunks fail the send instead of the process

Cause: an engine's event whose data is valid JSON but not an object (`data: null`), or whose `choices` hold no objects, threw a TypeError in the listener of the engine's stream. Nothing catches exceptions there, so the process may end with all of its requests.

Change: ResponseAssembler checks that an event is a chunk, and classifies it as broken otherwise: the request continues at another engine, as after invalid JSON. Stand-in engines can send given data as such an event.

--- a/src/standin/engine-fault.ts
+++ b/src/standin/engine-fault.ts
@@ -13,17 +13,18 @@
   | { readonly type: 'crash', readonly afterTokens: number }
   /** Ends each stream's response normally after the given number of tokens, but without the final events. */
   | { readonly type: 'short', readonly afterTokens: number }
-  /** Sends an event with invalid JSON after the given number of tokens. */
-  | { readonly type: 'garble', readonly afterTokens: number }
+  /** Sends an event that is not a chunk of a chat completion after the given number of tokens: invalid JSON, unless `data` says otherwise. */
+  | { readonly type: 'garble', readonly afterTokens: number, readonly data?: string }
 
 const faultTypes = ['none', 'slow', 'reset', 'hang', 'refuse', 'crash', 'short', 'garble']
 
 /** Validates a parsed JSON value; null where it is not a fault. */
 export function parseFault (value: unknown): EngineFault | null {
   if (typeof value !== 'object' || value === null) return null
-  const { type, factor, afterTokens } = value as { type?: string, factor?: number, afterTokens?: number }
+  const { type, factor, afterTokens, data } = value as { type?: string, factor?: number, afterTokens?: number, data?: unknown }
   if (type === undefined || !faultTypes.includes(type)) return null
   if (type === 'slow' && !(typeof factor === 'number' && factor > 0)) return null
   if ((type === 'crash' || type === 'short' || type === 'garble') && !Number.isInteger(afterTokens)) return null
+  if (data !== undefined && typeof data !== 'string') return null
   return value as EngineFault
 }
--- a/src/standin/standin-engine.ts
+++ b/src/standin/standin-engine.ts
@@ -183,7 +183,7 @@
       if (fault.type === 'short') stream.response.end()
       else stream.response.destroy()
     }
-    if (fault.type === 'garble' && given === fault.afterTokens) stream.response.write('data: {"choices": [}\n\n')
+    if (fault.type === 'garble' && given === fault.afterTokens) stream.response.write(`data: ${fault.data ?? '{"choices": [}'}\n\n`)
   }
 
   #finishStream (id: string): void {
--- a/src/tasks/response-assembler.ts
+++ b/src/tasks/response-assembler.ts
@@ -17,7 +17,7 @@
   readonly choices?: readonly { readonly delta?: { readonly content?: string | null, readonly role?: string }, readonly finish_reason?: string | null }[]
 }
 
-/** Classification of one event. `broken`: its data is not valid JSON. */
+/** Classification of one event. `broken`: its data is not valid JSON, or not a chunk of a chat completion. */
 export type EventKind = 'text' | 'usage' | 'done' | 'broken'
 
 /** Accumulates the events of one response, which may come from several engines in turn. */
@@ -43,13 +43,13 @@
     }
     const data = readEventData(event)
     if (data === null) return 'text'
-    let chunk: ResponseChunk
+    let chunk: unknown
     try {
-      chunk = JSON.parse(data) as ResponseChunk
+      chunk = JSON.parse(data)
     } catch {
       return 'broken'
     }
-    return this.#addChunk(chunk)
+    return isChunk(chunk) ? this.#addChunk(chunk) : 'broken'
   }
 
   /** The complete response as an OpenAI-compatible JSON body. `model` is used if the engine did not name one. */
@@ -80,3 +80,12 @@
     return 'text'
   }
 }
+
+// Checks only what `#addChunk` relies on: an exception there would be thrown in a listener of the engine's stream.
+function isChunk (value: unknown): value is ResponseChunk {
+  if (!isRecord(value)) return false
+  const { choices } = value as { choices?: unknown }
+  return choices == null || (Array.isArray(choices) && choices.every(isRecord))
+}
+
+function isRecord (value: unknown): boolean { return typeof value === 'object' && value !== null && !Array.isArray(value) }
--- a/test/engine-faults.test.ts
+++ b/test/engine-faults.test.ts
@@ -23,7 +23,9 @@
   { name: 'crashes in the middle of the response', fault: { type: 'crash', afterTokens: 4 } },
   { name: 'crashes after its first token', fault: { type: 'crash', afterTokens: 1 } },
   { name: 'ends its response early without an error', fault: { type: 'short', afterTokens: 4 } },
-  { name: 'sends malformed events', fault: { type: 'garble', afterTokens: 3 } }
+  { name: 'sends malformed events', fault: { type: 'garble', afterTokens: 3 } },
+  // Guards against an entry box that ends because a listener of its connection to the engine throws.
+  { name: 'sends an event whose data is null', fault: { type: 'garble', afterTokens: 3, data: 'null' } }
 ]
 
 for (const { name, fault } of faults) {
