Gateways and registries keep running while their settings file can't be read

Cause: a reload read the settings with the function for start-up, which ends the process if the file is missing. Tools that replace a file by removing it first leave it missing for a moment, and the file is polled every second.

Change: a reload reports an unreadable file as a mistake: it logs `settings-refused` with the reason and keeps the settings in force. The next change or SIGHUP reads the file again. At start-up, such a file still ends the program.

--- a/src/bin/program.ts
+++ b/src/bin/program.ts
@@ -33,10 +33,23 @@
   try {
     return readFileSync(path, 'utf8')
   } catch (error) {
-    return exitWithError(usageExitCode, `${path}: ${(error as NodeJS.ErrnoException).code === 'ENOENT' ? 'no such file' : (error as Error).message}`)
+    return exitWithError(usageExitCode, `${path}: ${describeReadError(error as NodeJS.ErrnoException)}`)
   }
 }
 
+function describeReadError ({ code, message }: NodeJS.ErrnoException): string { return code === 'ENOENT' ? 'no such file' : message }
+
+/** Reads a settings file again while a program runs; a file that can't be read, as it is being replaced, is a mistake like any other. */
+export function reloadSettings (path: string, fields: FieldTable): ReturnType<typeof parseToml> {
+  let text
+  try {
+    text = readFileSync(path, 'utf8')
+  } catch (error) {
+    return { ok: false, mistakes: [{ key: '', line: null, found: describeReadError(error as NodeJS.ErrnoException), allowed: 'a readable file' }] }
+  }
+  return parseToml(text, fields)
+}
+
 /** Reads a settings file; if it is invalid, prints every error and exits. */
 export function readSettings<T> (path: string, fields: FieldTable): T {
   const parsed = parseToml(readUserFile(path), fields)
--- a/src/bin/route-program.ts
+++ b/src/bin/route-program.ts
@@ -1,14 +1,14 @@
 /** Start-up code of gateways and registries: settings that are reloaded at run time, logs, metrics, signals. */
 import { handleHangup } from './early-signals.js'
 import { unwatchFile, watchFile } from 'node:fs'
-import { parseToml, formatMistake, gatewayFields, registryFields } from '../config/index.js'
+import { formatMistake, gatewayFields, registryFields } from '../config/index.js'
 import type { FieldTable, GatewaySettings, RegistrySettings, RouteBoxSettings } from '../config/index.js'
 import { GatewayBox } from '../gateway/index.js'
 import type { Dialect } from '../protocol/index.js'
 import { RegistryBox } from '../registry/index.js'
 import { Metrics, MetricsServer, openProgramLog } from '../runtime/index.js'
 import type { EventLog } from '../runtime/index.js'
-import { exitWithError, handleSignals, readUserFile, readSecret, readSettings, runProgram, usageExitCode } from './program.js'
+import { exitWithError, handleSignals, readSecret, readSettings, reloadSettings, runProgram, usageExitCode } from './program.js'
 
 /** Interval at which the settings file is polled, as it may change without a SIGHUP, ms. */
 const settingsPollMs = 1000
@@ -61,10 +61,10 @@
   return { settings, log, metrics, secret, flush: () => sink.flush() }
 }
 
-// Reloads the settings on SIGHUP and when the file changes; an invalid file is logged and the current settings stay in force.
+// Reloads the settings on SIGHUP and when the file changes; an invalid or unreadable file is logged and the current settings stay in force.
 function followSettings<Settings extends RouteBoxSettings> (path: string, fields: FieldTable, log: EventLog, applySettings: (settings: Settings) => void): void {
   const reload = (reason: string): void => {
-    const parsed = parseToml(readUserFile(path), fields)
+    const parsed = reloadSettings(path, fields)
     if (parsed.ok) {
       log.info('settings-read', { why: reason, seeds: (parsed.value as Settings).seeds.join(',') })
       return applySettings(parsed.value as Settings)
--- a/src/config/route-events.ts
+++ b/src/config/route-events.ts
@@ -99,7 +99,7 @@
   'registry-started': { about: 'The registry has started.', fields: { replica: 'its replica', formed: 'whether its disk holds a log' } },
   'registry-stopped': { about: 'The registry was stopped as planned.', fields: {} },
   'settings-read': { about: 'The settings file was reloaded (both).', fields: { why: '`signal` or `change`', seeds: 'the configured seeds' } },
-  'settings-refused': { about: 'The settings file has a mistake; the previous settings stay in force (both).', fields: { why: '`signal` or `change`', mistake: 'the mistake' } },
+  'settings-refused': { about: 'The settings file has a mistake or can\'t be read; the previous settings stay in force (both).', fields: { why: '`signal` or `change`', mistake: 'the mistake' } },
   'lines-left-out': { about: 'Lines are missing from this log since the previous second (both).', fields: { overCap: 'lines suppressed by the rate limit', dropped: 'lines dropped because the reader was too slow' } },
   violation: { about: 'An invariant was violated: a bug (both).', fields: { rule: 'the invariant', detail: 'what was observed' } }
 }
