--- a/src/config/route-settings.ts
+++ b/src/config/route-settings.ts
@@ -61,6 +61,7 @@
   contention: {
     type: 'table',
     about: 'Measures for deployments whose callers compete for too little capacity, or whose demand and servers are uneven.',
+    fallback: { mode: 'off' },
     fields: {
       mode: { type: 'choice', of: ['off', 'on', 'auto'], about: '`auto` turns the measures on if a feature marks the deployment, or once boxes of different CPU share are known.', fallback: 'off' }
     }
--- a/test/contention.test.ts
+++ b/test/contention.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { gatewayFields, parseToml } from '../src/config/index.js'
+import type { GatewaySettings } from '../src/config/index.js'
 import { ContentionSwitch, LoadSum } from '../src/core/index.js'
 import type { ContentionMode, CpuRange } from '../src/core/index.js'
 import { createFleet, createLoad, createRecord, createWork, desk } from './support/fleet-builder.js'
@@ -45,3 +47,11 @@
   assert.equal(fleet.composeLoad(1).demands.some(demand => 'boxCpu' in demand), false)
   assert.equal(createLoad(1).demands.length, 0)
 })
+
+// Guards against a new table that every deployment's settings must name: its gateways don't start.
+test('settings without the new tables are valid and leave the measures off', () => {
+  const parsed = parseToml('id = "g"\nzone = "z"\nhost = "10.0.0.1"\nlinkPort = 1\nloadPort = 2\nseeds = []\nlisten = "10.0.0.1:3"\nready = "10.0.0.1:4"\n[retries]\n', gatewayFields)
+  assert.ok(parsed.ok, JSON.stringify(parsed))
+  const { contention, box, features } = parsed.value as unknown as GatewaySettings
+  assert.deepEqual({ contention, box, features }, { contention: { mode: 'off' }, box: null, features: [] })
+})
--- a/test/settings-reload.test.ts
+++ b/test/settings-reload.test.ts
@@ -12,7 +12,7 @@
 const host = '127.93.0.1'
 const shared = `id = "box"\nzone = "zone-a"\nhost = "${host}"\nlinkPort = 7000\nloadPort = 7001\nseeds = ["${host}:7002"]\nopenLinks = true\n`
 const programs = [
-  { name: 'gateway', own: `listen = "${host}:7003"\nready = "${host}:7004"\ndrainSeconds = 0\n[retries]\n[contention]\n` },
+  { name: 'gateway', own: `listen = "${host}:7003"\nready = "${host}:7004"\ndrainSeconds = 0\n[retries]\n` },
   { name: 'registry', own: `listen = "${host}:7002"\ndata = "${join(folder, 'data')}"\nfirst = true\nfaults = 0\n` }
 ]
 const replacements: readonly { readonly state: string, readonly error: RegExp, put (path: string): void, remove (path: string): void }[] = [
