Returns of refused callers are planned over all boxes

Cause: `Retry-After` followed from the wait of the single request, or was a constant after full endpoints, so callers that were refused in one burst returned together and were refused again.

Change: while the measures against contention are on, ReturnPlanner tells each caller of an `overloaded` refusal, by admission or by full endpoints, a time by which those told before it have been served at the rate that arrivals leave. More urgent kinds come first, then workspaces under their share. Boxes report what they told in slots of 250 ms (field `returns`), and plan on the totals and on an estimate of what these do not show yet; without a hub, on their own part. Callers are counted only if they honour the time. A return on time is not refused by the limit on its kind's share. Plain services report arrival rates. `exchange` lines have the plan in field `returns`, with the age of the totals. With the measures off, texts, times and messages are as before.

--- a/src/core/balance/box-load.ts
+++ b/src/core/balance/box-load.ts
@@ -4,11 +4,12 @@
  */
 import type { EndpointId, ServiceName, ZoneName } from '../ids.js'
 import type { CpuRange } from './contention.js'
+import type { ReturnReport } from './return-slots.js'
 
 /** Prompt tokens waiting to be read, by the priority of their requests. */
 export type WaitingTokens = readonly (readonly [priority: number, tokens: number])[]
 
-/** Arrival rates in prompt tokens/s, by the level of the kind. */
+/** Arrival rates by the level of the kind, in prompt tokens/s; for a plain service in requests/s. */
 export type KindRates = readonly (readonly [level: number, rate: number])[]
 
 /** Load of one box, or of several, at one endpoint. */
@@ -54,6 +55,8 @@
   readonly read?: number
   /** CPU shares of the boxes; only sent where boxes need to know whether they are alike. */
   readonly boxCpu?: CpuRange
+  /** What refused callers were told to return with; only sent while the measures against contention are on. */
+  readonly returns?: ReturnReport
 }
 
 /** The load report of a box to its hub. */
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -23,9 +23,12 @@
 import { listDedicationOrder } from './dedication-order.js'
 import { ReportedPrompts, notePrompt } from './reported-prompts.js'
 import { OtherBoxes } from './other-boxes.js'
-import type { BoxLoad, EngineGap, LoadTotals, PromptReport } from './box-load.js'
+import type { BoxLoad, EngineGap, LoadTotals, PromptReport, ServiceDemand } from './box-load.js'
 import { filterViews } from './endpoint-filter.js'
 import type { EndpointFilter } from './endpoint-filter.js'
+import { ReturnPlanner } from './return-planner.js'
+import { measureReturnRates, noRates } from './return-rates.js'
+import type { ReturnRates } from './return-schedule.js'
 import { noneDedicated, snapshotTtlMs } from './service-snapshot.js'
 import type { ServiceSnapshot } from './service-snapshot.js'
 import { listHolders } from './prompt-plan.js'
@@ -46,6 +49,7 @@
 export class Fleet {
   readonly zones: ZoneMonitor
   readonly contention: ContentionSwitch
+  readonly returns = new ReturnPlanner((service, at) => this.#measureReturnRates(service, at))
   #boxContext: BoxContext
   #services = new Map<ServiceName, ServiceState>()
   #views = new Map<EndpointId, EndpointView>()
@@ -127,13 +131,14 @@
     return this.#findSnapshot(service, at).usable.reduce((sum, { gate }) => sum + (gate.limit ?? Infinity), 0)
   }
 
-  /** Applies the load totals of the other boxes; `noTotals` if no hub is reachable. */
-  noteOthers (others: LoadTotals, at: number): void {
+  /** Applies the load totals of the other boxes, from reports made at `reportedAt`; `noTotals` if no hub is reachable. */
+  noteOthers (others: LoadTotals, at: number, reportedAt = at): void {
     const loads = new Map(others.loads.map(load => [load.endpoint, load]))
     for (const view of this.#views.values()) view.noteOthers(loads.get(view.id) ?? null)
     for (const [endpoint, gapMs] of others.gaps) this.#views.get(endpoint)?.noteMedianGap(gapMs)
     this.#others.note(others, at)
     for (const { boxCpu } of others.demands) this.contention.note(boxCpu)
+    if (this.contention.isOn) this.returns.noteOthers(others.demands, reportedAt)
     for (const prompt of others.prompts) {
       const view = this.#views.get(prompt[0])
       if (view !== undefined) notePrompt(view, prompt)
@@ -157,8 +162,9 @@
       prompts.push(...view.listPromptReports(at))
       if (view.ownGapMs !== null) gaps.push([view.id, Math.round(view.ownGapMs * 10) / 10])
     }
-    const { reported: boxCpu } = this.contention
-    const demands = [...this.#services.values()].map(state => ({ ...composeDemand(state, at), ...(boxCpu === undefined ? {} : { boxCpu }) })).filter(({ patient, brisk, readingPauseMs }) => patient > 0 || brisk > 0 || readingPauseMs !== null)
+    const { reported: boxCpu, isOn } = this.contention
+    const demands = [...this.#services.values()].map(state => ({ ...composeDemand(state, at), ...(boxCpu === undefined ? {} : { boxCpu }), ...(isOn ? this.returns.compose(state.service.name, at) : {}) }))
+      .filter(({ patient, brisk, readingPauseMs, rates = [], returns = [] }: ServiceDemand) => patient > 0 || brisk > 0 || readingPauseMs !== null || (isOn && rates.length + returns.length > 0))
     return { loads, demands, gaps, prompts }
   }
 
@@ -241,6 +247,11 @@
     return context === null || work.cost === null ? null : admitToEngines(context, work, work.cost, at)
   }
 
+  #measureReturnRates (service: ServiceName, at: number): ReturnRates {
+    const state = this.#services.get(service)
+    return state === undefined ? noRates : measureReturnRates(state, this.#findSnapshot(service, at).usable, this.#others.find(service), this.#others.countUnreportedBoxes(at), this.#others.count, at)
+  }
+
   // Returns null for an unknown service and for one without an engine profile.
   #composeContext (service: ServiceName, at: number): AdmissionContext | null {
     const state = this.#services.get(service)
@@ -264,6 +275,7 @@
   /** Records the arrival of a request, for the demand meters. */
   noteArrival (work: RequestProfile, at: number): void {
     const state = this.#services.get(work.service)
+    if (state?.service.engine === null && this.contention.isOn) state.kinds.note(work, 1, at)
     if (state?.service.engine == null || work.cost === null) return
     if (work.pauseMs !== null) state.pauses.note(at, work.pauseMs)
     state.kinds.note(work, countExpectedTokens(work.cost), at)
--- a/src/core/balance/load-sum.ts
+++ b/src/core/balance/load-sum.ts
@@ -62,6 +62,7 @@
     rates: addAmounts(sum.rates ?? [], one.rates ?? [], 1),
     read: (sum.read ?? 0) + (one.read ?? 0),
     ...composeCpuRange(sum.boxCpu, one.boxCpu),
+    ...(sum.returns === undefined && one.returns === undefined ? {} : { returns: addAmounts(sum.returns ?? [], one.returns ?? [], 1) }),
     holders: sum.holders + one.holders
   }
 }
--- a/src/core/balance/other-boxes.ts
+++ b/src/core/balance/other-boxes.ts
@@ -15,6 +15,9 @@
   #receivedAt: number | null = null
   #boxes = 1
 
+  /** Number of boxes, including this one. */
+  get count (): number { return this.#boxes }
+
   /** Sets the number of boxes, including this one. */
   noteBoxes (count: number): void { this.#boxes = Math.max(1, count) }
 
--- a/src/core/balance/others-load.ts
+++ b/src/core/balance/others-load.ts
@@ -39,6 +39,7 @@
     held: addAmounts(sum.held, own.held, -1),
     rates: addAmounts(sum.rates ?? [], own.rates ?? [], -1),
     read: Math.max(0, (sum.read ?? 0) - (own.read ?? 0)),
+    ...(sum.returns === undefined ? {} : { returns: addAmounts(sum.returns, own.returns ?? [], -1) }),
     holders: sum.holders - (own.held.length > 0 ? 1 : 0)
   }
 }
--- a/src/core/balance/service-admission.ts
+++ b/src/core/balance/service-admission.ts
@@ -117,11 +117,16 @@
 function computeKindShares (context: AdmissionContext, at: number): ReadonlyMap<number, number> {
   const { state, snapshot: { usable }, others, sharers } = context
   const congestedLevel = state.congestion.update(findCongestedLevel(context, at), at)
+  const capacity = measureReadingCapacity(state, usable, others, sharers, at)
+  return divideCapacity(capacity * plannedCapacityShare, listTotalRates(context, at), congestedLevel)
+}
+
+/** Rate at which the engines read prompts, tokens/s: as measured, or as expected if they have not been busy. */
+export function measureReadingCapacity (state: ServiceState, usable: readonly EndpointView[], others: ServiceTotal | null, sharers: number, at: number): number {
   const expectedRate = usable.reduce((sum, view) => sum + 1000 / view.readMsPerToken, 0) / sharers
   const readRate = state.readMeter.rate(at) + (others?.read ?? 0)
   // The measured rate equals the capacity only if engines have been busy for the whole window.
-  const capacity = state.congestion.isSustained(at) ? readRate : Math.max(readRate, expectedRate)
-  return divideCapacity(capacity * plannedCapacityShare, listTotalRates(context, at), congestedLevel)
+  return state.congestion.isSustained(at) ? readRate : Math.max(readRate, expectedRate)
 }
 
 // Level of the most urgent kind, of those that are never queued, for which engines are congested; Infinity if there is none.
--- a/src/gateway/exchange-report.ts
+++ b/src/gateway/exchange-report.ts
@@ -32,7 +32,8 @@
     admission: summary.admission === null ? undefined : formatAdmission(summary.admission),
     denied: summary.denied === 0 ? undefined : summary.denied,
     closedMs: summary.maxClosedMs === 0 ? undefined : Math.round(summary.maxClosedMs),
-    attempts: attempts.map(one => formatAttempt(one, request.arrivedAt)).join(';')
+    attempts: attempts.map(one => formatAttempt(one, request.arrivedAt)).join(';'),
+    ...(summary.returns === undefined ? {} : { returns: summary.returns })
   }
   if (outcome === 'ok') log.info('exchange', fields)
   else log.warn('exchange', fields)
--- a/src/gateway/exchange-summary.ts
+++ b/src/gateway/exchange-summary.ts
@@ -33,4 +33,6 @@
   readonly denied: number
   /** The longest time until an endpoint would accept requests again, ms, over all searches that found none open; 0 if there was none. */
   readonly maxClosedMs: number
+  /** Figures of the planned return of the caller, or of the request as a return; undefined if there are none. */
+  readonly returns: string | undefined
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -8,6 +8,7 @@
 import type { Refusal } from './answers.js'
 import { composeTarget } from './call-target.js'
 import type { SendEvidence } from './crash-guard.js'
+import { CallerReturn } from './caller-return.js'
 import { EndpointCall } from './endpoint-call.js'
 import type { AnswerHead, CallFailure } from './endpoint-call.js'
 import { EndpointSearch } from './endpoint-search.js'
@@ -38,6 +39,7 @@
   #attempts: Attempt[] = []
   #search: EndpointSearch<Exchange>
   #retryPolicy: RetryPolicy
+  #callerReturn: CallerReturn
   #events: PassedEvents
   #firstOutputAt: number | null = null
   #isRunReported = false
@@ -48,7 +50,8 @@
     this.#response = response
     this.#events = new PassedEvents(request.headers.lastEvent)
     this.#search = new EndpointSearch(host, this)
-    this.#retryPolicy = new RetryPolicy(request.route, () => host.takeRetry(request))
+    this.#callerReturn = new CallerReturn(host, request)
+    this.#retryPolicy = new RetryPolicy(request.route, () => host.takeRetry(request), (notBeforeMs, defaultMs) => this.#callerReturn.planFull(notBeforeMs, defaultMs))
     response.on('drain', () => this.#activeSend?.call.resume())
   }
 
@@ -56,9 +59,10 @@
   get hasBegun (): boolean { return this.#phase === 'relaying' }
 
   start (): void {
+    this.#callerReturn.noteArrival()
     this.#admission = this.#host.fleet.admit(this.request.work, this.#host.now())
-    const retryAfterMs = this.#admission?.retryAfterMs ?? null
-    if (retryAfterMs !== null) return this.#refuse({ kind: 'overloaded', text: 'the backlog ahead of this request is too long', retryAfterMs })
+    const admission = this.#admission
+    if (admission !== null && admission.retryAfterMs !== null && !this.#callerReturn.mayExceedShare(admission)) return this.#refuse({ kind: 'overloaded', text: 'the backlog ahead of this request is too long', retryAfterMs: this.#callerReturn.planAdmission(admission, admission.retryAfterMs) })
     this.#search.start()
   }
 
@@ -327,7 +331,8 @@
       events: this.#events.count,
       maxPauseMs: this.#events.maxPauseMs,
       denied: this.#search.denied,
-      maxClosedMs: this.#search.maxClosedMs
+      maxClosedMs: this.#search.maxClosedMs,
+      returns: this.#callerReturn.describe()
     })
   }
 }
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -172,8 +172,8 @@
       listNotices: () => this.#limits.listUnconfirmed(),
       handleNotices: (notices, hub) => this.#limits.mergeNotices(notices, hub),
       noteHubChange: () => this.#limits.noteHubChange(),
-      handleOthers: (others, intervalMs) => {
-        this.#fleet.noteOthers(others, now())
+      handleOthers: (others, intervalMs, reportedAt) => {
+        this.#fleet.noteOthers(others, now(), reportedAt)
         this.#waitQueue.setStaleness(intervalMs)
         this.#waitQueue.retry()
       }
--- a/src/gateway/retry-policy.ts
+++ b/src/gateway/retry-policy.ts
@@ -47,11 +47,16 @@
   #attempts = 0
   #unreachable = 0
   #mayHaveRun = false
+  #planReturn: (notBeforeMs: number, defaultMs: number) => number
 
-  /** `takeRetry` takes one retry from the retry budget; false if none is left. */
-  constructor (route: Route, takeRetry: () => boolean) {
+  /**
+   * `takeRetry` takes one retry from the retry budget; false if none is left. `planReturn` gives the `retry-after` of
+   * a request that found endpoints full, ms: `notBeforeMs` until any accepts requests, `defaultMs` without a plan.
+   */
+  constructor (route: Route, takeRetry: () => boolean, planReturn: (notBeforeMs: number, defaultMs: number) => number = (_, defaultMs) => defaultMs) {
     this.#route = route
     this.#takeRetry = takeRetry
+    this.#planReturn = planReturn
   }
 
   /** True if the route allows another send. Does not consume the retry budget, and does not check it. */
@@ -86,7 +91,7 @@
     if (isMisdirected) this.#unreachable += 1
     if (this.#takeAttempt()) return { type: 'send' }
     if (this.#mayHaveRun) return refuse('engine-failed', 'an earlier send failed, and another endpoint has no free capacity')
-    return refuse('overloaded', 'the endpoint has no free capacity', Math.max(fullRetryMs, availableInMs))
+    return refuse('overloaded', 'the endpoint has no free capacity', this.#planReturn(availableInMs, Math.max(fullRetryMs, availableInMs)))
   }
 
   // The endpoint ran the request and reported an error, so a retry is a second run.
--- a/src/protocol/dialect.ts
+++ b/src/protocol/dialect.ts
@@ -86,6 +86,8 @@
   composeRequest (rawHeaders: readonly string[], values: EndpointRequestHeaders): string[]
   /** `wallMs`: Unix time at which the answer arrived. */
   readAnswer (status: number, headers: HeaderMap, wallMs: number): AnswerHeaders
+  /** Resolution of Retry-After, ms; times are rounded up to it. */
+  readonly retryAfterStepMs: number
   /** The value of Retry-After, in seconds. */
   formatRetryAfter (ms: number): string
   /** True if one of these features marks a deployment as contended. */
--- a/src/protocol/header-dialect.ts
+++ b/src/protocol/header-dialect.ts
@@ -136,6 +136,8 @@
     }
   }
 
+  get retryAfterStepMs (): number { return this.#hasFractionalRetryAfter ? 1 : 1000 }
+
   formatRetryAfter (ms: number): string {
     return this.#hasFractionalRetryAfter ? (ms / 1000).toFixed(3) : String(Math.max(1, Math.ceil(ms / 1000)))
   }
