Settings of registries name features and [contention], and gateways start without the table

Orders of endpoints are decided by registries, which could not tell whether the measures against contention apply.

A table without a fallback is required, so a gateway whose settings had no `[contention]` was refused with "the key is required"; deploy/compile-gateway.toml has none. The table now falls back to mode off.

--- a/src/config/route-settings.ts
+++ b/src/config/route-settings.ts
@@ -30,6 +30,18 @@
   statsd: { type: 'table', about: 'Server for StatsD metrics.', fallback: null, fields: { host: describeHost('IP address.'), port: describePort('UDP port.', 8125) } }
 }
 
+const contentionFields: FieldTable = {
+  features: { type: 'list', minItems: 0, of: describeText('A feature.'), about: 'Names by which the platform marks this deployment; the dialect knows their meaning, and ignores unknown ones.', fallback: [] },
+  contention: {
+    type: 'table',
+    about: 'Measures for deployments whose callers compete for too little capacity, or whose demand and servers are uneven.',
+    fallback: { mode: 'off' },
+    fields: {
+      mode: { type: 'choice', of: ['off', 'on', 'auto'], about: '`auto` turns the measures on if a feature marks the deployment, or once boxes of different CPU share are known.', fallback: 'off' }
+    }
+  }
+}
+
 /** Settings of `wrenlane-gateway`. */
 export const gatewayFields: FieldTable = {
   ...shared,
@@ -47,7 +59,7 @@
   usageWindowSeconds: { type: 'number', about: 'Length of the windows in which started requests are counted per workspace; must be the same on all boxes; 0 disables counting.', min: 0, max: 3600, isInteger: false, unit: 's', fallback: 0 },
   drainSeconds: { type: 'number', about: 'Longest time that a planned stop waits for requests in flight.', min: 0, max: 86_400, isInteger: false, unit: 's', fallback: 30 },
   maxConnections: describeInt('Maximum number of concurrent connections from callers.', 'connections', 1, 100_000, 2000),
-  features: { type: 'list', minItems: 0, of: describeText('A feature.'), about: 'Names by which the platform marks this deployment; the dialect knows their meaning, and ignores unknown ones.', fallback: [] },
+  features: contentionFields.features,
   box: {
     type: 'table',
     about: 'Resources of this box.',
@@ -58,13 +70,7 @@
       linkMbps: { type: 'number', about: 'Bandwidth of the network link.', min: 0.1, max: 1_000_000, isInteger: false, unit: 'Mbit/s' }
     }
   },
-  contention: {
-    type: 'table',
-    about: 'Measures for deployments whose callers compete for too little capacity, or whose demand and servers are uneven.',
-    fields: {
-      mode: { type: 'choice', of: ['off', 'on', 'auto'], about: '`auto` turns the measures on if a feature marks the deployment, or once boxes of different CPU share are known.', fallback: 'off' }
-    }
-  }
+  contention: contentionFields.contention
 }
 
 /** Settings of `wrenlane-registry`. */
@@ -90,7 +96,8 @@
     }
   },
   lostMs: describeInt('Time without a heartbeat after which an endpoint counts as lost.', 'ms', 1000, 24 * 3_600_000, 30_000),
-  maxBodyBytes: describeInt('Maximum size of the body of a call.', 'bytes', 1024, 256 * 2 ** 20, 16 * 2 ** 20)
+  maxBodyBytes: describeInt('Maximum size of the body of a call.', 'bytes', 1024, 256 * 2 ** 20, 16 * 2 ** 20),
+  ...contentionFields
 }
 
 /** Settings common to gateways and registries. */
@@ -151,6 +158,8 @@
   readonly duties: DutySettings | null
   readonly lostMs: number
   readonly maxBodyBytes: number
+  readonly features: readonly string[]
+  readonly contention: { readonly mode: ContentionMode }
 }
 
 /** Parses "HOST:PORT". */
--- a/test/contention.test.ts
+++ b/test/contention.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict'
+import { readFileSync } from 'node:fs'
 import { test } from 'node:test'
+import { gatewayFields, parseToml, registryFields } from '../src/config/index.js'
 import { ContentionSwitch, LoadSum } from '../src/core/index.js'
 import type { ContentionMode, CpuRange } from '../src/core/index.js'
 import { createFleet, createLoad, createRecord, createWork, desk } from './support/fleet-builder.js'
@@ -45,3 +47,12 @@
   assert.equal(fleet.composeLoad(1).demands.some(demand => 'boxCpu' in demand), false)
   assert.equal(createLoad(1).demands.length, 0)
 })
+
+// Guards against programs that refuse to start with settings from before `[contention]`, as those of the build do.
+for (const [program, fields] of [['gateway', gatewayFields], ['registry', registryFields]] as const) {
+  test(`settings of a ${program} that name no measures are valid and turn them off`, () => {
+    const parsed = parseToml(readFileSync(`deploy/compile-${program}.toml`, 'utf8'), fields)
+    assert.ok(parsed.ok)
+    assert.deepEqual([parsed.value.contention, parsed.value.features], [{ mode: 'off' }, []])
+  })
+}
--- a/test/support/route-deployment.ts
+++ b/test/support/route-deployment.ts
@@ -122,6 +122,8 @@
       duties: null,
       lostMs: 30_000,
       maxBodyBytes: 2 ** 20,
+      features: [],
+      contention: { mode: 'off' },
       ...this.shape.registry
     }, { dialect: this.spoken.dialect, ...this.#createDependencies(`registry-${i}`) })
     this.registries[i] = box
