Order endpoints by price and availability where the measures against contention are on

Every zone got the same count, from the requests at endpoints alone (300 of 3,000 slots at the worst load), the start requested the maximum for 20 s, and a zone that refused was asked each second while its need went nowhere.

The number of endpoints now follows slots, arriving prompt tokens against a learned engine time per token, and backlog; it is divided among zones by price so that 0.7 of it is left without any one zone's spot endpoints. Zones that refuse or whose spot endpoints leave together are asked after 2, 4, 8 and 10 s, and others take their need at once. With the measures off, orders are as before.

--- a/src/config/route-events.ts
+++ b/src/config/route-events.ts
@@ -12,7 +12,7 @@
 }
 
 const requestField = { request: 'the caller\'s id of the request' }
-const orderFields = { service: 'the service', zone: 'the zone', kind: '`spot` for preemptible endpoints, else `ordinary`', count: 'the ordered number of endpoints', why: 'requests at endpoints now, their recent peak, and the backlog of requests queued in boxes, ms', end: 'the result of the call' }
+const orderFields = { service: 'the service', zone: 'the zone', kind: '`spot` for preemptible endpoints, else `ordinary`', count: 'the ordered number of endpoints', why: 'requests at endpoints now, their recent peak, and the backlog of requests queued in boxes, ms; for orders by price also arriving prompt tokens/s now and at the peak, engine time per token, the endpoints needed, those that must remain without the spot endpoints of one zone, the groups that are not asked for now, and the price', end: 'the result of the call' }
 const endpointFields = { endpoint: 'the endpoint\'s id', service: 'its service' }
 
 /** All events by name. */
@@ -73,6 +73,7 @@
   'usage-given-up': { about: 'A window was not accepted for so long that it is no longer reported (leading registry).', fields: { window: 'its number' } },
   'endpoints-ordered': { about: 'A number of endpoints was ordered (leading registry).', fields: { ...orderFields } },
   'endpoints-not-ordered': { about: 'An order of endpoints was refused or not answered; it is retried (leading registry).', fields: { ...orderFields } },
+  'zone-unavailable': { about: 'A zone has no endpoints of a kind, so its share is ordered in other zones; only for orders by price (leading registry).', fields: { service: 'the service', zone: 'the zone', kind: orderFields.kind, why: '`refused` (the platform refused an order) or `leaving` (most spot endpoints of the zone announced that they leave)', retryMs: 'until the zone is asked again' } },
   members: { about: 'The leader changed the members of the log (registry).', fields: { voters: 'the voting members', learners: 'the non-voting members', end: '`applied`, `lost` or the reason of a rejection' } },
   'log-formed': { about: 'A new log was created at the first start (registry).', fields: { voters: 'its initial members' } },
   'disk-refuses': { about: 'Writing to the disk failed; it is retried, and nothing is acknowledged meanwhile (registry).', fields: { error: 'the reason' } },
@@ -92,7 +93,7 @@
   'hubs-silent': { about: 'No hub sends load totals: the gateway takes only its own load into account (gateway).', fields: { hub: 'host of the last hub' } },
   'load-port-fault': { about: 'The UDP socket for load reports failed (both).', fields: { error: 'the reason' } },
   'link-fault': { about: 'This side closed a link because of a fault (both).', fields: { fault: 'the fault; `silent`: no heartbeat', peer: 'the other box; empty before its hello' } },
-  'contention-handled': { about: 'The measures of `[contention]` are in force (gateway).', fields: { why: '`settings`, `feature` (the platform marks the deployment) or `uneven-boxes` (boxes of different CPU share are known)' } },
+  'contention-handled': { about: 'The measures of `[contention]` are in force (both).', fields: { why: '`settings`, `feature` (the platform marks the deployment) or `uneven-boxes` (boxes of different CPU share are known)' } },
   'gateway-started': { about: 'The gateway has started.', fields: { listen: 'address for callers', seeds: 'the configured registries' } },
   'gateway-leaving': { about: 'A planned stop has begun; readiness checks fail from now on (gateway).', fields: { inFlight: 'requests in flight' } },
   'gateway-stopped': { about: 'A planned stop is complete (gateway).', fields: { cut: 'requests that were aborted', ms: 'duration of the stop' } },
--- /dev/null
+++ b/src/core/sizing/required-endpoints.ts
@@ -0,0 +1,96 @@
+/**
+ * The number of endpoints that the load of a service needs over all zones. Answers demand that swings by half in 11 to
+ * 15 s, bursts at 2.6 times the load, and the start of a holder that has not observed any load yet.
+ */
+import { ReadingCost } from './reading-cost.js'
+import { SlidingMax } from './sliding-max.js'
+import type { SizingInput } from './size-planner.js'
+
+/** Reading load of the engines of a service. */
+export interface ReadingLoad {
+  /** Arriving prompt tokens/s. */
+  readonly arriving: number
+  /** Prompt tokens/s whose requests got their first event. */
+  readonly read: number
+  /** Number of engines with unread prompt tokens. */
+  readonly busyEngines: number
+}
+
+export interface LoadInput extends SizingInput {
+  /** Null if the endpoints are not engines. */
+  readonly reading: ReadingLoad | null
+  /** False while no box reports its load. */
+  readonly isLoadKnown: boolean
+}
+
+export interface RequiredEndpoints {
+  /** Endpoints needed in normal operation. */
+  readonly count: number
+  /** Endpoints that must remain if one zone loses its spot endpoints. */
+  readonly remaining: number
+}
+
+/** Target fraction of slots in use at peak load. Above it, prefill of prompts delays the events of running streams. */
+const slotUtilization = 0.35
+/** Target fraction of time in which engines read at peak load: at one half, random arrivals wait for half a reading time on average. */
+const readingUtilization = 0.5
+/** Fraction of the endpoints that is enough for the 8 to 11 s in which a zone has no spot endpoints; engines then read 0.71 of the time. */
+const remainingShare = 0.7
+/** Window of the peak load, ms: two waves of 15 s, so that the low half of a wave releases nothing. */
+const peakWindowMs = 30_000
+const peakWindowSteps = 30
+/** Time for which the growth due to a backlog is kept, ms: longer than a burst, and shorter than the window of measured load, as the growth is a guess. */
+const growthWindowMs = 10_000
+const growthWindowSteps = 20
+/** Time from the first observed load during which the endpoints that run are kept, ms. */
+const warmUpMs = 20_000
+/** A backlog above this shows that capacity is insufficient, ms. */
+const backlogThresholdMs = 500
+/** A lower count takes effect only below this fraction of the previous one, as each change costs calls. */
+const releaseThreshold = 0.85
+
+export class RequiredEndpointsTracker {
+  #running = new SlidingMax(peakWindowMs, peakWindowSteps)
+  #arriving = new SlidingMax(peakWindowMs, peakWindowSteps)
+  #growth = new SlidingMax(growthWindowMs, growthWindowSteps)
+  #cost = new ReadingCost()
+  #initialCount: number | null = null
+  #firstLoadAt: number | null = null
+  #settled = 0
+
+  update (input: LoadInput): RequiredEndpoints {
+    const { at, running, reading, backlogMs, isLoadKnown, zones } = input
+    this.#initialCount ??= countRunning(input)
+    if (isLoadKnown) {
+      if (running > 0) this.#firstLoadAt ??= at
+      const serving = zones.reduce((sum, { onDemand, spot }) => sum + onDemand + spot, 0)
+      this.#running.add(at, running)
+      this.#arriving.add(at, reading?.arriving ?? 0)
+      this.#growth.add(at, backlogMs > backlogThresholdMs ? 2 * serving : 0)
+      if (reading !== null) this.#cost.add(at, reading.busyEngines, reading.read)
+    }
+    const most = input.sizing.most * zones.length
+    const count = Math.min(most, this.#countNeeded(input))
+    const isRelease = isLoadKnown && count < this.#settled * releaseThreshold
+    if (count > this.#settled || isRelease) this.#settled = count
+    return { count: this.#settled, remaining: Math.min(this.#settled, Math.ceil(this.#settled * remainingShare)) }
+  }
+
+  /** The inputs of the last count, for the log. */
+  describe ({ running, backlogMs, reading }: LoadInput): string {
+    const tokens = reading === null ? '' : `:reading=${Math.round(reading.arriving)}:readingPeak=${Math.round(this.#arriving.max)}:tokenMs=${this.#cost.msPerToken?.toFixed(4) ?? '-'}`
+    return `load=${running}:peak=${this.#running.max}:held=${Math.round(backlogMs)}${tokens}`
+  }
+
+  #countNeeded ({ at, slots }: LoadInput): number {
+    const forSlots = this.#running.max / (slots * slotUtilization)
+    const forReading = this.#arriving.max * (this.#cost.msPerToken ?? 0) / 1000 / readingUtilization
+    const isWarm = this.#firstLoadAt !== null && at - this.#firstLoadAt >= warmUpMs
+    return Math.ceil(Math.max(forSlots, forReading, this.#growth.max, isWarm ? 0 : this.#initialCount ?? 0))
+  }
+}
+
+// While spot endpoints replace on-demand ones, both run; only one of the two is counted.
+function countRunning ({ zones }: LoadInput): number {
+  return zones.reduce((sum, { onDemand, spot }) => sum + Math.max(onDemand, spot + Math.min(1, onDemand)), 0)
+}
--- a/src/registry/endpoint-scaler.ts
+++ b/src/registry/endpoint-scaler.ts
@@ -2,18 +2,22 @@
  * The duty of ordering endpoints: sends the target size of each group when it
  * changes, or when the actual size stays below it. Orders are idempotent, as they
  * state absolute counts: one sent twice, or by the next holder, changes nothing.
+ * Where the measures against contention are on, targets follow price and
+ * availability, and orders without an answer are repeated at increasing intervals.
  */
-import { SizePlanner } from '../core/index.js'
-import type { EndpointRecord, GroupTarget, LoadTotals, RoutedService, ServiceName, SizingInput, ZoneName, ZoneEndpoints } from '../core/index.js'
+import { PricePlanner, SizePlanner } from '../core/index.js'
+import type { ContentionSwitch, EndpointRecord, GroupTarget, LoadTotals, RoutedService, ServiceName, SizingInput, ZoneName, ZoneEndpoints } from '../core/index.js'
 import type { DutyCall } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import type { DutyCallResult } from './duty-client.js'
+import { addPricedInput } from './priced-input.js'
 import { describeResult } from './usage-reporter.js'
 
 /** What the scaler needs of its box. */
 export interface EndpointScalerHost {
   readonly log: EventLog
   readonly metrics: Metrics
+  readonly contention: ContentionSwitch
   now (): number
   /** The services of the active document; empty before the first. */
   listServices (): readonly RoutedService[]
@@ -29,12 +33,18 @@
   /** True once the platform has accepted it. */
   isAccepted: boolean
   isPending: boolean
+  /** Orders of the group in a row that were not accepted. */
+  failures: number
 }
 
 /** How often target sizes are computed, ms. */
 const planIntervalMs = 500
 /** Delay before an order that was refused or not answered is sent again, ms: capacity that was reclaimed may be available again within seconds. */
 const retryIntervalMs = 1000
+/** The longest such delay by price, ms; it doubles with each failure, as a silent platform is not helped by more calls. */
+const maxRetryIntervalMs = 4000
+/** The status with which the platform tells that there are no endpoints of a group. */
+const unavailableStatus = 409
 /** Minimum time between an order and a smaller one, ms: an endpoint that is returned takes seconds to replace. */
 const scaleDownIntervalMs = 3000
 /** An order that is still not filled this long after the boot time of endpoints is sent again, ms. */
@@ -43,6 +53,7 @@
 export class EndpointScaler {
   #host: EndpointScalerHost
   #planners = new Map<ServiceName, SizePlanner>()
+  #pricePlanners = new Map<ServiceName, PricePlanner>()
   #lastOrders = new Map<string, SentOrder>()
   #plannedAt = -Infinity
 
@@ -59,7 +70,7 @@
     for (const service of this.#host.listServices()) {
       const observed = this.#observe(service, loads, at)
       if (observed === null) continue
-      for (const target of this.#findPlanner(service.name).plan(observed)) this.#sendIfDue(target, observed, call)
+      for (const target of this.#plan(service, observed, loads)) this.#sendIfDue(target, observed, call)
     }
   }
 
@@ -67,6 +78,17 @@
   reset (): void {
     this.#lastOrders.clear()
     this.#planners.clear()
+    this.#pricePlanners.clear()
+  }
+
+  #plan (service: RoutedService, observed: SizingInput, loads: LoadTotals): GroupTarget[] {
+    if (!this.#host.contention.isOn) return this.#findPlanner(service.name).plan(observed)
+    const planner = this.#pricePlanners.get(service.name) ?? new PricePlanner(service.name)
+    this.#pricePlanners.set(service.name, planner)
+    const records = this.#host.listRecords().filter(record => record.service === service.name)
+    const targets = planner.plan(addPricedInput(observed, service, records, loads))
+    for (const { zone, isSpot, reason, retryMs } of planner.takeUnavailable()) this.#host.log.warn('zone-unavailable', { service: service.name, zone, kind: describeKind(isSpot), why: reason, retryMs })
+    return targets
   }
 
   #findPlanner (service: ServiceName): SizePlanner {
@@ -90,28 +112,39 @@
   #sendIfDue (target: GroupTarget, observed: SizingInput, call: (call: DutyCall) => Promise<DutyCallResult>): void {
     const key = `${target.service} ${target.zone} ${target.isSpot}`
     const last = this.#lastOrders.get(key)
-    if (last !== undefined && !isDue(last, target, observed)) return
-    const next: SentOrder = { count: target.count, sentAt: observed.at, isAccepted: false, isPending: true }
+    if (last !== undefined && !isDue(last, target, observed, this.#findRetryInterval(last))) return
+    const next: SentOrder = { count: target.count, sentAt: observed.at, isAccepted: false, isPending: true, failures: last?.failures ?? 0 }
     this.#lastOrders.set(key, next)
     void this.#send(target, next, call)
   }
 
+  #findRetryInterval ({ failures }: SentOrder): number {
+    return this.#host.contention.isOn ? Math.min(maxRetryIntervalMs, retryIntervalMs * 2 ** Math.max(0, failures - 1)) : retryIntervalMs
+  }
+
   async #send (target: GroupTarget, order: SentOrder, call: (call: DutyCall) => Promise<DutyCallResult>): Promise<void> {
     const { service, zone, isSpot, count, why } = target
     const result = await call({ type: 'order-endpoints', service, zone, isSpot, count })
     order.isPending = false
     order.isAccepted = result.type === 'answered' && result.status >= 200 && result.status < 300
-    const fields = { service, zone, kind: isSpot ? 'spot' : 'ordinary', count, why, end: describeResult(result) }
+    order.failures = order.isAccepted ? 0 : order.failures + 1
+    // Endpoints boot from the answer of a slow platform on.
+    if (order.isAccepted && this.#host.contention.isOn) order.sentAt = this.#host.now()
+    if (order.isAccepted) this.#pricePlanners.get(service)?.noteAccepted(target, this.#host.now())
+    else if (result.type === 'answered' && result.status === unavailableStatus) this.#pricePlanners.get(service)?.noteRefused(target, this.#host.now())
+    const fields = { service, zone, kind: describeKind(isSpot), count, why, end: describeResult(result) }
     if (order.isAccepted) this.#host.log.info('endpoints-ordered', fields)
     else this.#host.log.warn('endpoints-not-ordered', fields)
     this.#host.metrics.count('endpoint-orders', { end: describeResult(result) })
   }
 }
 
-function isDue (last: SentOrder, target: GroupTarget, { at, sizing, zones }: SizingInput): boolean {
+function describeKind (isSpot: boolean): string { return isSpot ? 'spot' : 'ordinary' }
+
+function isDue (last: SentOrder, target: GroupTarget, { at, sizing, zones }: SizingInput, retryMs: number): boolean {
   if (last.isPending) return false
   const sinceMs = at - last.sentAt
-  if (!last.isAccepted) return sinceMs >= retryIntervalMs
+  if (!last.isAccepted) return sinceMs >= retryMs
   if (target.count > last.count) return true
   if (target.count < last.count) return sinceMs >= scaleDownIntervalMs
   const counts = zones.find(({ zone }) => zone === target.zone)
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -25,6 +25,7 @@
 import { startLog, openRegistryLog } from './open-log.js'
 import { PermitServer } from './permit-server.js'
 import { PromptBatchSender } from './prompt-batches.js'
+import { createContentionSwitch } from './registry-dependencies.js'
 import type { RegistryDependencies } from './registry-dependencies.js'
 import { ActiveServices } from './active-services.js'
 import { SavedState } from './saved-state.js'
@@ -226,7 +227,7 @@
     if (duties === null) return
     const findLeader = () => keeper.leader === null ? undefined : this.#links.find(getKeeperName(keeper.leader), linkPort)
     const listRecords = () => this.#endpoints.records
-    this.#duties = new DutyRunner(duties, { ...this.#dependencies, id, keeper, now, findLeader, listRecords, listServices: () => this.#services.list(), sumLoads: () => this.#loadHub.sumLoads() })
+    this.#duties = new DutyRunner(duties, { ...this.#dependencies, id, keeper, now, findLeader, listRecords, contention: createContentionSwitch(this.#settings, this.#dependencies), listServices: () => this.#services.list(), sumLoads: () => this.#loadHub.sumLoads() })
     this.#duties.start()
   }
 
--- /dev/null
+++ b/test/priced-orders.test.ts
@@ -0,0 +1,70 @@
+/**
+ * Orders of endpoints by price and availability, from the scaler to a platform in virtual time: 1,500,000 prompt tokens/s that
+ * occupy 16.5 engines, with 300 requests at them. Half of the reading time needs 33 to 35 engines, of which 24 must remain
+ * without one zone's spot endpoints. Each case guards against the failure in its name.
+ */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { divideAmongZones } from '../src/core/sizing/zone-division.js'
+import { play } from './support/fake-platform.js'
+import type { Scenario } from './support/fake-platform.js'
+
+const load = { arriving: 1_500_000, running: 300 }
+const steady = () => load
+const createWave = (periodMs: number): Scenario['load'] => at => {
+  const part = 1 + 0.5 * Math.sin(at / periodMs * 2 * Math.PI)
+  return { arriving: load.arriving * part, running: Math.round(load.running * part) }
+}
+const isOutage = (at: number): boolean => at >= 40_000 && at < 50_000
+const reclaimB: Scenario = { load: steady, findReclaimed: at => isOutage(at) ? 'b' : null, answer: (at, zone, isSpot) => isSpot && zone === 'b' && isOutage(at) ? 409 : 200 }
+const steadyOrders = '2:as14 2:ao14 2:bs14 2:bo14 2:cs13 2:co14 6:ao1 6:bo1 6:co1 31.5:as11 31.5:bs11 31.5:cs11'
+
+/** Scenario, the span in which the fewest serving endpoints are checked, and the orders as "seconds:zone, spot or on-demand, count". */
+const cases: readonly { name: string, scenario: Scenario, span: readonly [number, number], fewest: number, orders?: string, mostOrders?: number, events?: readonly string[] }[] = [
+  { name: 'the start orders the maximum', scenario: { load: steady }, span: [0, 90_000], fewest: 34, orders: steadyOrders },
+  { name: 'without the measures, orders are not as before', scenario: { load: steady, mode: 'off' }, span: [0, 90_000], fewest: 27, orders: '0:as46 0:ao14 0:bs46 0:bo14 0:cs46 0:co14 4:as59 4:ao1 4:bs59 4:bo1 4:cs59 4:co1 20:as8 20:bs8 20:cs8' },
+  { name: 'a reclaimed zone leaves too few, is asked all the time, and returns with a wave of orders', scenario: reclaimB, span: [20_000, 90_000], fewest: 24, orders: `${steadyOrders} 40:as22 40:cs22 42:bs11!409 46:bs11!409 54:bs11 65.5:as11 65.5:cs11`, events: ['40000 zone-unavailable b spot leaving 2000', '42500 zone-unavailable b spot refused 4000', '46500 zone-unavailable b spot refused 8000'] },
+  { name: 'a change of holder during the outage releases endpoints', scenario: { ...reclaimB, holderChangesAt: 43_000 }, span: [20_000, 90_000], fewest: 24, orders: `${steadyOrders} 40:as22 40:cs22 42:bs11!409 45:as22 45:ao1 45:bs11!409 45:bo1 45:cs22 45:co1 47:bs11!409 51:bs11 62.5:as11 62.5:cs11` },
+  { name: 'a change of holder moves or releases endpoints', scenario: { load: steady, holderChangesAt: 40_000 }, span: [0, 90_000], fewest: 34, mostOrders: 18 },
+  { name: 'a silent platform is called each second', scenario: { load: steady, answer: at => at < 20_000 ? null : 200 }, span: [0, 90_000], fewest: 33, mostOrders: 54 },
+  { name: 'a slow platform gets an order again before it answered', scenario: { load: steady, answerMs: 3000 }, span: [0, 90_000], fewest: 34, mostOrders: 12 },
+  { name: 'waves of 11 s release endpoints', scenario: { load: createWave(11_000) }, span: [12_000, 90_000], fewest: 50, mostOrders: 13 },
+  { name: 'waves of 15 s release endpoints', scenario: { load: createWave(15_000) }, span: [12_000, 90_000], fewest: 50, mostOrders: 13 },
+  { name: 'endpoints that were released count as a reclaimed zone', scenario: { load: at => at < 20_000 ? { arriving: 4_500_000, running: 900 } : at < 61_000 ? { arriving: 200_000, running: 40 } : load, answerMs: 1000 }, span: [0, 90_000], fewest: 5, events: [] },
+  { name: 'a burst is answered after its end', scenario: { load: at => isOutage(at) ? { arriving: 3_900_000, running: 780, held: 3_000_000 } : load }, span: [44_500, 65_000], fewest: 86, mostOrders: 24 },
+  { name: 'new prices release a zone before others serve', scenario: { load: steady, prices: at => at < 40_000 ? { a: 1, b: 0.8, c: 1.25 } : { a: 1.2, b: 2, c: 0.5 } }, span: [0, 90_000], fewest: 34, orders: `${steadyOrders} 40:as22 40:cs22 51.5:bs0` },
+  { name: 'without spot endpoints anywhere, too few on-demand ones are ordered', scenario: { load: steady, findReclaimed: at => at === 40_000 ? 'a' : null, answer: (at, _, isSpot) => isSpot && at >= 40_000 && at < 63_000 ? 409 : 200 }, span: [45_000, 90_000], fewest: 24, mostOrders: 40 },
+  { name: 'refusals of all zones and kinds release what runs', scenario: { load: steady, answer: at => at >= 20_000 ? 409 : 200 }, span: [0, 90_000], fewest: 34, mostOrders: 70 },
+  { name: 'silence of the boxes releases endpoints', scenario: { load: at => at < 20_000 ? load : null }, span: [0, 90_000], fewest: 34, mostOrders: 12 },
+  { name: 'slots are not counted where little is read', scenario: { load: () => ({ arriving: 1000, running: 1500 }) }, span: [6000, 90_000], fewest: 90 },
+  { name: 'without a price of spot endpoints, some are ordered', scenario: { load: steady, spotPrice: null }, span: [0, 90_000], fewest: 34, orders: '2:ao15 2:bo15 2:co15 31.5:ao13 31.5:bo13 31.5:co12' }
+]
+
+for (const { name, scenario, span: [from, to], fewest, orders, mostOrders, events } of cases) {
+  test(`orders by price: ${name}`, async () => {
+    const played = await play(scenario, 90_000)
+    const text = played.orders.map(({ at, zone, isSpot, count, status }) => `${at / 1000}:${zone}${isSpot ? 's' : 'o'}${count}${status === 200 ? '' : `!${status}`}`).join(' ')
+    if (orders !== undefined) assert.equal(text, orders)
+    assert.ok(played.orders.length <= (mostOrders ?? Infinity), text)
+    const serving = played.samples.filter(({ at }) => at >= from && at <= to).map(one => one.serving)
+    assert.ok(Math.min(...serving) >= fewest, `${Math.min(...serving)}: ${text}`)
+    for (const { count } of played.orders) assert.ok(count >= 0 && count <= 60, text)
+    if (events !== undefined) assert.deepEqual(played.events, events)
+  })
+}
+
+const required = { count: 33, remaining: 24 }
+const divisions: readonly { name: string, offers: readonly (readonly [price: number, min: number, max: number])[], fixed: number, expected: readonly number[] }[] = [
+  { name: 'the cheapest zone takes what leaves enough', offers: [[1, 0, 59], [0.8, 0, 59], [1.25, 0, 59]], fixed: 3, expected: [11, 11, 10] },
+  { name: 'two cheap zones replace an expensive one', offers: [[1, 0, 59], [0.5, 0, 59], [5, 0, 59]], fixed: 3, expected: [21, 21, 0] },
+  { name: 'a closed zone keeps what it has', offers: [[1, 0, 59], [0.8, 4, 4], [1.25, 0, 59]], fixed: 3, expected: [17, 4, 17] },
+  { name: 'one zone alone takes all', offers: [[1, 0, 59]], fixed: 1, expected: [32] },
+  { name: 'bounds below the need', offers: [[1, 0, 5], [2, 3, 4]], fixed: 2, expected: [5, 4] }
+]
+
+for (const { name, offers, fixed, expected } of divisions) {
+  test(`division among zones: ${name}`, () => {
+    const counts = divideAmongZones(offers.map(([price, min, max], i) => ({ zone: `z${i}` as never, price, min, max })), fixed, required)
+    assert.deepEqual(offers.map((_, i) => counts.get(`z${i}` as never)), expected)
+  })
+}
