--- a/test/contention.test.ts
+++ b/test/contention.test.ts
@@ -4,6 +4,8 @@
 import { gatewayFields, parseToml, registryFields } from '../src/config/index.js'
 import { ContentionSwitch, LoadSum } from '../src/core/index.js'
 import type { ContentionMode, CpuRange } from '../src/core/index.js'
+import { createContentionSwitch } from '../src/registry/registry-dependencies.js'
+import { platformDialect } from '../platform/dialect.js'
 import { createFleet, createLoad, createRecord, createWork, desk } from './support/fleet-builder.js'
 
 interface SwitchCase {
@@ -56,3 +58,13 @@
     assert.deepEqual([parsed.value.contention, parsed.value.features], [{ mode: 'off' }, []])
   })
 }
+
+// Guards against registries that order by price where nobody asked for it, or don't where the platform marks the deployment.
+for (const [mode, features, reason] of [['auto', ['pressure'], 'feature'], ['auto', ['other'], null], ['off', ['pressure'], null], ['on', [], 'settings']] as const) {
+  test(`orders by price at a registry: mode ${mode}, features ${features.join()}`, () => {
+    const logged: string[] = []
+    const log = { info: (event: string) => logged.push(event) }
+    assert.equal(createContentionSwitch({ contention: { mode }, features } as never, { dialect: platformDialect, log } as never).reason, reason)
+    assert.equal(logged.length, reason === null ? 0 : 1)
+  })
+}
