--- a/test/contention.test.ts
+++ b/test/contention.test.ts
@@ -1,9 +1,12 @@
 import assert from 'node:assert/strict'
+import { readFileSync } from 'node:fs'
 import { test } from 'node:test'
-import { gatewayFields, parseToml } from '../src/config/index.js'
+import { gatewayFields, parseToml, registryFields } from '../src/config/index.js'
 import type { GatewaySettings } from '../src/config/index.js'
 import { ContentionSwitch, LoadSum } from '../src/core/index.js'
 import type { ContentionMode, CpuRange } from '../src/core/index.js'
+import { createContentionSwitch } from '../src/registry/registry-dependencies.js'
+import { platformDialect } from '../platform/dialect.js'
 import { createFleet, createLoad, createRecord, createWork, desk } from './support/fleet-builder.js'
 
 interface SwitchCase {
@@ -55,3 +58,21 @@
   const { contention, box, features } = parsed.value as unknown as GatewaySettings
   assert.deepEqual({ contention, box, features }, { contention: { mode: 'off' }, box: null, features: [] })
 })
+// Guards against programs that refuse to start with settings from before `[contention]`, as those of the build do.
+for (const [program, fields] of [['gateway', gatewayFields], ['registry', registryFields]] as const) {
+  test(`settings of a ${program} that name no measures are valid and turn them off`, () => {
+    const parsed = parseToml(readFileSync(`deploy/compile-${program}.toml`, 'utf8'), fields)
+    assert.ok(parsed.ok)
+    assert.deepEqual([parsed.value.contention, parsed.value.features], [{ mode: 'off' }, []])
+  })
+}
+
+// Guards against registries that order by price where nobody asked for it, or don't where the platform marks the deployment.
+for (const [mode, features, reason] of [['auto', ['pressure'], 'feature'], ['auto', ['other'], null], ['off', ['pressure'], null], ['on', [], 'settings']] as const) {
+  test(`orders by price at a registry: mode ${mode}, features ${features.join()}`, () => {
+    const logged: string[] = []
+    const log = { info: (event: string) => logged.push(event) }
+    assert.equal(createContentionSwitch({ contention: { mode }, features } as never, { dialect: platformDialect, log } as never).reason, reason)
+    assert.equal(logged.length, reason === null ? 0 : 1)
+  })
+}
