--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -31,10 +31,10 @@
 import type { ReturnRates } from './return-schedule.js'
 import { noneDedicated, snapshotTtlMs } from './service-snapshot.js'
 import type { ServiceSnapshot } from './service-snapshot.js'
-import type { PauseLimits } from './pause-forecast.js'
 import { listHolders } from './prompt-plan.js'
 import type { PromptHolder } from './prompt-plan.js'
-import { countExpectedTokens, computeMinTolerantPause, estimateInitialPause, isPauseTolerant } from './prompt-reading.js'
+import { PauseEstimates } from './pause-estimates.js'
+import { countExpectedTokens, isPauseTolerant } from './prompt-reading.js'
 import type { DedicatedCount } from './dedicated-count.js'
 import { admitToEngines, findOverloadedLevel, listImmediateEngines } from './service-admission.js'
 import type { AdmissionContext } from './service-admission.js'
@@ -56,6 +56,7 @@
   #views = new Map<EndpointId, EndpointView>()
   #byService = new Map<ServiceName, EndpointView[]>()
   #others = new OtherBoxes()
+  #pauses: PauseEstimates
   #reportedPrompts = new ReportedPrompts()
   #snapshots = new Map<ServiceName, ServiceSnapshot>()
   #gates: GateStore
@@ -64,6 +65,7 @@
   constructor (zone: ZoneName, isConnected: (view: EndpointView) => boolean = () => true, findNotice: (id: EndpointId) => EndpointNotice | undefined = () => undefined, contention = new ContentionSwitch()) {
     this.#gates = new GateStore(findNotice)
     this.contention = contention
+    this.#pauses = new PauseEstimates(this.#others, contention)
     this.zones = new ZoneMonitor(zone, zoneTimeoutMs)
     this.#boxContext = { zone, zones: this.zones, isConnected }
   }
@@ -188,7 +190,7 @@
     const preferred = (isTolerant ? dedicationOrder.slice(0, counts.count) : listImmediateEngines(context, work.targetMs, at)).filter(view => !tried.includes(view.id) && isOpen(view, work, at))
     const candidates = filter === null ? preferred : left
     const affinityCandidates = isTolerant && filter === null ? dedicationOrder.slice(0, counts.base) : candidates
-    const prompt: PromptRequest = { work, cost: work.cost, engine, waitedMs, minTolerantPauseMs, pauseLimits: this.#findPauseLimits(context.state, at), isPauseTolerant: isTolerant }
+    const prompt: PromptRequest = { work, cost: work.cost, engine, waitedMs, minTolerantPauseMs, pauseLimits: this.#pauses.findLimits(context.state, at), isPauseTolerant: isTolerant }
     const holders = this.#listHolders(work.cost, engine.transfer, at, work.service)
     const choice = chooseEngine({ candidates: candidates.length > 0 ? candidates : left, affinityCandidates, holders, prompt, dedicatedCount: counts.count, boxContext: this.#boxContext }, at, draw)
     return isTolerant && !hasRoom(choice.view, work.cost, engine, this.#others.countUnreportedBoxes(at), at) ? 'later' : choice
@@ -205,8 +207,8 @@
         state,
         dedicationOrder,
         counts: this.#agreeDedicatedCount(state, dedicationOrder, at),
-        readingPauseMs: this.#findReadingPause(state, at),
-        minTolerantPauseMs: this.#findMinTolerantPause(state, at),
+        readingPauseMs: this.#pauses.findReading(state, at),
+        minTolerantPauseMs: this.#pauses.findMinTolerant(state, at),
         queuedTokens: this.#countQueuedTokens(state, Infinity)
       }, at)
       descriptions.push({ service: name, text })
@@ -264,7 +266,7 @@
       snapshot: this.#findSnapshot(service, at),
       others: this.#others.find(service),
       sharers: this.#others.countUnreportedBoxes(at),
-      minTolerantPauseMs: this.#findMinTolerantPause(state, at),
+      minTolerantPauseMs: this.#pauses.findMinTolerant(state, at),
       listHolders: cost => this.#listHolders(cost, engine.transfer, at, service)
     }
   }
@@ -285,27 +287,12 @@
   }
 
   #isPauseTolerant (work: Pick<RequestProfile, 'pauseMs'>, state: ServiceState, at: number): boolean {
-    return isPauseTolerant(work, this.#findMinTolerantPause(state, at))
+    return isPauseTolerant(work, this.#pauses.findMinTolerant(state, at))
   }
 
   #findMinTolerantPauseAt (view: EndpointView, at: number): number {
     const state = this.#services.get(view.record.service)
-    return state === undefined ? 0 : this.#findMinTolerantPause(state, at)
-  }
-
-  #findMinTolerantPause (state: ServiceState, at: number): number {
-    return computeMinTolerantPause(this.#findReadingPause(state, at), state.pauses.findLongest(at))
-  }
-
-  #findPauseLimits (state: ServiceState, at: number): PauseLimits | null {
-    const strictestMs = this.contention.isOn ? state.pauses.findShortest(at) : null
-    return strictestMs === null ? null : { strictestMs, readingPauseMs: this.#findReadingPause(state, at) }
-  }
-
-  // All boxes use the same reported pause if there is one, because they must classify requests alike.
-  #findReadingPause (state: ServiceState, at: number): number {
-    const { service, firstEvent, readingPause } = state
-    return this.#others.find(state.service.name)?.readingPauseMs ?? readingPause.find(at) ?? estimateInitialPause(service.engine?.tokensPerEvent ?? 1, firstEvent.msPerToken)
+    return state === undefined ? 0 : this.#pauses.findMinTolerant(state, at)
   }
 
   #regroup (): void {
