--- a/src/core/sizing/price-planner.ts
+++ b/src/core/sizing/price-planner.ts
@@ -32,6 +32,8 @@
 const holdSteps = 24
 /** Time for which a new holder only observes, ms, unless it sees a backlog or nothing that serves: orders of its predecessor are under way. */
 const observeMs = 2000
+/** Before any load, it observes until no endpoint has registered for this long, ms: an order that counts only a part of the endpoints would return the others. */
+const registrationMs = 3000
 /** Backlog at which it orders at once, ms. */
 const urgentBacklogMs = 500
 /** Time within which endpoints may leave because of an order, ms: that of a slow call, and of the endpoints' announcements. */
@@ -48,6 +50,8 @@
 export class PricePlanner {
   readonly service: ServiceName
   #startedAt: number | null = null
+  #mostServing = 0
+  #lastRegisteredAt = -Infinity
   #required = new RequiredEndpointsTracker()
   #availability = new ZoneAvailability()
   #held = new Map<string, SlidingMax>()
@@ -93,7 +97,13 @@
 
   #isObserving ({ at, backlogMs, zones }: PricedInput): boolean {
     this.#startedAt ??= at
-    return at - this.#startedAt < observeMs && backlogMs <= urgentBacklogMs && zones.some(({ spot, onDemand }) => spot + onDemand > 0)
+    const serving = zones.reduce((sum, { spot, onDemand }) => sum + spot + onDemand, 0)
+    if (serving > this.#mostServing) {
+      this.#mostServing = serving
+      this.#lastRegisteredAt = at
+    }
+    const isRegistering = this.#required.isIdle && at - this.#lastRegisteredAt < registrationMs
+    return (at - this.#startedAt < observeMs || isRegistering) && backlogMs <= urgentBacklogMs && serving > 0
   }
 
   #isClosed ({ zone }: ZoneEndpoints, isSpot: boolean, { at }: PricedInput): boolean { return this.#availability.isClosed(zone, isSpot, at) }
--- a/src/core/sizing/required-endpoints.ts
+++ b/src/core/sizing/required-endpoints.ts
@@ -54,13 +54,14 @@
   #arriving = new SlidingMax(peakWindowMs, peakWindowSteps)
   #growth = new SlidingMax(growthWindowMs, growthWindowSteps)
   #cost = new ReadingCost()
-  #initialCount: number | null = null
+  #initialCount = 0
   #firstLoadAt: number | null = null
   #settled = 0
 
   update (input: LoadInput): RequiredEndpoints {
     const { at, running, reading, backlogMs, isLoadKnown, zones } = input
-    this.#initialCount ??= countRunning(input)
+    // At the first start of a deployment, endpoints register one after another.
+    if (this.#firstLoadAt === null) this.#initialCount = Math.max(this.#initialCount, countRunning(input))
     if (isLoadKnown) {
       if (running > 0) this.#firstLoadAt ??= at
       const serving = zones.reduce((sum, { onDemand, spot }) => sum + onDemand + spot, 0)
@@ -76,6 +77,9 @@
     return { count: this.#settled, remaining: Math.min(this.#settled, Math.ceil(this.#settled * remainingShare)) }
   }
 
+  /** True until a box has reported load. */
+  get isIdle (): boolean { return this.#firstLoadAt === null }
+
   /** The inputs of the last count, for the log. */
   describe ({ running, backlogMs, reading }: LoadInput): string {
     const tokens = reading === null ? '' : `:reading=${Math.round(reading.arriving)}:readingPeak=${Math.round(this.#arriving.max)}:tokenMs=${this.#cost.msPerToken?.toFixed(4) ?? '-'}`
@@ -86,7 +90,7 @@
     const forSlots = this.#running.max / (slots * slotUtilization)
     const forReading = this.#arriving.max * (this.#cost.msPerToken ?? 0) / 1000 / readingUtilization
     const isWarm = this.#firstLoadAt !== null && at - this.#firstLoadAt >= warmUpMs
-    return Math.ceil(Math.max(forSlots, forReading, this.#growth.max, isWarm ? 0 : this.#initialCount ?? 0))
+    return Math.ceil(Math.max(forSlots, forReading, this.#growth.max, isWarm ? 0 : this.#initialCount))
   }
 }
 
--- a/test/priced-orders.test.ts
+++ b/test/priced-orders.test.ts
@@ -5,6 +5,7 @@
  */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { PricePlanner } from '../src/core/sizing/price-planner.js'
 import { divideAmongZones } from '../src/core/sizing/zone-division.js'
 import { play } from './support/fake-platform.js'
 import type { Scenario } from './support/fake-platform.js'
@@ -53,6 +54,22 @@
   })
 }
 
+// Guards against orders that count only the endpoints which have registered: the platform took the other ones back just before the first load.
+test('orders by price: no endpoint is released while endpoints still register at the first start', () => {
+  const planner = new PricePlanner('desk' as never)
+  const sizing = { least: 1, most: 42, bootMs: 4000, spotPrice: 0.18, zonePrices: new Map([['a', 1], ['b', 0.8], ['c', 1.25]].map(([zone, price]) => [zone as never, price as number])) }
+  const targets = new Map<string, number>()
+  for (let at = 0; at <= 14_000; at += 500) {
+    const onDemand = Math.min(4, 1 + Math.floor(at / 1500))
+    const zones = ['a', 'b', 'c'].map(zone => ({ zone: zone as never, onDemand, spot: 0, leavingSpot: 0 }))
+    const planned = planner.plan({ at, sizing, slots: 48, zones, running: 0, backlogMs: 0, reading: { arriving: 0, read: 0, busyEngines: 0 }, isLoadKnown: true })
+    if (at < 7000) assert.deepEqual(planned, [])
+    for (const { zone, isSpot, count } of planned) targets.set(`${zone} ${isSpot}`, count)
+  }
+  const ordered = [...targets.values()].reduce((sum, count) => sum + count, 0)
+  assert.ok(ordered >= 12, [...targets].join(' '))
+})
+
 const required = { count: 33, remaining: 24 }
 const divisions: readonly { name: string, offers: readonly (readonly [price: number, min: number, max: number])[], fixed: number, expected: readonly number[] }[] = [
   { name: 'the cheapest zone takes what leaves enough', offers: [[1, 0, 59], [0.8, 0, 59], [1.25, 0, 59]], fixed: 3, expected: [11, 11, 10] },
