Workspace shares: capacity divided among workspaces while demand reaches it

Cause: a workspace that sends several times its usual rate takes the capacity of all others. Engines limited only whole kinds of request, and plain services admitted everything until their endpoints refused.

Change: while the measures against contention are on, gateways meter arrivals by workspace and kind, report the 24 largest and the rest as a sum, and hubs keep 64. From a demand of 0.9 of the capacity on, or while endpoints refuse requests as full, each kind's part of the capacity is divided by max-min fairness (workspace-shares.ts). Workspaces within their share are admitted; the others in proportion, and not to the last free slots or the last part of the allowed wait. How many slots are kept free follows from refusals by full endpoints. The log tells share, use, room, free slots and the age of the totals; `workspace-refused` counts by service.

--- a/src/core/balance/admission.ts
+++ b/src/core/balance/admission.ts
@@ -5,6 +5,7 @@
 import type { AdmissionCredits } from './admission-credits.js'
 import type { EndpointView } from './endpoint-view.js'
 import { rateWindowMs } from './kind-tracker.js'
+import type { WorkspaceShare } from './workspace-shares.js'
 
 /** Backlog ahead of a request, in prompt tokens of requests that are served before it, and the rate at which it is read. */
 export interface Backlog {
@@ -38,6 +39,10 @@
   readonly share: number
   /** Time after which the request should be retried; null if it is admitted. */
   readonly retryAfterMs: number | null
+  /** The share of the request's workspace; absent while shares do not apply. */
+  readonly workspaceShare?: WorkspaceShare
+  /** True if the request's workspace is over its share and the request was therefore not sure to be admitted. */
+  readonly isOverShare?: boolean
 }
 
 /** Inputs of an admission decision. */
@@ -126,6 +131,9 @@
   return Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs, excessRatio * rateWindowMs))
 }
 
+/** True if a request was refused because its workspace is over its share. */
+export function isRefusedByShare ({ retryAfterMs, isOverShare = false }: Admission): boolean { return retryAfterMs !== null && isOverShare }
+
 /** True if requests of a kind wait so long that most of them are late; less urgent requests are then queued. */
 export function isOverloaded (backlog: Backlog, lateness: number, targetMs: number): boolean {
   return estimateWaitMs(backlog, lateness) > targetMs * minWaitShare
--- a/src/core/balance/box-load.ts
+++ b/src/core/balance/box-load.ts
@@ -4,6 +4,7 @@
  */
 import type { EndpointId, ServiceName, ZoneName } from '../ids.js'
 import type { CpuRange } from './contention.js'
+import type { WorkspaceRates } from './workspace-demand.js'
 
 /** Prompt tokens waiting to be read, by the priority of their requests. */
 export type WaitingTokens = readonly (readonly [priority: number, tokens: number])[]
@@ -33,8 +34,8 @@
 /** Shared parts of a prompt that was recently sent to an engine; once `isKept`, they are cached there, and other engines may fetch them. */
 export type PromptReport = readonly [endpoint: EndpointId, parts: readonly (readonly [id: string, tokens: number])[], isKept: boolean]
 
-/** Demand for a service at one box or at several; arrival rates in prompt tokens/s. */
-export interface ServiceDemand {
+/** Demand for a service at one box or at several; arrival rates in prompt tokens/s. Rates by workspace are only sent while the measures against contention are on. */
+export interface ServiceDemand extends Partial<WorkspaceRates> {
   readonly service: ServiceName
   /** Arrival rate of pause-tolerant requests. */
   readonly patient: number
--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -78,6 +78,8 @@
   readonly cachedPrompts: PromptCacheModel
   readonly answerMs = new ExponentialAverage(initialAnswerMs, newestWeight)
   record: EndpointRecord
+  /** When it last refused a request of this box as full; -Infinity if never. */
+  fullAt = -Infinity
   #stats: EngineStats
   /** Prompt states that this box reports to its hub. */
   #promptReports: { readonly at: number, readonly prompt: PromptReport }[] = []
@@ -218,6 +220,7 @@
     placed.lastEventAt = at
     const tookMs = at - placed.sentAt
     const { cost } = placed.work
+    if (cost === null) this.#stats.slotReserve.note(false)
     if (cost === null) return this.answerMs.add(tookMs)
     this.#reportPrompt(cost, true, at)
     this.#stats.readMeter.add(at, countExpectedTokens(cost))
@@ -268,6 +271,14 @@
     else (this.#gapQuantile ??= new RunningQuantile(this.#minInitialGapMs, gapQuantile, gapStep)).add(aloneMs)
   }
 
+  /** Notes that the endpoint refused a request properly. */
+  noteRefused (at: number): void {
+    this.health.noteGood()
+    if (this.gate.isClosed(at)) return
+    this.fullAt = at
+    this.#stats.slotReserve.note(true)
+  }
+
   /** Removes a request that ended or was cancelled. */
   remove (placed: PlacedRequest, at: number): void {
     this.#placed.delete(placed)
--- a/src/core/balance/engine-stats.ts
+++ b/src/core/balance/engine-stats.ts
@@ -4,6 +4,7 @@
 import { rateWindowMs } from './kind-tracker.js'
 import { Lateness } from './lateness.js'
 import { ReadingPause } from './reading-pause.js'
+import { SlotReserve } from './slot-reserve.js'
 
 /** Time to read a prompt token before any was measured, ms: that of a typical engine in production. */
 const initialReadMsPerToken = 0.024
@@ -20,6 +21,8 @@
   readonly lateness: Lateness
   /** Prompt tokens of this box's requests whose first event has arrived. */
   readonly readMeter: RateMeter
+  /** Of a plain service. */
+  readonly slotReserve: SlotReserve
 }
 
 /** Initial values before anything was measured. */
@@ -28,6 +31,7 @@
     readMsPerToken: new RunningQuantile(initialReadMsPerToken, readTimeQuantile, readTimeStep),
     readingPause: new ReadingPause(),
     lateness: new Lateness(),
-    readMeter: new RateMeter(rateWindowMs)
+    readMeter: new RateMeter(rateWindowMs),
+    slotReserve: new SlotReserve()
   }
 }
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -32,8 +32,10 @@
 import type { PromptHolder } from './prompt-plan.js'
 import { countExpectedTokens, computeMinTolerantPause, estimateInitialPause, isPauseTolerant } from './prompt-reading.js'
 import type { DedicatedCount } from './dedicated-count.js'
-import { admitToEngines, findOverloadedLevel, listImmediateEngines } from './service-admission.js'
+import { admitToEngines, findOverloadedLevel, listImmediateEngines, measureCapacity } from './service-admission.js'
 import type { AdmissionContext } from './service-admission.js'
+import { admitPlain, composeShareReport, findShare, noteWorkspace } from './service-shares.js'
+import type { ShareContext } from './service-shares.js'
 import { composeDemand, createServiceState } from './service-state.js'
 import type { ServiceState } from './service-state.js'
 import { groupByService, isOpen, listTransferSources, listUsable } from './usable-endpoints.js'
@@ -158,7 +160,7 @@
       if (view.ownGapMs !== null) gaps.push([view.id, Math.round(view.ownGapMs * 10) / 10])
     }
     const { reported: boxCpu } = this.contention
-    const demands = [...this.#services.values()].map(state => ({ ...composeDemand(state, at), ...(boxCpu === undefined ? {} : { boxCpu }) })).filter(({ patient, brisk, readingPauseMs }) => patient > 0 || brisk > 0 || readingPauseMs !== null)
+    const demands = [...this.#services.values()].map(state => ({ ...composeDemand(state, at), ...(boxCpu === undefined ? {} : { boxCpu }), ...composeShareReport(this.#composeShares(state, at), at) })).filter(({ patient, brisk, readingPauseMs, workspaceRest = [], workspaces = [] }) => patient > 0 || brisk > 0 || readingPauseMs !== null || workspaceRest.length + workspaces.length > 0)
     return { loads, demands, gaps, prompts }
   }
 
@@ -235,10 +237,20 @@
     return Math.max(this.#services.get(service)?.dedicatedCount.counts.count ?? 0, this.#others.find(service)?.apart ?? 0)
   }
 
-  /** Decides whether to admit a request; returns null if no decision is needed: for a plain service, or engines that are not congested for the request. */
+  /** Decides whether to admit a request; returns null if no decision is needed: for a plain service with enough capacity, or engines that are not congested for the request. */
   admit (work: RequestProfile, at: number): Admission | null {
     const context = this.#composeContext(work.service, at)
-    return context === null || work.cost === null ? null : admitToEngines(context, work, work.cost, at)
+    const shares = this.#composeShares(this.#services.get(work.service), at)
+    if (context === null) return admitPlain(shares, work, at)
+    return work.cost === null ? null : admitToEngines(context, work, work.cost, findShare(shares, work, at), at)
+  }
+
+  // Returns null while the capacity is not to be divided among workspaces.
+  #composeShares (state: ServiceState | undefined, at: number): ShareContext | null {
+    if (state === undefined || !this.contention.isOn) return null
+    const { name } = state.service
+    const context = this.#composeContext(name, at)
+    return { state, usable: this.listUsable(name, at), others: this.#others.find(name), freshness: this.#others.findFreshness(at), measureEngines: context === null ? null : boxes => measureCapacity(context, at, boxes) }
   }
 
   // Returns null for an unknown service and for one without an engine profile.
@@ -264,6 +276,7 @@
   /** Records the arrival of a request, for the demand meters. */
   noteArrival (work: RequestProfile, at: number): void {
     const state = this.#services.get(work.service)
+    if (state !== undefined && this.contention.isOn) noteWorkspace(state, work, at)
     if (state?.service.engine == null || work.cost === null) return
     if (work.pauseMs !== null) state.pauses.note(at, work.pauseMs)
     state.kinds.note(work, countExpectedTokens(work.cost), at)
--- a/src/core/balance/load-sum.ts
+++ b/src/core/balance/load-sum.ts
@@ -3,6 +3,7 @@
 import { findMedian } from './average.js'
 import { joinCpuRanges } from './contention.js'
 import type { CpuRange } from './contention.js'
+import { WorkspaceSum, maxTotalRates } from './workspace-demand.js'
 import type { EndpointLoad, EngineGap, LoadTotals, ServiceTotal, WaitingTokens } from './box-load.js'
 
 /**
@@ -14,6 +15,7 @@
   #demands = new Map<ServiceName, ServiceTotal>()
   #readingPauses = new Map<ServiceName, number[]>()
   #gaps = new Map<EndpointId, number[]>()
+  #workspaces = new Map<ServiceName, WorkspaceSum>()
   #zones = new Set<ZoneName>()
 
   get totals (): LoadTotals {
@@ -25,6 +27,7 @@
     for (const one of loads) this.#loads.set(one.endpoint, addLoad(this.#loads.get(one.endpoint), one))
     for (const one of demands) {
       this.#demands.set(one.service, addDemand(this.#demands.get(one.service), one))
+      if (one.workspaces !== undefined) this.#workspaces.set(one.service, (this.#workspaces.get(one.service) ?? new WorkspaceSum()).add(one))
       if (one.readingPauseMs !== null) this.#readingPauses.set(one.service, [...this.#readingPauses.get(one.service) ?? [], one.readingPauseMs])
     }
     for (const [endpoint, gapMs] of gaps) this.#gaps.set(endpoint, [...this.#gaps.get(endpoint) ?? [], gapMs])
@@ -32,7 +35,7 @@
   }
 
   #composeDemands (): ServiceTotal[] {
-    return [...this.#demands.values()].map(one => ({ ...one, readingPauseMs: findMedian(this.#readingPauses.get(one.service) ?? []) }))
+    return [...this.#demands.values()].map(one => ({ ...one, readingPauseMs: findMedian(this.#readingPauses.get(one.service) ?? []), ...this.#workspaces.get(one.service)?.list(maxTotalRates) }))
   }
 }
 
--- a/src/core/balance/other-boxes.ts
+++ b/src/core/balance/other-boxes.ts
@@ -8,6 +8,8 @@
  * ms: a registry is normally reached, and reports, within a second.
  */
 const soloAfterMs = 3000
+/** Without totals for this long, ms, a box divides its own part of a service's capacity: by then, the reporter has discarded the last ones. */
+const expiryMs = 1500
 
 /** What a box knows of the other boxes' load on each service, and whether that is up to date. */
 export class OtherBoxes {
@@ -38,6 +40,12 @@
     return this.#receivedAt === null ? at >= soloAfterMs : at - this.#receivedAt <= freshMs
   }
 
+  /** Age of the totals, ms, null if there are none or they have expired, and the number of boxes of which this box only knows itself then. */
+  findFreshness (at: number): { readonly ageMs: number | null, readonly boxes: number } {
+    const ageMs = this.#receivedAt === null ? Infinity : at - this.#receivedAt
+    return ageMs <= expiryMs ? { ageMs, boxes: 1 } : { ageMs: null, boxes: this.#boxes }
+  }
+
   /** Number of boxes, including this one, that may send to the same engines without their load being known here; 1 while all report. */
   countUnreportedBoxes (at: number): number { return this.isComplete(at) ? 1 : this.#boxes }
 
--- a/src/core/balance/others-load.ts
+++ b/src/core/balance/others-load.ts
@@ -1,5 +1,6 @@
 /** The load of the other boxes: the hub's totals minus this box's own contribution. */
 import { addAmounts } from './load-sum.js'
+import { WorkspaceSum } from './workspace-demand.js'
 import type { BoxLoad, EndpointLoad, LoadTotals, ServiceDemand, ServiceTotal } from './box-load.js'
 
 /**
@@ -39,6 +40,7 @@
     held: addAmounts(sum.held, own.held, -1),
     rates: addAmounts(sum.rates ?? [], own.rates ?? [], -1),
     read: Math.max(0, (sum.read ?? 0) - (own.read ?? 0)),
+    ...(sum.workspaces === undefined ? {} : new WorkspaceSum().add(sum).subtract(own).list()),
     holders: sum.holders - (own.held.length > 0 ? 1 : 0)
   }
 }
--- a/src/core/balance/service-admission.ts
+++ b/src/core/balance/service-admission.ts
@@ -3,6 +3,8 @@
  * urgent ones are late. Pause-tolerant requests are queued in the box until an engine has room; all others are sent
  * immediately or refused, whichever engine they go to.
  */
+import { limitToShare } from './service-shares.js'
+import type { WorkspaceShare } from './workspace-shares.js'
 import { decideAdmission, decideImmediateAdmission, isOverloaded, limitAdmission, measureBacklog } from './admission.js'
 import type { Admission, Backlog } from './admission.js'
 import { countQueuedTokens } from './agreed-dedicated-count.js'
@@ -37,12 +39,15 @@
 /** Fraction of the reading capacity that is divided among the kinds while they are limited. */
 const plannedCapacityShare = 0.95
 
-/** Decides whether to admit a request; returns null for one that is not pause-tolerant if engines are not congested for it. */
-export function admitToEngines (context: AdmissionContext, work: RequestProfile, cost: PromptCost, at: number): Admission | null {
-  return isPauseTolerant(work, context.minTolerantPauseMs) ? admitPauseTolerant(context, work, cost, at) : admitImmediate(context, work, cost, at)
+/**
+ * Decides whether to admit a request; returns null for one that is not pause-tolerant if engines are not congested for it.
+ * `workspaceShare`: null while the capacity is not divided among workspaces.
+ */
+export function admitToEngines (context: AdmissionContext, work: RequestProfile, cost: PromptCost, workspaceShare: WorkspaceShare | null, at: number): Admission | null {
+  return isPauseTolerant(work, context.minTolerantPauseMs) ? admitPauseTolerant(context, work, cost, workspaceShare, at) : admitImmediate(context, work, cost, workspaceShare, at)
 }
 
-function admitPauseTolerant (context: AdmissionContext, work: RequestProfile, cost: PromptCost, at: number): Admission {
+function admitPauseTolerant (context: AdmissionContext, work: RequestProfile, cost: PromptCost, workspaceShare: WorkspaceShare | null, at: number): Admission {
   const { state, snapshot: { dedicationOrder, counts } } = context
   const dedicated = dedicationOrder.slice(0, Math.max(1, counts.count))
   const backlog = measureBacklogFor(context, work, at)
@@ -56,25 +61,27 @@
     sinceLessUrgentMs: at - state.kinds.findLastLessUrgentStart(work.level),
     maxLessUrgentTargetMs: state.kinds.findMaxLessUrgentTarget(work.level, at)
   })
+  if (workspaceShare !== null) return limitToShare(admission, workspaceShare, state.workspaces.findCredits(work.workspace, work.level), work.level)
   return limitAdmission(admission, findKindShares(context, at).get(work.level) ?? 1, state.credits, work.level)
 }
 
-function admitImmediate (context: AdmissionContext, work: RequestProfile, cost: PromptCost, at: number): Admission | null {
+function admitImmediate (context: AdmissionContext, work: RequestProfile, cost: PromptCost, workspaceShare: WorkspaceShare | null, at: number): Admission | null {
   const { state, snapshot: { dedicationOrder } } = context
-  const share = findKindShares(context, at).get(work.level) ?? 1
+  const share = workspaceShare?.fraction ?? findKindShares(context, at).get(work.level) ?? 1
   const engineWaitMs = findShortestWait(listImmediateEngines(context, work.targetMs, at), context.engine.slots, at)
   const lateness = state.lateness.find(work.level)
   if (!isCongested(engineWaitMs, lateness, work.targetMs)) return null
-  return decideImmediateAdmission({
+  const admission = decideImmediateAdmission({
     backlog: measureBacklog(dedicationOrder, 0, work.priority, state.kinds.findLowestPriority(work.level, work.priority), at),
     lateness,
     engineWaitMs,
     readingMs: estimateReadingMs(cost, dedicationOrder, context.listHolders(cost), context.engine.transfer),
     targetMs: work.targetMs,
     share,
-    credits: state.credits,
+    credits: workspaceShare === null ? state.credits : state.workspaces.findCredits(work.workspace, work.level),
     level: work.level
   })
+  return workspaceShare === null ? admission : { ...admission, workspaceShare, isOverShare: share < 1 }
 }
 
 /**
@@ -115,13 +122,17 @@
 }
 
 function computeKindShares (context: AdmissionContext, at: number): ReadonlyMap<number, number> {
-  const { state, snapshot: { usable }, others, sharers } = context
+  const { state } = context
   const congestedLevel = state.congestion.update(findCongestedLevel(context, at), at)
+  return divideCapacity(measureCapacity(context, at) * plannedCapacityShare, listTotalRates(context, at), congestedLevel)
+}
+
+/** Reading capacity of the engines, tokens/s; `sharers`: boxes among which it is divided, as their load is not known here. */
+export function measureCapacity ({ state, snapshot: { usable }, others, sharers: known }: AdmissionContext, at: number, sharers = known): number {
   const expectedRate = usable.reduce((sum, view) => sum + 1000 / view.readMsPerToken, 0) / sharers
   const readRate = state.readMeter.rate(at) + (others?.read ?? 0)
   // The measured rate equals the capacity only if engines have been busy for the whole window.
-  const capacity = state.congestion.isSustained(at) ? readRate : Math.max(readRate, expectedRate)
-  return divideCapacity(capacity * plannedCapacityShare, listTotalRates(context, at), congestedLevel)
+  return state.congestion.isSustained(at) ? readRate : Math.max(readRate, expectedRate)
 }
 
 // Level of the most urgent kind, of those that are never queued, for which engines are congested; Infinity if there is none.
--- a/src/core/balance/service-state.ts
+++ b/src/core/balance/service-state.ts
@@ -9,6 +9,8 @@
 import type { ServiceDemand } from './box-load.js'
 import { PauseRange } from './pause-range.js'
 import { DedicatedCountController } from './dedicated-count.js'
+import { WorkspaceDemand } from './workspace-demand.js'
+import { ShareMemo } from './workspace-shares.js'
 
 export interface ServiceState extends EngineStats {
   readonly service: RoutedService
@@ -23,11 +25,14 @@
   readonly held: Map<number, number>
   readonly credits: AdmissionCredits
   readonly congestion: CongestionTracker
+  /** Arrival rates by workspace; only measured while the measures against contention are on. */
+  readonly workspaces: WorkspaceDemand
+  readonly shares: ShareMemo
 }
 
 /** The initial state of a service. */
 export function createServiceState (service: RoutedService): ServiceState {
-  return { ...createEngineStats(), service, dedicatedCount: new DedicatedCountController(), pauses: new PauseRange(), kinds: new KindTracker(), tolerantDemand: new RateMeter(), sensitiveDemand: new RateMeter(), held: new Map(), credits: new AdmissionCredits(), congestion: new CongestionTracker() }
+  return { ...createEngineStats(), service, dedicatedCount: new DedicatedCountController(), pauses: new PauseRange(), kinds: new KindTracker(), tolerantDemand: new RateMeter(), sensitiveDemand: new RateMeter(), held: new Map(), credits: new AdmissionCredits(), congestion: new CongestionTracker(), workspaces: new WorkspaceDemand(), shares: new ShareMemo() }
 }
 
 /** The demand for a service that a box reports to its hub. */
--- a/src/core/balance/work.ts
+++ b/src/core/balance/work.ts
@@ -1,5 +1,5 @@
 /** Properties of a request on which balancing depends: what it asks for and its expected cost. */
-import type { ServiceName } from '../ids.js'
+import type { ServiceName, WorkspaceName } from '../ids.js'
 
 /** A part of a prompt, identified by its id, that other requests may share. */
 export interface PromptPart {
@@ -18,6 +18,8 @@
 
 export interface RequestProfile {
   readonly service: ServiceName
+  /** Absent for a request without a key. */
+  readonly workspace?: WorkspaceName
   /** Rank of its kind, 0 is the most urgent; the same for all workspaces. */
   readonly level: number
   /** Rank among all requests, 0 is the most urgent: by kind, then by workspace. */
--- a/src/gateway/answers.ts
+++ b/src/gateway/answers.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http'
-import { lookUpError } from '../core/index.js'
-import type { ErrorKind } from '../core/index.js'
+import { isRefusedByShare, lookUpError } from '../core/index.js'
+import type { Admission, ErrorKind } from '../core/index.js'
 import type { Dialect } from '../protocol/index.js'
 
 /** An error that the box itself answers with. */
@@ -14,6 +14,12 @@
 /** `retry-after` where the refusal gives none, ms. */
 const defaultRetryMs = 500
 
+/** Explains a refusal on arrival to the caller. */
+export function explainRefusal (admission: Admission | null): string {
+  if (admission !== null && isRefusedByShare(admission)) return 'the workspace sends more than its share of the capacity that is left'
+  return 'the backlog ahead of this request is too long'
+}
+
 /** Answers with an error of the box's own; `lookUpError` gives its status and outcome. */
 export function sendRefusal (response: ServerResponse, refusal: Refusal, dialect: Dialect): void {
   const { status, outcome, retryAfter } = lookUpError(refusal.kind)
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -162,7 +162,7 @@
   #admitRequest (request: IncomingMessage, body: Buffer, headers: CallerHeaders, { table, route, workspace }: RouteMatch, arrivedAt: number): AdmittedRequest {
     const service = pickService(route, this.#host.draw())
     const priority = rankRequest(route, workspace, table.ranksPerRoute)
-    const work: RequestProfile = { service, level: route.priority, priority, cost: headers.cost, pauseMs: route.pauseMs, targetMs: route.targetMs }
+    const work: RequestProfile = { service, workspace: workspace?.name, level: route.priority, priority, cost: headers.cost, pauseMs: route.pauseMs, targetMs: route.targetMs }
     const timeoutMs = Math.min(route.timeoutMs, headers.deadlineMs ?? maxTimeoutMs)
     return {
       headers: headers.requestId === '' ? { ...headers, requestId: this.#host.makeRequestId() } : headers,
--- a/src/gateway/exchange-report.ts
+++ b/src/gateway/exchange-report.ts
@@ -1,5 +1,6 @@
 /** Log line and metrics of an exchange that has ended. */
-import type { Admission } from '../core/index.js'
+import { isRefusedByShare } from '../core/index.js'
+import type { Admission, WorkspaceShare } from '../core/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import type { Attempt, ExchangeSummary } from './exchange-summary.js'
 import { identifyRequest } from './fingerprint.js'
@@ -11,6 +12,7 @@
   metrics.time('exchange', totalMs, { route })
   if (firstMs !== null) metrics.time('first', firstMs, { route })
   if (summary.maxPauseMs > 0) metrics.time('pause', summary.maxPauseMs, { route })
+  if (summary.admission !== null && isRefusedByShare(summary.admission)) metrics.count('workspace-refused', { service: request.service })
   const fields = {
     request: request.headers.requestId,
     route,
@@ -42,10 +44,18 @@
 function isBroken ({ end }: Attempt): boolean { return end.startsWith('broken') || end.startsWith('lost') }
 
 // The expected wait, the prompt's own prefill time, the allowed time, and the figures they are computed from.
-function formatAdmission ({ waitMs, ownReadingMs, allowedMs, lateness, sinceLessUrgentMs, share, backlog }: Admission): string {
+function formatAdmission ({ workspaceShare, waitMs, ownReadingMs, allowedMs, lateness, sinceLessUrgentMs, share, backlog }: Admission): string {
   const { ownTokens, otherTokens, queuedTokens, lessUrgentTokens, engines, rate } = backlog
   const times = `wait=${Math.round(waitMs)}:reading=${Math.round(ownReadingMs)}:allowed=${Math.round(allowedMs)}:late=${lateness.toFixed(2)}:less=${Math.round(lessUrgentTokens)}/${Number.isFinite(sinceLessUrgentMs) ? Math.round(sinceLessUrgentMs) : '-'}`
-  return `${times}:own=${Math.round(ownTokens)}:others=${Math.round(otherTokens)}:held=${Math.round(queuedTokens)}:engines=${engines}:rate=${rate.toFixed(1)}:share=${share.toFixed(2)}`
+  return `${times}:own=${Math.round(ownTokens)}:others=${Math.round(otherTokens)}:held=${Math.round(queuedTokens)}:engines=${engines}:rate=${rate.toFixed(1)}:share=${share.toFixed(2)}${formatWorkspaceShare(workspaceShare)}`
+}
+
+// The share of the workspace, its use, what the kind's workspaces divide, free slots, and the age of the totals.
+function formatWorkspaceShare (workspaceShare: WorkspaceShare | undefined): string {
+  if (workspaceShare === undefined) return ''
+  const { share, use, room, free, ageMs } = workspaceShare
+  const format = (value: number): string => Number.isFinite(value) ? String(Math.round(value)) : '-'
+  return `:workspaceShare=${format(share)}/${format(use)}/${format(room)}/${free === undefined ? '-' : free.toFixed(1)}/${ageMs === null ? '-' : format(ageMs)}`
 }
 
 // The endpoint, the time of the send in ms after arrival, the figures behind the choice, and the outcome.
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -4,7 +4,7 @@
  */
 import type { ServerResponse } from 'node:http'
 import type { Admission, Choice, EndpointView, PromptPlan } from '../core/index.js'
-import { sendRefusal } from './answers.js'
+import { explainRefusal, sendRefusal } from './answers.js'
 import type { Refusal } from './answers.js'
 import { composeTarget } from './call-target.js'
 import type { SendEvidence } from './crash-guard.js'
@@ -58,7 +58,7 @@
   start (): void {
     this.#admission = this.#host.fleet.admit(this.request.work, this.#host.now())
     const retryAfterMs = this.#admission?.retryAfterMs ?? null
-    if (retryAfterMs !== null) return this.#refuse({ kind: 'overloaded', text: 'the backlog ahead of this request is too long', retryAfterMs })
+    if (retryAfterMs !== null) return this.#refuse({ kind: 'overloaded', text: explainRefusal(this.#admission), retryAfterMs })
     this.#search.start()
   }
 
@@ -228,7 +228,7 @@
   #handleNotRun (sent: ActiveSend, head: AnswerHead): void {
     const { isMisdirected } = head.headers
     if (isMisdirected) sent.view.health.noteUnreachable(this.#host.now())
-    else sent.view.health.noteGood()
+    else sent.view.noteRefused(this.#host.now())
     this.#cancelSend(sent, `not-run ${head.status}`)
     const at = this.#host.now()
     const availableInMs = Math.max(0, this.#host.fleet.findOpenTime(this.request.work, [], at) - at)
--- a/test/support/pool-model.ts
+++ b/test/support/pool-model.ts
@@ -3,13 +3,15 @@
  * decisions, load reports that reach other boxes with a delay, and engines that
  * prefill prompts in order of arrival. No sockets, no clock.
  */
-import { Fleet, LoadTable, brandId, subtractOwn } from '../../src/core/index.js'
-import type { BoxLoad, EndpointRecord, EndpointView, PlacedRequest, RoutedService, ServiceName, RequestProfile, ZoneName } from '../../src/core/index.js'
+import { ContentionSwitch, Fleet, LoadTable, brandId, subtractOwn } from '../../src/core/index.js'
+import type { BoxLoad, WorkspaceName, EndpointRecord, EndpointView, PlacedRequest, RoutedService, ServiceName, RequestProfile, ZoneName } from '../../src/core/index.js'
 import { createRandom } from '../../src/runtime/index.js'
 
 /** A kind of request; `promptTokens` is the mean prompt size. */
 export interface ModelKind {
   readonly name: string
+  /** The workspace that sends its requests; none if absent. */
+  readonly workspace?: string
   readonly level: number
   readonly targetMs: number
   readonly pauseMs: number
@@ -30,6 +32,8 @@
   /** Delay of load reports between boxes; Infinity for none. */
   readonly loadDelayMs: number
   readonly lengthMs: number
+  /** Whether the measures against contention are on; off if absent. */
+  readonly contention?: 'on' | 'off'
   /** Factor on the arrival rate of a kind at a time. */
   loadFactor (at: number, kind: string): number
 }
@@ -87,7 +91,7 @@
     const records = Array.from({ length: shape.engines }, (_, i) => composeRecord(i))
     for (const { id } of records) this.#engines.set(id, { freeAt: 0 })
     this.#boxes = Array.from({ length: shape.boxes }, () => {
-      const fleet = new Fleet(brandId<ZoneName>('zone-a'))
+      const fleet = new Fleet(brandId<ZoneName>('zone-a'), undefined, undefined, new ContentionSwitch({ mode: shape.contention ?? 'off', cpuShare: null, isMarked: false }))
       fleet.configure([composeService()])
       fleet.applyRecords(records)
       return { fleet, queued: [] }
@@ -193,6 +197,6 @@
 }
 
 function composeWork ({ kind, tokens, at }: ModelRequest): RequestProfile {
-  const { level, targetMs, pauseMs } = kind
-  return { service, level, priority: level, pauseMs, targetMs, cost: { promptTokens: tokens, maxTokens: 100, parts: [{ id: `${kind.name}-${at}-${tokens}`, tokens }] } }
+  const { workspace, level, targetMs, pauseMs } = kind
+  return { service, workspace: workspace === undefined ? undefined : brandId<WorkspaceName>(workspace), level, priority: level, pauseMs, targetMs, cost: { promptTokens: tokens, maxTokens: 100, parts: [{ id: `${kind.name}-${at}-${tokens}`, tokens }] } }
 }
--- /dev/null
+++ b/test/support/share-model.ts
@@ -0,0 +1,121 @@
+/**
+ * Replays calls of several workspaces to a plain service through the fleets of some boxes, whose totals lag. An endpoint
+ * refuses calls while its slots are taken; a call goes to at most two of them, or waits for a free slot. No caller returns.
+ */
+import { ContentionSwitch, Fleet, LoadTable, brandId, subtractOwn } from '../../src/core/index.js'
+import type { BoxLoad, PlacedRequest, EndpointView, WorkspaceName } from '../../src/core/index.js'
+import { createRecord, createWork, engineService, nameZone } from './fleet-builder.js'
+import { createRandom } from '../../src/runtime/index.js'
+
+export interface ModelWorkspace {
+  readonly name: string
+  /** Calls a second at a time. */
+  readonly rate: (at: number) => number
+  /** The boxes that it uses; all if absent. */
+  readonly boxes?: readonly number[]
+}
+
+export interface ShareShape {
+  readonly workspaces: readonly ModelWorkspace[]
+  readonly boxes: number
+  readonly endpoints: number
+  readonly slots: number
+  readonly answerMs: number
+  /** Age of the totals, ms; Infinity if none arrive. */
+  readonly lagMs: number
+  /** Boxes that hear no hub and are heard by none. */
+  readonly hubless?: readonly number[]
+  readonly lengthMs: number
+  readonly mode?: 'off' | 'on'
+  /** Longest wait of a call for a free slot, ms; absent if calls are sent to any endpoint and refused by full ones. */
+  readonly maxWaitMs?: number
+}
+
+/** Calls of one workspace: how many came and were answered, were refused on arrival, or by full endpoints. */
+export interface WorkspaceCount { calls: number, answered: number, refused: number, full: number }
+
+interface Waiting { readonly fleet: Fleet, readonly at: number, readonly add: (key: keyof WorkspaceCount) => void }
+interface Running { readonly view: EndpointView, readonly placed: PlacedRequest, readonly endsAt: number, readonly endpoint: string }
+
+const tickMs = 2
+const reportMs = 25
+
+/** Replays the calls; counts those that arrive between `from` and `until`, by workspace. */
+export function replayShares (shape: ShareShape, seed: number, from = 0, until = shape.lengthMs): Map<string, WorkspaceCount> {
+  const random = createRandom(seed)
+  const records = Array.from({ length: shape.endpoints }, (_, i) => createRecord(`e${i + 1}`, { slots: shape.slots }))
+  const fleets = Array.from({ length: shape.boxes }, () => {
+    const fleet = new Fleet(nameZone('zone-a'), undefined, undefined, new ContentionSwitch({ mode: shape.mode ?? 'on', cpuShare: null, isMarked: false }))
+    fleet.configure([{ ...engineService, engine: null }])
+    fleet.applyRecords(records)
+    fleet.noteBoxes(shape.boxes)
+    return fleet
+  })
+  const isHeard = (i: number): boolean => shape.lagMs < Infinity && shape.hubless?.includes(i) !== true
+  const counts = new Map<string, WorkspaceCount>(shape.workspaces.map(({ name }) => [name, { calls: 0, answered: 0, refused: 0, full: 0 }]))
+  const taken = new Map<string, number>()
+  const sent: { at: number, loads: BoxLoad[] }[] = []
+  let running: Running[] = []
+  let waiting: Waiting[] = []
+
+  const call = (workspace: ModelWorkspace, at: number): void => {
+    const boxes = workspace.boxes ?? fleets.map((_, i) => i)
+    const fleet = fleets[boxes[Math.floor(random() * boxes.length)]]
+    const work = createWork({ workspace: brandId<WorkspaceName>(workspace.name) })
+    const count = counts.get(workspace.name) as WorkspaceCount
+    const add = (key: keyof WorkspaceCount): void => { if (at >= from && at < until) count[key] += 1 }
+    add('calls')
+    fleet.noteArrival(work, at)
+    if ((fleet.admit(work, at)?.retryAfterMs ?? null) !== null) return add('refused')
+    if (shape.maxWaitMs !== undefined) return void waiting.push({ fleet, at, add })
+    for (const tried: EndpointView[] = []; tried.length < 2;) {
+      const choice = fleet.choose(work, tried.map(({ id }) => id), at, random())
+      if (typeof choice === 'string') break
+      const { view } = choice
+      tried.push(view)
+      if (run(view, at)) return add('answered')
+      view.noteRefused(at)
+    }
+    add('full')
+  }
+
+  const run = (view: EndpointView, at: number): boolean => {
+    if ((taken.get(view.id) ?? 0) >= shape.slots) return false
+    taken.set(view.id, (taken.get(view.id) ?? 0) + 1)
+    running.push({ view, placed: view.place(createWork(), { readTokens: 0, fetch: null }, at), endsAt: at + shape.answerMs * (0.5 + random()), endpoint: view.id })
+    return true
+  }
+
+  // Calls in order of arrival, each to the first endpoint with a free slot.
+  const serveWaiting = (at: number): void => {
+    waiting = waiting.filter(({ fleet, at: since, add }) => {
+      if (at - since > (shape.maxWaitMs ?? 0)) return void add('full')
+      if (![...fleet.views].some(view => run(view, at))) return true
+      add('answered')
+      return false
+    })
+  }
+
+  for (let at = 0; at < shape.lengthMs; at += tickMs) {
+    for (const { view, placed, endsAt, endpoint } of running) {
+      if (endsAt > at) continue
+      view.noteFirst(placed, at)
+      view.remove(placed, at)
+      taken.set(endpoint, (taken.get(endpoint) ?? 1) - 1)
+    }
+    running = running.filter(one => one.endsAt > at)
+    serveWaiting(at)
+    if (at % reportMs < tickMs) sent.push({ at, loads: fleets.map(fleet => fleet.composeLoad(at)) })
+    for (; sent.length > 0 && at - sent[0].at >= shape.lagMs; sent.shift()) deliver(sent[0].loads, at)
+    for (const workspace of shape.workspaces) {
+      for (let expected = workspace.rate(at) * tickMs / 1000; expected > 0; expected -= 1) if (random() < expected) call(workspace, at)
+    }
+  }
+  return counts
+
+  function deliver (loads: readonly BoxLoad[], at: number): void {
+    const table = new LoadTable()
+    loads.forEach((load, i) => { if (isHeard(i)) table.note(brandId(`box-${i}`), nameZone('zone-a'), load, at) })
+    fleets.forEach((fleet, i) => { if (isHeard(i)) fleet.noteOthers(subtractOwn(table.sumOwn(at), loads[i]), at) })
+  }
+}
