--- a/src/core/balance/plain-admission.ts
+++ b/src/core/balance/plain-admission.ts
@@ -11,6 +11,8 @@
 
 /** While this fraction of the slots is free beside the reserve, everyone is admitted: shares only divide what is scarce. */
 const ampleSlotShare = 0.1
+/** An endpoint that refused a request as full has no free slot for this long, ms, whatever totals that lag say. */
+const takenMs = 100
 /** How long a refusal by a full endpoint counts, ms. */
 const fullMs = 1000
 
@@ -22,12 +24,12 @@
 }
 
 /** Counts the slots of endpoints; `sharers`: boxes that use them without their load being known here, including this one. */
-export function countSlots (usable: readonly EndpointView[], sharers: number): SlotCount {
+export function countSlots (usable: readonly EndpointView[], sharers: number, at: number): SlotCount {
   let slots = 0
   let free = 0
-  for (const { record, running } of usable) {
+  for (const { record, running, fullAt } of usable) {
     slots += record.slots / sharers
-    free += Math.max(0, record.slots / sharers - running)
+    if (at - fullAt > takenMs) free += Math.max(0, record.slots / sharers - running)
   }
   return { slots, free }
 }
--- a/src/core/balance/service-shares.ts
+++ b/src/core/balance/service-shares.ts
@@ -64,7 +64,7 @@
   const share = findShare(context, work, at)
   if (context === null || share === null) return null
   const { state, usable, freshness } = context
-  return admitByShare(share, countSlots(usable, freshness.boxes), state.slotReserve.share, state.workspaces.findCredits(work.workspace, work.level), work.level)
+  return admitByShare(share, countSlots(usable, freshness.boxes, at), state.slotReserve.share, state.workspaces.findCredits(work.workspace, work.level), work.level)
 }
 
 /** Restricts admission to engines to the share of a workspace. The end of the allowed wait is left to workspaces within theirs. */
@@ -80,7 +80,7 @@
   const { state, usable, others, freshness: { ageMs, boxes }, measureEngines } = context
   return state.shares.reuse(at, () => {
     const scale = findScale(context)
-    const capacity = measureEngines === null ? countSlots(usable, boxes).slots * slotWork : measureEngines(boxes)
+    const capacity = measureEngines === null ? countSlots(usable, boxes, at).slots * slotWork : measureEngines(boxes)
     return new ShareDivision({
       own: { workspaces: state.workspaces.measure(at).map(([workspace, level, rate]) => [workspace, level, rate * scale]) },
       others: ageMs === null ? null : others,
--- a/src/core/balance/workspace-demand.ts
+++ b/src/core/balance/workspace-demand.ts
@@ -107,10 +107,22 @@
   }
 }
 
+/**
+ * Rates below this fraction of the mean of their kind on the box are not listed: whoever asks for less than an equal share is never over
+ * its share. A report of 24 equal workspaces and three loud ones would else take 530 bytes per service, sent up to 20 times a second.
+ */
+const listedMeanShare = 0.75
+
 /** The rates that a box reports, in whole numbers: the largest by name if `isNamed`, the rest as a sum. `scale`: work of one unit of the meters. */
 export function composeReport (demand: WorkspaceDemand, scale: number, isNamed: boolean, at: number): WorkspaceRates {
   const rates = demand.measure(at).map(([workspace, level, rate]): WorkspaceRate => [workspace, level, Math.round(rate * scale)])
-  return new WorkspaceSum().add({ workspaces: rates.filter(([,, rate]) => rate > 0) }).list(isNamed ? maxReportedRates : 0)
+  const report = new WorkspaceSum()
+  for (const level of new Set(rates.map(one => one[1]))) {
+    const kind = rates.filter(one => one[1] === level && one[2] > 0)
+    const least = kind.reduce((sum, [,, rate]) => sum + rate, 0) / kind.length * listedMeanShare
+    for (const one of kind) report.add(isNamed && one[2] >= least ? { workspaces: [one] } : { workspaceRest: [[level, one[2], 1]] })
+  }
+  return report.list(maxReportedRates)
 }
 
 function composeKey (workspace: string, level: number): string { return `${level} ${workspace}` }
--- a/src/core/balance/workspace-shares.ts
+++ b/src/core/balance/workspace-shares.ts
@@ -80,7 +80,10 @@
       const kind = groups.filter(group => group.level === level)
       const rate = kind.reduce((sum, group) => sum + group.rate, 0)
       const room = rate * (fractions.get(level) ?? 1)
-      const equal = rate / kind.reduce((sum, { count }) => sum + count, 0)
+      // Several boxes count the same workspace in the rest, so those that this box meters are a better estimate of how many there are.
+      const listed = workspaces.filter(one => one[1] === level).length
+      const metered = own.workspaces?.filter(one => one[1] === level).length ?? 0
+      const equal = rate / Math.max(1, listed, metered)
       const fair = findFairRate(room, kind)
       this.#kinds.set(level, { room, share: isShort ? fair : Math.max(fair, equal * minExcessRatio) })
     }
