Test that reports and admission are unchanged while the measures against contention are off

Cause: the test of that name only counted refusals. Change: it also compares the fields of reports of a plain service and of engines, and the admission of a plain call.

--- a/test/workspace-shares.test.ts
+++ b/test/workspace-shares.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import { LoadTable, ShareDivision, WorkspaceDemand, WorkspaceSum, brandId, composeReport, findFairRate, maxReportedRates, maxTotalRates, subtractOwn } from '../src/core/index.js'
 import type { ServiceDemand, ShareInput, WorkspaceName } from '../src/core/index.js'
-import { createLoad, desk, nameZone } from './support/fleet-builder.js'
+import { createFleet, createLoad, createRecord, createWork, desk, engineService, long, nameZone } from './support/fleet-builder.js'
 import { PoolModel } from './support/pool-model.js'
 import { replayShares } from './support/share-model.js'
 import type { ShareShape, WorkspaceCount } from './support/share-model.js'
@@ -125,6 +125,13 @@
 })
 
 test('with the measures off, nothing is refused on arrival and nothing new is reported', () => {
+  const workspace = brandId<WorkspaceName>('a')
+  const [plain, engines] = [createFleet([createRecord('e1')]), createFleet([createRecord('e1')], engineService)]
+  plain.noteArrival(createWork({ workspace }), 0)
+  engines.noteArrival({ ...long, workspace }, 0)
+  assert.deepEqual(plain.composeLoad(1), { loads: [], demands: [], gaps: [], prompts: [] })
+  assert.deepEqual(engines.composeLoad(1).demands.flatMap(demand => Object.keys(demand)), ['service', 'patient', 'brisk', 'apart', 'base', 'readingPauseMs', 'held', 'rates', 'read'])
+  assert.equal(plain.admit(createWork({ workspace }), 1), null)
   for (const [workspace, { refused }] of replayShares(createShape({ mode: 'off', lengthMs: 6000 }), 1)) assert.equal(refused, 0, workspace)
 })
 
