--- a/src/core/balance/engine-stats.ts
+++ b/src/core/balance/engine-stats.ts
@@ -5,6 +5,7 @@
 import { rateWindowMs } from './kind-tracker.js'
 import { Lateness } from './lateness.js'
 import { ReadingPause } from './reading-pause.js'
+import { SlotReserve } from './slot-reserve.js'
 
 export interface EngineStats {
   readonly firstEvent: FirstEventModel
@@ -13,6 +14,8 @@
   readonly lateness: Lateness
   /** Prompt tokens of this box's requests whose first event has arrived. */
   readonly readMeter: RateMeter
+  /** Of a plain service. */
+  readonly slotReserve: SlotReserve
 }
 
 /** Initial values before anything was measured. */
@@ -21,6 +24,7 @@
     firstEvent: new FirstEventModel(contention),
     readingPause: new ReadingPause(),
     lateness: new Lateness(),
-    readMeter: new RateMeter(rateWindowMs)
+    readMeter: new RateMeter(rateWindowMs),
+    slotReserve: new SlotReserve()
   }
 }
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -34,11 +34,14 @@
 import { listHolders } from './prompt-plan.js'
 import type { PromptHolder } from './prompt-plan.js'
 import { PauseEstimates } from './pause-estimates.js'
-import { countExpectedTokens, isPauseTolerant } from './prompt-reading.js'
+import { isPauseTolerant } from './prompt-reading.js'
 import type { DedicatedCount } from './dedicated-count.js'
-import { admitToEngines, findOverloadedLevel, listImmediateEngines } from './service-admission.js'
+import { admitToEngines, findOverloadedLevel, listImmediateEngines, measureCapacity } from './service-admission.js'
 import type { AdmissionContext } from './service-admission.js'
-import { composeDemand, createServiceState } from './service-state.js'
+import { admitPlain, composeShareReport, findShare } from './service-shares.js'
+import type { ShareContext } from './service-shares.js'
+import { noteArrival, noteQueuedTokens } from './service-arrivals.js'
+import { composeDemand, createServiceState, hasDemand } from './service-state.js'
 import type { ServiceState } from './service-state.js'
 import { groupByService, isOpen, listTransferSources, listUsable } from './usable-endpoints.js'
 import type { PromptCost, RequestProfile } from './work.js'
@@ -165,9 +168,7 @@
       prompts.push(...view.listPromptReports(at))
       if (view.ownGapMs !== null) gaps.push([view.id, Math.round(view.ownGapMs * 10) / 10])
     }
-    const { reported: boxCpu, isOn } = this.contention
-    const demands = [...this.#services.values()].map(state => ({ ...composeDemand(state, at), ...(boxCpu === undefined ? {} : { boxCpu }), ...(isOn ? this.returns.compose(state.service.name, at) : {}) }))
-      .filter(({ patient, brisk, readingPauseMs, rates = [], returns = [] }: ServiceDemand) => patient > 0 || brisk > 0 || readingPauseMs !== null || (isOn && rates.length + returns.length > 0))
+    const demands = [...this.#services.values()].map(state => this.#composeDemand(state, at)).filter(demand => hasDemand(demand, this.contention.isOn))
     return { loads, demands, gaps, prompts }
   }
 
@@ -226,11 +227,8 @@
 
   /** Notes that a request starts or stops waiting in this box. */
   noteQueued (work: RequestProfile, isQueued: boolean): void {
-    const queuedTokens = this.#services.get(work.service)?.held
-    if (queuedTokens === undefined || work.cost === null) return
-    const tokens = (queuedTokens.get(work.priority) ?? 0) + (isQueued ? 1 : -1) * countExpectedTokens(work.cost)
-    if (tokens > 0) queuedTokens.set(work.priority, tokens)
-    else queuedTokens.delete(work.priority)
+    const state = this.#services.get(work.service)
+    if (state !== undefined) noteQueuedTokens(state, work, isQueued)
   }
 
   /** Number of boxes, including this one, that queue requests of the service at least as urgent as `priority`. */
@@ -244,10 +242,26 @@
     return Math.max(this.#services.get(service)?.dedicatedCount.counts.count ?? 0, this.#others.find(service)?.apart ?? 0)
   }
 
-  /** Decides whether to admit a request; returns null if no decision is needed: for a plain service, or engines that are not congested for the request. */
+  /** Decides whether to admit a request; returns null if no decision is needed: for a plain service with enough capacity, or engines that are not congested for the request. */
   admit (work: RequestProfile, at: number): Admission | null {
     const context = this.#composeContext(work.service, at)
-    return context === null || work.cost === null ? null : admitToEngines(context, work, work.cost, at)
+    const shares = this.#composeShares(this.#services.get(work.service), at)
+    if (context === null) return admitPlain(shares, work, at)
+    return work.cost === null ? null : admitToEngines(context, work, work.cost, findShare(shares, work, at), at)
+  }
+
+  // Returns null while the capacity is not to be divided among workspaces.
+  #composeShares (state: ServiceState | undefined, at: number): ShareContext | null {
+    if (state === undefined || !this.contention.isOn) return null
+    const { name } = state.service
+    const context = this.#composeContext(name, at)
+    return { state, usable: this.listUsable(name, at), others: this.#others.find(name), freshness: this.#others.findFreshness(at), measureEngines: context === null ? null : boxes => measureCapacity(context, at, boxes) }
+  }
+
+  #composeDemand (state: ServiceState, at: number): ServiceDemand {
+    const { reported: boxCpu, isOn } = this.contention
+    const extra = isOn ? { ...this.returns.compose(state.service.name, at), ...composeShareReport(this.#composeShares(state, at), at) } : {}
+    return { ...composeDemand(state, at), ...(boxCpu === undefined ? {} : { boxCpu }), ...extra }
   }
 
   #measureReturnRates (service: ServiceName, at: number): ReturnRates {
@@ -278,16 +292,8 @@
   /** Records the arrival of a request, for the demand meters. */
   noteArrival (work: RequestProfile, at: number): void {
     const state = this.#services.get(work.service)
-    if (state?.service.engine === null && this.contention.isOn) state.kinds.note(work, 1, at)
-    if (state?.service.engine == null || work.cost === null) return
-    if (work.pauseMs !== null) state.pauses.note(at, work.pauseMs)
-    state.kinds.note(work, countExpectedTokens(work.cost), at)
-    const meter = this.#isPauseTolerant(work, state, at) ? state.tolerantDemand : state.sensitiveDemand
-    meter.add(at, countExpectedTokens(work.cost))
-  }
-
-  #isPauseTolerant (work: Pick<RequestProfile, 'pauseMs'>, state: ServiceState, at: number): boolean {
-    return isPauseTolerant(work, this.#pauses.findMinTolerant(state, at))
+    if (state === undefined) return
+    noteArrival(state, work, { isTolerant: () => isPauseTolerant(work, this.#pauses.findMinTolerant(state, at)), isContended: this.contention.isOn }, at)
   }
 
   #findMinTolerantPauseAt (view: EndpointView, at: number): number {
--- a/src/core/balance/service-state.ts
+++ b/src/core/balance/service-state.ts
@@ -10,6 +10,8 @@
 import type { ServiceDemand } from './box-load.js'
 import { PauseRange } from './pause-range.js'
 import { DedicatedCountController } from './dedicated-count.js'
+import { WorkspaceDemand } from './workspace-demand.js'
+import { ShareMemo } from './workspace-shares.js'
 
 export interface ServiceState extends EngineStats {
   readonly service: RoutedService
@@ -24,11 +26,14 @@
   readonly held: Map<number, number>
   readonly credits: AdmissionCredits
   readonly congestion: CongestionTracker
+  /** Arrival rates by workspace; only measured while the measures against contention are on. */
+  readonly workspaces: WorkspaceDemand
+  readonly shares: ShareMemo
 }
 
 /** The initial state of a service. */
 export function createServiceState (service: RoutedService, contention: ContentionSwitch): ServiceState {
-  return { ...createEngineStats(contention), service, dedicatedCount: new DedicatedCountController(), pauses: new PauseRange(), kinds: new KindTracker(), tolerantDemand: new RateMeter(), sensitiveDemand: new RateMeter(), held: new Map(), credits: new AdmissionCredits(), congestion: new CongestionTracker() }
+  return { ...createEngineStats(contention), service, dedicatedCount: new DedicatedCountController(), pauses: new PauseRange(), kinds: new KindTracker(), tolerantDemand: new RateMeter(), sensitiveDemand: new RateMeter(), held: new Map(), credits: new AdmissionCredits(), congestion: new CongestionTracker(), workspaces: new WorkspaceDemand(), shares: new ShareMemo() }
 }
 
 /** The demand for a service that a box reports to its hub. */
@@ -36,3 +41,9 @@
   const { count, base } = dedicatedCount.counts
   return { service: service.name, patient: Math.round(tolerantDemand.rate(at)), brisk: Math.round(sensitiveDemand.rate(at)), apart: count, base, readingPauseMs: readingPause.find(at), held: [...held], rates: kinds.measureRates(at), read: Math.round(readMeter.rate(at)) }
 }
+
+/** True if a box reports a demand; `isContended`: whether the measures against contention are on. */
+export function hasDemand ({ patient, brisk, readingPauseMs, rates = [], returns = [], workspaces = [], workspaceRest = [] }: ServiceDemand, isContended: boolean): boolean {
+  if (patient > 0 || brisk > 0 || readingPauseMs !== null) return true
+  return isContended && rates.length + returns.length + workspaces.length + workspaceRest.length > 0
+}
--- a/src/gateway/caller-return.ts
+++ b/src/gateway/caller-return.ts
@@ -39,14 +39,14 @@
   }
 
   /** `Retry-After` of a request that admission refuses, ms; `defaultMs`: what applies without the measures. */
-  planAdmission ({ waitMs, allowedMs }: Admission, defaultMs: number): number {
-    return this.#plan({ excessMs: Math.max(0, waitMs - allowedMs) }, defaultMs)
+  planAdmission ({ waitMs, allowedMs, workspaceShare }: Admission, defaultMs: number): number {
+    return this.#plan({ excessMs: Math.max(0, waitMs - allowedMs) }, defaultMs, (workspaceShare?.fraction ?? 1) >= 1)
   }
 
   /** `Retry-After` of a request that found endpoints full, ms; `notBeforeMs`: time until any accepts requests. */
   planFull (notBeforeMs: number, defaultMs: number): number { return this.#plan({ notBeforeMs }, defaultMs) }
 
-  #plan (waits: Pick<RefusedRequest, 'excessMs' | 'notBeforeMs'>, defaultMs: number): number {
+  #plan (waits: Pick<RefusedRequest, 'excessMs' | 'notBeforeMs'>, defaultMs: number, isUnderShare = true): number {
     const { fleet, dialect } = this.#host
     if (!fleet.contention.isOn) return defaultMs
     const { work, service, deadlineAt } = this.#request
@@ -54,8 +54,7 @@
     const afterMs = fleet.returns.plan({
       service,
       level: work.level,
-      // Until shares are known, no workspace is over its share.
-      isUnderShare: true,
+      isUnderShare,
       amount: work.cost === null ? 1 : countExpectedTokens(work.cost),
       remainingMs: deadlineAt - at,
       id: this.#id,
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -4,7 +4,7 @@
  */
 import type { ServerResponse } from 'node:http'
 import type { Admission, Choice, EndpointView, PromptPlan } from '../core/index.js'
-import { sendRefusal } from './answers.js'
+import { explainRefusal, sendRefusal } from './answers.js'
 import type { Refusal } from './answers.js'
 import { composeTarget } from './call-target.js'
 import type { SendEvidence } from './crash-guard.js'
@@ -62,7 +62,9 @@
     this.#callerReturn.noteArrival()
     this.#admission = this.#host.fleet.admit(this.request.work, this.#host.now())
     const admission = this.#admission
-    if (admission !== null && admission.retryAfterMs !== null && !this.#callerReturn.mayExceedShare(admission)) return this.#refuse({ kind: 'overloaded', text: 'the backlog ahead of this request is too long', retryAfterMs: this.#callerReturn.planAdmission(admission, admission.retryAfterMs) })
+    if (admission !== null && admission.retryAfterMs !== null && !this.#callerReturn.mayExceedShare(admission)) {
+      return this.#refuse({ kind: 'overloaded', text: explainRefusal(admission), retryAfterMs: this.#callerReturn.planAdmission(admission, admission.retryAfterMs) })
+    }
     this.#search.start()
   }
 
@@ -183,8 +185,10 @@
 
   #writeEvents (events: readonly StreamEvent[]): boolean {
     const now = this.#host.now()
-    const gapMs = this.#events.add(events, now)
-    if (gapMs !== null && this.#activeSend !== null) this.#host.fleet.noteGap(this.#activeSend.view, gapMs, now)
+    const { fleet } = this.#host
+    const latestGapMs = this.#events.add(events, now)
+    const gapMs = fleet.contention.isOn ? this.#events.completeGapMs : latestGapMs
+    if (gapMs !== null && this.#activeSend !== null) fleet.noteGap(this.#activeSend.view, gapMs, now)
     return this.#response.write(events.length === 1 ? events[0].bytes : Buffer.concat(events.map(event => event.bytes)))
   }
 
@@ -232,7 +236,7 @@
   #handleNotRun (sent: ActiveSend, head: AnswerHead): void {
     const { isMisdirected } = head.headers
     if (isMisdirected) sent.view.health.noteUnreachable(this.#host.now())
-    else sent.view.health.noteGood()
+    else sent.view.noteRefused(this.#host.now())
     this.#cancelSend(sent, `not-run ${head.status}`)
     const at = this.#host.now()
     const availableInMs = Math.max(0, this.#host.fleet.findOpenTime(this.request.work, [], at) - at)
--- a/src/gateway/passed-events.ts
+++ b/src/gateway/passed-events.ts
@@ -8,6 +8,7 @@
   #maxPauseMs = 0
   /** Time before the latest event; null for the first one, and if several events were received together. */
   #latestGapMs: number | null = null
+  #completeGapMs: number | null = null
 
   /** `lastId`: id of the last event that the caller received in an earlier request. */
   constructor (lastId: string | null) {
@@ -19,17 +20,20 @@
   get maxPauseMs (): number { return this.#maxPauseMs }
 
   /**
-   * Notes events that are written together. Returns the time before the event that preceded them, ms, or null. The time
-   * before the last event of a stream is never returned: that event has fewer tokens, so that it follows sooner.
+   * Time before the event that preceded the latest one, ms; null if there is none. The time before the last event of a
+   * stream never appears: that event has fewer tokens, so that it follows sooner.
    */
+  get completeGapMs (): number | null { return this.#completeGapMs }
+
+  /** Notes events that are written together. Returns the time before them, ms, if it is a single one; null for the first and for several. */
   add (events: readonly StreamEvent[], at: number): number | null {
     const pauseMs = this.#count === 0 ? null : at - this.#lastAt
-    const completeGapMs = this.#latestGapMs
+    this.#completeGapMs = this.#latestGapMs
     this.#latestGapMs = events.length === 1 ? pauseMs : null
     this.#maxPauseMs = Math.max(this.#maxPauseMs, pauseMs ?? 0)
     this.#lastAt = at
     this.#count += events.length
     for (const { id } of events) this.#lastId = id ?? this.#lastId
-    return completeGapMs
+    return this.#latestGapMs
   }
 }
