Gateways buffer unread answers within a memory budget

Cause: a plain answer was taken in whole and written at once, so that the memory of a box grew with callers that stall (75 to 245 MB), and an event stream was no longer read from its endpoint once its caller fell behind, so that endpoints that end unread connections ended 80 of 80.

Change: each exchange has an AnswerBuffer, and the box counts what they hold against `answers.budgetMb` (default a quarter of `box.memoryMb`, or 64 MB). Node gets no more than its high-water mark. Above the budget the exchange with the most bytes times idle time is reset, logged as `answer-dropped` and counted; callers that read are never ended for others. Plain answers with a length are relayed as they arrive once 256 KB are in. The checks for given-up sends move from exchange.ts to send-faults.ts unchanged, but for a stream that the box itself does not read, which is not silent.

--- a/src/config/check-table.ts
+++ b/src/config/check-table.ts
@@ -8,6 +8,8 @@
   readonly mistakes: readonly Mistake[]
 }
 
+type NumberField = Extract<Field, { type: 'number' }>
+
 /** Greatest edit distance at which a known key is suggested for an unknown one. */
 const maxSuggestionDistance = 3
 
@@ -16,7 +18,7 @@
  * collects all mistakes instead of stopping at the first.
  */
 export function checkTable (table: Readonly<Record<string, unknown>>, fields: FieldTable, lines: ReadonlyMap<string, number>, path = ''): CheckResult {
-  const checker = new TableChecker(lines)
+  const checker = new TableChecker(lines, table)
   const value = checker.checkFields(table, fields, path)
   return { value, mistakes: checker.mistakes }
 }
@@ -24,9 +26,11 @@
 class TableChecker {
   readonly mistakes: Mistake[] = []
   #lines: ReadonlyMap<string, number>
+  #file: Readonly<Record<string, unknown>>
 
-  constructor (lines: ReadonlyMap<string, number>) {
+  constructor (lines: ReadonlyMap<string, number>, file: Readonly<Record<string, unknown>>) {
     this.#lines = lines
+    this.#file = file
   }
 
   checkFields (table: Readonly<Record<string, unknown>>, fields: FieldTable, path: string): Record<string, unknown> {
@@ -47,7 +51,7 @@
   #check (value: unknown, field: Field, path: string): unknown {
     switch (field.type) {
       case 'text': return this.#expect(typeof value === 'string' && (field.pattern?.test(value) ?? true), value, field, path)
-      case 'number': return this.#expect(isWithin(value, field), value, field, path)
+      case 'number': return this.#checkNumber(value, limitField(field, this.#file), path)
       case 'switch': return this.#expect(typeof value === 'boolean', value, field, path)
       case 'choice': return this.#expect(typeof value === 'string' && field.of.includes(value), value, field, path)
       case 'list': return this.#checkList(value, field, path)
@@ -56,6 +60,8 @@
     }
   }
 
+  #checkNumber (value: unknown, field: NumberField, path: string): unknown { return this.#expect(isWithin(value, field), value, field, path) }
+
   #checkList (found: unknown, field: Extract<Field, { type: 'list' }>, path: string): unknown {
     if (!Array.isArray(found) || found.length < field.minItems) return this.#expect(false, found, field, path)
     return found.map((one, i) => this.#check(one, field.of, `${path}.${i}`))
@@ -100,7 +106,17 @@
   }
 }
 
-function isWithin (found: unknown, field: Extract<Field, { type: 'number' }>): boolean {
+// Applies the limit that depends on another number of the file.
+function limitField (field: NumberField, file: Readonly<Record<string, unknown>>): NumberField {
+  if (field.limitedBy === undefined) return field
+  let other: unknown = file
+  for (const key of field.limitedBy.key.split('.')) other = isTable(other) ? other[key] : undefined
+  if (typeof other !== 'number' || !Number.isFinite(other)) return field
+  const limit = other * field.limitedBy.share
+  return { ...field, max: Math.max(field.min, Math.min(field.max, field.isInteger ? Math.floor(limit) : limit)) }
+}
+
+function isWithin (found: unknown, field: NumberField): boolean {
   if (typeof found !== 'number' || !Number.isFinite(found)) return false
   if (field.isInteger && !Number.isInteger(found)) return false
   return found >= field.min && found <= field.max
--- a/src/config/field.ts
+++ b/src/config/field.ts
@@ -10,10 +10,16 @@
   readonly fallback?: unknown
 }
 
+/** A number is at most a share of another number of the file, if the file has it; `key`: dotted path of the other. */
+export interface RelativeLimit {
+  readonly key: string
+  readonly share: number
+}
+
 /** Schema of the value of one key. */
 export type Field =
   | (FieldBase & { readonly type: 'text', readonly pattern?: RegExp, readonly allowed?: string })
-  | (FieldBase & { readonly type: 'number', readonly min: number, readonly max: number, readonly isInteger: boolean, readonly unit: string })
+  | (FieldBase & { readonly type: 'number', readonly min: number, readonly max: number, readonly isInteger: boolean, readonly unit: string, readonly limitedBy?: RelativeLimit })
   | (FieldBase & { readonly type: 'switch' })
   | (FieldBase & { readonly type: 'choice', readonly of: readonly string[] })
   | (FieldBase & { readonly type: 'list', readonly of: Field, readonly minItems: number })
@@ -47,7 +53,7 @@
 }
 
 /** An integer with its unit and inclusive bounds. */
-export function describeInteger (about: string, unit: string, min: number, max: number, fallback?: number): Field {
+export function describeInteger (about: string, unit: string, min: number, max: number, fallback?: number): Extract<Field, { type: 'number' }> {
   return { type: 'number', about, min, max, isInteger: true, unit, ...withFallback(fallback) }
 }
 
--- a/src/config/route-settings.ts
+++ b/src/config/route-settings.ts
@@ -58,6 +58,14 @@
       linkMbps: { type: 'number', about: 'Bandwidth of the network link.', min: 0.1, max: 1_000_000, isInteger: false, unit: 'Mbit/s' }
     }
   },
+  answers: {
+    type: 'table',
+    about: 'Answers that callers have not read yet. Without this table a quarter of `box.memoryMb` is used for them, or 64 MB.',
+    fallback: null,
+    fields: {
+      budgetMb: { ...describeInt('Memory for them. Above it, the exchanges of callers that no longer read are ended. At most half of `box.memoryMb`.', 'MB', 1, 524_288), limitedBy: { key: 'box.memoryMb', share: 0.5 } }
+    }
+  },
   contention: {
     type: 'table',
     about: 'Measures for deployments whose callers compete for too little capacity, or whose demand and servers are uneven.',
@@ -119,6 +127,8 @@
   readonly features: readonly string[]
   /** Null if they are not configured. */
   readonly box: BoxResources | null
+  /** Null for the default budget. */
+  readonly answers: { readonly budgetMb: number } | null
   readonly contention: { readonly mode: ContentionMode }
 }
 
--- a/src/gateway/active-send.ts
+++ b/src/gateway/active-send.ts
@@ -10,9 +10,6 @@
   readonly placed: PlacedRequest
   readonly attempt: Attempt
   head: AnswerHead | null
-  /** Body received so far of an answer that is buffered. */
-  chunks: Buffer[]
-  size: number
-  /** Null if the answer is buffered rather than relayed event by event. */
+  /** Null if the answer is plain rather than relayed event by event. */
   splitter: EventSplitter | null
 }
--- /dev/null
+++ b/src/gateway/answer-store.ts
@@ -0,0 +1,105 @@
+/** All answers of which a box holds bytes, under one budget. `core/answers` decides; this carries it out. */
+import type { ServerResponse } from 'node:http'
+import type { GatewaySettings } from '../config/index.js'
+import { alwaysReadBytes, chooseDropped, computeBudgetBytes, mayReceive } from '../core/index.js'
+import type { EventLog, Metrics } from '../runtime/index.js'
+import { AnswerBuffer } from './answer-buffer.js'
+import type { AnswerBufferHost, BufferAccount } from './answer-buffer.js'
+
+export interface AnswerStoreTools {
+  readonly log: EventLog
+  readonly metrics: Metrics
+}
+
+export class AnswerStore implements BufferAccount {
+  readonly budgetBytes: number
+  /** Monotonic time of the box, ms. */
+  readonly now: () => number
+  #log: EventLog
+  #metrics: Metrics
+  #totalBytes = 0
+  #holding = new Set<AnswerBuffer>()
+  /** Buffers whose endpoints are not read for lack of room; those that wait longest come first. */
+  #paused = new Set<AnswerBuffer>()
+  /** Since when endpoints have waited to be read, but for interruptions shorter than a check; null if none has. */
+  #pressedAt: number | null = null
+  /** Responses that Node has not yet passed to the system in whole. */
+  #unsent = new Set<ServerResponse>()
+
+  constructor ({ answers, box }: Pick<GatewaySettings, 'answers' | 'box'>, { log, metrics }: AnswerStoreTools, now: () => number) {
+    this.budgetBytes = computeBudgetBytes(answers?.budgetMb ?? null, box?.memoryMb ?? null)
+    this.now = now
+    this.#log = log
+    this.#metrics = metrics
+  }
+
+  /** Memory used by all answers, bytes. */
+  get totalBytes (): number { return this.#totalBytes }
+
+  /** True if all answers of exchanges that have ended were passed to the system. */
+  get isIdle (): boolean { return this.#unsent.size === 0 }
+
+  open (host: AnswerBufferHost, response: ServerResponse): AnswerBuffer {
+    return new AnswerBuffer(this, host, response)
+  }
+
+  noteChange (buffer: AnswerBuffer, delta: number): void {
+    this.#totalBytes += delta
+    if (buffer.heldBytes > 0) this.#holding.add(buffer)
+    else this.#holding.delete(buffer)
+    if (delta < 0 && this.#paused.size > 0) this.#resume(buffer)
+  }
+
+  mayReceive (buffer: AnswerBuffer): boolean {
+    if (mayReceive(buffer.heldBytes, this)) return true
+    this.#paused.add(buffer)
+    this.#pressedAt ??= this.now()
+    return false
+  }
+
+  forgetPause (buffer: AnswerBuffer): void { this.#paused.delete(buffer) }
+
+  noteEnded (response: ServerResponse): void {
+    if (response.writableLength === 0) return
+    this.#unsent.add(response)
+    response.on('close', () => this.#unsent.delete(response))
+  }
+
+  /** Ends exchanges while the budget is exceeded and callers have stalled. */
+  check (): void {
+    if (this.#paused.size === 0 && this.#totalBytes <= this.budgetBytes) this.#pressedAt = null
+    for (let dropped = this.#chooseDropped(); dropped !== null; dropped = this.#chooseDropped()) this.#drop(dropped)
+    this.#resumeLongest()
+  }
+
+  #chooseDropped (): AnswerBuffer | null {
+    return chooseDropped(this.#holding, { totalBytes: this.#totalBytes, budgetBytes: this.budgetBytes, unreadMs: this.#pressedAt === null ? 0 : this.now() - this.#pressedAt })
+  }
+
+  #drop (buffer: AnswerBuffer): void {
+    const { headers, workspace } = buffer.host.request
+    this.#log.warn('answer-dropped', { request: headers.requestId, workspace: workspace?.name, bytes: buffer.heldBytes, budget: this.budgetBytes, idleMs: buffer.idleMs === null ? undefined : Math.round(buffer.idleMs) })
+    this.#metrics.count('answers-dropped')
+    buffer.drop()
+  }
+
+  #resume (buffer: AnswerBuffer): void {
+    if (this.#paused.has(buffer) && buffer.heldBytes <= alwaysReadBytes) this.#resumeOne(buffer)
+    this.#resumeLongest()
+  }
+
+  // Resumes as many as there is room for, if each receives one more chunk.
+  #resumeLongest (): void {
+    let room = this.budgetBytes - this.#totalBytes
+    for (const buffer of this.#paused) {
+      if (room < 0) return
+      room -= alwaysReadBytes
+      this.#resumeOne(buffer)
+    }
+  }
+
+  #resumeOne (buffer: AnswerBuffer): void {
+    this.#paused.delete(buffer)
+    buffer.host.resumeReceiving()
+  }
+}
--- /dev/null
+++ b/src/gateway/byte-queue.ts
@@ -0,0 +1,56 @@
+/** Memory of a chunk beyond its bytes: its objects, about. */
+const chunkOverheadBytes = 256
+
+/** Chunks of an answer, in order. */
+export class ByteQueue {
+  #chunks: Buffer[] = []
+  /** Index of the first chunk; those before it have been taken. */
+  #first = 0
+  #length = 0
+
+  /** Number of bytes in the queue. */
+  get length (): number { return this.#length }
+  /** Memory used, bytes. */
+  get heldBytes (): number { return this.#length + (this.#chunks.length - this.#first) * chunkOverheadBytes }
+
+  push (chunk: Buffer): void {
+    if (chunk.length === 0) return
+    this.#chunks.push(chunk)
+    this.#length += chunk.length
+  }
+
+  /** Takes at most `maxBytes` from the first chunk; null if the queue is empty. */
+  take (maxBytes: number): Buffer | null {
+    if (this.#length === 0) return null
+    const chunk = this.#chunks[this.#first]
+    const taken = chunk.length <= maxBytes ? chunk : chunk.subarray(0, maxBytes)
+    this.#length -= taken.length
+    if (taken !== chunk) this.#chunks[this.#first] = chunk.subarray(maxBytes)
+    else this.#removeFirst()
+    return taken
+  }
+
+  /** Takes all bytes. */
+  takeAll (): Buffer {
+    const chunks = this.#chunks.slice(this.#first)
+    this.clear()
+    return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)
+  }
+
+  clear (): void {
+    this.#chunks = []
+    this.#first = 0
+    this.#length = 0
+  }
+
+  // Taken chunks are released at once; their places in the list are removed together, as removing each would copy the list.
+  #removeFirst (): void {
+    this.#chunks[this.#first] = emptyChunk
+    this.#first += 1
+    if (this.#first * 2 < this.#chunks.length) return
+    this.#chunks.splice(0, this.#first)
+    this.#first = 0
+  }
+}
+
+const emptyChunk = Buffer.alloc(0)
--- a/src/gateway/endpoint-call.ts
+++ b/src/gateway/endpoint-call.ts
@@ -28,6 +28,8 @@
   readonly rawHeaders: readonly string[]
   /** True if the answer has a content encoding, which the gateway never requests. */
   readonly isEncoded: boolean
+  /** Size of the body as the endpoint states it, bytes; null if it does not. */
+  readonly length: number | null
 }
 
 /** `unreachable`: no byte was written, so the request did not run there; `lost`: the connection ended early; `broken`: the answer was not valid. */
@@ -87,6 +89,9 @@
     this.#request.destroy()
   }
 
+  /** True while the answer waits for `resume`. */
+  get isPaused (): boolean { return this.#answer?.isPaused() ?? false }
+
   resume (): void { this.#answer?.resume() }
 
   #receive (answer: IncomingMessage): void {
@@ -100,7 +105,7 @@
     if (headers.requestId !== this.#requestId && !(headers.requestId === '' && headers.isNotRun)) return this.#fail('the answer is for a different request', 'broken')
     // The endpoint answered before it had read the whole request: the connection is not reused.
     if (!this.#request.writableFinished) this.#request.shouldKeepAlive = false
-    this.#sink.receiveHead({ status, headers, rawHeaders: answer.rawHeaders, isEncoded: answer.headers['content-encoding'] !== undefined })
+    this.#sink.receiveHead({ status, headers, rawHeaders: answer.rawHeaders, isEncoded: answer.headers['content-encoding'] !== undefined, length: readLength(answer) })
     if (this.#isEnded) return
     answer.on('data', (chunk: Buffer) => {
       if (!this.#isEnded && !this.#sink.receiveChunk(chunk) && !this.#isEnded) answer.pause()
@@ -120,3 +125,8 @@
     this.#sink.fail(this.#hasConnected ? failure : 'unreachable', reason)
   }
 }
+
+function readLength ({ headers }: IncomingMessage): number | null {
+  const text = headers['content-length']
+  return text === undefined ? null : Number(text)
+}
--- a/src/gateway/exchange-host.ts
+++ b/src/gateway/exchange-host.ts
@@ -1,5 +1,6 @@
 import type { Fleet } from '../core/index.js'
 import type { Dialect } from '../protocol/index.js'
+import type { AnswerStore } from './answer-store.js'
 import type { CrashGuard } from './crash-guard.js'
 import type { EndpointAgent } from './endpoint-agent.js'
 import type { ExchangeSummary } from './exchange-summary.js'
@@ -13,6 +14,7 @@
   readonly agent: EndpointAgent
   readonly guard: CrashGuard
   readonly limits: EndpointLimits
+  readonly answers: AnswerStore
   now (): number
   /** A random number, at least 0 and less than 1. */
   draw (): number
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,9 +1,12 @@
 /**
  * One request from its arrival to its final answer: finds an endpoint, sends the
- * request and relays the answer. `RetryPolicy` decides what follows a failure.
+ * request and relays the answer. `RetryPolicy` decides what follows a failure;
+ * `AnswerBuffer` holds what the caller has not read.
  */
 import type { ServerResponse } from 'node:http'
+import { decidePlainAnswer } from '../core/index.js'
 import type { Admission, Choice, EndpointView, PromptPlan } from '../core/index.js'
+import type { AnswerBuffer } from './answer-buffer.js'
 import { sendRefusal } from './answers.js'
 import type { Refusal } from './answers.js'
 import { composeTarget } from './call-target.js'
@@ -16,22 +19,20 @@
 import type { ExchangeHost } from './exchange-host.js'
 import type { Attempt, ExchangeSummary } from './exchange-summary.js'
 import type { AdmittedRequest } from './admitted-request.js'
-import { passHeaders } from './pass-headers.js'
 import { PassedEvents } from './passed-events.js'
-import { computeMaxSilenceMs } from './retry-rules.js'
 import { RetryPolicy } from './retry-policy.js'
 import type { NextStep, SendOutcome } from './retry-policy.js'
 import type { ActiveSend } from './active-send.js'
+import { findSendFault } from './send-faults.js'
 
-type Phase = 'waiting' | 'relaying' | 'ended'
-
-/** Maximum size of a buffered answer, bytes. Only event streams are relayed without buffering. */
-const maxAnswerBytes = 64 * 2 ** 20
+/** `delivering`: the whole answer has arrived, and the caller is still reading it. */
+type Phase = 'waiting' | 'relaying' | 'delivering' | 'ended'
 
 export class Exchange {
   readonly request: AdmittedRequest
   #host: ExchangeHost<Exchange>
   #response: ServerResponse
+  #answer: AnswerBuffer
   #phase: Phase = 'waiting'
   #activeSend: ActiveSend | null = null
   #admission: Admission | null = null
@@ -49,7 +50,7 @@
     this.#events = new PassedEvents(request.headers.lastEvent)
     this.#search = new EndpointSearch(host, this)
     this.#retryPolicy = new RetryPolicy(request.route, () => host.takeRetry(request))
-    response.on('drain', () => this.#activeSend?.call.resume())
+    this.#answer = host.answers.open({ request, drop: () => this.#drop(), resumeReceiving: () => this.#resumeReceiving() }, response)
   }
 
   get isEnded (): boolean { return this.#phase === 'ended' }
@@ -78,18 +79,18 @@
   cut (): void {
     if (this.#phase === 'ended') return
     this.#cancelActive('cut')
-    this.#response.destroy()
+    this.#answer.destroy()
     this.#endExchange('cut', 0)
   }
 
   /** Applies time-outs: the request's deadline, connection time-outs, restarted endpoints, stalled streams and unreachable zones. */
   check (now: number): void {
-    if (this.#phase === 'ended') return
+    if (this.#phase === 'ended' || this.#phase === 'delivering') return
     if (now >= this.request.deadlineAt) return this.#timeOut()
     this.#activeSend?.call.check(now)
-    if (this.#activeSend !== null && this.#host.fleet.isReplaced(this.#activeSend.view)) return this.#failOver(this.#activeSend, 'lost', 'the endpoint has restarted')
-    if (this.#activeSend !== null && this.#isStalled(this.#activeSend, now)) return this.#failOver(this.#activeSend, 'broken', 'silent')
-    if (this.#activeSend !== null && this.#isZoneCutOff(this.#activeSend, now)) this.#failOver(this.#activeSend, 'broken', 'the zone of the endpoint is unreachable')
+    if (this.#activeSend === null) return
+    const fault = findSendFault(this.#activeSend, { fleet: this.#host.fleet, route: this.request.route, mayRetry: this.#retryPolicy.mayRetry, hasBegun: this.hasBegun }, now)
+    if (fault !== null) this.#failOver(this.#activeSend, fault.failure, fault.reason)
   }
 
   // Sending.
@@ -103,7 +104,7 @@
     this.#retryPolicy.noteSend()
     const placed = view.place(request.work, plan, at)
     this.#host.fleet.noteStarted(request.work, at)
-    const sent: ActiveSend = { view, placed, attempt, call: this.#startCall(view, plan, at, () => sent), head: null, chunks: [], size: 0, splitter: null }
+    const sent: ActiveSend = { view, placed, attempt, call: this.#startCall(view, plan, at, () => sent), head: null, splitter: null }
     this.#activeSend = sent
     this.#host.noteLoad()
   }
@@ -149,39 +150,47 @@
 
   #receiveChunk (sent: ActiveSend, chunk: Buffer): boolean {
     sent.placed.lastEventAt = this.#host.now()
-    if (sent.splitter !== null) return this.#relayEvents(sent, sent.splitter, chunk)
-    sent.chunks.push(chunk)
-    sent.size += chunk.length
-    if (sent.size > maxAnswerBytes) this.#failOver(sent, 'broken', 'the answer is too large')
-    return true
+    if (sent.splitter !== null) this.#relayEvents(sent, sent.splitter, chunk)
+    else if (sent.head !== null) this.#receivePlain(sent, sent.head, chunk)
+    return this.#answer.mayReceive()
+  }
+
+  #receivePlain (sent: ActiveSend, head: AnswerHead, chunk: Buffer): void {
+    this.#answer.push(chunk)
+    if (this.#phase !== 'waiting') return
+    const step = decidePlainAnswer(this.#answer.receivedBytes, head.length)
+    if (step === 'too-large') return this.#failOver(sent, 'broken', 'the answer is too large')
+    if (step === 'hold' || this.#retryPolicy.decide({ type: 'answered', status: head.status }).type !== 'pass') return
+    // From here on the answer can't be replaced by a retry.
+    this.#phase = 'relaying'
+    this.#answer.startRelay(head, head.length)
   }
 
   // Complete events are relayed at once; the response head is sent with the first.
-  #relayEvents (sent: ActiveSend, splitter: EventSplitter, chunk: Buffer): boolean {
+  #relayEvents (sent: ActiveSend, splitter: EventSplitter, chunk: Buffer): void {
     let events
     try {
       events = splitter.push(chunk)
     } catch (error) {
-      this.#failOver(sent, 'broken', (error as Error).message)
-      return true
+      return this.#failOver(sent, 'broken', (error as Error).message)
     }
-    if (events.length === 0) return true
+    if (events.length === 0) return
     if (sent.placed.firstAt === null) this.#noteFirst(sent)
     this.#startStream(sent)
-    return this.#writeEvents(events)
+    this.#writeEvents(events)
   }
 
   #startStream (sent: ActiveSend): void {
     if (this.#phase === 'relaying' || sent.head === null) return
     this.#phase = 'relaying'
-    this.#response.writeHead(sent.head.status, passHeaders(sent.head, null))
+    this.#answer.startRelay(sent.head, null)
   }
 
-  #writeEvents (events: readonly StreamEvent[]): boolean {
+  #writeEvents (events: readonly StreamEvent[]): void {
     const now = this.#host.now()
     const pauseMs = this.#events.add(events, now)
     if (pauseMs !== null && events.length === 1 && this.#activeSend !== null) this.#host.fleet.noteGap(this.#activeSend.view, pauseMs, now)
-    return this.#response.write(events.length === 1 ? events[0].bytes : Buffer.concat(events.map(event => event.bytes)))
+    this.#answer.push(events.length === 1 ? events[0].bytes : Buffer.concat(events.map(event => event.bytes)))
   }
 
   #noteFirst (sent: ActiveSend): void {
@@ -208,10 +217,7 @@
     this.#noteSendEnd(sent, 'answered')
     const next = this.#retryPolicy.decide({ type: 'answered', status: head.status })
     if (next.type !== 'pass') return this.#execute(next)
-    const body = Buffer.concat(sent.chunks)
-    this.#response.writeHead(head.status, passHeaders(head, body.length))
-    this.#response.end(body)
-    this.#endExchange(head.status < 400 ? 'ok' : 'endpoint-status', head.status)
+    this.#deliver(head)
   }
 
   #handleStreamEnd (sent: ActiveSend, splitter: EventSplitter): void {
@@ -219,8 +225,12 @@
     this.#startStream(sent)
     this.#endSend(sent, 'done')
     this.#noteSendEnd(sent, 'answered')
-    this.#response.end()
-    this.#endExchange('ok', 200)
+    if (sent.head !== null) this.#deliver(sent.head)
+  }
+
+  #deliver (head: AnswerHead): void {
+    this.#phase = 'delivering'
+    this.#answer.finish(head, () => this.#endExchange(head.status < 400 ? 'ok' : 'endpoint-status', head.status))
   }
 
   // Failures.
@@ -253,6 +263,7 @@
     else sent.view.health.noteBroken(at)
     if (failure !== 'unreachable') this.#noteSendEnd(sent, failure)
     this.#cancelSend(sent, `${failure} ${reason}`)
+    if (this.#phase === 'relaying' && sent.splitter === null) return this.cut()
     this.#execute(this.#retryPolicy.decide({ type: 'broke', failure, reason }))
   }
 
@@ -275,20 +286,22 @@
     }
   }
 
-  // True if the endpoint's zone has become unreachable before the answer began.
-  #isZoneCutOff (sent: ActiveSend, now: number): boolean {
-    if (!this.#retryPolicy.mayRetry || sent.placed.firstAt !== null || !sent.call.mayHaveRun) return false
-    return this.#host.fleet.zones.isUnreachable(sent.view.record.zone, now)
+  // An endpoint that was not read is not silent.
+  #resumeReceiving (): void {
+    if (this.#activeSend !== null) this.#activeSend.placed.lastEventAt = this.#host.now()
+    this.#activeSend?.call.resume()
   }
 
-  #isStalled (sent: ActiveSend, now: number): boolean {
-    if (!this.#retryPolicy.mayRetry || sent.splitter === null || this.#phase !== 'relaying') return false
-    return now - sent.placed.lastEventAt > computeMaxSilenceMs(this.request.route)
+  // Ends the exchange as the box has no room for its answer.
+  #drop (): void {
+    this.#cancelActive('no room')
+    this.#refuse({ kind: 'engine-failed', text: 'the box has no room for the answer' })
   }
 
   // An answer that has begun can't be replaced by an error: it is truncated.
   #refuse (refusal: Refusal): void {
-    if (this.#phase === 'relaying') return this.cut()
+    if (this.#phase !== 'waiting') return this.cut()
+    this.#answer.discard()
     sendRefusal(this.#response, refusal, this.#host.dialect)
     this.#endExchange(refusal.kind, this.#response.statusCode)
   }
@@ -301,6 +314,7 @@
 
   #cancelSend (sent: ActiveSend, outcome: string): void {
     sent.call.cancel()
+    this.#answer.discard()
     this.#endSend(sent, outcome)
   }
 
@@ -314,6 +328,7 @@
   #endExchange (outcome: ExchangeSummary['outcome'], status: number): void {
     if (this.#phase === 'ended') return
     this.#search.stop()
+    this.#answer.release()
     this.#phase = 'ended'
     const { request } = this
     this.#host.noteEnd(this, {
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -12,6 +12,7 @@
 import type { BoxId, CrashUpdate, EndpointRecord, ZoneName } from '../core/index.js'
 import type { CallerHeaders } from '../protocol/index.js'
 import type { Refusal } from './answers.js'
+import { AnswerStore } from './answer-store.js'
 import { CallerServer } from './caller-server.js'
 import { BeliefsLog, createContentionSwitch } from './beliefs-log.js'
 import { CrashGuard } from './crash-guard.js'
@@ -103,6 +104,7 @@
   get inFlight (): number { return this.#exchanges.size }
   get table (): RouteTable | null { return this.#table }
   get fleet (): Fleet { return this.#fleet }
+  get answers (): AnswerStore { return this.#exchangeHost.answers }
 
   /** Known crashes of endpoints and requests in quarantine. */
   listCrashes (): CrashUpdate { return this.#guard.list() }
@@ -156,7 +158,7 @@
 
   #isIdle (startedAt: number): boolean {
     const at = now()
-    return at - startedAt > balancerLagMs && this.inFlight === 0 && at - this.#lastActiveAt > idleMs
+    return at - startedAt > balancerLagMs && this.inFlight === 0 && this.answers.isIdle && at - this.#lastActiveAt > idleMs
   }
 
   #createLoadReporter (): LoadReporter {
@@ -228,6 +230,7 @@
       agent: this.#agent,
       guard: this.#guard,
       limits: this.#limits,
+      answers: new AnswerStore(this.#settings, this.#dependencies, now),
       now,
       draw: Math.random,
       takeRetry: request => this.#takeRetry(request),
@@ -327,6 +330,7 @@
     const at = now()
     for (const exchange of this.#exchanges) exchange.check(at)
     this.#limits.check(at)
+    this.answers.check()
     this.#prober.probeDue(this.#fleet.views)
   }
 
--- /dev/null
+++ b/src/gateway/send-faults.ts
@@ -0,0 +1,36 @@
+import type { Fleet, Route } from '../core/index.js'
+import type { ActiveSend } from './active-send.js'
+import type { CallFailure } from './endpoint-call.js'
+import { computeMaxSilenceMs } from './retry-rules.js'
+
+/** What the choice between a send and a retry depends on. */
+export interface SendState {
+  readonly fleet: Fleet
+  readonly route: Route
+  /** True if the route allows another send. */
+  readonly mayRetry: boolean
+  /** True once a part of the answer has been sent to the caller. */
+  readonly hasBegun: boolean
+}
+
+export interface SendFault {
+  readonly failure: CallFailure
+  readonly reason: string
+}
+
+/** Why a send is given up at `now`: its endpoint has restarted, its stream has stalled, or its zone is unreachable; null if it goes on. */
+export function findSendFault (sent: ActiveSend, state: SendState, now: number): SendFault | null {
+  if (state.fleet.isReplaced(sent.view)) return { failure: 'lost', reason: 'the endpoint has restarted' }
+  if (!state.mayRetry) return null
+  if (isStalled(sent, state, now)) return { failure: 'broken', reason: 'silent' }
+  return isZoneCutOff(sent, state, now) ? { failure: 'broken', reason: 'the zone of the endpoint is unreachable' } : null
+}
+
+function isStalled ({ splitter, placed, call }: ActiveSend, { route, hasBegun }: SendState, now: number): boolean {
+  return splitter !== null && hasBegun && !call.isPaused && now - placed.lastEventAt > computeMaxSilenceMs(route)
+}
+
+// True if the endpoint's zone has become unreachable before the answer began.
+function isZoneCutOff ({ placed, call, view }: ActiveSend, { fleet }: SendState, now: number): boolean {
+  return placed.firstAt === null && call.mayHaveRun && fleet.zones.isUnreachable(view.record.zone, now)
+}
--- a/test/support/route-deployment.ts
+++ b/test/support/route-deployment.ts
@@ -18,12 +18,15 @@
 import type { EndpointHeaders } from '../../src/standin/index.js'
 import { waitFor } from './deployment.js'
 
+/** What a registration says of an endpoint. */
+export type RegisteredEndpoint = Pick<StandinEndpoint, 'id' | 'port'>
+
 /** A dialect with the parts that stand-ins and clients need to use it. */
 export interface SpokenDialect {
   readonly dialect: Dialect
   readonly endpointHeaders: EndpointHeaders
   readonly paths: { readonly document: string, readonly endpoints: string }
-  composeRegistration (endpoint: StandinEndpoint, service: string, zone: string, host: string, sequence: number, stage: string, born: number): object
+  composeRegistration (endpoint: RegisteredEndpoint, service: string, zone: string, host: string, sequence: number, stage: string, born: number): object
   composeCall (requestId: string, key: string | null, deadlineMs: number): Record<string, string>
 }
 
@@ -151,6 +154,7 @@
       maxConnections: 1000,
       features: [],
       box: null,
+      answers: null,
       contention: { mode: 'off' },
       ...this.shape.gateway
     }, { dialect: this.spoken.dialect, ...this.#createDependencies(`gateway-${i}`) })
@@ -175,7 +179,7 @@
     return endpoint
   }
 
-  async register (endpoint: StandinEndpoint, service: string, stage: string, zone = zones[0]): Promise<CallAnswer> {
+  async register (endpoint: RegisteredEndpoint, service: string, stage: string, zone = zones[0]): Promise<CallAnswer> {
     const sequence = (this.#sequences.get(endpoint.id) ?? 0) + 1
     this.#sequences.set(endpoint.id, sequence)
     const body = JSON.stringify(this.spoken.composeRegistration(endpoint, service, zone, this.endpointHost, sequence, stage, this.#born.get(endpoint.id) ?? 0))
