--- a/src/gateway/active-send.ts
+++ b/src/gateway/active-send.ts
@@ -13,3 +13,10 @@
   /** Null if the answer is plain rather than relayed event by event. */
   splitter: EventSplitter | null
 }
+
+/** Reads on from an endpoint that was not read for a while, and so is not taken for silent. */
+export function resumeSend (sent: ActiveSend | null, now: number): void {
+  if (sent === null) return
+  sent.placed.lastEventAt = now
+  sent.call.resume()
+}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,7 +1,6 @@
 /**
  * One request from its arrival to its final answer: finds an endpoint, sends the
- * request and relays the answer. `RetryPolicy` decides what follows a failure;
- * `AnswerBuffer` holds what the caller has not read.
+ * request and relays the answer. `RetryPolicy` decides what follows a failure.
  */
 import type { ServerResponse } from 'node:http'
 import { decidePlainAnswer } from '../core/index.js'
@@ -22,6 +21,7 @@
 import { PassedEvents } from './passed-events.js'
 import { RetryPolicy } from './retry-policy.js'
 import type { NextStep, SendOutcome } from './retry-policy.js'
+import { resumeSend } from './active-send.js'
 import type { ActiveSend } from './active-send.js'
 import { findSendFault } from './send-faults.js'
 
@@ -50,7 +50,7 @@
     this.#events = new PassedEvents(request.headers.lastEvent)
     this.#search = new EndpointSearch(host, this)
     this.#retryPolicy = new RetryPolicy(request.route, () => host.takeRetry(request))
-    this.#answer = host.answers.open({ request, drop: () => this.#drop(), resumeReceiving: () => this.#resumeReceiving() }, response)
+    this.#answer = host.answers.open({ request, drop: () => this.#drop(), resumeReceiving: () => resumeSend(this.#activeSend, host.now()) }, response)
   }
 
   get isEnded (): boolean { return this.#phase === 'ended' }
@@ -286,12 +286,6 @@
     }
   }
 
-  // An endpoint that was not read is not silent.
-  #resumeReceiving (): void {
-    if (this.#activeSend !== null) this.#activeSend.placed.lastEventAt = this.#host.now()
-    this.#activeSend?.call.resume()
-  }
-
   // Ends the exchange as the box has no room for its answer.
   #drop (): void {
     this.#cancelActive('no room')
