Callers that read slowly are told from stalled ones by the system's send queues

Cause: Node sees a read only once a third of the send buffer is free.

Change: while more than an eighth of the budget is held, a gateway reads /proc/net/tcp every 200 ms; what the system holds for a connection shrinks with each read. Where there is no such list, the rule is as before.

--- a/src/core/answers/answer-budget.ts
+++ b/src/core/answers/answer-budget.ts
@@ -40,8 +40,8 @@
 /** Maximum size of an answer that can only be relayed as a whole, bytes. */
 const maxWholeBytes = 64 * 2 ** 20
 /**
- * A caller that has read nothing for this long counts as stalled, ms. Reads show only in steps of a third of the
- * system's send buffer of up to 4 MB, so that one who reads 500 KB/s may seem idle for 2.7 s.
+ * A caller that has read nothing for this long counts as stalled, ms. Where the system does not list its send queues,
+ * reads show in steps of a third of a send buffer of up to 4 MB, so that one who reads 500 KB/s may seem idle for 2.7 s.
  */
 const stalledMs = 3000
 /** The same once endpoints have waited to be read for `urgentUnreadMs`: endpoints end such answers after some seconds. */
--- a/src/gateway/answer-buffer.ts
+++ b/src/gateway/answer-buffer.ts
@@ -9,6 +9,8 @@
 import { ByteQueue } from './byte-queue.js'
 import type { AnswerHead } from './endpoint-call.js'
 import { passHeaders } from './pass-headers.js'
+import { formatConnection } from './send-queues.js'
+import type { SendQueues } from './send-queues.js'
 
 /** What the buffer asks of its exchange. */
 export interface AnswerBufferHost {
@@ -48,6 +50,8 @@
   #isDropped = false
   #lastReadAt = 0
   #longestIdleMs = 0
+  /** What the system held for the caller when it was last looked at, bytes; null if not since the last write. */
+  #queuedBytes: number | null = null
   /** Called once the whole answer has been passed to Node; null until its end has been received. */
   #noteEnd: (() => void) | null = null
 
@@ -68,6 +72,15 @@
     return this.#isBlocked ? this.#store.now() - this.#lastReadAt : 0
   }
 
+  /** Looks at what the system holds for the caller: less than before shows that the caller has read. */
+  noteSendQueues (queues: SendQueues): void {
+    const { socket } = this.#response
+    const connection = socket === null || !this.#isBlocked ? null : formatConnection(socket)
+    const queuedBytes = connection === null ? null : queues.get(connection) ?? null
+    if (queuedBytes !== null && this.#queuedBytes !== null && queuedBytes < this.#queuedBytes) this.#noteRead()
+    this.#queuedBytes = queuedBytes
+  }
+
   /** Sends the head, and what is held and follows as the caller reads it. `length`: of the body, null for a stream. */
   startRelay (head: AnswerHead, length: number | null): void {
     if (this.#isRelayed) return
@@ -137,10 +150,15 @@
   #handleDrain (): void {
     if (!this.#isBlocked) return
     this.#isBlocked = false
+    this.#queuedBytes = null
+    this.#noteRead()
+    this.#pump()
+  }
+
+  #noteRead (): void {
     const now = this.#store.now()
     this.#longestIdleMs = Math.max(this.#longestIdleMs, now - this.#lastReadAt)
     this.#lastReadAt = now
-    this.#pump()
   }
 
   #pump (): void {
--- a/src/gateway/answer-store.ts
+++ b/src/gateway/answer-store.ts
@@ -5,6 +5,11 @@
 import type { EventLog, Metrics } from '../runtime/index.js'
 import { AnswerBuffer } from './answer-buffer.js'
 import type { AnswerBufferHost, BufferAccount } from './answer-buffer.js'
+import { readSendQueues } from './send-queues.js'
+
+/** Reads of callers are looked for while more than this share of the budget is held, at this interval, ms. */
+const watchedShare = 1 / 8
+const watchIntervalMs = 200
 
 export interface AnswerStoreTools {
   readonly log: EventLog
@@ -23,6 +28,7 @@
   #paused = new Set<AnswerBuffer>()
   /** Since when endpoints have waited to be read, but for interruptions shorter than a check; null if none has. */
   #pressedAt: number | null = null
+  #watchedAt = -Infinity
   /** Responses that Node has not yet passed to the system in whole. */
   #unsent = new Set<ServerResponse>()
 
@@ -68,10 +74,17 @@
   /** Ends exchanges while the budget is exceeded and callers have stalled. */
   check (): void {
     if (this.#paused.size === 0 && this.#totalBytes <= this.budgetBytes) this.#pressedAt = null
+    if (this.#totalBytes > this.budgetBytes * watchedShare && this.now() - this.#watchedAt >= watchIntervalMs) void this.#watchReads()
     for (let dropped = this.#chooseDropped(); dropped !== null; dropped = this.#chooseDropped()) this.#drop(dropped)
     this.#resumeLongest()
   }
 
+  async #watchReads (): Promise<void> {
+    this.#watchedAt = this.now()
+    const queues = await readSendQueues()
+    for (const buffer of this.#holding) buffer.noteSendQueues(queues)
+  }
+
   #chooseDropped (): AnswerBuffer | null {
     return chooseDropped(this.#holding, { totalBytes: this.#totalBytes, budgetBytes: this.budgetBytes, unreadMs: this.#pressedAt === null ? 0 : this.now() - this.#pressedAt })
   }
