--- a/src/gateway/active-send.ts
+++ b/src/gateway/active-send.ts
@@ -10,9 +10,13 @@
   readonly placed: PlacedRequest
   readonly attempt: Attempt
   head: AnswerHead | null
-  /** Body received so far of an answer that is buffered. */
-  chunks: Buffer[]
-  size: number
-  /** Null if the answer is buffered rather than relayed event by event. */
+  /** Null if the answer is plain rather than relayed event by event. */
   splitter: EventSplitter | null
 }
+
+/** Reads on from an endpoint that was not read for a while, and so is not taken for silent. */
+export function resumeSend (sent: ActiveSend | null, now: number): void {
+  if (sent === null) return
+  sent.placed.lastEventAt = now
+  sent.call.resume()
+}
