Plain calls wait in the box for a free slot, and endpoints are chosen by learned speed

Cause: a plain call went to the lowest averaged time, also to full endpoints. They refused it, a second send took from the retry budget, and nothing ever waited.

Change, while the measures against contention are on: each gateway learns the usual time of an endpoint and its present ratio to it, estimates what other boxes run there from lagging totals, its own ends and refusals, and sends a call only where a slot is probably free. Others wait by priority and arrival, until their answer would miss the target; they are then refused as not run. Boxes that send again soon keep the slots that they used, and report them (field `kept` of a service's demand). An endpoint that refused as full is left out until its load can have changed, and a call that may not be repeated is sent once. Load totals are passed on with their age; exchanges log the newest choice (field `plain`).

--- a/src/core/balance/box-load.ts
+++ b/src/core/balance/box-load.ts
@@ -4,6 +4,7 @@
  */
 import type { EndpointId, ServiceName, ZoneName } from '../ids.js'
 import type { CpuRange } from './contention.js'
+import type { KeptCounts } from './kept-slots.js'
 
 /** Prompt tokens waiting to be read, by the priority of their requests. */
 export type WaitingTokens = readonly (readonly [priority: number, tokens: number])[]
@@ -54,6 +55,8 @@
   readonly read?: number
   /** CPU shares of the boxes; only sent where boxes need to know whether they are alike. */
   readonly boxCpu?: CpuRange
+  /** Free slots of a plain service's endpoints that boxes are about to use again; only sent while the measures against contention are on. */
+  readonly kept?: KeptCounts
 }
 
 /** The load report of a box to its hub. */
--- a/src/core/balance/choice.ts
+++ b/src/core/balance/choice.ts
@@ -19,10 +19,10 @@
 
 /**
  * Why no endpoint was chosen: the service has no endpoint (`none-known`), all are ejected or were tried
- * (`none-usable`), none accepts requests now because of back-off or limits (`closed`), or none has room now
- * (`later`).
+ * (`none-usable`), none accepts requests now because of back-off or limits (`closed`), none has room now
+ * (`later`), or none is expected to answer a plain call within its target (`late`).
  */
-export type NoChoice = 'none-known' | 'none-usable' | 'closed' | 'later'
+export type NoChoice = 'none-known' | 'none-usable' | 'closed' | 'later' | 'late'
 
 /** Endpoints whose costs differ by at most this are equivalent, ms: messages between boxes take longer. */
 const tieMs = 3
--- a/src/core/balance/endpoint-costs.ts
+++ b/src/core/balance/endpoint-costs.ts
@@ -9,11 +9,11 @@
 import type { ZoneMonitor } from './zone-monitor.js'
 
 /** Penalty of an endpoint in another zone for a plain call, ms: traffic between zones is billed. */
-const crossZoneMs = 8
+export const crossZoneMs = 8
 /** The same for a stream, ms: it runs for seconds and is lost if the link between the zones fails. */
 const crossZoneStreamMs = 30
 /** Penalty of an endpoint that is doubtful, failing or in an unreachable zone, ms: about the cost of a lost request. */
-const doubtfulPenaltyMs = 400
+export const doubtfulPenaltyMs = 400
 /** Delay that each stream causes to the others, ms. */
 const perStreamMs = 0.4
 /** Wait for each request beyond the slots, ms: about the interval at which slots are released. */
--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -10,6 +10,9 @@
 import { EndpointGate } from './endpoint-gate.js'
 import { EndpointHealth } from './endpoint-health.js'
 import type { EndpointLoad, PromptReport } from './box-load.js'
+import { KeptSlots } from './kept-slots.js'
+import { PlainOccupancy } from './plain-occupancy.js'
+import { PlainSpeed } from './plain-speed.js'
 import { PromptCacheModel } from './prompt-cache-model.js'
 import { countExpectedTokens, isPauseTolerant, listSharedParts } from './prompt-reading.js'
 import type { PromptPlan } from './prompt-plan.js'
@@ -77,6 +80,10 @@
   /** Parts that it has already cached, so that other engines can fetch them. */
   readonly cachedPrompts: PromptCacheModel
   readonly answerMs = new ExponentialAverage(initialAnswerMs, newestWeight)
+  /** Answer times and load of a plain service's endpoint, for the measures against contention. */
+  readonly plainSpeed = new PlainSpeed()
+  readonly plainOccupancy = new PlainOccupancy()
+  readonly keptSlots = new KeptSlots()
   record: EndpointRecord
   #stats: EngineStats
   /** Prompt states that this box reports to its hub. */
@@ -116,6 +123,19 @@
     return this.#placed.size + (this.#others?.running ?? 0)
   }
 
+  /** Requests of other boxes in flight, as last reported. */
+  get othersRunning (): number { return this.#others?.running ?? 0 }
+
+  /** Requests of this box in flight. */
+  get ownRunning (): number { return this.#placed.size }
+
+  /** Time since the oldest unanswered send of this box, ms; 0 for none. */
+  measureLongest (at: number): number {
+    let longestMs = 0
+    for (const { firstAt, sentAt } of this.#placed) if (firstAt === null) longestMs = Math.max(longestMs, at - sentAt)
+    return longestMs
+  }
+
   /** Streams in flight that do not tolerate prompt reading beside them; `minTolerantPauseMs`: the shortest allowed pause of one that does. */
   countPauseSensitive (minTolerantPauseMs: number): number {
     return this.#countOwnPauseSensitive(minTolerantPauseMs) + (this.#others?.brisk ?? 0)
@@ -208,6 +228,7 @@
     const memory = cost === null ? 0 : cost.promptTokens + cost.maxTokens / 2
     const placed: PlacedRequest = { work, readTokens, fetchMs: fetch?.ms ?? 0, aheadTokens: this.countTokensAhead(work.priority, at), memory, sentAt: at, firstAt: null, lastEventAt: at }
     this.#placed.add(placed)
+    this.keptSlots.noteSent()
     if (cost !== null) this.#reportPrompt(cost, false, at)
     return placed
   }
@@ -218,7 +239,7 @@
     placed.lastEventAt = at
     const tookMs = at - placed.sentAt
     const { cost } = placed.work
-    if (cost === null) return this.answerMs.add(tookMs)
+    if (cost === null) return this.#notePlainAnswer(tookMs, at)
     this.#reportPrompt(cost, true, at)
     this.#stats.readMeter.add(at, countExpectedTokens(cost))
     this.#stats.lateness.add(placed.work.level, tookMs / this.estimateAnswerMs(placed))
@@ -226,6 +247,12 @@
     if (tokens >= minLearningTokens) this.#stats.readMsPerToken.add(Math.max(0, tookMs - overheadMs - placed.fetchMs) / tokens / this.slowness)
   }
 
+  #notePlainAnswer (tookMs: number, at: number): void {
+    this.answerMs.add(tookMs)
+    this.plainSpeed.note(tookMs, at)
+    this.plainOccupancy.noteAccepted(at)
+  }
+
   #reportPrompt (cost: PromptCost, isKept: boolean, at: number): void {
     this.notePrompt(cost.parts, isKept)
     const shared = listSharedParts(cost)
@@ -270,12 +297,18 @@
 
   /** Removes a request that ended or was cancelled. */
   remove (placed: PlacedRequest, at: number): void {
+    if (placed.firstAt !== null && placed.work.cost === null) this.#noteReleased(placed, at)
     this.#placed.delete(placed)
     // A request that was cancelled before its first event after longer than expected is late too.
     const waitedRatio = (at - placed.sentAt) / this.estimateAnswerMs(placed)
     if (placed.firstAt === null && placed.work.cost !== null && waitedRatio > 1) this.#stats.lateness.add(placed.work.level, waitedRatio)
   }
 
+  #noteReleased (placed: PlacedRequest, at: number): void {
+    this.plainOccupancy.noteReleased(this.record.slots, this.#placed.size, at - placed.sentAt, at)
+    this.keptSlots.noteReleased(at)
+  }
+
   /** Sets the load of the other boxes; null for none. */
   noteOthers (load: EndpointLoad | null): void { this.#others = load }
 
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -22,6 +22,7 @@
 import { createEngineStats } from './engine-stats.js'
 import { listDedicationOrder } from './dedication-order.js'
 import { ReportedPrompts, notePrompt } from './reported-prompts.js'
+import { PlainBalancer } from './plain-balancer.js'
 import { OtherBoxes } from './other-boxes.js'
 import type { BoxLoad, EngineGap, LoadTotals, PromptReport } from './box-load.js'
 import { filterViews } from './endpoint-filter.js'
@@ -46,6 +47,7 @@
 export class Fleet {
   readonly zones: ZoneMonitor
   readonly contention: ContentionSwitch
+  readonly plain = new PlainBalancer()
   #boxContext: BoxContext
   #services = new Map<ServiceName, ServiceState>()
   #views = new Map<EndpointId, EndpointView>()
@@ -127,12 +129,13 @@
     return this.#findSnapshot(service, at).usable.reduce((sum, { gate }) => sum + (gate.limit ?? Infinity), 0)
   }
 
-  /** Applies the load totals of the other boxes; `noTotals` if no hub is reachable. */
-  noteOthers (others: LoadTotals, at: number): void {
+  /** Applies the load totals of the other boxes, which are `ageMs` old; `noTotals` if no hub is reachable. */
+  noteOthers (others: LoadTotals, at: number, ageMs = 0): void {
     const loads = new Map(others.loads.map(load => [load.endpoint, load]))
     for (const view of this.#views.values()) view.noteOthers(loads.get(view.id) ?? null)
     for (const [endpoint, gapMs] of others.gaps) this.#views.get(endpoint)?.noteMedianGap(gapMs)
     this.#others.note(others, at)
+    if (others.zones.length > 0) this.plain.noteTotals(this.#views.values(), others.demands, at - ageMs)
     for (const { boxCpu } of others.demands) this.contention.note(boxCpu)
     for (const prompt of others.prompts) {
       const view = this.#views.get(prompt[0])
@@ -158,7 +161,7 @@
       if (view.ownGapMs !== null) gaps.push([view.id, Math.round(view.ownGapMs * 10) / 10])
     }
     const { reported: boxCpu } = this.contention
-    const demands = [...this.#services.values()].map(state => ({ ...composeDemand(state, at), ...(boxCpu === undefined ? {} : { boxCpu }) })).filter(({ patient, brisk, readingPauseMs }) => patient > 0 || brisk > 0 || readingPauseMs !== null)
+    const demands = [...this.#services.values()].map(state => ({ ...composeDemand(state, at), ...this.plain.composeKept(this.#byService.get(state.service.name), at), ...(boxCpu === undefined ? {} : { boxCpu }) })).filter(({ patient, brisk, readingPauseMs, kept }) => patient > 0 || brisk > 0 || readingPauseMs !== null || kept !== undefined)
     return { loads, demands, gaps, prompts }
   }
 
@@ -174,6 +177,7 @@
     const left = untried.filter(view => isOpen(view, work, at))
     if (left.length === 0) return 'closed'
     const context = this.#composeContext(work.service, at)
+    if (work.cost === null && context === null && this.contention.isOn) return this.plain.choose(left, work, { boxContext: this.#boxContext, sharers: this.#others.countUnreportedBoxes(at), waitedMs, at, draw })
     if (work.cost === null || context === null) return choosePlain(left, this.#boxContext, at, draw)
     const { engine, minTolerantPauseMs } = context
     const isTolerant = isPauseTolerant(work, minTolerantPauseMs)
@@ -217,6 +221,7 @@
 
   /** Notes that a request starts or stops waiting in this box. */
   noteQueued (work: RequestProfile, isQueued: boolean): void {
+    if (work.cost === null) this.plain.noteQueued(work, isQueued)
     const queuedTokens = this.#services.get(work.service)?.held
     if (queuedTokens === undefined || work.cost === null) return
     const tokens = (queuedTokens.get(work.priority) ?? 0) + (isQueued ? 1 : -1) * countExpectedTokens(work.cost)
@@ -264,6 +269,7 @@
   /** Records the arrival of a request, for the demand meters. */
   noteArrival (work: RequestProfile, at: number): void {
     const state = this.#services.get(work.service)
+    if (work.cost === null) this.plain.noteArrival(work, at)
     if (state?.service.engine == null || work.cost === null) return
     if (work.pauseMs !== null) state.pauses.note(at, work.pauseMs)
     state.kinds.note(work, countExpectedTokens(work.cost), at)
--- a/src/core/balance/load-sum.ts
+++ b/src/core/balance/load-sum.ts
@@ -2,6 +2,7 @@
 import type { EndpointId, ServiceName, ZoneName } from '../ids.js'
 import { findMedian } from './average.js'
 import { joinCpuRanges } from './contention.js'
+import { addKept } from './kept-slots.js'
 import type { CpuRange } from './contention.js'
 import type { EndpointLoad, EngineGap, LoadTotals, ServiceTotal, WaitingTokens } from './box-load.js'
 
@@ -61,6 +62,7 @@
     held: addAmounts(sum.held, one.held, 1),
     rates: addAmounts(sum.rates ?? [], one.rates ?? [], 1),
     read: (sum.read ?? 0) + (one.read ?? 0),
+    ...addKept(sum.kept, one.kept, 1),
     ...composeCpuRange(sum.boxCpu, one.boxCpu),
     holders: sum.holders + one.holders
   }
--- a/src/core/balance/others-load.ts
+++ b/src/core/balance/others-load.ts
@@ -1,4 +1,5 @@
 /** The load of the other boxes: the hub's totals minus this box's own contribution. */
+import { addKept } from './kept-slots.js'
 import { addAmounts } from './load-sum.js'
 import type { BoxLoad, EndpointLoad, LoadTotals, ServiceDemand, ServiceTotal } from './box-load.js'
 
@@ -32,8 +33,10 @@
 // The counts of dedicated engines stay, as they are maxima: if the maximum is this box's own, it agrees to it anyway.
 function subtractDemand (sum: ServiceTotal, own: ServiceDemand | undefined): ServiceTotal {
   if (own === undefined) return sum
+  const { kept, ...rest } = sum
   return {
-    ...sum,
+    ...rest,
+    ...addKept(kept, own.kept, -1),
     patient: Math.max(0, sum.patient - own.patient),
     brisk: Math.max(0, sum.brisk - own.brisk),
     held: addAmounts(sum.held, own.held, -1),
--- a/src/core/balance/stale-load.ts
+++ b/src/core/balance/stale-load.ts
@@ -14,7 +14,7 @@
   return {
     ...totals,
     loads: totals.loads.map(load => ({ ...load, waiting: [], largest: 0 })),
-    demands: totals.demands.map(demand => ({ ...demand, held: [], holders: 0 })),
+    demands: totals.demands.map(demand => ({ ...demand, held: [], holders: 0, ...(demand.kept === undefined ? {} : { kept: [] }) })),
     prompts: [],
     zones: []
   }
--- a/src/gateway/endpoint-search.ts
+++ b/src/gateway/endpoint-search.ts
@@ -2,7 +2,7 @@
  * Finds an endpoint for one request, and again after each failed send: chooses
  * one, waits for room, and obtains a permit if the endpoint has a rate limit.
  */
-import type { Choice, EndpointId } from '../core/index.js'
+import type { Choice, EndpointId, EndpointView } from '../core/index.js'
 import type { ExchangeHost } from './exchange-host.js'
 import type { AdmittedRequest } from './admitted-request.js'
 import type { SendOutcome } from './retry-policy.js'
@@ -45,14 +45,35 @@
     const at = this.#host.now()
     const decision = this.#host.guard.decide(request)
     if (decision.type === 'refused') return this.#searcher.fail({ ...decision, type: 'quarantined' })
-    const choice = this.#host.fleet.choose(request.work, this.#tried, at, this.#host.draw(), at - request.arrivedAt, this.#host.guard.composeFilter(request, decision))
-    if (choice === 'later') return this.#enqueue()
+    if (this.#isPlainOrdered && request.route.kind === 'once') this.#host.fleet.plain.noteLastSend(request.work)
+    const waitedMs = this.#isPlainOrdered && this.#isCommitted ? 0 : at - request.arrivedAt
+    const choice = this.#host.fleet.choose(request.work, this.#tried, at, this.#host.draw(), waitedMs, this.#host.guard.composeFilter(request, decision))
+    if (choice === 'later' || (choice === 'late' && this.#isCommitted)) return this.#enqueue()
+    if (choice === 'late') return this.#fail({ type: 'closed', retryAfterMs: this.#host.fleet.plain.explain(request.work)?.retryAfterMs ?? 0 })
     if (choice === 'closed') return this.#handleClosed(at)
     if (typeof choice === 'string') return this.#fail({ type: 'unplaced', why: choice })
     if (choice.view.gate.tryConsumePermit(at)) return this.#accept(choice, null)
     this.#requestPermit(choice, at)
   }
 
+  /**
+   * Notes that an endpoint refused the request as full; true if it is not sent again. Where plain calls wait for a free
+   * slot, the endpoint may be tried again once its load can have changed, and a call that may not be repeated is sent once.
+   */
+  noteFull (view: EndpointView): boolean {
+    const { work, route } = this.#searcher.request
+    if (!this.#isPlainOrdered) return false
+    this.#host.fleet.plain.noteRefused(view, work, this.#host.now())
+    this.#tried = this.#tried.filter(id => id !== view.id)
+    return route.kind === 'once'
+  }
+
+  // True for a plain call while the measures against contention are on.
+  get #isPlainOrdered (): boolean { return this.#searcher.request.work.cost === null && this.#host.fleet.contention.isOn }
+
+  // An endpoint may have run it, so "not run" would not be true: it is sent again even if its answer will be late.
+  get #isCommitted (): boolean { return this.#searcher.hasBegun || this.#tried.length > 0 }
+
   /** Repeats the search if the request is queued. */
   retry (): void {
     if (this.#isQueued && !this.#isAwaitingPermit) this.start()
--- a/src/gateway/exchange-report.ts
+++ b/src/gateway/exchange-report.ts
@@ -1,5 +1,5 @@
 /** Log line and metrics of an exchange that has ended. */
-import type { Admission } from '../core/index.js'
+import type { Admission, PlainExplanation } from '../core/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import type { Attempt, ExchangeSummary } from './exchange-summary.js'
 import { identifyRequest } from './fingerprint.js'
@@ -32,6 +32,7 @@
     admission: summary.admission === null ? undefined : formatAdmission(summary.admission),
     denied: summary.denied === 0 ? undefined : summary.denied,
     closedMs: summary.maxClosedMs === 0 ? undefined : Math.round(summary.maxClosedMs),
+    ...(summary.plain === undefined ? {} : { plain: formatPlain(summary.plain) }),
     attempts: attempts.map(one => formatAttempt(one, request.arrivedAt)).join(';')
   }
   if (outcome === 'ok') log.info('exchange', fields)
@@ -48,6 +49,11 @@
   return `${times}:own=${Math.round(ownTokens)}:others=${Math.round(otherTokens)}:held=${Math.round(queuedTokens)}:engines=${engines}:rate=${rate.toFixed(1)}:share=${share.toFixed(2)}`
 }
 
+// What was decided last, the expected time, calls that went first, endpoints with a free slot and all usable ones, and the age of the totals.
+function formatPlain ({ type, expectedMs, ahead, free, candidates, totalsMs }: PlainExplanation): string {
+  return `${type}:expected=${Math.round(expectedMs)}:ahead=${ahead}:free=${free}/${candidates}:totals=${totalsMs === null ? '-' : Math.round(totalsMs)}`
+}
+
 // The endpoint, the time of the send in ms after arrival, the figures behind the choice, and the outcome.
 function formatAttempt (attempt: Attempt, arrivedAt: number): string {
   return `${attempt.endpoint}@${Math.round(attempt.sentAt - arrivedAt)}:expected=${attempt.expectedMs}:of=${attempt.candidates}:apart=${attempt.dedicatedCount}:read=${Math.round(attempt.plan.readTokens)}:fetch=${formatFetch(attempt)}:home=${attempt.isAffinityEngine ? 1 : 0}${attempt.permitMs === null ? '' : `:permit=${Math.round(attempt.permitMs)}`}:${attempt.end}`
--- a/src/gateway/exchange-summary.ts
+++ b/src/gateway/exchange-summary.ts
@@ -1,5 +1,5 @@
 /** Summary of an exchange and of each of its sends, for the log and the metrics. */
-import type { Admission, EndpointId, ErrorKind, PromptPlan } from '../core/index.js'
+import type { Admission, EndpointId, ErrorKind, PlainExplanation, PromptPlan } from '../core/index.js'
 import type { AdmittedRequest } from './admitted-request.js'
 
 /** One send and its outcome. */
@@ -33,4 +33,6 @@
   readonly denied: number
   /** The longest time until an endpoint would accept requests again, ms, over all searches that found none open; 0 if there was none. */
   readonly maxClosedMs: number
+  /** The newest choice among a plain service's endpoints; undefined if there was none, or the measures against contention are off. */
+  readonly plain: PlainExplanation | undefined
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -230,9 +230,10 @@
     if (isMisdirected) sent.view.health.noteUnreachable(this.#host.now())
     else sent.view.health.noteGood()
     this.#cancelSend(sent, `not-run ${head.status}`)
+    const isFinal = head.status === 503 && !isMisdirected && this.#search.noteFull(sent.view)
     const at = this.#host.now()
     const availableInMs = Math.max(0, this.#host.fleet.findOpenTime(this.request.work, [], at) - at)
-    this.#execute(this.#retryPolicy.decide({ type: 'not-run', isMisdirected, availableInMs: Number.isFinite(availableInMs) ? availableInMs : 0 }))
+    this.#execute(this.#retryPolicy.decide({ type: 'not-run', isMisdirected, isFinal, availableInMs: Number.isFinite(availableInMs) ? availableInMs : 0 }))
   }
 
   #handleFailure (sent: ActiveSend, head: AnswerHead): void {
@@ -327,7 +328,8 @@
       events: this.#events.count,
       maxPauseMs: this.#events.maxPauseMs,
       denied: this.#search.denied,
-      maxClosedMs: this.#search.maxClosedMs
+      maxClosedMs: this.#search.maxClosedMs,
+      plain: this.#host.fleet.plain.explain(request.work)
     })
   }
 }
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -80,6 +80,7 @@
     this.#waitQueue = new WaitQueue({
       now,
       draw: Math.random,
+      isPlainOrdered: () => this.#fleet.contention.isOn,
       countWaitingBoxes: (service, priority) => this.#fleet.countHolders(service, priority),
       countReservedEngines: service => this.#fleet.countDedicated(service)
     })
@@ -172,8 +173,8 @@
       listNotices: () => this.#limits.listUnconfirmed(),
       handleNotices: (notices, hub) => this.#limits.mergeNotices(notices, hub),
       noteHubChange: () => this.#limits.noteHubChange(),
-      handleOthers: (others, intervalMs) => {
-        this.#fleet.noteOthers(others, now())
+      handleOthers: (others, intervalMs, ageMs) => {
+        this.#fleet.noteOthers(others, now(), ageMs)
         this.#waitQueue.setStaleness(intervalMs)
         this.#waitQueue.retry()
       }
@@ -231,7 +232,10 @@
       now,
       draw: Math.random,
       takeRetry: request => this.#takeRetry(request),
-      noteLoad: () => this.#loadReporter.noteChange(),
+      noteLoad: () => {
+        this.#loadReporter.noteChange()
+        this.#waitQueue.noteLoad()
+      },
       enqueue: exchange => this.#enqueue(exchange),
       dequeue: exchange => this.#dequeue(exchange),
       noteRun: ({ workspace }, at) => { if (workspace !== null) this.#usageReporter?.note(workspace.name, at) },
--- a/src/gateway/load-reporter.ts
+++ b/src/gateway/load-reporter.ts
@@ -29,8 +29,8 @@
   handleNotices (notices: readonly EndpointNotice[], hub: BoxId): void
   /** The box reports to another hub from now on. */
   noteHubChange (): void
-  /** Handles the total load of all other boxes; `intervalMs`: how often the hub sends it. */
-  handleOthers (others: LoadTotals, intervalMs: number): void
+  /** Handles the total load of all other boxes; `intervalMs`: how often the hub sends it; `ageMs`: time since the newest report of this box that it includes. */
+  handleOthers (others: LoadTotals, intervalMs: number, ageMs: number): void
 }
 
 /** The hub to which this box reports. */
@@ -73,7 +73,7 @@
   #avoidedUntil = new Map<string, number>()
   #start = randomInt(startLimit)
   #number = 0
-  #sentLoads = new Map<number, BoxLoad>()
+  #sentLoads = new Map<number, { readonly load: BoxLoad, readonly at: number }>()
   #intervalMs = 0
   /** Load of the other boxes as last received; null once it is discarded. */
   #others: LoadTotals | null = null
@@ -133,7 +133,8 @@
     this.#intervalMs = update.intervalMs
     if (update.notices.length > 0) this.#host.handleNotices(update.notices, brandId(hub.host))
     const totals = hub.reader.take(update.news)
-    if (totals !== null) this.#setOthers(subtractOwn(totals, this.#sentLoads.get(update.ownNumber) ?? null), update.intervalMs)
+    const own = this.#sentLoads.get(update.ownNumber)
+    if (totals !== null) this.#setOthers(subtractOwn(totals, own?.load ?? null), update.intervalMs, now - (own?.at ?? now))
   }
 
   #tick (): void {
@@ -146,15 +147,15 @@
   // Without updates from any hub, first the queued requests of the other boxes are discarded, later all of their load.
   #expireOthers (sinceReportMs: number): void {
     if (this.#others === null || sinceReportMs <= staleMs) return
-    if (sinceReportMs <= othersTtlMs) return this.#setOthers(dropBacklog(this.#others), this.#intervalMs)
+    if (sinceReportMs <= othersTtlMs) return this.#setOthers(dropBacklog(this.#others), this.#intervalMs, sinceReportMs)
     this.#others = null
     this.#host.log.warn('hubs-silent', { hub: this.#hub?.host ?? '' })
-    this.#host.handleOthers(noTotals, 0)
+    this.#host.handleOthers(noTotals, 0, 0)
   }
 
-  #setOthers (others: LoadTotals, intervalMs: number): void {
+  #setOthers (others: LoadTotals, intervalMs: number, ageMs: number): void {
     this.#others = others
-    this.#host.handleOthers(others, intervalMs)
+    this.#host.handleOthers(others, intervalMs, ageMs)
   }
 
   // Replaces a hub that is silent, and one of another zone as soon as one of this zone is reachable.
@@ -194,7 +195,7 @@
   }
 
   #rememberLoad (load: BoxLoad): void {
-    this.#sentLoads.set(this.#number, load)
+    this.#sentLoads.set(this.#number, { load, at: this.#sentAt })
     this.#sentLoads.delete(this.#number - maxSentLoads)
   }
 }
--- a/src/gateway/retry-policy.ts
+++ b/src/gateway/retry-policy.ts
@@ -15,8 +15,8 @@
   | { readonly type: 'unplaced', readonly why: 'none-known' | 'none-usable' }
   /** The box backs off from every endpoint, or their rate limits are exhausted; `retryAfterMs`: until one accepts the request. */
   | { readonly type: 'closed', readonly retryAfterMs: number }
-  /** The endpoint stated that it did not run the request; `isMisdirected`: because another endpoint answers at its address; `availableInMs`: until an endpoint accepts requests. */
-  | { readonly type: 'not-run', readonly isMisdirected: boolean, readonly availableInMs: number }
+  /** The endpoint stated that it did not run the request; `isMisdirected`: because another endpoint answers at its address; `isFinal`: it is not sent again; `availableInMs`: until an endpoint accepts requests. */
+  | { readonly type: 'not-run', readonly isMisdirected: boolean, readonly isFinal?: boolean, readonly availableInMs: number }
   /** The endpoint ran it and answered with an error. */
   | { readonly type: 'failed' }
   /** The connection could not be established or broke, or the answer was not valid. */
@@ -63,7 +63,7 @@
     switch (outcome.type) {
       case 'unplaced': return this.#handleUnplaced(outcome.why)
       case 'closed': return this.#handleClosed(outcome.retryAfterMs)
-      case 'not-run': return this.#handleNotRun(outcome.isMisdirected, outcome.availableInMs)
+      case 'not-run': return this.#handleNotRun(outcome.isMisdirected, outcome.isFinal ?? false, outcome.availableInMs)
       case 'failed': return this.#handleFailed()
       case 'broke': return this.#handleBroken(outcome.failure, outcome.reason)
       case 'answered': return this.#handleAnswered(outcome.status)
@@ -82,9 +82,9 @@
     return refuse('overloaded', 'no endpoint accepts the request at present', retryAfterMs)
   }
 
-  #handleNotRun (isMisdirected: boolean, availableInMs: number): NextStep {
+  #handleNotRun (isMisdirected: boolean, isFinal: boolean, availableInMs: number): NextStep {
     if (isMisdirected) this.#unreachable += 1
-    if (this.#takeAttempt()) return { type: 'send' }
+    if (!isFinal && this.#takeAttempt()) return { type: 'send' }
     if (this.#mayHaveRun) return refuse('engine-failed', 'an earlier send failed, and another endpoint has no free capacity')
     return refuse('overloaded', 'the endpoint has no free capacity', Math.max(fullRetryMs, availableInMs))
   }
--- a/src/gateway/wait-queue.ts
+++ b/src/gateway/wait-queue.ts
@@ -5,11 +5,14 @@
  */
 import type { ServiceName, RequestProfile } from '../core/index.js'
 import type { Exchange } from './exchange.js'
+import { PlainWaitQueue } from './plain-wait-queue.js'
 
 /** What the queue needs from its box. */
 export interface WaitQueueHost {
   now (): number
   draw (): number
+  /** True if plain calls wait in an order of their own. */
+  isPlainOrdered (): boolean
   /** Number of boxes, including this one, in which requests of the service wait at this priority or a more urgent one. */
   countWaitingBoxes (service: ServiceName, priority: number): number
   /** Number of engines of the service that are reserved for waiting requests. */
@@ -26,6 +29,7 @@
 export class WaitQueue {
   #host: WaitQueueHost
   #waiting: Exchange[] = []
+  #plain = new PlainWaitQueue<Exchange>()
   #timer: NodeJS.Timeout | null = null
   #stalenessMs = 0
 
@@ -34,11 +38,11 @@
   }
 
   /** Number of waiting requests. */
-  get length (): number { return this.#waiting.length }
+  get length (): number { return this.#waiting.length + this.#plain.length }
 
   /** Number of requests of a service that wait at this priority or a more urgent one. */
   count (service: ServiceName, priority: number): number {
-    return this.#waiting.filter(({ request: { work } }) => work.service === service && work.priority <= priority).length
+    return this.#plain.count(service, priority) + this.#waiting.filter(({ request: { work } }) => work.service === service && work.priority <= priority).length
   }
 
   /** Sets how old the load of the other boxes is when it is received, ms. */
@@ -46,7 +50,8 @@
 
   /** Adds a request, which waits until `remove`. */
   add (exchange: Exchange): void {
-    this.#waiting.push(exchange)
+    if (exchange.request.work.cost === null && this.#host.isPlainOrdered()) this.#plain.add(exchange)
+    else this.#waiting.push(exchange)
     this.#timer ??= setInterval(() => this.retry(), retryIntervalMs)
   }
 
@@ -54,7 +59,8 @@
   remove (exchange: Exchange): void {
     const at = this.#waiting.indexOf(exchange)
     if (at >= 0) this.#waiting.splice(at, 1)
-    if (this.#waiting.length === 0) this.close()
+    this.#plain.remove(exchange)
+    if (this.length === 0) this.close()
   }
 
   /**
@@ -64,6 +70,7 @@
    * load update takes. Boxes with only less urgent requests don't take part.
    */
   retry (): void {
+    this.#plain.retry()
     if (this.#waiting.length === 0) return
     const now = this.#host.now()
     const ordered = [...this.#waiting].sort((a, b) => compareUrgency(a, b, now))
@@ -71,6 +78,9 @@
     for (const exchange of ordered.slice(0, maxTries)) exchange.tryPlace()
   }
 
+  /** A send of this box has begun or ended. */
+  noteLoad (): void { this.#plain.schedule() }
+
   /** Stops the retries; waiting requests are left as they are. */
   close (): void {
     if (this.#timer !== null) clearInterval(this.#timer)
