Rate limits are tested with plain calls that wait for a free slot

Cause: while the measures against contention are on, another choice decides which endpoint is asked for a permit. Change: the limit model takes the mode; two rows of the table use it.

--- a/test/endpoint-limits.test.ts
+++ b/test/endpoint-limits.test.ts
@@ -12,6 +12,8 @@
 
 const singleLimits: readonly { name: string, limit: number, more?: Partial<LimitShape> }[] = [
   { name: 'of 2.6, 8 boxes', limit: 2.6 },
+  { name: 'of 2.6, 8 boxes with calls that wait for a free slot', limit: 2.6, more: { contention: 'on' } },
+  { name: 'of 0.7, 194 boxes with calls that wait for a free slot', limit: 0.7, more: { boxes: 194, kinds: manyKinds, contention: 'on' } },
   { name: 'of 1, 194 boxes', limit: 1, more: { boxes: 194, kinds: manyKinds } },
   { name: 'of 0.7, 194 boxes', limit: 0.7, more: { boxes: 194, kinds: manyKinds } },
   { name: 'of 200, 8 boxes', limit: 200, more: { endpoints: 3, kinds: kinds.map(kind => ({ ...kind, perSecond: kind.perSecond * 5 })) } },
--- a/test/support/limit-model.ts
+++ b/test/support/limit-model.ts
@@ -3,8 +3,8 @@
  * the endpoint search and limit tracking of gateways, and the registry that issues
  * permits. Requests arrive at random; a refused one is retried once, after Retry-After.
  */
-import { Fleet, NoticeStore, PermitIssuer, brandId } from '../../src/core/index.js'
-import type { EndpointRecord, EndpointView } from '../../src/core/index.js'
+import { ContentionSwitch, Fleet, NoticeStore, PermitIssuer, brandId } from '../../src/core/index.js'
+import type { ContentionMode, EndpointRecord, EndpointView } from '../../src/core/index.js'
 import { EndpointSearch } from '../../src/gateway/endpoint-search.js'
 import type { Searcher } from '../../src/gateway/endpoint-search.js'
 import type { ExchangeHost } from '../../src/gateway/exchange-host.js'
@@ -45,6 +45,8 @@
   readonly isFrozen?: (box: number, at: number) => boolean
   /** Time of a failover to another registry, ms; it knows all notices and issues no permits for `electionMs`. */
   readonly failoverAt?: number
+  /** Whether the measures against contention are on; absent: off. */
+  readonly contention?: ContentionMode
   readonly backoffOf?: (endpoint: number, at: number) => ModelBackoff | null
 }
 
@@ -160,7 +162,7 @@
     const now = (): number => this.#now
     const log = new EventLog(`box-${index}`, () => {})
     const notices = new NoticeStore()
-    const fleet = new Fleet(this.#records[0].zone, () => true, id => notices.find(id))
+    const fleet = new Fleet(this.#records[0].zone, () => true, id => notices.find(id), new ContentionSwitch({ mode: this.#shape.contention ?? 'off', cpuShare: null, isMarked: false }))
     fleet.configure([{ ...engineService, engine: null }])
     fleet.applyRecords(this.#records)
     const queued = new Set<ModelSearcher>()
@@ -211,7 +213,7 @@
     if (this.#isFrozen(index)) return void this.#queue.schedule(pollMs, () => this.#arrive(index, priority, isRetry))
     const box = this.#boxes[index]
     const arrivedAt = this.#now
-    const request = { work: createWork({ priority, targetMs }), service: desk, arrivedAt, deadlineAt: arrivedAt + 5 * targetMs } as unknown as AdmittedRequest
+    const request = { route: { kind: 'repeatable' }, work: createWork({ priority, targetMs }), service: desk, arrivedAt, deadlineAt: arrivedAt + 5 * targetMs } as unknown as AdmittedRequest
     box.limits.noteArrival(request.work, arrivedAt)
     const addOutcome = (waitMs: number | null, retryAfterMs: number | null): void => { this.outcomes.push({ arrivedAt, priority, box: index, waitMs, retryAfterMs, isRetry }) }
     const searcher = new ModelSearcher(box.host, request, view => {
