--- a/src/core/balance/box-load.ts
+++ b/src/core/balance/box-load.ts
@@ -4,6 +4,7 @@
  */
 import type { EndpointId, ServiceName, ZoneName } from '../ids.js'
 import type { CpuRange } from './contention.js'
+import type { KeptCounts } from './kept-slots.js'
 import type { ReturnReport } from './return-slots.js'
 import type { WorkspaceRates } from './workspace-demand.js'
 
@@ -58,6 +59,8 @@
   readonly boxCpu?: CpuRange
   /** What refused callers were told to return with; only sent while the measures against contention are on. */
   readonly returns?: ReturnReport
+  /** Free slots of a plain service's endpoints that boxes are about to use again; only sent while the measures against contention are on. */
+  readonly kept?: KeptCounts
 }
 
 /** The load report of a box to its hub. */
--- a/src/core/balance/describe-service.ts
+++ b/src/core/balance/describe-service.ts
@@ -1,6 +1,7 @@
 /** Formats the state of a service's engines, as known to this box, for the log. */
 import type { EndpointView } from './endpoint-view.js'
 import type { DedicatedCount } from './dedicated-count.js'
+import type { ServiceName } from '../ids.js'
 import type { ServiceState } from './service-state.js'
 
 export interface ServiceDescriptionInput {
@@ -14,8 +15,14 @@
   readonly queuedTokens: number
 }
 
+/** Describes the services that have engines, from what `compose` returns for each. */
+export function describeServices (services: ReadonlyMap<ServiceName, ServiceState>, views: ReadonlyMap<ServiceName, readonly EndpointView[]>, compose: (state: ServiceState, views: readonly EndpointView[]) => ServiceDescriptionInput, at: number): { readonly service: ServiceName, readonly text: string }[] {
+  const hasEngines = ([name, { service }]: [ServiceName, ServiceState]): boolean => service.engine !== null && (views.get(name) ?? []).length > 0
+  return [...services].filter(hasEngines).map(([name, state]) => ({ service: name, text: describeService(compose(state, views.get(name) ?? []), at) }))
+}
+
 /** Describes a service; `docs/LOGS.md` explains the parts. */
-export function describeService ({ state, dedicationOrder, counts, readingPauseMs, minTolerantPauseMs, queuedTokens }: ServiceDescriptionInput, at: number): string {
+function describeService ({ state, dedicationOrder, counts, readingPauseMs, minTolerantPauseMs, queuedTokens }: ServiceDescriptionInput, at: number): string {
   const parts = {
     apart: counts.count,
     base: counts.base,
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -12,7 +12,7 @@
 import { agreeDedicatedCount, countQueuedTokens } from './agreed-dedicated-count.js'
 import type { Choice, NoChoice } from './choice.js'
 import { chooseEngine, choosePlain } from './choose-endpoint.js'
-import { describeService } from './describe-service.js'
+import { describeServices } from './describe-service.js'
 import { isOtherIncarnation } from './endpoint-directory.js'
 import { GateStore } from './endpoint-gate.js'
 import type { EndpointRecord } from './endpoint-record.js'
@@ -22,6 +22,7 @@
 import { createEngineStats } from './engine-stats.js'
 import { areMixedModels, listDedicationOrder } from './dedication-order.js'
 import { ReportedPrompts, notePrompt } from './reported-prompts.js'
+import { PlainBalancer } from './plain-balancer.js'
 import { OtherBoxes } from './other-boxes.js'
 import type { BoxLoad, EngineGap, LoadTotals, PromptReport, ServiceDemand } from './box-load.js'
 import { filterViews } from './endpoint-filter.js'
@@ -54,6 +55,7 @@
   readonly zones: ZoneMonitor
   readonly contention: ContentionSwitch
   readonly returns = new ReturnPlanner((service, at) => this.#measureReturnRates(service, at))
+  readonly plain = new PlainBalancer()
   #boxContext: BoxContext
   #services = new Map<ServiceName, ServiceState>()
   #views = new Map<EndpointId, EndpointView>()
@@ -143,6 +145,7 @@
     for (const view of this.#views.values()) view.noteOthers(loads.get(view.id) ?? null)
     for (const [endpoint, gapMs] of others.gaps) this.#views.get(endpoint)?.noteMedianGap(gapMs)
     this.#others.note(others, at)
+    if (others.zones.length > 0) this.plain.noteTotals(this.#views.values(), others.demands, reportedAt)
     for (const { boxCpu } of others.demands) this.contention.note(boxCpu)
     if (this.contention.isOn) this.returns.noteOthers(others.demands, reportedAt)
     for (const prompt of others.prompts) {
@@ -184,6 +187,7 @@
     const left = untried.filter(view => isOpen(view, work, at))
     if (left.length === 0) return 'closed'
     const context = this.#composeContext(work.service, at)
+    if (work.cost === null && context === null && this.contention.isOn) return this.plain.choose(left, work, { boxContext: this.#boxContext, sharers: this.#others.countUnreportedBoxes(at), waitedMs, at, draw })
     if (work.cost === null || context === null) return choosePlain(left, this.#boxContext, at, draw)
     const { engine, minTolerantPauseMs } = context
     const isTolerant = isPauseTolerant(work, minTolerantPauseMs)
@@ -199,22 +203,17 @@
 
   /** Describes the current state of each service's engines, for the log. */
   describe (at: number): { readonly service: ServiceName, readonly text: string }[] {
-    const descriptions = []
-    for (const [name, state] of this.#services) {
-      const views = this.#byService.get(name) ?? []
-      if (state.service.engine === null || views.length === 0) continue
+    return describeServices(this.#services, this.#byService, (state, views) => {
       const dedicationOrder = listDedicationOrder(views, this.contention)
-      const text = describeService({
+      return {
         state,
         dedicationOrder,
         counts: this.#agreeDedicatedCount(state, dedicationOrder, at),
         readingPauseMs: this.#pauses.findReading(state, at),
         minTolerantPauseMs: this.#pauses.findMinTolerant(state, at),
         queuedTokens: this.#countQueuedTokens(state, Infinity)
-      }, at)
-      descriptions.push({ service: name, text })
-    }
-    return descriptions
+      }
+    }, at)
   }
 
   /** Records the time between two events of a stream at an endpoint, ms; ignored while the load of other boxes is unknown. */
@@ -227,6 +226,7 @@
 
   /** Notes that a request starts or stops waiting in this box. */
   noteQueued (work: RequestProfile, isQueued: boolean): void {
+    if (work.cost === null) this.plain.noteQueued(work, isQueued)
     const state = this.#services.get(work.service)
     if (state !== undefined) noteQueuedTokens(state, work, isQueued)
   }
@@ -260,7 +260,7 @@
 
   #composeDemand (state: ServiceState, at: number): ServiceDemand {
     const { reported: boxCpu, isOn } = this.contention
-    const extra = isOn ? { ...this.returns.compose(state.service.name, at), ...composeShareReport(this.#composeShares(state, at), at) } : {}
+    const extra = isOn ? { ...this.plain.composeKept(this.#byService.get(state.service.name), at), ...this.returns.compose(state.service.name, at), ...composeShareReport(this.#composeShares(state, at), at) } : {}
     return { ...composeDemand(state, at), ...(boxCpu === undefined ? {} : { boxCpu }), ...extra }
   }
 
@@ -292,6 +292,7 @@
   /** Records the arrival of a request, for the demand meters. */
   noteArrival (work: RequestProfile, at: number): void {
     const state = this.#services.get(work.service)
+    if (work.cost === null) this.plain.noteArrival(work, at)
     if (state === undefined) return
     noteArrival(state, work, { isTolerant: () => isPauseTolerant(work, this.#pauses.findMinTolerant(state, at)), isContended: this.contention.isOn }, at)
   }
--- a/src/gateway/exchange-summary.ts
+++ b/src/gateway/exchange-summary.ts
@@ -1,5 +1,5 @@
 /** Summary of an exchange and of each of its sends, for the log and the metrics. */
-import type { Admission, EndpointId, ErrorKind, PromptPlan } from '../core/index.js'
+import type { Admission, EndpointId, ErrorKind, PlainExplanation, PromptPlan } from '../core/index.js'
 import type { AdmittedRequest } from './admitted-request.js'
 
 /** One send and its outcome. */
@@ -35,4 +35,6 @@
   readonly maxClosedMs: number
   /** Figures of the planned return of the caller, or of the request as a return; undefined if there are none. */
   readonly returns: string | undefined
+  /** The newest choice among a plain service's endpoints; undefined if there was none, or the measures against contention are off. */
+  readonly plain: PlainExplanation | undefined
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -247,9 +247,8 @@
     if (isMisdirected) sent.view.health.noteUnreachable(this.#host.now())
     else sent.view.noteRefused(this.#host.now())
     this.#cancelSend(sent, `not-run ${head.status}`)
-    const at = this.#host.now()
-    const availableInMs = Math.max(0, this.#host.fleet.findOpenTime(this.request.work, [], at) - at)
-    this.#execute(this.#retryPolicy.decide({ type: 'not-run', isMisdirected, availableInMs: Number.isFinite(availableInMs) ? availableInMs : 0 }))
+    if (head.status === 503 && !isMisdirected) this.#search.noteFull(sent.view)
+    this.#execute(this.#retryPolicy.decide({ type: 'not-run', isMisdirected, availableInMs: this.#search.measureClosedMs() }))
   }
 
   #handleFailure (sent: ActiveSend, head: AnswerHead): void {
@@ -344,7 +343,8 @@
       maxPauseMs: this.#events.maxPauseMs,
       denied: this.#search.denied,
       maxClosedMs: this.#search.maxClosedMs,
-      returns: this.#callerReturn.describe()
+      returns: this.#callerReturn.describe(),
+      plain: this.#host.fleet.plain.explain(request.work)
     })
   }
 }
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -81,6 +81,7 @@
     this.#waitQueue = new WaitQueue({
       now,
       draw: Math.random,
+      isPlainOrdered: () => this.#fleet.contention.isOn,
       countWaitingBoxes: (service, priority) => this.#fleet.countHolders(service, priority),
       countReservedEngines: service => this.#fleet.countDedicated(service)
     })
@@ -234,9 +235,9 @@
       now,
       draw: Math.random,
       takeRetry: request => this.#takeRetry(request),
-      noteLoad: () => this.#loadReporter.noteChange(),
-      enqueue: exchange => this.#enqueue(exchange),
-      dequeue: exchange => this.#dequeue(exchange),
+      noteLoad: () => this.#noteLoad(),
+      enqueue: exchange => this.#setQueued(exchange, true),
+      dequeue: exchange => this.#setQueued(exchange, false),
       noteRun: ({ workspace }, at) => { if (workspace !== null) this.#usageReporter?.note(workspace.name, at) },
       noteEnd: (exchange, summary) => this.#noteEnd(exchange, summary)
     }
@@ -308,16 +309,16 @@
     return exchange
   }
 
-  #enqueue (exchange: Exchange): void {
-    this.#waitQueue.add(exchange)
-    this.#fleet.noteQueued(exchange.request.work, true)
+  #setQueued (exchange: Exchange, isQueued: boolean): void {
+    if (isQueued) this.#waitQueue.add(exchange)
+    else this.#waitQueue.remove(exchange)
+    this.#fleet.noteQueued(exchange.request.work, isQueued)
     this.#loadReporter.noteChange()
   }
 
-  #dequeue (exchange: Exchange): void {
-    this.#waitQueue.remove(exchange)
-    this.#fleet.noteQueued(exchange.request.work, false)
+  #noteLoad (): void {
     this.#loadReporter.noteChange()
+    this.#waitQueue.noteLoad()
   }
 
   #takeRetry (request: AdmittedRequest): boolean {
--- a/test/support/share-model.ts
+++ b/test/support/share-model.ts
@@ -1,9 +1,10 @@
 /**
  * Replays calls of several workspaces to a plain service through the fleets of some boxes, whose totals lag. An endpoint
- * refuses calls while its slots are taken; a call goes to at most two of them, or waits for a free slot. No caller returns.
+ * refuses calls while its slots are taken; a call goes to at most two of them, or waits in its box as the box decides, or waits
+ * for a free slot in an ideal queue. No caller returns.
  */
 import { ContentionSwitch, Fleet, LoadTable, brandId, subtractOwn } from '../../src/core/index.js'
-import type { BoxLoad, PlacedRequest, EndpointView, WorkspaceName } from '../../src/core/index.js'
+import type { BoxLoad, PlacedRequest, EndpointView, RequestProfile, WorkspaceName } from '../../src/core/index.js'
 import { createRecord, createWork, engineService, nameZone } from './fleet-builder.js'
 import { createRandom } from '../../src/runtime/index.js'
 
@@ -35,6 +36,7 @@
 export type WorkspaceCount = Record<'calls' | 'answered' | 'refused' | 'full', number>
 
 interface Waiting { readonly fleet: Fleet, readonly at: number, readonly add: (key: keyof WorkspaceCount) => void }
+interface Searching extends Waiting { readonly work: RequestProfile, refusals: number }
 interface Running { readonly view: EndpointView, readonly placed: PlacedRequest, readonly endsAt: number, readonly endpoint: string }
 
 const tickMs = 2
@@ -56,6 +58,7 @@
   const sent: { at: number, loads: BoxLoad[] }[] = []
   let running: Running[] = []
   let waiting: Waiting[] = []
+  let searching: Searching[] = []
 
   const call = (workspace: ModelWorkspace, at: number): void => {
     const boxes = workspace.boxes ?? fleets.map((_, i) => i)
@@ -67,15 +70,30 @@
     fleet.noteArrival(work, at)
     if ((fleet.admit(work, at)?.retryAfterMs ?? null) !== null) return add('refused')
     if (shape.maxWaitMs !== undefined) return void waiting.push({ fleet, at, add })
-    for (const tried: EndpointView[] = []; tried.length < 2;) {
-      const choice = fleet.choose(work, tried.map(({ id }) => id), at, random())
+    const one: Searching = { fleet, work, at, add, refusals: 0 }
+    if (!search(one, at)) {
+      searching.push(one)
+      fleet.noteQueued(work, true)
+    }
+  }
+
+  // Tries endpoints as the box chooses them; false if the call waits for a free slot.
+  const search = (one: Searching, at: number): boolean => {
+    const { fleet, work, add } = one
+    for (; one.refusals < 2; one.refusals += 1) {
+      const choice = fleet.choose(work, [], at, random(), at - one.at)
+      if (choice === 'later') return false
       if (typeof choice === 'string') break
       const { view } = choice
-      tried.push(view)
-      if (run(view, at)) return add('answered')
+      if (run(view, at)) {
+        add('answered')
+        return true
+      }
       view.noteRefused(at)
+      if (fleet.contention.isOn) fleet.plain.noteRefused(view, work, at)
     }
     add('full')
+    return true
   }
 
   const run = (view: EndpointView, at: number): boolean => {
@@ -104,6 +122,11 @@
     }
     running = running.filter(one => one.endsAt > at)
     serveWaiting(at)
+    searching = searching.filter(one => {
+      if (!search(one, at)) return true
+      one.fleet.noteQueued(one.work, false)
+      return false
+    })
     if (at % reportMs < tickMs) sent.push({ at, loads: fleets.map(fleet => fleet.composeLoad(at)) })
     for (; sent.length > 0 && at - sent[0].at >= shape.lagMs; sent.shift()) deliver(sent[0].loads, at)
     for (const workspace of shape.workspaces) {
