Replays of plain endpoints are held to the stated targets

Cause: some bounds (lag of 250 and 400 ms, callers of one zone, no hub) were below what is asked, as they were set after measuring. Change: 0.97 and 0.95 for uneven endpoints, 0.95 and 0.95 elsewhere.

--- a/test/plain-endpoints.test.ts
+++ b/test/plain-endpoints.test.ts
@@ -151,13 +151,13 @@
 // processes, 0.898 and 0.505 were in time.
 const replays: readonly { readonly name: string, readonly more: Partial<PlainShape>, readonly all: number, readonly worst: number }[] = [
   { name: 'uneven speeds and slow stretches', more: {}, all: 0.97, worst: 0.95 },
-  { name: 'uneven speeds, totals that lag by 250 ms', more: { lagMs: 250 }, all: 0.95, worst: 0.92 },
-  { name: 'callers of one zone', more: { firstZoneShare: 0.75 }, all: 0.95, worst: 0.93 },
-  { name: 'callers of one zone, totals that lag by 400 ms', more: { firstZoneShare: 0.75, lagMs: 400 }, all: 0.93, worst: 0.9 },
-  { name: 'callers of one zone, no hub', more: { firstZoneShare: 0.75, lagMs: Infinity }, all: 0.95, worst: 0.93 },
+  { name: 'uneven speeds, totals that lag by 250 ms', more: { lagMs: 250 }, all: 0.97, worst: 0.95 },
+  { name: 'callers of one zone', more: { firstZoneShare: 0.75 }, all: 0.95, worst: 0.95 },
+  { name: 'callers of one zone, totals that lag by 400 ms', more: { firstZoneShare: 0.75, lagMs: 400 }, all: 0.95, worst: 0.95 },
+  { name: 'callers of one zone, no hub', more: { firstZoneShare: 0.75, lagMs: Infinity }, all: 0.95, worst: 0.95 },
   { name: 'a zone that is cut off at 0.5 of the capacity', more: { cutAt: 6000, rate: 127 }, all: 0.97, worst: 0.95 },
-  { name: 'half of the calls not repeatable', more: { onceShare: 0.5 }, all: 0.95, worst: 0.93 },
-  { name: '60 boxes at 0.6 of four endpoints', more: { boxes: 60, zones: 4, speeds: [1, 1, 1, 1], slots: 6, answerMs: 30, targetMs: 150, rate: 450, lagMs: 150 }, all: 0.95, worst: 0.93 }
+  { name: 'half of the calls not repeatable', more: { onceShare: 0.5 }, all: 0.97, worst: 0.95 },
+  { name: '60 boxes at 0.6 of four endpoints', more: { boxes: 60, zones: 4, speeds: [1, 1, 1, 1], slots: 6, answerMs: 30, targetMs: 150, rate: 450, lagMs: 150 }, all: 0.95, worst: 0.95 }
 ]
 
 for (const { name, more, all, worst } of replays) {
