--- a/src/core/balance/dedication-order.ts
+++ b/src/core/balance/dedication-order.ts
@@ -65,11 +65,6 @@
   })
 }
 
-/** True if the engines are of two models, as far as their speeds are known. */
-export function areMixedModels (engines: readonly EndpointView[]): boolean {
-  return findSlowModelGap(engines.map(view => view.gapMs).filter(gap => gap !== null)) !== null
-}
-
 // The time between events from which an engine is of a slow model; null if the engines are alike.
 function findSlowModelGap (known: readonly number[]): number | null {
   if (known.length < minMixedEngines) return null
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -20,7 +20,7 @@
 import { hasRoom } from './endpoint-costs.js'
 import type { PromptRequest, BoxContext } from './endpoint-costs.js'
 import { createEngineStats } from './engine-stats.js'
-import { areMixedModels, listDedicationOrder } from './dedication-order.js'
+import { listDedicationOrder } from './dedication-order.js'
 import { ReportedPrompts, notePrompt } from './reported-prompts.js'
 import { PlainBalancer } from './plain-balancer.js'
 import { OtherBoxes } from './other-boxes.js'
@@ -327,18 +327,13 @@
     const ready = (this.#byService.get(service) ?? []).filter(view => view.record.stage === 'ready' && !view.gate.isLeaving)
     const usable = listUsable(ready, at)
     const state = this.#services.get(service)
-    const dedicationOrder = state?.service.engine == null ? [] : this.#orderEngines(usable, at)
+    const dedicationOrder = state?.service.engine == null ? [] : listDedicationOrder(usable, this.contention)
     const counts = state === undefined || dedicationOrder.length === 0 ? noneDedicated : this.#agreeDedicatedCount(state, dedicationOrder, at)
     const snapshot: ServiceSnapshot = { at, usable, dedicationOrder, counts, overloadedLevel: null, kindShares: null }
     this.#snapshots.set(service, snapshot)
     return snapshot
   }
 
-  #orderEngines (usable: readonly EndpointView[], at: number): EndpointView[] {
-    this.contention.noteEngines(areMixedModels(usable), at)
-    return listDedicationOrder(usable, this.contention)
-  }
-
   #agreeDedicatedCount (state: ServiceState, dedicationOrder: readonly EndpointView[], at: number): DedicatedCount {
     return agreeDedicatedCount(state, this.#others.find(state.service.name), dedicationOrder, at)
   }
