--- a/src/config/route-events.ts
+++ b/src/config/route-events.ts
@@ -95,7 +95,7 @@
   'hubs-silent': { about: 'No hub sends load totals: the gateway takes only its own load into account (gateway).', fields: { hub: 'host of the last hub' } },
   'load-port-fault': { about: 'The UDP socket for load reports failed (both).', fields: { error: 'the reason' } },
   'link-fault': { about: 'This side closed a link because of a fault (both).', fields: { fault: 'the fault; `silent`: no heartbeat', peer: 'the other box; empty before its hello' } },
-  'contention-handled': { about: 'The measures of `[contention]` are in force (both).', fields: { why: '`settings`, `feature` (the platform marks the deployment) `uneven-boxes` (boxes of different CPU share are known) or `slow-start` (engines take long to start a request)' } },
+  'contention-handled': { about: 'The measures of `[contention]` are in force (both).', fields: { why: '`settings`, `feature` (the platform marks the deployment) or `uneven-boxes` (boxes of different CPU share are known)' } },
   'answer-dropped': { about: 'An exchange was ended because the answers that callers have not read exceed the budget; its `exchange` line follows (gateway).', fields: { request: 'its id', workspace: 'its workspace', bytes: 'memory held for it', budget: 'memory for all answers', idleMs: 'since the caller last read; `-` where nothing had been relayed' } },
   'gateway-started': { about: 'The gateway has started.', fields: { listen: 'address for callers', seeds: 'the configured registries' } },
   'gateway-leaving': { about: 'A planned stop has begun; readiness checks fail from now on (gateway).', fields: { inFlight: 'requests in flight' } },
--- a/src/config/route-settings.ts
+++ b/src/config/route-settings.ts
@@ -37,7 +37,7 @@
     about: 'Measures for deployments whose callers compete for too little capacity, or whose demand and servers are uneven.',
     fallback: { mode: 'off' },
     fields: {
-      mode: { type: 'choice', of: ['off', 'on', 'auto'], about: '`auto` turns the measures on if a feature marks the deployment, once boxes of different CPU share are known, or while engines take long to start a request.', fallback: 'off' }
+      mode: { type: 'choice', of: ['off', 'on', 'auto'], about: '`auto` turns the measures on if a feature marks the deployment, or once boxes of different CPU share are known.', fallback: 'off' }
     }
   }
 }
--- a/src/core/balance/contention.ts
+++ b/src/core/balance/contention.ts
@@ -3,14 +3,14 @@
  * served without them.
  */
 
-/** `auto`: on if the platform marks the deployment, once boxes of different size are known, or while engines take long to start a request. */
+/** `auto`: on if the platform marks the deployment, or once boxes of different size are known. */
 export type ContentionMode = 'off' | 'on' | 'auto'
 
 /** The smallest and largest CPU share of some boxes, cores. */
 export type CpuRange = readonly [least: number, most: number]
 
 /** Why the measures are on. */
-export type ContentionReason = 'settings' | 'feature' | 'uneven-boxes' | 'slow-start'
+export type ContentionReason = 'settings' | 'feature' | 'uneven-boxes'
 
 export interface ContentionInput {
   readonly mode: ContentionMode
@@ -23,16 +23,9 @@
 /** Boxes count as different if the largest has at least this multiple of the smallest one's CPU share. */
 const unevenRatio = 1.5
 
-/**
- * Start time of engines from which the measures are on, ms. Such engines look idle or slow to estimates that count all of the
- * time to the first event as reading.
- */
-const slowStartMs = 50
-
 export class ContentionSwitch {
   #input: ContentionInput
   #isUneven = false
-  #isSlowStart = false
 
   constructor (input: ContentionInput = { mode: 'off', cpuShare: null, isMarked: false }) {
     this.#input = input
@@ -49,8 +42,7 @@
 
   #findReason (): ContentionReason | null {
     if (this.#input.isMarked) return 'feature'
-    if (this.#isUneven) return 'uneven-boxes'
-    return this.#isSlowStart ? 'slow-start' : null
+    return this.#isUneven ? 'uneven-boxes' : null
   }
 
   get isOn (): boolean { return this.reason !== null }
@@ -61,9 +53,6 @@
     return mode === 'auto' && cpuShare !== null ? [cpuShare, cpuShare] : undefined
   }
 
-  /** Notes the measured start time of engines, ms. */
-  noteStartTime (startMs: number): void { this.#isSlowStart = startMs >= slowStartMs }
-
   /** Notes the CPU shares of other boxes. Boxes that were once known to differ count as different from then on. */
   note (others: CpuRange | undefined): void {
     const own = this.reported
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -145,7 +145,7 @@
     for (const view of this.#views.values()) view.noteOthers(loads.get(view.id) ?? null)
     for (const [endpoint, gapMs] of others.gaps) this.#views.get(endpoint)?.noteMedianGap(gapMs)
     this.#others.note(others, at)
-    if (others.zones.length > 0) this.plain.noteTotals(this.#views.values(), others.demands, reportedAt)
+    if (this.contention.isOn && others.zones.length > 0) this.plain.noteTotals(this.#views.values(), others.demands, reportedAt)
     for (const { boxCpu } of others.demands) this.contention.note(boxCpu)
     if (this.contention.isOn) this.returns.noteOthers(others.demands, reportedAt)
     for (const prompt of others.prompts) {
@@ -246,7 +246,11 @@
   admit (work: RequestProfile, at: number): Admission | null {
     const context = this.#composeContext(work.service, at)
     const shares = this.#composeShares(this.#services.get(work.service), at)
-    if (context === null) return admitPlain(shares, work, at)
+    if (context === null) {
+      const admission = admitPlain(shares, work, at)
+      if ((admission?.workspaceShare?.fraction ?? 1) < 1) this.plain.noteOverShare(work)
+      return admission
+    }
     return work.cost === null ? null : admitToEngines(context, work, work.cost, findShare(shares, work, at), at)
   }
 
@@ -292,7 +296,7 @@
   /** Records the arrival of a request, for the demand meters. */
   noteArrival (work: RequestProfile, at: number): void {
     const state = this.#services.get(work.service)
-    if (work.cost === null) this.plain.noteArrival(work, at)
+    if (work.cost === null && this.contention.isOn) this.plain.noteArrival(work, at)
     if (state === undefined) return
     noteArrival(state, work, { isTolerant: () => isPauseTolerant(work, this.#pauses.findMinTolerant(state, at)), isContended: this.contention.isOn }, at)
   }
--- a/src/core/balance/plain-balancer.ts
+++ b/src/core/balance/plain-balancer.ts
@@ -67,10 +67,17 @@
   #explanations = new WeakMap<RequestProfile, PlainExplanation>()
   /** Calls that are not sent again if they are refused as full. */
   #lastSends = new WeakSet<RequestProfile>()
+  /** Calls of workspaces over their share. */
+  #overShare = new WeakSet<RequestProfile>()
   #countedAt = -Infinity
 
   noteArrival (work: RequestProfile, at: number): void { this.#find(work.service).arrivals.add(at, 1) }
 
+  /** Notes that the workspace of a call is over its share: the call waits behind those of others. */
+  noteOverShare (work: RequestProfile): void { this.#overShare.add(work) }
+
+  isOverShare (work: RequestProfile): boolean { return this.#overShare.has(work) }
+
   /** Notes that a call starts or stops waiting in this box. */
   noteQueued (work: RequestProfile, isQueued: boolean): void {
     const { waiting } = this.#find(work.service)
@@ -109,7 +116,7 @@
   choose (views: readonly EndpointView[], work: RequestProfile, context: PlainContext): Choice | NoChoice {
     const { boxContext, waitedMs, at, draw } = context
     const service = this.#find(work.service)
-    const ahead = countAhead(service, work)
+    const ahead = this.#countAhead(service, work)
     // A new call goes behind those that wait; the queue tries them in order.
     if (ahead > 0 && !service.waiting.has(work)) return 'later'
     const reached = views.filter(({ record }) => !boxContext.zones.isUnreachable(record.zone, at))
@@ -135,6 +142,21 @@
     return { view: usable[decision.index], expectedMs: decision.expectedMs, plan: { readTokens: 0, fetch: null }, isAffinityEngine: false, candidates: views.length, dedicatedCount: 0 }
   }
 
+  // Calls that wait and go first: more urgent ones, those of workspaces within their share, and earlier ones.
+  #countAhead ({ waiting }: PlainService, work: RequestProfile): number {
+    let ahead = 0
+    let isBefore = true
+    for (const other of waiting) {
+      if (other === work) isBefore = false
+      else if (this.#compare(other, work) < 0 || (isBefore && this.#compare(other, work) === 0)) ahead += 1
+    }
+    return ahead
+  }
+
+  #compare (a: RequestProfile, b: RequestProfile): number {
+    return a.priority - b.priority || Number(this.isOverShare(a)) - Number(this.isOverShare(b))
+  }
+
   #find (name: ServiceName): PlainService {
     let service = this.#services.get(name)
     if (service === undefined) this.#services.set(name, service = { waiting: new Set(), arrivals: new RateMeter(rateWindowMs), excess: 0 })
@@ -142,17 +164,6 @@
   }
 }
 
-// Calls that wait and go first: more urgent ones, and earlier ones of the same priority.
-function countAhead ({ waiting }: PlainService, work: RequestProfile): number {
-  let ahead = 0
-  let isBefore = true
-  for (const other of waiting) {
-    if (other === work) isBefore = false
-    else if (other.priority < work.priority || (isBefore && other.priority === work.priority)) ahead += 1
-  }
-  return ahead
-}
-
 function describeCandidates (views: readonly EndpointView[], { boxContext, sharers, at }: PlainContext, excess: number): PlainCandidate[] {
   const serviceMs = findMedian(views.flatMap(({ plainSpeed: { usualMs } }) => usualMs ?? [])) ?? initialAnswerMs
   const medianFailureShare = findMedianFailureShare(views)
--- a/src/gateway/answer-buffer.ts
+++ b/src/gateway/answer-buffer.ts
@@ -93,12 +93,21 @@
   /** Adds bytes of the answer. */
   push (bytes: Buffer): void {
     this.#receivedBytes += bytes.length
+    if (this.#mayWriteThrough(bytes.length)) {
+      if (!this.#response.write(bytes)) this.#noteBlocked()
+      return
+    }
     const before = this.heldBytes
     this.#queue.push(bytes)
     this.#store.noteChange(this, this.heldBytes - before)
     if (this.#isRelayed) this.#pump()
   }
 
+  // True if the caller keeps up, so that nothing has to be held.
+  #mayWriteThrough (size: number): boolean {
+    return this.#isRelayed && !this.#isBlocked && this.#noteEnd === null && this.#queue.length === 0 && size <= this.#room
+  }
+
   /** False if no more of the answer may be received until `resumeReceiving`. */
   mayReceive (): boolean { return this.#store.mayReceive(this) }
 
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -82,6 +82,7 @@
       now,
       draw: Math.random,
       isPlainOrdered: () => this.#fleet.contention.isOn,
+      isOverShare: work => this.#fleet.plain.isOverShare(work),
       countWaitingBoxes: (service, priority) => this.#fleet.countHolders(service, priority),
       countReservedEngines: service => this.#fleet.countDedicated(service)
     })
@@ -158,8 +159,7 @@
   }
 
   #isIdle (startedAt: number): boolean {
-    const at = now()
-    return at - startedAt > balancerLagMs && this.inFlight === 0 && this.answers.isIdle && at - this.#lastActiveAt > idleMs
+    return now() - startedAt > balancerLagMs && this.inFlight === 0 && this.answers.isIdle && now() - this.#lastActiveAt > idleMs
   }
 
   #createLoadReporter (): LoadReporter {
--- a/src/gateway/plain-wait-queue.ts
+++ b/src/gateway/plain-wait-queue.ts
@@ -1,6 +1,6 @@
 /**
  * Plain calls that wait in this box for a free slot, while the measures against contention are on: the most urgent
- * first, then by arrival. They are tried again as soon as a send of this box ends or the load of the others
+ * first, those of workspaces within their share before those over it, then by arrival. They are tried again as soon as a send of this box ends or the load of the others
  * changes. Load: calls that arrive while others wait, which must not overtake them between two retries.
  */
 import type { RequestProfile, ServiceName } from '../core/index.js'
@@ -14,6 +14,12 @@
 export class PlainWaitQueue<C extends WaitingCall> {
   #waiting: C[] = []
   #isScheduled = false
+  #isOverShare: (work: RequestProfile) => boolean
+
+  /** `isOverShare`: true for a call whose workspace is over its share. */
+  constructor (isOverShare: (work: RequestProfile) => boolean = () => false) {
+    this.#isOverShare = isOverShare
+  }
 
   get length (): number { return this.#waiting.length }
 
@@ -43,10 +49,10 @@
   /** Tries all calls now, in order. */
   retry (): void {
     this.#isScheduled = false
-    for (const call of [...this.#waiting].sort(compareUrgency)) call.tryPlace()
+    for (const call of [...this.#waiting].sort((a, b) => this.#compareUrgency(a, b))) call.tryPlace()
   }
-}
 
-function compareUrgency ({ request: a }: WaitingCall, { request: b }: WaitingCall): number {
-  return a.work.priority - b.work.priority || a.arrivedAt - b.arrivedAt
+  #compareUrgency ({ request: a }: C, { request: b }: C): number {
+    return a.work.priority - b.work.priority || Number(this.#isOverShare(a.work)) - Number(this.#isOverShare(b.work)) || a.arrivedAt - b.arrivedAt
+  }
 }
--- a/src/gateway/wait-queue.ts
+++ b/src/gateway/wait-queue.ts
@@ -11,6 +11,8 @@
 export interface WaitQueueHost {
   now (): number
   draw (): number
+  /** True if the workspace of a plain call is over its share. */
+  isOverShare (work: RequestProfile): boolean
   /** True if plain calls wait in an order of their own. */
   isPlainOrdered (): boolean
   /** Number of boxes, including this one, in which requests of the service wait at this priority or a more urgent one. */
@@ -29,12 +31,13 @@
 export class WaitQueue {
   #host: WaitQueueHost
   #waiting: Exchange[] = []
-  #plain = new PlainWaitQueue<Exchange>()
+  #plain: PlainWaitQueue<Exchange>
   #timer: NodeJS.Timeout | null = null
   #stalenessMs = 0
 
   constructor (host: WaitQueueHost) {
     this.#host = host
+    this.#plain = new PlainWaitQueue(work => host.isOverShare(work))
   }
 
   /** Number of waiting requests. */
