--- a/src/core/balance/pause-forecast.ts
+++ b/src/core/balance/pause-forecast.ts
@@ -41,11 +41,11 @@
   const continuousMs = limits.readingPauseMs * slowness
   const before = estimateBreakRisk(Math.min(aheadMs, continuousMs), limits.strictestMs)
   const after = estimateBreakRisk(Math.min(aheadMs + readingMs, continuousMs), limits.strictestMs)
-  const ownRisk = pauseMs === null ? 0 : scale(continuousMs / pauseMs, minOwnShare, maxOwnShare)
+  const ownRisk = pauseMs === null ? 0 : convertToFraction(continuousMs / pauseMs, minOwnShare, maxOwnShare)
   return brokenStreamMs * (sensitiveStreams * (after - before) + ownRisk)
 }
 
-function estimateBreakRisk (pauseMs: number, limitMs: number): number { return scale(pauseMs / limitMs, harmlessShare, 1) }
+function estimateBreakRisk (pauseMs: number, limitMs: number): number { return convertToFraction(pauseMs / limitMs, harmlessShare, 1) }
 
 // From 0 at `from` to 1 at `to`.
-function scale (value: number, from: number, to: number): number { return Math.min(1, Math.max(0, (value - from) / (to - from))) }
+function convertToFraction (value: number, from: number, to: number): number { return Math.min(1, Math.max(0, (value - from) / (to - from))) }
--- a/src/core/balance/return-planner.ts
+++ b/src/core/balance/return-planner.ts
@@ -96,7 +96,7 @@
     const afterMs = Math.min(Math.round((dueAt - at) * 1000) / 1000, maxAfterMs)
     const isExpected = afterMs <= remainingMs * honouredShare
     if (isExpected) {
-      schedule.book(Math.min(findSlot(dueAt), findSlot(at) + slotCount - 1), rank, amount, spread(usable, amount * (scale - 1)), at)
+      schedule.book(Math.min(findSlot(dueAt), findSlot(at) + slotCount - 1), rank, amount, divideAmongSlots(usable, amount * (scale - 1)), at)
       if (id !== undefined) this.#remember(id, { service, rank, amount, dueAt }, at)
     }
     this.#latest = { afterMs: Math.min(afterMs, Math.max(remainingMs, minAfterMs)), isExpected, freeRate, totalsAgeMs: at - schedule.reportedAt }
@@ -152,7 +152,7 @@
 }
 
 // Divides an amount among slots, in their order; what doesn't fit is omitted.
-function spread (usable: readonly SlotRoom[], amount: number): Map<number, number> {
+function divideAmongSlots (usable: readonly SlotRoom[], amount: number): Map<number, number> {
   const amounts = new Map<number, number>()
   let left = amount
   for (const { slot, room } of usable) {
