A transfer of a prompt is weighed by its own time alone; two comments without tuning notes

Cause: the added cost of 0.005 ms a token followed from the price of memory moved, and was never measured alone. Change: it is gone, so that transfers are weighed as before this work; two comments no longer tell trial values. Result: compiles, linter clean, 125 of 125 cases of the files concerned.

--- a/src/core/balance/endpoint-costs.ts
+++ b/src/core/balance/endpoint-costs.ts
@@ -29,8 +29,6 @@
 const pauseBreakPenaltyMs = doubtfulPenaltyMs / 2
 /** Reading that takes less than this fraction of the shortest tolerant pause violates no limit. */
 const harmlessShare = 0.5
-/** Cost of transferring a token of a prompt to others, ms: it takes links and memory of two engines, and the copy displaces other prompts. */
-const transferMsPerToken = 0.005
 /** Fraction of an engine's memory that requests in flight may be expected to take. */
 const maxMemoryShare = 0.9
 /** An endpoint whose failure share exceeds the median of its service by more than this is avoided. */
@@ -96,8 +94,7 @@
   const rereadMs = computeRereadShare(readTokens, cost) * Math.max(0, work.targetMs * holderWaitShare - waitedMs)
   const queuedMs = Math.max(0, running + 1 - engine.slots) * queueMs
   const memoryWaitMs = view.memoryInUse + cost.promptTokens > engine.memoryTokens * maxMemoryShare ? memoryExhaustedMs : 0
-  const transferMs = request.pauseLimits === null ? 0 : (fetch?.tokens ?? 0) * transferMsPerToken
-  return busyMs + rereadMs + queuedMs + memoryWaitMs + transferMs + estimatePauseBreakMs(view, request, readTokens, at)
+  return busyMs + rereadMs + queuedMs + memoryWaitMs + estimatePauseBreakMs(view, request, readTokens, at)
 }
 
 // Cost of the pause limits that reading the prompt may violate.
--- a/src/core/balance/plain-occupancy.ts
+++ b/src/core/balance/plain-occupancy.ts
@@ -12,7 +12,7 @@
 const meanMs = 1000
 /** Totals older than this tell nothing about the requests that run now, ms. */
 const blindAfterMs = 1500
-/** Weight of a refusal, and of an answer, in the mean while there are no totals: it settles where one send in five is refused. With 0.3 and 0.03, boxes with most of the callers left slots unused. */
+/** Weight of a refusal, and of an answer, in the mean while there are no totals: it settles where one send in five is refused. */
 const refusalWeight = 0.2
 const acceptanceWeight = 0.05
 
--- a/src/core/balance/service-shares.ts
+++ b/src/core/balance/service-shares.ts
@@ -34,8 +34,8 @@
 /** Fraction of the reading capacity that is divided, the same as among kinds. */
 const plannedReadingShare = 0.95
 /**
- * The same for slots. More than there are, as workspaces over their share are also kept from the last free ones: at 1, they
- * left up to 0.11 of the capacity unused in a replay.
+ * The same for slots. More than there are, as workspaces over their share are also kept from the last free ones,
+ * which leaves some of the capacity unused.
  */
 const plannedSlotRatio = 1.02
 /** Work that a slot does in a second, ms of answer time. */
