A new lease holder settles the windows that its predecessor left unsettled

Cause: a holder of the usage duty that lost its lease before it had settled any window left that window to the next holder, which began with the window in which it first held the duty itself. The requests in between were never reported. Change: while nothing is settled, settling begins at the oldest window with reported requests that the platform still takes.

--- a/src/coordination/usage/usage-aggregator.ts
+++ b/src/coordination/usage/usage-aggregator.ts
@@ -67,6 +67,12 @@
     return [...sum].sort(([a], [b]) => a < b ? -1 : 1)
   }
 
+  /** The oldest window from `first` on for which requests were reported; null if there is none. */
+  findOldest (first: UsageWindow): UsageWindow | null {
+    const windows = [...this.#sources.values()].flatMap(source => [...source.windows.keys()]).filter(window => window >= first)
+    return windows.length === 0 ? null : Math.min(...windows)
+  }
+
   /** Number of sources that sent an update since `since` (on the clock of `note`) but have not reported everything before `until` (corrected wall-clock time). */
   countBehind (until: number, since: number): number {
     return [...this.#sources.values()].filter(({ through, updatedAt }) => updatedAt >= since && through < until).length
--- a/src/registry/usage-reporter.ts
+++ b/src/registry/usage-reporter.ts
@@ -43,7 +43,7 @@
 export class UsageReporter {
   #host: UsageReporterHost
   #aggregator = new UsageAggregator()
-  /** The window in which this box first held the duty: the first one reported where none has been settled yet. */
+  /** The window in which this box first held the duty. */
   #firstWindow: UsageWindow | null = null
   #isSettling = false
   #isReporting = false
@@ -75,10 +75,18 @@
 
   get #currentWindow (): UsageWindow { return Math.floor(this.#host.readTimeOfDay() / this.#host.windowMs) }
 
-  async #settleNext (): Promise<void> {
-    const { ledger, windowMs, reportDeadlineMs } = this.#host
+  // Before any window is settled, an earlier holder may have left windows with requests.
+  #findNextWindow (): UsageWindow {
+    const { newest } = this.#host.ledger
+    const first = this.#currentWindow - maxBackfilledWindows
     this.#firstWindow ??= this.#currentWindow
-    const window = Math.max(ledger.newest === null ? this.#firstWindow : ledger.newest + 1, this.#currentWindow - maxBackfilledWindows)
+    if (newest !== null) return Math.max(newest + 1, first)
+    return Math.max(first, Math.min(this.#firstWindow, this.#aggregator.findOldest(first) ?? Infinity))
+  }
+
+  async #settleNext (): Promise<void> {
+    const { windowMs, reportDeadlineMs } = this.#host
+    const window = this.#findNextWindow()
     const end = (window + 1) * windowMs
     const sinceMs = this.#host.readTimeOfDay() - end
     if (sinceMs < settleDelayMs) return
