--- a/src/core/balance/average.ts
+++ b/src/core/balance/average.ts
@@ -39,6 +39,36 @@
   }
 }
 
+/** Quantiles of the most recent samples. */
+export class RecentQuantile {
+  #samples: number[] = []
+  #next = 0
+  #size: number
+  #quantile: number
+  #value: number | null = null
+
+  /** `quantile`: fraction of the samples that lie below, 0 to 1; `size`: number of samples that are kept. */
+  constructor (quantile: number, size: number) {
+    this.#quantile = quantile
+    this.#size = size
+  }
+
+  get count (): number { return this.#samples.length }
+
+  /** Null before the first sample. */
+  get value (): number | null {
+    if (this.#samples.length === 0) return null
+    this.#value ??= [...this.#samples].sort((a, b) => a - b)[Math.floor((this.#samples.length - 1) * this.#quantile)]
+    return this.#value
+  }
+
+  add (sample: number): void {
+    this.#samples[this.#next] = sample
+    this.#next = (this.#next + 1) % this.#size
+    this.#value = null
+  }
+}
+
 /** The median, the lower of two middle values; null for an empty list. */
 export function findMedian (values: readonly number[]): number | null {
   if (values.length === 0) return null
--- a/src/core/balance/choice.ts
+++ b/src/core/balance/choice.ts
@@ -2,6 +2,7 @@
 import type { EndpointId } from '../ids.js'
 import type { EndpointView } from './endpoint-view.js'
 import type { PromptPlan } from './prompt-plan.js'
+import { pickBelowLevel } from './stale-choice.js'
 
 /** A chosen endpoint, with the inputs of the decision for the log. */
 export interface Choice {
@@ -35,13 +36,16 @@
   readonly plan: (view: EndpointView) => PromptPlan
   readonly dedicatedCount: number
   readonly affinityEngine?: EndpointId
+  /** Time in which the engines read what the other boxes have sent since their reports, ms; null to choose by cost alone. */
+  readonly unreportedMs?: number | null
 }
 
 /** Picks the endpoint with the lowest cost; `draw`, from 0 up to 1, breaks ties. `views` must not be empty. */
-export function pickLowestCost ({ views, estimateMs, plan, dedicatedCount, affinityEngine }: PickInput, draw: number): Choice {
+export function pickLowestCost ({ views, estimateMs, plan, dedicatedCount, affinityEngine, unreportedMs = null }: PickInput, draw: number): Choice {
   const costs = views.map(view => ({ view, ms: estimateMs(view) }))
+  const compose = ({ view, ms }: { readonly view: EndpointView, readonly ms: number }): Choice => ({ view, expectedMs: ms, plan: plan(view), isAffinityEngine: view.id === affinityEngine, candidates: views.length, dedicatedCount })
+  if (unreportedMs !== null) return compose(costs[pickBelowLevel({ costs: costs.map(({ ms }) => ms), unreportedMs }, draw)])
   const minMs = costs.reduce((ms, one) => Math.min(ms, one.ms), Infinity)
   const ties = costs.filter(one => one.ms <= minMs + tieMs)
-  const { view, ms } = ties[Math.floor(draw * ties.length)]
-  return { view, expectedMs: ms, plan: plan(view), isAffinityEngine: view.id === affinityEngine, candidates: views.length, dedicatedCount }
+  return compose(ties[Math.floor(draw * ties.length)])
 }
--- a/src/core/balance/choose-endpoint.ts
+++ b/src/core/balance/choose-endpoint.ts
@@ -19,6 +19,8 @@
   /** Number of dedicated engines, for the log. */
   readonly dedicatedCount: number
   readonly boxContext: BoxContext
+  /** Time in which the engines read what the other boxes have sent since their reports, ms; null to choose by cost alone. */
+  readonly unreportedMs: number | null
 }
 
 const emptyPlan: PromptPlan = { readTokens: 0, fetch: null }
@@ -31,12 +33,12 @@
 }
 
 /** Chooses an engine and how it obtains the prompt. */
-export function chooseEngine ({ candidates, affinityCandidates, holders, prompt, dedicatedCount, boxContext }: EngineChoiceInput, at: number, draw: number): Choice {
+export function chooseEngine ({ candidates, affinityCandidates, holders, prompt, dedicatedCount, boxContext, unreportedMs }: EngineChoiceInput, at: number, draw: number): Choice {
   const { cost, engine: { transfer } } = prompt
   // No affinity is needed if engines can transfer cached prompts between them.
   const affinityEngines = transfer === null ? findAffinityEngines(cost, affinityCandidates) : []
   const medianFailureShare = findMedianFailureShare(candidates)
   const plan = (view: EndpointView): PromptPlan => planPrompt(view, cost, estimateReadTokens(view, cost, affinityEngines), holders, transfer)
   const estimateMs = (view: EndpointView): number => estimateFirstEventMs(view, prompt, plan(view), at) + estimatePenaltyMs(view, boxContext, medianFailureShare, true, at)
-  return pickLowestCost({ views: candidates, estimateMs, plan, dedicatedCount, affinityEngine: affinityEngines[0] }, draw)
+  return pickLowestCost({ views: candidates, estimateMs, plan, dedicatedCount, affinityEngine: affinityEngines[0], unreportedMs }, draw)
 }
--- a/src/core/balance/dedication-order.ts
+++ b/src/core/balance/dedication-order.ts
@@ -23,6 +23,8 @@
 /** Lower bound on the slowness, and the slowness of a degraded engine, where there are two models. */
 const minMixedSlowness = 0.4
 const mixedDegradedRatio = 3
+/** Where there is contention, engines whose time between events differs from the median by at most this factor count as equal. */
+const equalRatio = 1.2
 /** Minimum number of engines of known speed for a meaningful median. */
 const minKnownSpeeds = 3
 /** Bounds on the slowness of an engine relative to the median. */
@@ -58,7 +60,9 @@
   const least = slowModelMs === null ? minSlowness : minMixedSlowness
   engines.forEach((view, i) => {
     const gap = gaps[i]
-    view.slowness = gap === null || median === null ? 1 : Math.min(maxSlowness, Math.max(least, gap / median))
+    const ratio = gap === null || median === null ? 1 : gap / median
+    const isEqual = contention.isOn && ratio <= equalRatio && ratio >= 1 / equalRatio
+    view.slowness = isEqual ? 1 : Math.min(maxSlowness, Math.max(least, ratio))
     view.isSlow = slowModelMs === null || gap === null
       ? view.slowness < degradedRatio && view.slowness > (view.isSlow ? slowExitRatio : slowRatio)
       : gap >= slowModelMs && view.slowness < mixedDegradedRatio
--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -4,11 +4,13 @@
  */
 import { hashText } from '../hash.js'
 import type { EndpointId } from '../ids.js'
-import { ExponentialAverage, RunningQuantile } from './average.js'
+import { ExponentialAverage } from './average.js'
 import type { EndpointRecord } from './endpoint-record.js'
 import type { EngineStats } from './engine-stats.js'
 import { EndpointGate } from './endpoint-gate.js'
 import { EndpointHealth } from './endpoint-health.js'
+import { EngineSpeed, minGapMs } from './engine-speed.js'
+import type { EventGap, EventRun } from './event-run.js'
 import type { EndpointLoad, PromptReport } from './box-load.js'
 import { KeptSlots } from './kept-slots.js'
 import { PlainOccupancy } from './plain-occupancy.js'
@@ -44,28 +46,12 @@
 const overdueMarginMs = 300
 /** Streams emit an event every few tens of ms; an endpoint from which none of several streams has received an event for this long hangs, ms. */
 const streamSilenceMs = 500
-/** Relative step by which each event adjusts the estimated time between events. */
-const gapStep = 0.04
-/**
- * Low quantile of the gaps that is used, because prompt reading that this box does not know of lengthens them: at
- * 0.35, engines that read much are taken for slow ones.
- */
-const gapQuantile = 0.1
 /** Relative increase of the time between events for each additional stream, as on engines in production (0.53 to 0.71 per 100 streams). */
 const gapGrowthPerStream = 0.006
 /** How long the state of a prompt is repeated in reports, ms: a report may be lost, and the next ones follow within a few tens of ms. */
 const promptReportMs = 200
 /** An engine slower than the median by at least this factor is degraded, rather than of a slower model. */
 export const degradedRatio = 2
-/** Minimum number of gaps before an engine's speed is judged. */
-const minGaps = 16
-/**
- * Shorter gaps are ignored, ms: such events were received together after a stall of this box or its link. The
- * fastest engines in production take 3 ms per step. A median gap of 0 makes slowness NaN, so that no engine can be
- * chosen and gateways crash.
- */
-const minGapMs = 1
-
 export class EndpointView {
   /** Hash of the id; the same on every box. */
   readonly hash: number
@@ -86,14 +72,10 @@
   #stats: EngineStats
   /** Prompt states that this box reports to its hub. */
   #promptReports: { readonly at: number, readonly prompt: PromptReport }[] = []
-  #gapQuantile: RunningQuantile | null = null
-  #gapCount = 0
-  #minInitialGapMs = Infinity
+  #speed = new EngineSpeed()
   #placed = new Set<PlacedRequest>()
   /** Load of the other boxes here. */
   #others: EndpointLoad | null = null
-  /** Median over all boxes of the measured time between events. */
-  #medianGapMs: number | null = null
   /** Factor by which it is slower than the median of its service; 1 if unknown. */
   slowness = 1
   /** True for an engine of a slower model than the median one. */
@@ -270,27 +252,31 @@
   }
 
   /** Time between events of a single stream while no prompt is read, as measured by this box, ms; null until there are enough samples. */
-  get ownGapMs (): number | null { return this.#gapCount < minGaps ? null : this.#gapQuantile?.value ?? this.#minInitialGapMs }
+  get ownGapMs (): number | null { return this.#speed.ownGapMs }
 
   /** The same as the median over all boxes; this box's own measurement until one is reported. */
-  get gapMs (): number | null { return this.#medianGapMs ?? this.ownGapMs }
+  get gapMs (): number | null { return this.#speed.gapMs }
 
   // Pauses of a degraded engine, or one of unknown speed, say nothing about the others.
   #noteReadingPause (pauseMs: number, at: number): void {
     if (this.gapMs !== null && this.slowness < degradedRatio) this.#stats.readingPause.add(pauseMs, this.slowness, at)
   }
 
-  noteMedianGap (gapMs: number): void { this.#medianGapMs = gapMs < minGapMs ? null : gapMs }
+  noteMedianGap (gapMs: number): void { this.#speed.noteMedianGap(gapMs) }
 
   /** Records the time between two events of a stream, as a reading pause if a prompt is being read, otherwise as a gap. */
   noteGap (gapMs: number, at: number): void {
     if (gapMs < minGapMs) return
     if (this.countTokensAhead(Infinity, at) > 0) return this.#noteReadingPause(gapMs, at)
-    const aloneMs = gapMs / (1 + this.running * gapGrowthPerStream)
-    this.#gapCount += 1
-    // Any of the first gaps may include prompt reading that this box does not know of: the shortest is the best estimate.
-    if (this.#gapCount <= minGaps) this.#minInitialGapMs = Math.min(this.#minInitialGapMs, aloneMs)
-    else (this.#gapQuantile ??= new RunningQuantile(this.#minInitialGapMs, gapQuantile, gapStep)).add(aloneMs)
+    this.#speed.noteGap(gapMs / (1 + this.running * gapGrowthPerStream))
+  }
+
+  /** Records the time before events of a stream, as a reading pause if a prompt is being read, otherwise as a part of a run. */
+  noteEvents (run: EventRun, gap: EventGap, at: number): void {
+    const isReading = this.countTokensAhead(Infinity, at) > 0
+    if (isReading && gap.events === 1 && gap.ms >= minGapMs) this.#noteReadingPause(gap.ms, at)
+    const meanMs = run.add(gap, isReading)
+    if (meanMs !== null) this.#speed.noteRun(meanMs / (1 + this.running * gapGrowthPerStream))
   }
 
   /** Notes that the endpoint refused a request properly. */
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -11,17 +11,18 @@
 import { ContentionSwitch } from './contention.js'
 import { agreeDedicatedCount, countQueuedTokens } from './agreed-dedicated-count.js'
 import type { Choice, NoChoice } from './choice.js'
-import { chooseEngine, choosePlain } from './choose-endpoint.js'
+import { choosePlain } from './choose-endpoint.js'
 import { describeServices } from './describe-service.js'
 import { isOtherIncarnation } from './endpoint-directory.js'
 import { GateStore } from './endpoint-gate.js'
 import type { EndpointRecord } from './endpoint-record.js'
 import { EndpointView } from './endpoint-view.js'
-import { hasRoom } from './endpoint-costs.js'
-import type { PromptRequest, BoxContext } from './endpoint-costs.js'
+import type { EventGap, EventRun } from './event-run.js'
+import type { BoxContext } from './endpoint-costs.js'
 import { createEngineStats } from './engine-stats.js'
 import { listDedicationOrder } from './dedication-order.js'
 import { ReportedPrompts, notePrompt } from './reported-prompts.js'
+import { placeOnEngine } from './place-on-engine.js'
 import { PlainBalancer } from './plain-balancer.js'
 import { OtherBoxes } from './other-boxes.js'
 import type { BoxLoad, EngineGap, LoadTotals, PromptReport, ServiceDemand } from './box-load.js'
@@ -37,7 +38,7 @@
 import { PauseEstimates } from './pause-estimates.js'
 import { isPauseTolerant } from './prompt-reading.js'
 import type { DedicatedCount } from './dedicated-count.js'
-import { admitToEngines, findOverloadedLevel, listImmediateEngines, measureCapacity } from './service-admission.js'
+import { admitToEngines, measureCapacity } from './service-admission.js'
 import type { AdmissionContext } from './service-admission.js'
 import { admitPlain, composeShareReport, findShare } from './service-shares.js'
 import type { ShareContext } from './service-shares.js'
@@ -144,7 +145,7 @@
     const loads = new Map(others.loads.map(load => [load.endpoint, load]))
     for (const view of this.#views.values()) view.noteOthers(loads.get(view.id) ?? null)
     for (const [endpoint, gapMs] of others.gaps) this.#views.get(endpoint)?.noteMedianGap(gapMs)
-    this.#others.note(others, at)
+    this.#others.note(others, at, reportedAt)
     if (this.contention.isOn && others.zones.length > 0) this.plain.noteTotals(this.#views.values(), others.demands, reportedAt)
     for (const { boxCpu } of others.demands) this.contention.note(boxCpu)
     if (this.contention.isOn) this.returns.noteOthers(others.demands, reportedAt)
@@ -181,7 +182,7 @@
    */
   choose (work: RequestProfile, tried: readonly EndpointId[], at: number, draw: number, waitedMs = 0, filter: EndpointFilter | null = null): Choice | NoChoice {
     const all = this.#byService.get(work.service) ?? []
-    const { usable, dedicationOrder, counts } = this.#findSnapshot(work.service, at)
+    const { usable } = this.#findSnapshot(work.service, at)
     const untried = filterViews(usable.filter(view => !tried.includes(view.id)), filter)
     if (untried.length === 0) return all.length === 0 ? 'none-known' : 'none-usable'
     const left = untried.filter(view => isOpen(view, work, at))
@@ -189,16 +190,8 @@
     const context = this.#composeContext(work.service, at)
     if (work.cost === null && context === null && this.contention.isOn) return this.plain.choose(left, work, { boxContext: this.#boxContext, sharers: this.#others.countUnreportedBoxes(at), waitedMs, at, draw })
     if (work.cost === null || context === null) return choosePlain(left, this.#boxContext, at, draw)
-    const { engine, minTolerantPauseMs } = context
-    const isTolerant = isPauseTolerant(work, minTolerantPauseMs)
-    if (isTolerant && waitedMs < work.targetMs && findOverloadedLevel(context, at) < work.level) return 'later'
-    const preferred = (isTolerant ? dedicationOrder.slice(0, counts.count) : listImmediateEngines(context, work.targetMs, at)).filter(view => !tried.includes(view.id) && isOpen(view, work, at))
-    const candidates = filter === null ? preferred : left
-    const affinityCandidates = isTolerant && filter === null ? dedicationOrder.slice(0, counts.base) : candidates
-    const prompt: PromptRequest = { work, cost: work.cost, engine, waitedMs, minTolerantPauseMs, pauseLimits: this.#pauses.findLimits(context.state, at), isPauseTolerant: isTolerant }
-    const holders = this.#listHolders(work.cost, engine.transfer, at, work.service)
-    const choice = chooseEngine({ candidates: candidates.length > 0 ? candidates : left, affinityCandidates, holders, prompt, dedicatedCount: counts.count, boxContext: this.#boxContext }, at, draw)
-    return isTolerant && !hasRoom(choice.view, work.cost, engine, this.#others.countUnreportedBoxes(at), at) ? 'later' : choice
+    const others = this.contention.isOn ? { countUnreportedTokens: (isTolerant: boolean) => this.#others.estimateUnreportedTokens(work.service, isTolerant, at) } : null
+    return placeOnEngine({ context, work, cost: work.cost, tried, left, filter, waitedMs, boxContext: this.#boxContext, pauseLimits: this.#pauses.findLimits(context.state, at), others }, at, draw)
   }
 
   /** Describes the current state of each service's engines, for the log. */
@@ -221,6 +214,11 @@
     if (this.#others.isComplete(at)) view.noteGap(gapMs, at)
   }
 
+  /** The same for events that belong to a run, used instead while the measures against contention are on. */
+  noteEvents (view: EndpointView, run: EventRun, gap: EventGap, at: number): void {
+    if (this.#others.isComplete(at)) view.noteEvents(run, gap, at)
+  }
+
   /** Notes that a request was sent to an engine. */
   noteStarted (work: RequestProfile, at: number): void { this.#services.get(work.service)?.kinds.noteStarted(work.level, at) }
 
--- a/src/core/balance/other-boxes.ts
+++ b/src/core/balance/other-boxes.ts
@@ -15,6 +15,8 @@
 export class OtherBoxes {
   #totals = new Map<ServiceName, ServiceTotal>()
   #receivedAt: number | null = null
+  /** When the boxes made the reports behind the totals. */
+  #reportedAt = -Infinity
   #boxes = 1
 
   /** Number of boxes, including this one. */
@@ -24,9 +26,10 @@
   noteBoxes (count: number): void { this.#boxes = Math.max(1, count) }
 
   /** Sets the newest totals. They count as newly received only if they name a zone with recent messages. */
-  note ({ demands, zones }: LoadTotals, at: number): void {
+  note ({ demands, zones }: LoadTotals, at: number, reportedAt = at): void {
     this.#totals = new Map(demands.map(demand => [demand.service, demand]))
     if (zones.length > 0) this.#receivedAt = at
+    this.#reportedAt = reportedAt
   }
 
   /** The totals of a service; null if none are reported. */
@@ -52,6 +55,14 @@
   /** Number of boxes, including this one, that may send to the same engines without their load being known here; 1 while all report. */
   countUnreportedBoxes (at: number): number { return this.isComplete(at) ? 1 : this.#boxes }
 
+  /** Prompt tokens that the other boxes have sent since their reports, as expected from their arrival rates; 0 if none report. */
+  estimateUnreportedTokens (service: ServiceName, isTolerant: boolean, at: number): number {
+    const total = this.#totals.get(service)
+    if (total === undefined) return 0
+    const ageMs = Math.min(expiryMs, Math.max(0, at - this.#reportedAt))
+    return (isTolerant ? total.patient : total.brisk) * ageMs / 1000
+  }
+
   /** Number of other boxes that queue requests of the service at least as urgent as `priority`. */
   countHolders (service: ServiceName, priority: number): number {
     const others = this.#totals.get(service)
--- a/src/core/balance/pause-estimates.ts
+++ b/src/core/balance/pause-estimates.ts
@@ -1,11 +1,16 @@
 /** What a box assumes of the pauses of a service's streams. */
 import type { ContentionSwitch } from './contention.js'
 import type { OtherBoxes } from './other-boxes.js'
+import type { PauseClasses } from './pause-classes.js'
 import type { PauseLimits } from './pause-forecast.js'
 import { computeMinTolerantPause, estimateInitialPause } from './prompt-reading.js'
 import type { ServiceState } from './service-state.js'
 
+/** How long a pause limit is reused, ms: it is needed for each engine in each report. */
+const limitTtlMs = 50
+
 export class PauseEstimates {
+  #tolerantLimits = new WeakMap<PauseClasses, { readonly at: number, readonly limitMs: number | null }>()
   #others: OtherBoxes
   #contention: ContentionSwitch
 
@@ -16,7 +21,16 @@
 
   /** The shortest allowed pause with which a request is pause-tolerant, ms. */
   findMinTolerant (state: ServiceState, at: number): number {
-    return computeMinTolerantPause(this.findReading(state, at), state.pauses.findLongest(at))
+    const limitMs = this.#contention.isOn ? this.#findTolerantLimit(state, at) : null
+    return limitMs ?? computeMinTolerantPause(this.findReading(state, at), state.pauses.findLongest(at))
+  }
+
+  #findTolerantLimit ({ pauseClasses, firstEvent }: ServiceState, at: number): number | null {
+    const known = this.#tolerantLimits.get(pauseClasses)
+    if (known !== undefined && at - known.at < limitTtlMs) return known.limitMs
+    const limitMs = pauseClasses.findTolerantLimit(firstEvent.msPerToken, at)
+    this.#tolerantLimits.set(pauseClasses, { at, limitMs })
+    return limitMs
   }
 
   /** Pause of streams at an engine of median speed that reads without a break, ms. All boxes use the same reported one if there is one, because they must classify requests alike. */
--- /dev/null
+++ b/src/core/balance/place-on-engine.ts
@@ -0,0 +1,60 @@
+/** Places a request with a prompt on an engine, or lets it wait in the box until one has room. */
+import type { EndpointId } from '../ids.js'
+import type { Choice } from './choice.js'
+import { chooseEngine } from './choose-endpoint.js'
+import { hasRoom } from './endpoint-costs.js'
+import type { BoxContext, PromptRequest } from './endpoint-costs.js'
+import type { EndpointFilter } from './endpoint-filter.js'
+import type { EndpointView } from './endpoint-view.js'
+import type { PauseLimits } from './pause-forecast.js'
+import { isPauseTolerant } from './prompt-reading.js'
+import { findOverloadedLevel, listImmediateEngines } from './service-admission.js'
+import type { AdmissionContext } from './service-admission.js'
+import { isOpen } from './usable-endpoints.js'
+import type { PromptCost, RequestProfile } from './work.js'
+
+/** What the other boxes do that their reports don't show yet. */
+export interface OthersEstimate {
+  /** Prompt tokens that they have sent since their reports, to the engines for requests that are pause-tolerant or not. */
+  countUnreportedTokens (isTolerant: boolean): number
+}
+
+export interface PlacementInput {
+  readonly context: AdmissionContext
+  readonly work: RequestProfile
+  readonly cost: PromptCost
+  readonly tried: readonly EndpointId[]
+  /** Untried engines that accept the request; not empty. */
+  readonly left: readonly EndpointView[]
+  readonly filter: EndpointFilter | null
+  /** Time for which the request has waited in this box, ms. */
+  readonly waitedMs: number
+  readonly boxContext: BoxContext
+  readonly pauseLimits: PauseLimits | null
+  /** Null while the measures against contention are off. */
+  readonly others: OthersEstimate | null
+}
+
+/** Chooses an engine; `draw`, from 0 up to 1, breaks ties. Returns `later` if no engine has room. */
+export function placeOnEngine (input: PlacementInput, at: number, draw: number): Choice | 'later' {
+  const { context, work, cost, left, filter, waitedMs, boxContext, pauseLimits, others } = input
+  const { engine, minTolerantPauseMs, sharers, state, snapshot: { dedicationOrder, counts } } = context
+  const isTolerant = isPauseTolerant(work, minTolerantPauseMs)
+  if (isTolerant && waitedMs < work.targetMs && findOverloadedLevel(context, at) < work.level) return 'later'
+  const mayStart = (view: EndpointView): boolean => !isTolerant || hasRoom(view, cost, engine, sharers, at)
+  const preferred = listPreferred(input, isTolerant, at)
+  const roomy = others === null ? preferred : preferred.filter(mayStart)
+  if (filter === null && preferred.length > 0 && roomy.length === 0) return 'later'
+  const candidates = filter === null ? roomy : left
+  const affinityCandidates = isTolerant && filter === null ? dedicationOrder.slice(0, counts.base) : candidates
+  const prompt: PromptRequest = { work, cost, engine, waitedMs, minTolerantPauseMs, pauseLimits, isPauseTolerant: isTolerant }
+  const unreportedMs = others === null ? null : others.countUnreportedTokens(isTolerant) * state.firstEvent.msPerToken
+  const choice = chooseEngine({ candidates: candidates.length > 0 ? candidates : left, affinityCandidates, holders: context.listHolders(cost), prompt, dedicatedCount: counts.count, boxContext, unreportedMs }, at, draw)
+  return mayStart(choice.view) ? choice : 'later'
+}
+
+function listPreferred ({ context, work, tried }: PlacementInput, isTolerant: boolean, at: number): EndpointView[] {
+  const { dedicationOrder, counts } = context.snapshot
+  const engines = isTolerant ? dedicationOrder.slice(0, counts.count) : listImmediateEngines(context, work.targetMs, at)
+  return engines.filter(view => !tried.includes(view.id) && isOpen(view, work, at))
+}
--- a/src/core/balance/service-arrivals.ts
+++ b/src/core/balance/service-arrivals.ts
@@ -18,6 +18,7 @@
   if (context.isContended && state.service.engine === null) state.kinds.note(work, 1, at)
   if (state.service.engine === null || work.cost === null) return
   const tokens = countExpectedTokens(work.cost)
+  if (context.isContended) state.pauseClasses.note(work, at)
   if (work.pauseMs !== null) state.pauses.note(at, work.pauseMs)
   state.kinds.note(work, tokens, at)
   const meter = context.isTolerant() ? state.tolerantDemand : state.sensitiveDemand
--- a/src/core/balance/service-state.ts
+++ b/src/core/balance/service-state.ts
@@ -8,6 +8,7 @@
 import type { EngineStats } from './engine-stats.js'
 import { KindTracker } from './kind-tracker.js'
 import type { ServiceDemand } from './box-load.js'
+import { PauseClasses } from './pause-classes.js'
 import { PauseRange } from './pause-range.js'
 import { DedicatedCountController } from './dedicated-count.js'
 import { WorkspaceDemand } from './workspace-demand.js'
@@ -18,6 +19,8 @@
   readonly dedicatedCount: DedicatedCountController
   /** Pauses that requests tolerate. */
   readonly pauses: PauseRange
+  /** Kinds that share engines with long reads; only recorded while the measures against contention are on. */
+  readonly pauseClasses: PauseClasses
   readonly kinds: KindTracker
   /** Arriving prompt tokens of pause-tolerant requests, and of pause-sensitive ones. */
   readonly tolerantDemand: RateMeter
@@ -33,7 +36,7 @@
 
 /** The initial state of a service. */
 export function createServiceState (service: RoutedService, contention: ContentionSwitch): ServiceState {
-  return { ...createEngineStats(contention), service, dedicatedCount: new DedicatedCountController(), pauses: new PauseRange(), kinds: new KindTracker(), tolerantDemand: new RateMeter(), sensitiveDemand: new RateMeter(), held: new Map(), credits: new AdmissionCredits(), congestion: new CongestionTracker(), workspaces: new WorkspaceDemand(), shares: new ShareMemo() }
+  return { ...createEngineStats(contention), service, dedicatedCount: new DedicatedCountController(), pauses: new PauseRange(), pauseClasses: new PauseClasses(), kinds: new KindTracker(), tolerantDemand: new RateMeter(), sensitiveDemand: new RateMeter(), held: new Map(), credits: new AdmissionCredits(), congestion: new CongestionTracker(), workspaces: new WorkspaceDemand(), shares: new ShareMemo() }
 }
 
 /** The demand for a service that a box reports to its hub. */
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -3,7 +3,7 @@
  * request and relays the answer. `RetryPolicy` decides what follows a failure.
  */
 import type { ServerResponse } from 'node:http'
-import { decidePlainAnswer } from '../core/index.js'
+import { EventRun, decidePlainAnswer } from '../core/index.js'
 import type { Admission, Choice, EndpointView, PromptPlan } from '../core/index.js'
 import type { AnswerBuffer } from './answer-buffer.js'
 import { explainRefusal, sendRefusal } from './answers.js'
@@ -22,7 +22,7 @@
 import { PassedEvents } from './passed-events.js'
 import { RetryPolicy } from './retry-policy.js'
 import type { NextStep, SendOutcome } from './retry-policy.js'
-import { resumeSend } from './active-send.js'
+import { noteGaps, resumeSend } from './active-send.js'
 import type { ActiveSend } from './active-send.js'
 import { findSendFault } from './send-faults.js'
 
@@ -110,7 +110,7 @@
     this.#retryPolicy.noteSend()
     const placed = view.place(request.work, plan, at)
     this.#host.fleet.noteStarted(request.work, at)
-    const sent: ActiveSend = { view, placed, attempt, call: this.#startCall(view, plan, at, () => sent), head: null, splitter: null }
+    const sent: ActiveSend = { view, placed, attempt, call: this.#startCall(view, plan, at, () => sent), run: new EventRun(), head: null, splitter: null }
     this.#activeSend = sent
     this.#host.noteLoad()
   }
@@ -195,8 +195,7 @@
   #writeEvents (events: readonly StreamEvent[]): void {
     const now = this.#host.now()
     const latestGapMs = this.#events.add(events, now)
-    const gapMs = this.#host.fleet.contention.isOn ? this.#events.completeGapMs : latestGapMs
-    if (gapMs !== null && this.#activeSend !== null) this.#host.fleet.noteGap(this.#activeSend.view, gapMs, now)
+    if (this.#activeSend !== null) noteGaps(this.#activeSend, this.#host.fleet, latestGapMs, this.#events.completeGap, now)
     this.#answer.push(events.length === 1 ? events[0].bytes : Buffer.concat(events.map(event => event.bytes)))
   }
 
