The agreed count of dedicated engines leaves the short streams what they need

Cause: the count is the largest that any box reported, and lags behind the number of engines. While a third of the engines was reclaimed, 44 of 45 were dedicated, and the short streams of 77 boxes went to one engine: 27 of 207 broke their pause limit in those two seconds. Change: behind the switch, the count leaves what this box finds necessary.

--- a/src/core/balance/agreed-dedicated-count.ts
+++ b/src/core/balance/agreed-dedicated-count.ts
@@ -12,13 +12,14 @@
 /**
  * Returns the largest count that any box computed: all boxes must send long prompts to the same engines. `others`:
  * reported totals of the service, null if there are none; `dedicationOrder`: the engines in the order in which
- * they are dedicated.
+ * they are dedicated. Reported counts lag behind the number of engines: while a third of them is reclaimed, they would
+ * leave a single engine to the short streams of all boxes. With `isContended`, the count leaves what this box finds necessary.
  */
-export function agreeDedicatedCount (state: ServiceState, others: ServiceTotal | null, dedicationOrder: readonly EndpointView[], at: number): DedicatedCount {
+export function agreeDedicatedCount (state: ServiceState, others: ServiceTotal | null, dedicationOrder: readonly EndpointView[], isContended: boolean, at: number): DedicatedCount {
   const own = state.dedicatedCount.update(at, measureDemand(state, others, dedicationOrder, at))
   const count = Math.max(own.count, others?.apart ?? 0)
   const base = Math.max(own.base, others?.base ?? 0)
-  const maxCount = Math.max(1, dedicationOrder.length - 1)
+  const maxCount = Math.max(1, Math.min(dedicationOrder.length - 1, isContended ? Math.max(own.count, state.dedicatedCount.maxDedicated) : Infinity))
   return { count: Math.min(count, maxCount), base: Math.min(base, count, maxCount) }
 }
 
--- a/src/core/balance/dedicated-count.ts
+++ b/src/core/balance/dedicated-count.ts
@@ -56,15 +56,20 @@
   /** Difference of the base from its initial value. */
   #baseOffset = 0
   #excessSince: number | null = null
+  #maxDedicated = Infinity
   #baseDriftSince: number | null = null
 
   /** The current count, as computed by this box alone. */
   get counts (): DedicatedCount { return { count: this.#count, base: this.#base } }
 
+  /** The largest count that left the pause-sensitive requests enough engines at the last update. */
+  get maxDedicated (): number { return this.#maxDedicated }
+
   update (at: number, demand: ReadingDemand): DedicatedCount {
     const engines = demand.rates.length
     const wanted = computeDedicatedCount(demand)
     const maxDedicated = countMaxDedicated(demand)
+    this.#maxDedicated = maxDedicated
     this.#updateBase(at, engines, wanted, maxDedicated)
     this.#updateCount(at, Math.max(this.#base, wanted), Math.max(this.#base, maxDedicated))
     this.#count = Math.min(this.#count, Math.max(1, engines - 1))
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -337,7 +337,7 @@
   }
 
   #agreeDedicatedCount (state: ServiceState, dedicationOrder: readonly EndpointView[], at: number): DedicatedCount {
-    return agreeDedicatedCount(state, this.#others.find(state.service.name), dedicationOrder, at)
+    return agreeDedicatedCount(state, this.#others.find(state.service.name), dedicationOrder, this.contention.isOn, at)
   }
 
   #countQueuedTokens (state: ServiceState, priority: number): number {
