Spot endpoints replace on-demand ones in batches, and orders follow the agreed time per token

Both kinds ran at once at the first start (126 engines). While all zones refused growth, 16 and then 31 on-demand endpoints were ordered, although about 60 endpoints served. Change: the agreed time per token (`firstEvent`) bounds the learned one. Spot endpoints that only replace others are ordered in batches, one a second, and on-demand ones of their zone are released as they register, also before the first load. A refusal closes a zone only for more than it has, endpoints that boot included. On-demand endpoints are ordered only while fewer serve than must remain, never for growth. `why` shows `agreedMs` and `missing`.

--- a/src/core/balance/box-load.ts
+++ b/src/core/balance/box-load.ts
@@ -55,6 +55,8 @@
   readonly rates?: KindRates
   /** Reading rate of requests whose first event has arrived, in prompt tokens/s; not sent by boxes of earlier versions. */
   readonly read?: number
+  /** Learned start time and time per prompt token to the first event, ms; the median over several boxes; omitted until learned. */
+  readonly firstEvent?: readonly [startMs: number, msPerToken: number]
   /** CPU shares of the boxes; only sent where boxes need to know whether they are alike. */
   readonly boxCpu?: CpuRange
   /** What refused callers were told to return with; only sent while the measures against contention are on. */
--- a/src/core/sizing/price-planner.ts
+++ b/src/core/sizing/price-planner.ts
@@ -12,6 +12,8 @@
 import type { LoadInput, RequiredEndpoints } from './required-endpoints.js'
 import type { EndpointGroup, GroupTarget, ZoneEndpoints } from './size-planner.js'
 import { SlidingMax } from './sliding-max.js'
+import { SpotReplacement, isReplaced, isUnchanged, keepServing } from './spot-replacement.js'
+import type { GroupPlan } from './spot-replacement.js'
 import { ZoneAvailability } from './zone-availability.js'
 import type { UnavailableZone } from './zone-availability.js'
 import { divideAmongZones } from './zone-division.js'
@@ -21,6 +23,11 @@
   readonly leavingSpot: number
 }
 
+export interface PricedTarget extends GroupTarget {
+  /** True if endpoints of the group are replaced by spot endpoints, so that a lower count need not wait. */
+  readonly isReplaced?: boolean
+}
+
 export interface PricedInput extends LoadInput {
   readonly zones: readonly PricedZone[]
 }
@@ -38,14 +45,8 @@
 const urgentBacklogMs = 500
 /** Time within which endpoints may leave because of an order, ms: that of a slow call, and of the endpoints' announcements. */
 const releaseMs = 5000
-
-interface GroupPlan {
-  readonly zone: PricedZone
-  readonly isSpot: boolean
-  readonly price: number
-  readonly serving: number
-  count: number
-}
+/** Time beyond the boot time for which endpoints of an accepted order count although they have not registered, ms. */
+const bootGraceMs = 1500
 
 export class PricePlanner {
   readonly service: ServiceName
@@ -57,49 +58,69 @@
   #held = new Map<string, SlidingMax>()
   /** Recent targets by group. */
   #planned = new Map<string, readonly { readonly at: number, readonly count: number }[]>()
-  #serving = new Map<string, number>()
+  #present = new Map<string, number>()
+  #accepted = new Map<string, { readonly at: number, readonly count: number }>()
+  #replacement = new SpotReplacement()
+  #hasOrdered = false
+  #batchesFrom: number | null = null
+  /** On-demand endpoints missing for what must remain. */
+  #missing = 0
 
   constructor (service: ServiceName) {
     this.service = service
   }
 
   /** The current targets. Groups that should not be asked for endpoints now are left out. */
-  plan (input: PricedInput): GroupTarget[] {
+  plan (input: PricedInput): PricedTarget[] {
     for (const { zone, spot, leavingSpot } of input.zones) {
       const planned = this.#planned.get(formatKey(zone, true))?.map(({ count }) => count) ?? [spot + leavingSpot]
       this.#availability.noteSpot(zone, spot, leavingSpot, Math.min(...planned), input.at)
+      if (leavingSpot > 0 && leavingSpot >= spot) this.#accepted.delete(formatKey(zone, true))
     }
     const required = this.#required.update(input)
     const groups = this.#planGroups(input, required)
     if (this.#isObserving(input)) return []
+    this.#hasOrdered = true
+    this.#required.noteOrdered()
     keepServing(groups, required)
     for (const group of groups) if (group.isSpot) limitSpot(group, groups, input)
-    for (const group of groups) this.#serving.set(formatGroupKey(group), group.serving)
-    const open = groups.filter(group => !this.#isClosed(group.zone, group.isSpot, input))
-    const closed = groups.filter(group => !open.includes(group))
-    const why = `${this.#required.describe(input)}:need=${required.count}:remaining=${required.remaining}:closed=${closed.map(formatGroup).join('+')}`
-    return open.map(group => {
+    this.#replacement.limitBatch(groups, required, input.at, this.#findBatchStart(input))
+    for (const group of groups) this.#present.set(formatGroupKey(group), group.present)
+    const why = `${this.#required.describe(input)}:need=${required.count}:remaining=${required.remaining}:missing=${this.#missing}:closed=${groups.filter(({ isClosed }) => isClosed).map(formatGroup).join('+')}`
+    // A closed group is asked only to release some of its endpoints.
+    return groups.filter(group => group.isClosed ? group.count < group.present : !isUnchanged(group, groups)).map(group => {
       const recent = this.#planned.get(formatGroupKey(group))?.filter(({ at }) => input.at - at <= releaseMs) ?? []
       this.#planned.set(formatGroupKey(group), [...recent, { at: input.at, count: group.count }])
-      return { service: this.service, zone: group.zone.zone, isSpot: group.isSpot, count: group.count, why: `${why}:price=${group.price.toFixed(3)}` }
+      return { service: this.service, zone: group.zone.zone, isSpot: group.isSpot, count: group.count, ...(input.sizing.spotPrice !== null && isReplaced(group) ? { isReplaced: true } : {}), why: `${why}:price=${group.price.toFixed(3)}` }
     })
   }
 
   /** Notes that the platform has no endpoints of the group. The refusal of an order that needs no further ones does not show that. */
   noteRefused ({ zone, isSpot, count }: EndpointGroup & { readonly count: number }, at: number): void {
-    if (count > (this.#serving.get(formatKey(zone, isSpot)) ?? 0)) this.#availability.noteRefused(zone, isSpot, at)
+    if (count > (this.#present.get(formatKey(zone, isSpot)) ?? 0)) this.#availability.noteRefused(zone, isSpot, at)
   }
 
-  noteAccepted ({ zone, isSpot }: EndpointGroup, at: number): void { this.#availability.noteAccepted(zone, isSpot, at) }
+  noteAccepted ({ zone, isSpot, count }: EndpointGroup & { readonly count: number }, at: number): void {
+    this.#accepted.set(formatKey(zone, isSpot), { at, count })
+    this.#availability.noteAccepted(zone, isSpot, at)
+  }
 
   /** Zones that became unavailable since the last call. */
   takeUnavailable (): UnavailableZone[] { return this.#availability.takeUnreported() }
 
+  // A new holder that finds a replacement under way first lets the endpoints register that its predecessor ordered.
+  #findBatchStart ({ at, zones, sizing }: PricedInput): number {
+    this.#batchesFrom ??= zones.some(({ spot }) => spot > 0) ? (this.#startedAt ?? at) + sizing.bootMs + bootGraceMs : at
+    return this.#batchesFrom
+  }
+
   #isObserving ({ at, backlogMs, zones }: PricedInput): boolean {
     this.#startedAt ??= at
     const serving = zones.reduce((sum, { spot, onDemand }) => sum + spot + onDemand, 0)
-    if (serving > this.#mostServing) {
-      this.#mostServing = serving
+    // Spot endpoints that register after the first orders are those ordered; waiting for them would keep what they replace.
+    const registered = this.#hasOrdered ? zones.reduce((sum, { onDemand }) => sum + onDemand, 0) : serving
+    if (registered > this.#mostServing) {
+      this.#mostServing = registered
       this.#lastRegisteredAt = at
     }
     const isRegistering = this.#required.isIdle && at - this.#lastRegisteredAt < registrationMs
@@ -127,9 +148,9 @@
     const offers = zones.map(({ zone }) => ({ zone, price: zonePrices.get(zone) ?? 1, min, max: most - fixed }))
     const usual = divideAmongZones(offers, fixed * zones.length, required)
     const available = offers.map((offer, i) => {
-      const serving = Math.min(offer.max, isSpot ? zones[i].spot : zones[i].onDemand)
-      if (this.#isClosed(zones[i], isSpot, input)) return { ...offer, min: serving, max: serving }
-      return this.#availability.isTried(offer.zone, isSpot, at) ? { ...offer, max: Math.max(serving, usual.get(offer.zone) ?? 0) } : offer
+      const present = Math.min(offer.max, this.#countPresent(zones[i], isSpot, input))
+      if (this.#isClosed(zones[i], isSpot, input)) return { ...offer, min: present, max: present }
+      return this.#availability.isTried(offer.zone, isSpot, at) ? { ...offer, max: Math.max(present, usual.get(offer.zone) ?? 0) } : offer
     })
     const divided = divideAmongZones(available, fixed * zones.length, required)
     return new Map(zones.map(zone => [zone.zone, this.#isClosed(zone, isSpot, input) ? divided.get(zone.zone) ?? 0 : Math.max(usual.get(zone.zone) ?? 0, divided.get(zone.zone) ?? 0)]))
@@ -139,7 +160,10 @@
     const { sizing: { most, zonePrices }, zones } = input
     const base = Math.min(most, onDemandPerZone)
     const counts = new Map(zones.map(({ zone }) => [zone, base]))
-    let missing = required.remaining - zones.reduce((sum, { zone }) => sum + base + (spot.get(zone) ?? 0), 0)
+    const serving = zones.reduce((sum, zone) => sum + zone.spot + zone.onDemand, 0)
+    const { remainingForLoad } = required
+    let missing = serving >= remainingForLoad ? 0 : Math.max(0, remainingForLoad - zones.reduce((sum, { zone }) => sum + base + (spot.get(zone) ?? 0), 0))
+    this.#missing = missing
     const byPrice = zones.toSorted((a, b) => (zonePrices.get(a.zone) ?? 1) - (zonePrices.get(b.zone) ?? 1))
     for (const zone of byPrice) {
       if (missing <= 0) break
@@ -151,7 +175,15 @@
     return counts
   }
 
-  #holdCount (zone: PricedZone, isSpot: boolean, counts: ReadonlyMap<ZoneName, number>, { at, sizing }: PricedInput): GroupPlan {
+  // Endpoints that serve, or that boot after an accepted order.
+  #countPresent ({ zone, spot, onDemand }: PricedZone, isSpot: boolean, { at, sizing }: PricedInput): number {
+    const accepted = this.#accepted.get(formatKey(zone, isSpot))
+    const isBooting = accepted !== undefined && at - accepted.at <= sizing.bootMs + bootGraceMs
+    return Math.max(isSpot ? spot : onDemand, isBooting ? accepted.count : 0)
+  }
+
+  #holdCount (zone: PricedZone, isSpot: boolean, counts: ReadonlyMap<ZoneName, number>, input: PricedInput): GroupPlan {
+    const { at, sizing } = input
     const key = formatKey(zone.zone, isSpot)
     const held = this.#held.get(key) ?? new SlidingMax(holdMs, holdSteps)
     this.#held.set(key, held)
@@ -160,17 +192,7 @@
     const isNew = at - (this.#startedAt ?? at) < observeMs && (isSpot || sizing.spotPrice === null)
     held.add(at, Math.max(counts.get(zone.zone) ?? 0, isNew ? serving : 0))
     const price = (sizing.zonePrices.get(zone.zone) ?? 1) * (isSpot ? sizing.spotPrice ?? 1 : 1)
-    return { zone, isSpot, price, serving, count: held.max }
-  }
-}
-
-// Raises targets below the serving number as far as fewer than required would serve otherwise; the most expensive are released first.
-function keepServing (groups: readonly GroupPlan[], { count }: RequiredEndpoints): void {
-  let surplus = Math.max(0, groups.reduce((sum, { serving }) => sum + serving, 0) - count)
-  for (const group of groups.toSorted((a, b) => b.price - a.price)) {
-    const released = Math.min(Math.max(0, group.serving - group.count), surplus)
-    surplus -= released
-    group.count = Math.max(group.count, group.serving - released)
+    return { zone, isSpot, price, serving, present: this.#countPresent(zone, isSpot, input), isClosed: this.#isClosed(zone, isSpot, input), needed: held.max, count: held.max }
   }
 }
 
--- a/src/core/sizing/reading-cost.ts
+++ b/src/core/sizing/reading-cost.ts
@@ -20,6 +20,7 @@
   #tokens = 0
   #observedMs = 0
   #at: number | null = null
+  #agreed = Infinity
 
   /** Notes the number of engines with unread tokens, and the tokens read per second. */
   add (at: number, busyEngines: number, tokensPerSecond: number): void {
@@ -31,9 +32,12 @@
     this.#tokens = this.#tokens * kept + tokensPerSecond * stepMs / 1000
   }
 
-  /** Engine time per token, ms; null until enough was observed. */
+  /** Notes the time per token that the gateways agree on, which contains no waiting time; null if they report none. */
+  noteAgreed (msPerToken: number | null): void { this.#agreed = msPerToken ?? Infinity }
+
+  /** Engine time per token, ms, at most the agreed one; null until enough was observed. */
   get msPerToken (): number | null {
     if (this.#observedMs < minObservedMs || this.#busyMs < minBusyMs || this.#tokens === 0) return null
-    return Math.min(maxMsPerToken, Math.max(minMsPerToken, this.#busyMs / this.#tokens))
+    return Math.min(maxMsPerToken, Math.max(minMsPerToken, Math.min(this.#agreed, this.#busyMs / this.#tokens)))
   }
 }
--- a/src/core/sizing/required-endpoints.ts
+++ b/src/core/sizing/required-endpoints.ts
@@ -14,6 +14,8 @@
   readonly read: number
   /** Number of engines with unread prompt tokens. */
   readonly busyEngines: number
+  /** Time per token that the gateways agree on, ms; null if they report none. */
+  readonly agreedMsPerToken: number | null
 }
 
 export interface LoadInput extends SizingInput {
@@ -28,6 +30,8 @@
   readonly count: number
   /** Endpoints that must remain if one zone loses its spot endpoints. */
   readonly remaining: number
+  /** The same for the measured load alone, without the growth due to a backlog. */
+  readonly remainingForLoad: number
 }
 
 /** Target fraction of slots in use at peak load. Above it, prefill of prompts delays the events of running streams. */
@@ -56,45 +60,62 @@
   #cost = new ReadingCost()
   #initialCount = 0
   #firstLoadAt: number | null = null
+  #initialSpot = 0
+  #hasOrdered = false
   #settled = 0
+  #settledForLoad = 0
 
   update (input: LoadInput): RequiredEndpoints {
     const { at, running, reading, backlogMs, isLoadKnown, zones } = input
     // At the first start of a deployment, endpoints register one after another.
-    if (this.#firstLoadAt === null) this.#initialCount = Math.max(this.#initialCount, countRunning(input))
+    if (this.#firstLoadAt === null) this.#noteInitial(input)
     if (isLoadKnown) {
       if (running > 0) this.#firstLoadAt ??= at
       const serving = zones.reduce((sum, { onDemand, spot }) => sum + onDemand + spot, 0)
       this.#running.add(at, running)
       this.#arriving.add(at, reading?.arriving ?? 0)
       this.#growth.add(at, backlogMs > backlogThresholdMs ? 2 * serving : 0)
-      if (reading !== null) this.#cost.add(at, reading.busyEngines, reading.read)
+      if (reading !== null) {
+        this.#cost.add(at, reading.busyEngines, reading.read)
+        this.#cost.noteAgreed(reading.agreedMsPerToken)
+      }
     }
     const most = input.sizing.most * zones.length
-    const count = Math.min(most, this.#countNeeded(input))
-    const isRelease = isLoadKnown && count < this.#settled * releaseThreshold
-    if (count > this.#settled || isRelease) this.#settled = count
-    return { count: this.#settled, remaining: Math.min(this.#settled, Math.ceil(this.#settled * remainingShare)) }
+    const forLoad = this.#countForLoad(input)
+    this.#settledForLoad = settle(this.#settledForLoad, Math.min(most, forLoad), isLoadKnown)
+    this.#settled = settle(this.#settled, Math.min(most, Math.max(forLoad, this.#growth.max)), isLoadKnown)
+    return { count: this.#settled, remaining: countRemaining(this.#settled), remainingForLoad: countRemaining(this.#settledForLoad) }
   }
 
   /** True until a box has reported load. */
   get isIdle (): boolean { return this.#firstLoadAt === null }
 
+  /** Notes that orders were sent: spot endpoints that register from now on replace others that were counted. */
+  noteOrdered (): void { this.#hasOrdered = true }
+
   /** The inputs of the last count, for the log. */
   describe ({ running, backlogMs, reading }: LoadInput): string {
-    const tokens = reading === null ? '' : `:reading=${Math.round(reading.arriving)}:readingPeak=${Math.round(this.#arriving.max)}:tokenMs=${this.#cost.msPerToken?.toFixed(4) ?? '-'}`
+    const tokens = reading === null ? '' : `:reading=${Math.round(reading.arriving)}:readingPeak=${Math.round(this.#arriving.max)}:tokenMs=${this.#cost.msPerToken?.toFixed(4) ?? '-'}:agreedMs=${reading.agreedMsPerToken?.toFixed(4) ?? '-'}`
     return `load=${running}:peak=${this.#running.max}:held=${Math.round(backlogMs)}${tokens}`
   }
 
-  #countNeeded ({ at, slots }: LoadInput): number {
+  #noteInitial ({ zones }: LoadInput): void {
+    const spot = zones.reduce((sum, zone) => sum + zone.spot, 0)
+    const onDemand = zones.reduce((sum, zone) => sum + zone.onDemand, 0)
+    if (!this.#hasOrdered) this.#initialSpot = Math.max(this.#initialSpot, spot)
+    this.#initialCount = Math.max(this.#initialCount, onDemand + Math.min(spot, this.#initialSpot))
+  }
+
+  #countForLoad ({ at, slots }: LoadInput): number {
     const forSlots = this.#running.max / (slots * slotUtilization)
     const forReading = this.#arriving.max * (this.#cost.msPerToken ?? 0) / 1000 / readingUtilization
     const isWarm = this.#firstLoadAt !== null && at - this.#firstLoadAt >= warmUpMs
-    return Math.ceil(Math.max(forSlots, forReading, this.#growth.max, isWarm ? 0 : this.#initialCount))
+    return Math.ceil(Math.max(forSlots, forReading, isWarm ? 0 : this.#initialCount))
   }
 }
 
-// While spot endpoints replace on-demand ones, both run; only one of the two is counted.
-function countRunning ({ zones }: LoadInput): number {
-  return zones.reduce((sum, { onDemand, spot }) => sum + Math.max(onDemand, spot + Math.min(1, onDemand)), 0)
+function settle (settled: number, count: number, isLoadKnown: boolean): number {
+  return count > settled || (isLoadKnown && count < settled * releaseThreshold) ? count : settled
 }
+
+function countRemaining (count: number): number { return Math.min(count, Math.ceil(count * remainingShare)) }
--- a/src/registry/endpoint-scaler.ts
+++ b/src/registry/endpoint-scaler.ts
@@ -6,7 +6,7 @@
  * availability, and orders without an answer are repeated at increasing intervals.
  */
 import { PricePlanner, SizePlanner } from '../core/index.js'
-import type { ContentionSwitch, EndpointRecord, GroupTarget, LoadTotals, RoutedService, ServiceName, SizingInput, ZoneName, ZoneEndpoints } from '../core/index.js'
+import type { ContentionSwitch, EndpointRecord, LoadTotals, PricedTarget, RoutedService, ServiceName, SizingInput, ZoneName, ZoneEndpoints } from '../core/index.js'
 import type { DutyCall } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import type { DutyCallResult } from './duty-client.js'
@@ -29,6 +29,8 @@
 /** The last order sent for a group. */
 interface SentOrder {
   count: number
+  readonly calledAt: number
+  /** When it was sent, or by price when it was accepted. */
   sentAt: number
   /** True once the platform has accepted it. */
   isAccepted: boolean
@@ -47,6 +49,8 @@
 const unavailableStatus = 409
 /** Minimum time between an order and a smaller one, ms: an endpoint that is returned takes seconds to replace. */
 const scaleDownIntervalMs = 3000
+/** The same for endpoints that are replaced by others, ms: their replacements serve already, and one call covers those of a second. */
+const replaceIntervalMs = 1000
 /** An order that is still not filled this long after the boot time of endpoints is sent again, ms. */
 const bootGraceMs = 1500
 
@@ -81,7 +85,7 @@
     this.#pricePlanners.clear()
   }
 
-  #plan (service: RoutedService, observed: SizingInput, loads: LoadTotals): GroupTarget[] {
+  #plan (service: RoutedService, observed: SizingInput, loads: LoadTotals): PricedTarget[] {
     if (!this.#host.contention.isOn) return this.#findPlanner(service.name).plan(observed)
     const planner = this.#pricePlanners.get(service.name) ?? new PricePlanner(service.name)
     this.#pricePlanners.set(service.name, planner)
@@ -109,11 +113,11 @@
     return { at, sizing, slots: engine?.slots ?? Math.max(...records.map(({ slots }) => slots)), zones: countByZone(records), running, backlogMs: rate === 0 ? 0 : queuedTokens / rate * 1000 }
   }
 
-  #sendIfDue (target: GroupTarget, observed: SizingInput, call: (call: DutyCall) => Promise<DutyCallResult>): void {
+  #sendIfDue (target: PricedTarget, observed: SizingInput, call: (call: DutyCall) => Promise<DutyCallResult>): void {
     const key = `${target.service} ${target.zone} ${target.isSpot}`
     const last = this.#lastOrders.get(key)
     if (last !== undefined && !isDue(last, target, observed, this.#findRetryInterval(last))) return
-    const next: SentOrder = { count: target.count, sentAt: observed.at, isAccepted: false, isPending: true, failures: last?.failures ?? 0 }
+    const next: SentOrder = { count: target.count, calledAt: observed.at, sentAt: observed.at, isAccepted: false, isPending: true, failures: last?.failures ?? 0 }
     this.#lastOrders.set(key, next)
     void this.#send(target, next, call)
   }
@@ -122,7 +126,7 @@
     return this.#host.contention.isOn ? Math.min(maxRetryIntervalMs, retryIntervalMs * 2 ** Math.max(0, failures - 1)) : retryIntervalMs
   }
 
-  async #send (target: GroupTarget, order: SentOrder, call: (call: DutyCall) => Promise<DutyCallResult>): Promise<void> {
+  async #send (target: PricedTarget, order: SentOrder, call: (call: DutyCall) => Promise<DutyCallResult>): Promise<void> {
     const { service, zone, isSpot, count, why } = target
     const result = await call({ type: 'order-endpoints', service, zone, isSpot, count })
     order.isPending = false
@@ -141,12 +145,12 @@
 
 function describeKind (isSpot: boolean): string { return isSpot ? 'spot' : 'ordinary' }
 
-function isDue (last: SentOrder, target: GroupTarget, { at, sizing, zones }: SizingInput, retryMs: number): boolean {
+function isDue (last: SentOrder, target: PricedTarget, { at, sizing, zones }: SizingInput, retryMs: number): boolean {
   if (last.isPending) return false
   const sinceMs = at - last.sentAt
   if (!last.isAccepted) return sinceMs >= retryMs
   if (target.count > last.count) return true
-  if (target.count < last.count) return sinceMs >= scaleDownIntervalMs
+  if (target.count < last.count) return target.isReplaced === true ? at - last.calledAt >= replaceIntervalMs : sinceMs >= scaleDownIntervalMs
   const counts = zones.find(({ zone }) => zone === target.zone)
   const current = (target.isSpot ? counts?.spot : counts?.onDemand) ?? 0
   return current < target.count && sinceMs >= sizing.bootMs + bootGraceMs
--- a/src/registry/priced-input.ts
+++ b/src/registry/priced-input.ts
@@ -26,6 +26,7 @@
   return {
     arriving: (demand?.patient ?? 0) + (demand?.brisk ?? 0),
     read: demand?.read ?? 0,
-    busyEngines: loads.filter(({ endpoint, waiting }) => waiting.length > 0 && ids.has(endpoint)).length
+    busyEngines: loads.filter(({ endpoint, waiting }) => waiting.length > 0 && ids.has(endpoint)).length,
+    agreedMsPerToken: demand?.firstEvent?.[1] ?? null
   }
 }
