Replacements of on-demand endpoints are ordered at once again

Change: no batches; on-demand endpoints of a zone are still released as its spot endpoints register, also before the first load. Bounds on the number of orders are as they were before the batches.

--- a/src/core/sizing/price-planner.ts
+++ b/src/core/sizing/price-planner.ts
@@ -12,7 +12,7 @@
 import type { LoadInput, RequiredEndpoints } from './required-endpoints.js'
 import type { EndpointGroup, GroupTarget, ZoneEndpoints } from './size-planner.js'
 import { SlidingMax } from './sliding-max.js'
-import { SpotReplacement, isReplaced, isUnchanged, keepServing } from './spot-replacement.js'
+import { isReplaced, isUnchanged, keepServing } from './spot-replacement.js'
 import type { GroupPlan } from './spot-replacement.js'
 import { ZoneAvailability } from './zone-availability.js'
 import type { UnavailableZone } from './zone-availability.js'
@@ -60,9 +60,7 @@
   #planned = new Map<string, readonly { readonly at: number, readonly count: number }[]>()
   #present = new Map<string, number>()
   #accepted = new Map<string, { readonly at: number, readonly count: number }>()
-  #replacement = new SpotReplacement()
   #hasOrdered = false
-  #batchesFrom: number | null = null
   /** On-demand endpoints missing for what must remain. */
   #missing = 0
 
@@ -84,7 +82,6 @@
     this.#required.noteOrdered()
     keepServing(groups, required)
     for (const group of groups) if (group.isSpot) limitSpot(group, groups, input)
-    this.#replacement.limitBatch(groups, required, input.at, this.#findBatchStart(input))
     for (const group of groups) this.#present.set(formatGroupKey(group), group.present)
     const why = `${this.#required.describe(input)}:need=${required.count}:remaining=${required.remaining}:missing=${this.#missing}:closed=${groups.filter(({ isClosed }) => isClosed).map(formatGroup).join('+')}`
     // A closed group is asked only to release some of its endpoints.
@@ -108,12 +105,6 @@
   /** Zones that became unavailable since the last call. */
   takeUnavailable (): UnavailableZone[] { return this.#availability.takeUnreported() }
 
-  // A new holder that finds a replacement under way first lets the endpoints register that its predecessor ordered.
-  #findBatchStart ({ at, zones, sizing }: PricedInput): number {
-    this.#batchesFrom ??= zones.some(({ spot }) => spot > 0) ? (this.#startedAt ?? at) + sizing.bootMs + bootGraceMs : at
-    return this.#batchesFrom
-  }
-
   #isObserving ({ at, backlogMs, zones }: PricedInput): boolean {
     this.#startedAt ??= at
     const serving = zones.reduce((sum, { spot, onDemand }) => sum + spot + onDemand, 0)
--- a/src/core/sizing/required-endpoints.ts
+++ b/src/core/sizing/required-endpoints.ts
@@ -60,7 +60,6 @@
   #cost = new ReadingCost()
   #initialCount = 0
   #firstLoadAt: number | null = null
-  #initialSpot = 0
   #hasOrdered = false
   #settled = 0
   #settledForLoad = 0
@@ -68,7 +67,7 @@
   update (input: LoadInput): RequiredEndpoints {
     const { at, running, reading, backlogMs, isLoadKnown, zones } = input
     // At the first start of a deployment, endpoints register one after another.
-    if (this.#firstLoadAt === null) this.#noteInitial(input)
+    if (this.#firstLoadAt === null) this.#initialCount = Math.max(this.#initialCount, countRunning(input, this.#hasOrdered))
     if (isLoadKnown) {
       if (running > 0) this.#firstLoadAt ??= at
       const serving = zones.reduce((sum, { onDemand, spot }) => sum + onDemand + spot, 0)
@@ -99,13 +98,6 @@
     return `load=${running}:peak=${this.#running.max}:held=${Math.round(backlogMs)}${tokens}`
   }
 
-  #noteInitial ({ zones }: LoadInput): void {
-    const spot = zones.reduce((sum, zone) => sum + zone.spot, 0)
-    const onDemand = zones.reduce((sum, zone) => sum + zone.onDemand, 0)
-    if (!this.#hasOrdered) this.#initialSpot = Math.max(this.#initialSpot, spot)
-    this.#initialCount = Math.max(this.#initialCount, onDemand + Math.min(spot, this.#initialSpot))
-  }
-
   #countForLoad ({ at, slots }: LoadInput): number {
     const forSlots = this.#running.max / (slots * slotUtilization)
     const forReading = this.#arriving.max * (this.#cost.msPerToken ?? 0) / 1000 / readingUtilization
@@ -114,6 +106,11 @@
   }
 }
 
+// While spot endpoints replace on-demand ones, both run; only one of the two is counted.
+function countRunning ({ zones }: LoadInput, hasOrdered: boolean): number {
+  return zones.reduce((sum, { onDemand, spot }) => sum + (hasOrdered ? onDemand : Math.max(onDemand, spot + Math.min(1, onDemand))), 0)
+}
+
 function settle (settled: number, count: number, isLoadKnown: boolean): number {
   return count > settled || (isLoadKnown && count < settled * releaseThreshold) ? count : settled
 }
