Boxes share the outcomes of requests, and kinds with stricter pause limits get engines of their own

And prompts of 9,000 tokens shared the dedicated engines with those of 17,000: 5 to 8 in 100 of their streams broke their pause limit.

--- a/src/core/balance/box-load.ts
+++ b/src/core/balance/box-load.ts
@@ -5,6 +5,7 @@
 import type { EndpointId, ServiceName, ZoneName } from '../ids.js'
 import type { CpuRange } from './contention.js'
 import type { KeptCounts } from './kept-slots.js'
+import type { OutcomeCounts } from './recent-outcomes.js'
 import type { ReturnReport } from './return-slots.js'
 import type { WorkspaceRates } from './workspace-demand.js'
 
@@ -63,6 +64,8 @@
   readonly returns?: ReturnReport
   /** Free slots of a plain service's endpoints that boxes are about to use again; only sent while the measures against contention are on. */
   readonly kept?: KeptCounts
+  /** Outcomes at endpoints where requests recently broke; only sent while the measures against contention are on. */
+  readonly outcomes?: OutcomeCounts
 }
 
 /** The load report of a box to its hub. */
--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -15,6 +15,8 @@
 import { KeptSlots } from './kept-slots.js'
 import { PlainOccupancy } from './plain-occupancy.js'
 import { PlainSpeed } from './plain-speed.js'
+import { RecentOutcomes, isBroken } from './recent-outcomes.js'
+import type { Outcomes } from './recent-outcomes.js'
 import { PromptCacheModel } from './prompt-cache-model.js'
 import { countExpectedTokens, isPauseTolerant, listSharedParts } from './prompt-reading.js'
 import type { PromptPlan } from './prompt-plan.js'
@@ -66,6 +68,10 @@
   readonly plainSpeed = new PlainSpeed()
   readonly plainOccupancy = new PlainOccupancy()
   readonly keptSlots = new KeptSlots()
+  /** How requests of this box fared recently. */
+  readonly outcomes = new RecentOutcomes()
+  /** The same of the other boxes; null while the measures against contention are off. */
+  #otherOutcomes: Outcomes | null = null
   record: EndpointRecord
   /** When it last refused a request of this box as full; -Infinity if never. */
   fullAt = -Infinity
@@ -217,6 +223,7 @@
   noteFirst (placed: PlacedRequest, at: number): void {
     placed.firstAt = at
     placed.lastEventAt = at
+    this.outcomes.noteGood(at)
     const tookMs = at - placed.sentAt
     const { cost } = placed.work
     if (cost === null) return this.#notePlainAnswer(tookMs, at)
@@ -279,6 +286,18 @@
     if (meanMs !== null) this.#speed.noteRun(meanMs / (1 + this.running * gapGrowthPerStream))
   }
 
+  /** Notes that the connection of a request of this box broke or timed out after it was written. */
+  noteBroken (at: number): void {
+    this.health.noteBroken(at)
+    this.outcomes.noteBroken(at)
+  }
+
+  /** True if most requests of all boxes broke here recently. */
+  isBroken (at: number): boolean { return this.#otherOutcomes !== null && isBroken(this.outcomes.count(at), this.#otherOutcomes) }
+
+  /** Sets the outcomes of the other boxes. */
+  noteOtherOutcomes (outcomes: Outcomes): void { this.#otherOutcomes = outcomes }
+
   /** Notes that the endpoint refused a request properly. */
   noteRefused (at: number): void {
     this.health.noteGood()
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -28,6 +28,7 @@
 import type { BoxLoad, EngineGap, LoadTotals, PromptReport, ServiceDemand } from './box-load.js'
 import { filterViews } from './endpoint-filter.js'
 import type { EndpointFilter } from './endpoint-filter.js'
+import { applyOutcomes, composeOutcomes } from './recent-outcomes.js'
 import { ReturnPlanner } from './return-planner.js'
 import { measureReturnRates, noRates } from './return-rates.js'
 import type { ReturnRates } from './return-schedule.js'
@@ -147,6 +148,7 @@
     for (const [endpoint, gapMs] of others.gaps) this.#views.get(endpoint)?.noteMedianGap(gapMs)
     this.#others.note(others, at, reportedAt)
     if (this.contention.isOn && others.zones.length > 0) this.plain.noteTotals(this.#views.values(), others.demands, reportedAt)
+    if (this.contention.isOn) applyOutcomes(this.#views.values(), others.demands)
     for (const { boxCpu } of others.demands) this.contention.note(boxCpu)
     if (this.contention.isOn) this.returns.noteOthers(others.demands, reportedAt)
     for (const prompt of others.prompts) {
@@ -262,7 +264,7 @@
 
   #composeDemand (state: ServiceState, at: number): ServiceDemand {
     const { reported: boxCpu, isOn } = this.contention
-    const extra = isOn ? { ...this.plain.composeKept(this.#byService.get(state.service.name), at), ...this.returns.compose(state.service.name, at), ...composeShareReport(this.#composeShares(state, at), at) } : {}
+    const extra = isOn ? { ...composeOutcomes(this.#byService.get(state.service.name) ?? [], at), ...this.plain.composeKept(this.#byService.get(state.service.name), at), ...this.returns.compose(state.service.name, at), ...composeShareReport(this.#composeShares(state, at), at) } : {}
     return { ...composeDemand(state, at), ...(boxCpu === undefined ? {} : { boxCpu }), ...extra }
   }
 
--- a/src/core/balance/load-sum.ts
+++ b/src/core/balance/load-sum.ts
@@ -4,6 +4,7 @@
 import { joinCpuRanges } from './contention.js'
 import { addKept } from './kept-slots.js'
 import type { CpuRange } from './contention.js'
+import { addOutcomes } from './recent-outcomes.js'
 import { WorkspaceSum, maxTotalRates } from './workspace-demand.js'
 import type { EndpointLoad, EngineGap, LoadTotals, ServiceTotal, WaitingTokens } from './box-load.js'
 
@@ -66,6 +67,7 @@
     rates: addAmounts(sum.rates ?? [], one.rates ?? [], 1),
     read: (sum.read ?? 0) + (one.read ?? 0),
     ...addKept(sum.kept, one.kept, 1),
+    ...addOutcomes(sum.outcomes, one.outcomes, 1),
     ...composeCpuRange(sum.boxCpu, one.boxCpu),
     ...(sum.returns === undefined && one.returns === undefined ? {} : { returns: addAmounts(sum.returns ?? [], one.returns ?? [], 1) }),
     holders: sum.holders + one.holders
--- a/src/core/balance/others-load.ts
+++ b/src/core/balance/others-load.ts
@@ -1,6 +1,7 @@
 /** The load of the other boxes: the hub's totals minus this box's own contribution. */
 import { addKept } from './kept-slots.js'
 import { addAmounts } from './load-sum.js'
+import { addOutcomes } from './recent-outcomes.js'
 import { WorkspaceSum } from './workspace-demand.js'
 import type { BoxLoad, EndpointLoad, LoadTotals, ServiceDemand, ServiceTotal } from './box-load.js'
 
@@ -34,10 +35,11 @@
 // The counts of dedicated engines stay, as they are maxima: if the maximum is this box's own, it agrees to it anyway.
 function subtractDemand (sum: ServiceTotal, own: ServiceDemand | undefined): ServiceTotal {
   if (own === undefined) return sum
-  const { kept, ...rest } = sum
+  const { kept, outcomes, ...rest } = sum
   return {
     ...rest,
     ...addKept(kept, own.kept, -1),
+    ...addOutcomes(outcomes, own.outcomes, -1),
     patient: Math.max(0, sum.patient - own.patient),
     brisk: Math.max(0, sum.brisk - own.brisk),
     held: addAmounts(sum.held, own.held, -1),
--- a/src/core/balance/place-on-engine.ts
+++ b/src/core/balance/place-on-engine.ts
@@ -1,6 +1,7 @@
 /** Places a request with a prompt on an engine, or lets it wait in the box until one has room. */
 import type { EndpointId } from '../ids.js'
 import type { Choice } from './choice.js'
+import { findPart } from './dedicated-parts.js'
 import { chooseEngine } from './choose-endpoint.js'
 import { hasRoom } from './endpoint-costs.js'
 import type { BoxContext, PromptRequest } from './endpoint-costs.js'
@@ -8,11 +9,14 @@
 import type { EndpointView } from './endpoint-view.js'
 import type { PauseLimits } from './pause-forecast.js'
 import { isPauseTolerant } from './prompt-reading.js'
-import { findOverloadedLevel, listImmediateEngines } from './service-admission.js'
+import { findOverloadedLevel, listImmediateEngines, listTolerantKinds } from './service-admission.js'
 import type { AdmissionContext } from './service-admission.js'
 import { isOpen } from './usable-endpoints.js'
 import type { PromptCost, RequestProfile } from './work.js'
 
+/** A request goes to the engines of kinds with stricter pause limits once it has waited for this fraction of its target. */
+const overflowWaitShare = 0.25
+
 /** What the other boxes do that their reports don't show yet. */
 export interface OthersEstimate {
   /** Prompt tokens that they have sent since their reports, to the engines for requests that are pause-tolerant or not. */
@@ -43,7 +47,7 @@
   if (isTolerant && waitedMs < work.targetMs && findOverloadedLevel(context, at) < work.level) return 'later'
   const mayStart = (view: EndpointView): boolean => !isTolerant || hasRoom(view, cost, engine, sharers, at)
   const preferred = listPreferred(input, isTolerant, at)
-  const roomy = others === null ? preferred : preferred.filter(mayStart)
+  const roomy = others === null ? preferred : listRoomy(input, preferred, isTolerant, mayStart, at)
   if (filter === null && preferred.length > 0 && roomy.length === 0) return 'later'
   const candidates = filter === null ? roomy : left
   const affinityCandidates = isTolerant && filter === null ? dedicationOrder.slice(0, counts.base) : candidates
@@ -53,6 +57,22 @@
   return mayStart(choice.view) ? choice : 'later'
 }
 
+// The preferred engines with room; for a pause-tolerant request those of its kind's part, or others if none of them has room.
+function listRoomy (input: PlacementInput, preferred: readonly EndpointView[], isTolerant: boolean, mayStart: (view: EndpointView) => boolean, at: number): EndpointView[] {
+  const roomy = preferred.filter(mayStart)
+  if (!isTolerant || roomy.length === 0) return roomy
+  const { context, work, waitedMs } = input
+  const { dedicationOrder, counts } = context.snapshot
+  const { from, to } = findPart(listTolerantKinds(context, at), work.level, counts.count)
+  const own = new Set(dedicationOrder.slice(from, to))
+  const inPart = roomy.filter(view => own.has(view))
+  if (inPart.length > 0) return inPart
+  // The parts behind its own belong to kinds whose pause limits its prompt may break.
+  if (waitedMs >= work.targetMs * overflowWaitShare) return roomy
+  const before = new Set(dedicationOrder.slice(0, from))
+  return roomy.filter(view => before.has(view))
+}
+
 function listPreferred ({ context, work, tried }: PlacementInput, isTolerant: boolean, at: number): EndpointView[] {
   const { dedicationOrder, counts } = context.snapshot
   const engines = isTolerant ? dedicationOrder.slice(0, counts.count) : listImmediateEngines(context, work.targetMs, at)
--- a/src/core/balance/service-admission.ts
+++ b/src/core/balance/service-admission.ts
@@ -8,6 +8,7 @@
 import { decideAdmission, decideImmediateAdmission, isOverloaded, limitAdmission, measureBacklog } from './admission.js'
 import type { Admission, Backlog } from './admission.js'
 import { countQueuedTokens } from './agreed-dedicated-count.js'
+import type { DedicatedKind } from './dedicated-parts.js'
 import { divideCapacity } from './capacity-division.js'
 import type { EndpointView } from './endpoint-view.js'
 import type { KnownKind } from './kind-tracker.js'
@@ -109,6 +110,12 @@
   return listTotalRates(context, at).reduce((sum, [otherLevel, rate]) => otherLevel < level && tolerantLevels.has(otherLevel) ? sum + rate / 1000 : sum, 0)
 }
 
+/** The kinds that use the dedicated engines, with their arrival rates over all boxes. */
+export function listTolerantKinds (context: AdmissionContext, at: number): DedicatedKind[] {
+  const rates = new Map(listTotalRates(context, at))
+  return context.state.kinds.list(at).flatMap(({ level, pauseMs }) => pauseMs !== null && pauseMs >= context.minTolerantPauseMs ? [{ level, pauseMs, rate: rates.get(level) ?? 0 }] : [])
+}
+
 // Arrival rates summed over this box and the others that report theirs.
 function listTotalRates ({ state, others }: AdmissionContext, at: number): KindRates {
   return addAmounts(state.kinds.measureRates(at), others?.rates ?? [], 1)
--- a/src/core/balance/service-state.ts
+++ b/src/core/balance/service-state.ts
@@ -46,8 +46,8 @@
 }
 
 /** True if a box reports a demand; `isContended`: whether the measures against contention are on. */
-export function hasDemand ({ patient, brisk, readingPauseMs, rates = [], returns = [], workspaces = [], workspaceRest = [], kept }: ServiceDemand, isContended: boolean): boolean {
+export function hasDemand ({ patient, brisk, readingPauseMs, rates = [], returns = [], workspaces = [], workspaceRest = [], kept, outcomes }: ServiceDemand, isContended: boolean): boolean {
   if (patient > 0 || brisk > 0 || readingPauseMs !== null) return true
-  if (kept !== undefined) return true
+  if (kept !== undefined || outcomes !== undefined) return true
   return isContended && rates.length + returns.length + workspaces.length + workspaceRest.length > 0
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -265,7 +265,7 @@
     if (this.#phase === 'ended' || this.#activeSend !== sent) return
     const at = this.#host.now()
     if (failure === 'unreachable') sent.view.health.noteUnreachable(at)
-    else sent.view.health.noteBroken(at)
+    else sent.view.noteBroken(at)
     if (failure !== 'unreachable') this.#noteSendEnd(sent, failure)
     this.#cancelSend(sent, `${failure} ${reason}`)
     if (this.#phase === 'relaying' && sent.splitter === null) return this.cut()
