Boxes agree on the start time and the time per token of engines

Cause: each box learned them from about one short and two long prompts a second. Within one box, the shortest of the start times was used: a single short prompt at an engine wrongly taken for slow set the start to 10 for ten minutes, and the time per token then changed to the one that includes the start. Tokens ahead that the engine had already read when the prompt was sent lowered the time per token.

Change: while the measures against contention are on, a box reports its own estimate in `firstEvent` of a service's demand, rounded to 1 ms and 0.0005 ms, once it is known from enough samples. Hubs compute the median of each component over boxes and over hubs; all boxes use it until they hear no hub. The estimate depends on own samples only. It uses a low quantile of the start times instead of the shortest, prefers engines within 20% of the median speed, learns the time per token from prompts with at most a quarter of their tokens ahead, and keeps a long start time until it falls below 20. `beliefs` logs the own estimate (`learned`).

--- a/src/core/balance/box-load.ts
+++ b/src/core/balance/box-load.ts
@@ -4,6 +4,7 @@
  */
 import type { EndpointId, ServiceName, ZoneName } from '../ids.js'
 import type { CpuRange } from './contention.js'
+import type { FirstEventTimes } from './first-event-model.js'
 import type { KeptCounts } from './kept-slots.js'
 import type { ReturnReport } from './return-slots.js'
 import type { WorkspaceRates } from './workspace-demand.js'
@@ -55,6 +56,8 @@
   readonly rates?: KindRates
   /** Reading rate of requests whose first event has arrived, in prompt tokens/s; not sent by boxes of earlier versions. */
   readonly read?: number
+  /** Learned start time and time per token, ms; the median over several boxes. Only sent by boxes that have learned them, while the measures against contention are on. */
+  readonly firstEvent?: FirstEventTimes
   /** CPU shares of the boxes; only sent where boxes need to know whether they are alike. */
   readonly boxCpu?: CpuRange
   /** What refused callers were told to return with; only sent while the measures against contention are on. */
--- a/src/core/balance/describe-service.ts
+++ b/src/core/balance/describe-service.ts
@@ -23,12 +23,14 @@
 
 /** Describes a service; `docs/LOGS.md` explains the parts. */
 function describeService ({ state, dedicationOrder, counts, readingPauseMs, minTolerantPauseMs, queuedTokens }: ServiceDescriptionInput, at: number): string {
+  const learned = state.firstEvent.composeReport(at)
   const parts = {
     apart: counts.count,
     base: counts.base,
     own: state.dedicatedCount.counts.count,
     pace: state.firstEvent.msPerToken.toFixed(4),
     start: Math.round(state.firstEvent.startMs),
+    ...(learned === null ? {} : { learned: learned.join('/') }),
     beside: Math.round(readingPauseMs),
     patience: Math.round(minTolerantPauseMs),
     late: state.lateness.describe(),
--- a/src/core/balance/first-event-model.ts
+++ b/src/core/balance/first-event-model.ts
@@ -20,10 +20,15 @@
   readonly slowness: number
 }
 
+/** Start time and time per prompt token, ms. */
+export type FirstEventTimes = readonly [startMs: number, msPerToken: number]
+
 /** Assumed start time, ms. */
 const defaultStartMs = 10
 /** Shorter measured start times than this, ms, differ from the assumption by less than the delay of the network and of a decoding step. */
 const minLearnedStartMs = 30
+/** A start time that was learned is used until it falls below this, ms: near the threshold, the time per token would double and halve with each sample. */
+const minKeptStartMs = 20
 /** Time to read a prompt token before any was measured, ms: that of a typical engine in production. */
 const initialReadMsPerToken = 0.024
 /** A low quantile of the measured times is used: prompts with all tokens ahead known are read the fastest, and others include unknown waits. */
@@ -36,18 +41,40 @@
 const minTokensAfterStart = 2500
 /** The start time is learned from prompts of at most this size, in tokens. */
 const maxStartTokens = 2000
+/**
+ * Beside a long start time, the time per token is learned only from prompts with at most this multiple of their tokens
+ * ahead. Reports of other boxes are up to 250 ms old, in which an engine reads 23,000 tokens: with these counted
+ * as ahead, a prompt of 17,000 tokens seems to be read in less than half of its time.
+ */
+const maxAheadRatio = 0.25
 /** Number of recent samples from which the start time and the time per token beside it are estimated. */
 const maxRecent = 64
 /** Minimum number of them. */
 const minRecent = 4
+/** Minimum number of samples of the time per token beside the assumed start time: it takes 22 to fall from 0.024 to 0.011. */
+const minAssumedReads = 24
 /**
- * The shortest start within this time is used, ms. Under overload every start includes a wait, so what was measured
+ * The shortest starts within this time are used, ms. Under overload every start includes a wait, so what was measured
  * before must be retained: a wait that is taken for the start time hides the overload.
  */
 const startRetentionMs = 600_000
 
-/** Number of samples among which the shortest start time is found: the order changes as the time per token is learned. */
+/** Number of the shortest start times that are kept: the order changes as the time per token is learned. */
 const maxStarts = 32
+/**
+ * Quantile of them that is used. The shortest one may be of a prompt of which the engine had cached a part that the
+ * box doesn't know of, so that its reading is overestimated: one such sample counts for ten minutes.
+ */
+const startQuantile = 0.125
+/**
+ * Samples of engines whose time between events differs from the median by more than this factor are only used while
+ * there are too few others: the reading of a short prompt at an engine wrongly taken for ten times slower exceeds the start.
+ */
+const usualRatio = 1.2
+/** Minimum number of samples if too few are of engines of about median speed. */
+const minUnusual = 16
+/** Lower bound on the time per token, ms, and the step in which it is reported. */
+const readStepMs = 0.0005
 
 interface TimedSample {
   readonly sample: FirstEventSample
@@ -60,8 +87,16 @@
   /** The samples with the shortest start times. */
   #starts: TimedSample[] = []
   #startMs = defaultStartMs
-  #long = new RecentSamples<FirstEventSample>()
+  #isStartKnown = false
+  #isStartLong = false
+  #assumedReads = 0
+  /** The most recent samples of long prompts. */
+  #long: FirstEventSample[] = []
+  #nextLong = 0
   #readMs: number | null = null
+  #learnedAt = -Infinity
+  /** Median over the boxes; null if none is reported. */
+  #agreed: FirstEventTimes | null = null
   #contention: ContentionSwitch
 
   /** The start time is learned only while the measures against contention are on. */
@@ -70,53 +105,74 @@
   }
 
   /** Time to the first event that is not spent on reading, ms. */
-  get startMs (): number { return this.#isStartLong ? this.#startMs : defaultStartMs }
+  get startMs (): number { return this.#findAgreed()?.[0] ?? this.#ownStartMs }
 
   /** Time to read a prompt token at an engine of median speed, ms. */
-  get msPerToken (): number { return this.#isStartLong ? this.#estimateReadMs() : this.#assumedRead.value }
+  get msPerToken (): number { return this.#findAgreed()?.[1] ?? this.#ownMsPerToken }
+
+  /** Sets the median that the boxes report, which is used instead of the own estimate; null if there is none. */
+  noteAgreed (times: FirstEventTimes | null): void { this.#agreed = times }
+
+  /**
+   * The own estimate for the other boxes, rounded so that it does not change with each sample. It depends on own
+   * samples only, never on the agreed times. Null while the measures are off or too few samples are known.
+   */
+  composeReport (at: number): FirstEventTimes | null {
+    const isReadKnown = this.#isStartLong ? this.#readMs !== null : this.#assumedReads >= minAssumedReads
+    if (!this.#contention.isOn || !isReadKnown || !this.#isStartKnown || at - this.#learnedAt > startRetentionMs) return null
+    const steps = Math.max(1, Math.round(this.#ownMsPerToken / readStepMs))
+    return [Math.round(this.#ownStartMs), steps / Math.round(1 / readStepMs)]
+  }
+
+  // All boxes must use the same times: the box with the longest time per token determines how many engines are dedicated.
+  #findAgreed (): FirstEventTimes | null { return this.#contention.isOn ? this.#agreed : null }
 
-  get #isStartLong (): boolean { return this.#contention.isOn && this.#startMs >= minLearnedStartMs }
+  get #usesStart (): boolean { return this.#contention.isOn && this.#isStartLong }
+  get #ownStartMs (): number { return this.#usesStart ? this.#startMs : defaultStartMs }
+  get #ownMsPerToken (): number { return this.#usesStart ? this.#estimateReadMs() : this.#assumedRead.value }
 
   add (sample: FirstEventSample, at: number): void {
     const { readTokens, aheadTokens, tookMs, fetchMs, slowness } = sample
     const tokens = readTokens + aheadTokens
-    if (tokens >= minTokens) this.#assumedRead.add(Math.max(0, tookMs - fetchMs - defaultStartMs) / tokens / slowness)
+    if (tokens >= minTokens) {
+      this.#assumedRead.add(Math.max(0, tookMs - fetchMs - defaultStartMs) / tokens / slowness)
+      this.#assumedReads += 1
+    }
     // The time of a transfer is only estimated.
     if (fetchMs > 0 || !this.#contention.isOn) return
     if (readTokens <= maxStartTokens) this.#learnStart(sample, at)
-    if (readTokens >= minTokensAfterStart) this.#learnRead(sample)
+    if (readTokens >= minTokensAfterStart && aheadTokens <= readTokens * maxAheadRatio) this.#learnRead(sample)
+    this.#learnedAt = at
   }
 
   #learnStart (sample: FirstEventSample, at: number): void {
     this.#starts.push({ sample, at })
     const msPerToken = this.#estimateReadMs()
-    const measure = ({ sample: { tookMs, readTokens, slowness } }: TimedSample): number => tookMs - readTokens * msPerToken * slowness
-    this.#starts = this.#starts.filter(one => at - one.at <= startRetentionMs).sort((a, b) => measure(a) - measure(b)).slice(0, maxStarts)
-    if (this.#starts.length >= minRecent) this.#startMs = Math.max(defaultStartMs, measure(this.#starts[0]))
+    const measure = ({ tookMs, readTokens, slowness }: FirstEventSample): number => tookMs - readTokens * msPerToken * slowness
+    this.#starts = this.#starts.filter(one => at - one.at <= startRetentionMs).sort((a, b) => Number(isUsual(b.sample)) - Number(isUsual(a.sample)) || measure(a.sample) - measure(b.sample)).slice(0, maxStarts)
+    const times = rankPreferred(this.#starts.map(one => one.sample), measure)
+    if (times === null) return
+    this.#startMs = Math.max(defaultStartMs, times[Math.floor(times.length * startQuantile)])
+    this.#isStartKnown = true
+    this.#isStartLong = this.#startMs >= (this.#isStartLong ? minKeptStartMs : minLearnedStartMs)
   }
 
   #learnRead (sample: FirstEventSample): void {
-    this.#long.add(sample)
-    const times = this.#long.rank(({ tookMs, readTokens, aheadTokens, slowness }) => Math.max(0, tookMs - this.#startMs) / (readTokens + aheadTokens) / slowness)
+    this.#long[this.#nextLong] = sample
+    this.#nextLong = (this.#nextLong + 1) % maxRecent
+    const times = rankPreferred(this.#long, ({ tookMs, readTokens, aheadTokens, slowness }) => Math.max(0, tookMs - this.#startMs) / (readTokens + aheadTokens) / slowness)
     if (times !== null) this.#readMs = times[Math.floor(times.length * readTimeQuantile)]
   }
 
-  // The assumed time includes a part of the start time, so it is an upper bound.
-  #estimateReadMs (): number { return Math.min(this.#readMs ?? Infinity, this.#assumedRead.value, initialReadMsPerToken) }
+  // The time beside the assumed start also falls with overestimated tokens ahead, so it is only used until the other one is known.
+  #estimateReadMs (): number { return Math.max(readStepMs, Math.min(this.#readMs ?? this.#assumedRead.value, initialReadMsPerToken)) }
 }
 
-/** The most recent samples. */
-class RecentSamples<S> {
-  #samples: S[] = []
-  #next = 0
+function isUsual ({ slowness }: FirstEventSample): boolean { return slowness <= usualRatio && slowness >= 1 / usualRatio }
 
-  add (sample: S): void {
-    this.#samples[this.#next] = sample
-    this.#next = (this.#next + 1) % maxRecent
-  }
-
-  /** Values computed from the samples, in ascending order; null if there are too few. */
-  rank (compute: (sample: S) => number): number[] | null {
-    return this.#samples.length < minRecent ? null : this.#samples.map(compute).sort((a, b) => a - b)
-  }
+/** Values computed from the samples of engines of about median speed, in ascending order; from all if there are too few of these, and null if there are too few of all. */
+function rankPreferred (samples: readonly FirstEventSample[], compute: (sample: FirstEventSample) => number): number[] | null {
+  const usual = samples.filter(isUsual)
+  if (usual.length < minRecent && samples.length < minUnusual) return null
+  return (usual.length < minRecent ? samples : usual).map(compute).sort((a, b) => a - b)
 }
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -146,6 +146,7 @@
     for (const view of this.#views.values()) view.noteOthers(loads.get(view.id) ?? null)
     for (const [endpoint, gapMs] of others.gaps) this.#views.get(endpoint)?.noteMedianGap(gapMs)
     this.#others.note(others, at, reportedAt)
+    for (const { service, firstEvent } of this.#services.values()) firstEvent.noteAgreed(this.#others.find(service.name)?.firstEvent ?? null)
     if (this.contention.isOn && others.zones.length > 0) this.plain.noteTotals(this.#views.values(), others.demands, reportedAt)
     for (const { boxCpu } of others.demands) this.contention.note(boxCpu)
     if (this.contention.isOn) this.returns.noteOthers(others.demands, reportedAt)
--- a/src/core/balance/load-sum.ts
+++ b/src/core/balance/load-sum.ts
@@ -4,17 +4,19 @@
 import { joinCpuRanges } from './contention.js'
 import { addKept } from './kept-slots.js'
 import type { CpuRange } from './contention.js'
+import type { FirstEventTimes } from './first-event-model.js'
 import { WorkspaceSum, maxTotalRates } from './workspace-demand.js'
 import type { EndpointLoad, EngineGap, LoadTotals, ServiceTotal, WaitingTokens } from './box-load.js'
 
 /**
- * Aggregates totals: load is summed, counts of dedicated engines are maximized, and gaps and reading pauses are
- * reduced to their median. Prompts are relayed separately.
+ * Aggregates totals: load is summed, counts of dedicated engines are maximized, and gaps, reading pauses, start
+ * times and times per token are reduced to their median. Prompts are relayed separately.
  */
 export class LoadSum {
   #loads = new Map<EndpointId, EndpointLoad>()
   #demands = new Map<ServiceName, ServiceTotal>()
   #readingPauses = new Map<ServiceName, number[]>()
+  #firstEvents = new Map<ServiceName, FirstEventTimes[]>()
   #gaps = new Map<EndpointId, number[]>()
   #workspaces = new Map<ServiceName, WorkspaceSum>()
   #zones = new Set<ZoneName>()
@@ -30,13 +32,14 @@
       this.#demands.set(one.service, addDemand(this.#demands.get(one.service), one))
       if (one.workspaces !== undefined) this.#workspaces.set(one.service, (this.#workspaces.get(one.service) ?? new WorkspaceSum()).add(one))
       if (one.readingPauseMs !== null) this.#readingPauses.set(one.service, [...this.#readingPauses.get(one.service) ?? [], one.readingPauseMs])
+      if (one.firstEvent !== undefined) this.#firstEvents.set(one.service, [...this.#firstEvents.get(one.service) ?? [], one.firstEvent])
     }
     for (const [endpoint, gapMs] of gaps) this.#gaps.set(endpoint, [...this.#gaps.get(endpoint) ?? [], gapMs])
     for (const zone of zones) this.#zones.add(zone)
   }
 
   #composeDemands (): ServiceTotal[] {
-    return [...this.#demands.values()].map(one => ({ ...one, readingPauseMs: findMedian(this.#readingPauses.get(one.service) ?? []), ...this.#workspaces.get(one.service)?.list(maxTotalRates) }))
+    return [...this.#demands.values()].map(one => ({ ...one, readingPauseMs: findMedian(this.#readingPauses.get(one.service) ?? []), ...composeMedianTimes(this.#firstEvents.get(one.service) ?? []), ...this.#workspaces.get(one.service)?.list(maxTotalRates) }))
   }
 }
 
@@ -77,6 +80,12 @@
   return { boxCpu: joinCpuRanges(a, b) }
 }
 
+// Each component on its own; empty if no box has reported any.
+function composeMedianTimes (times: readonly FirstEventTimes[]): { firstEvent?: FirstEventTimes } {
+  const [startMs, msPerToken] = [findMedian(times.map(([start]) => start)), findMedian(times.map(([, read]) => read))]
+  return startMs === null || msPerToken === null ? {} : { firstEvent: [startMs, msPerToken] }
+}
+
 function findMedians (gaps: ReadonlyMap<EndpointId, readonly number[]>): EngineGap[] {
   return [...gaps].map(([endpoint, measured]) => [endpoint, findMedian(measured) ?? 0])
 }
--- a/src/core/balance/others-load.ts
+++ b/src/core/balance/others-load.ts
@@ -32,6 +32,7 @@
 }
 
 // The counts of dedicated engines stay, as they are maxima: if the maximum is this box's own, it agrees to it anyway.
+// Medians include this box's own report, so that all boxes use the same ones.
 function subtractDemand (sum: ServiceTotal, own: ServiceDemand | undefined): ServiceTotal {
   if (own === undefined) return sum
   const { kept, ...rest } = sum
--- a/src/core/balance/service-state.ts
+++ b/src/core/balance/service-state.ts
@@ -40,14 +40,15 @@
 }
 
 /** The demand for a service that a box reports to its hub. */
-export function composeDemand ({ service, tolerantDemand, sensitiveDemand, dedicatedCount, held, kinds, readMeter, readingPause }: ServiceState, at: number): ServiceDemand {
+export function composeDemand ({ service, tolerantDemand, sensitiveDemand, dedicatedCount, held, kinds, readMeter, readingPause, firstEvent }: ServiceState, at: number): ServiceDemand {
   const { count, base } = dedicatedCount.counts
-  return { service: service.name, patient: Math.round(tolerantDemand.rate(at)), brisk: Math.round(sensitiveDemand.rate(at)), apart: count, base, readingPauseMs: readingPause.find(at), held: [...held], rates: kinds.measureRates(at), read: Math.round(readMeter.rate(at)) }
+  const times = firstEvent.composeReport(at)
+  return { service: service.name, patient: Math.round(tolerantDemand.rate(at)), brisk: Math.round(sensitiveDemand.rate(at)), apart: count, base, readingPauseMs: readingPause.find(at), held: [...held], rates: kinds.measureRates(at), read: Math.round(readMeter.rate(at)), ...(times === null ? {} : { firstEvent: times }) }
 }
 
 /** True if a box reports a demand; `isContended`: whether the measures against contention are on. */
-export function hasDemand ({ patient, brisk, readingPauseMs, rates = [], returns = [], workspaces = [], workspaceRest = [], kept }: ServiceDemand, isContended: boolean): boolean {
+export function hasDemand ({ patient, brisk, readingPauseMs, rates = [], returns = [], workspaces = [], workspaceRest = [], kept, firstEvent }: ServiceDemand, isContended: boolean): boolean {
   if (patient > 0 || brisk > 0 || readingPauseMs !== null) return true
-  if (kept !== undefined) return true
+  if (kept !== undefined || firstEvent !== undefined) return true
   return isContended && rates.length + returns.length + workspaces.length + workspaceRest.length > 0
 }
--- a/test/load-datagrams.test.ts
+++ b/test/load-datagrams.test.ts
@@ -20,7 +20,7 @@
 }
 
 const endpoint = brandId<EndpointId>('e-1')
-const demand = { service: brandId<ServiceName>('desk'), patient: 9, brisk: 4, apart: 2, base: 1, readingPauseMs: 190, held: [[1, 80]] as const }
+const demand = { service: brandId<ServiceName>('desk'), patient: 9, brisk: 4, apart: 2, base: 1, readingPauseMs: 190, held: [[1, 80]] as const, firstEvent: [92, 0.0125] as const }
 const load: BoxLoad = { loads: [{ endpoint, running: 2, brisk: 1, memory: 700, waiting: [[0, 40]], largest: 40, backedOff: 0 }], demands: [demand], gaps: [[endpoint, 11.5]], prompts: [[endpoint, [['5c', 800]], true]] }
 const totals: LoadTotals = { ...load, demands: [{ ...demand, holders: 1 }], zones: [brandId<ZoneName>('zone-a')] }
 const notice: EndpointNotice = { endpoint, born: 12, stamp: 3, perSecond: 2.6, isLeaving: false }
--- a/test/support/fleet-builder.ts
+++ b/test/support/fleet-builder.ts
@@ -1,6 +1,6 @@
 /** Builders of endpoints, requests, fleets and loads for tests of the balancer. */
 import { Fleet, brandId } from '../../src/core/index.js'
-import type { BoxLoad, EndpointRecord, LoadTotals, RoutedService, ServiceName, RequestProfile, ZoneName } from '../../src/core/index.js'
+import type { BoxLoad, ContentionSwitch, EndpointRecord, LoadTotals, RoutedService, ServiceName, RequestProfile, ZoneName } from '../../src/core/index.js'
 
 export const desk = brandId<ServiceName>('desk')
 
@@ -22,8 +22,8 @@
 }
 
 /** The fleet of a box with some endpoints, by default of a plain service. */
-export function createFleet (records: readonly EndpointRecord[], service: RoutedService = { ...engineService, engine: null }): Fleet {
-  const fleet = new Fleet(brandId('zone-a'))
+export function createFleet (records: readonly EndpointRecord[], service: RoutedService = { ...engineService, engine: null }, contention?: ContentionSwitch): Fleet {
+  const fleet = new Fleet(brandId('zone-a'), undefined, undefined, contention)
   fleet.configure([service])
   fleet.applyRecords(records)
   return fleet
