--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -147,6 +147,7 @@
     for (const view of this.#views.values()) view.noteOthers(loads.get(view.id) ?? null)
     for (const [endpoint, gapMs] of others.gaps) this.#views.get(endpoint)?.noteMedianGap(gapMs)
     this.#others.note(others, at, reportedAt)
+    for (const { service, firstEvent } of this.#services.values()) firstEvent.noteAgreed(this.#others.find(service.name)?.firstEvent ?? null)
     if (this.contention.isOn && others.zones.length > 0) this.plain.noteTotals(this.#views.values(), others.demands, reportedAt)
     if (this.contention.isOn) applyOutcomes(this.#views.values(), others.demands)
     for (const { boxCpu } of others.demands) this.contention.note(boxCpu)
