Runs of events are measured per endpoint; kinds are told apart by level and limit

The gaps of a stream that continues at another endpoint, and the time of the switch, counted for the new endpoint. - The mean of a run had no lower bound: events that arrive together after a stall of more than 2 s gave a time of 0.02 ms. Equal times of 0 make the slowness NaN, which once ended gateways. - Kinds were recorded by level alone, so that of two kinds of one level the last arrival decided the limit, and the class alternated. - The mean prompt size began with the first prompt, whose weight then was 0.67 after 20 prompts: boxes differed in the class of a kind. - With a filter, or once every dedicated engine was tried, an engine without room could be drawn, so that the request waited beside one with room.

Change: `EventRun` keeps the times of its own stream at one endpoint, counts a gap as read beside if a prompt was read at its start or its end, and ends while the totals are out of date. Run means below 1 ms are ignored. Kinds are keyed by level and pause limit and forgotten after 60 s. The first 50 prompts have equal weight. Candidates without room are left out in every case. Without the measures against contention, the decisions are the same as before.

--- a/src/core/balance/endpoint-view.ts
+++ b/src/core/balance/endpoint-view.ts
@@ -10,7 +10,7 @@
 import { EndpointGate } from './endpoint-gate.js'
 import { EndpointHealth } from './endpoint-health.js'
 import { EngineSpeed, minGapMs } from './engine-speed.js'
-import type { EventGap, EventRun } from './event-run.js'
+import type { EventRun } from './event-run.js'
 import type { EndpointLoad, PromptReport } from './box-load.js'
 import { KeptSlots } from './kept-slots.js'
 import { PlainOccupancy } from './plain-occupancy.js'
@@ -52,6 +52,7 @@
 const promptReportMs = 200
 /** An engine slower than the median by at least this factor is degraded, rather than of a slower model. */
 export const degradedRatio = 2
+
 export class EndpointView {
   /** Hash of the id; the same on every box. */
   readonly hash: number
@@ -271,11 +272,10 @@
     this.#speed.noteGap(gapMs / (1 + this.running * gapGrowthPerStream))
   }
 
-  /** Records the time before events of a stream, as a reading pause if a prompt is being read, otherwise as a part of a run. */
-  noteEvents (run: EventRun, gap: EventGap, at: number): void {
-    const isReading = this.countTokensAhead(Infinity, at) > 0
-    if (isReading && gap.events === 1 && gap.ms >= minGapMs) this.#noteReadingPause(gap.ms, at)
-    const meanMs = run.add(gap, isReading)
+  /** Records events of a stream that were received together; the time before them is a reading pause if a prompt is being read, otherwise a part of a run. */
+  noteEvents (run: EventRun, events: number, at: number): void {
+    const { gap, meanMs } = run.add({ at, events, isReading: this.countTokensAhead(Infinity, at) > 0 })
+    if (gap !== null && gap.isReading && gap.events === 1 && gap.ms >= minGapMs) this.#noteReadingPause(gap.ms, at)
     if (meanMs !== null) this.#speed.noteRun(meanMs / (1 + this.running * gapGrowthPerStream))
   }
 
--- a/src/core/balance/engine-speed.ts
+++ b/src/core/balance/engine-speed.ts
@@ -51,5 +51,7 @@
   }
 
   /** Records the mean time between the events of a run, ms. */
-  noteRun (gapMs: number): void { this.#runGaps.add(gapMs) }
+  noteRun (gapMs: number): void {
+    if (gapMs >= minGapMs) this.#runGaps.add(gapMs)
+  }
 }
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -17,7 +17,7 @@
 import { GateStore } from './endpoint-gate.js'
 import type { EndpointRecord } from './endpoint-record.js'
 import { EndpointView } from './endpoint-view.js'
-import type { EventGap, EventRun } from './event-run.js'
+import type { EventRun } from './event-run.js'
 import type { BoxContext } from './endpoint-costs.js'
 import { createEngineStats } from './engine-stats.js'
 import { listDedicationOrder } from './dedication-order.js'
@@ -214,9 +214,10 @@
     if (this.#others.isComplete(at)) view.noteGap(gapMs, at)
   }
 
-  /** The same for events that belong to a run, used instead while the measures against contention are on. */
-  noteEvents (view: EndpointView, run: EventRun, gap: EventGap, at: number): void {
-    if (this.#others.isComplete(at)) view.noteEvents(run, gap, at)
+  /** Records events of a stream that were received together, used instead while the measures against contention are on. */
+  noteEvents (view: EndpointView, run: EventRun, events: number, at: number): void {
+    if (this.#others.isComplete(at)) view.noteEvents(run, events, at)
+    else run.end()
   }
 
   /** Notes that a request was sent to an engine. */
--- a/src/core/balance/pause-classes.ts
+++ b/src/core/balance/pause-classes.ts
@@ -5,7 +5,6 @@
  * 17,000 tokens. Compared with the pauses at engines that read without a break, the middle kind counts as
  * pause-sensitive. It is then placed among the streams with the strictest limit, which its own prompts break.
  */
-import { ExponentialAverage } from './average.js'
 import type { RequestProfile } from './work.js'
 
 /** Kinds whose limits exceed the strictest one by at most this factor belong to the strictest. */
@@ -15,29 +14,32 @@
 const readingShare = 0.5
 /** A kind that is placed beside long reads stays there until its prompts take less than this fraction of the bound. */
 const exitShare = 0.8
-/** Weight of the newest prompt in the mean of a kind: prompt sizes vary widely. */
-const newestWeight = 0.02
+/** Lower bound of the weight of the newest prompt in the mean of a kind: prompt sizes vary widely. Before, all prompts have the same weight, as the first may be the largest. */
+const minNewestWeight = 0.02
 /** A kind with no arrival for this long is ignored, ms. */
 const retentionMs = 60_000
 
 interface PauseKind {
-  readonly promptTokens: ExponentialAverage
-  pauseMs: number
+  prompts: number
+  meanTokens: number
+  readonly pauseMs: number
   at: number
 }
 
 export class PauseClasses {
-  #kinds = new Map<number, PauseKind>()
-  /** Levels of the kinds that were placed beside long reads at the last decision. */
-  #tolerant = new Set<number>()
+  /** By level and pause limit: kinds of one level may have different limits. */
+  #kinds = new Map<string, PauseKind>()
+  /** Keys of the kinds that were placed beside long reads at the last decision. */
+  #tolerant = new Set<string>()
 
   /** Records the arrival of a request. */
   note ({ level, pauseMs, cost }: RequestProfile, at: number): void {
     if (pauseMs === null || cost === null) return
-    const kind = this.#kinds.get(level) ?? { promptTokens: new ExponentialAverage(cost.promptTokens, newestWeight), pauseMs, at }
-    this.#kinds.set(level, kind)
-    kind.promptTokens.add(cost.promptTokens)
-    kind.pauseMs = pauseMs
+    const key = `${level} ${pauseMs}`
+    const kind = this.#kinds.get(key) ?? { prompts: 0, meanTokens: 0, pauseMs, at }
+    this.#kinds.set(key, kind)
+    kind.prompts += 1
+    kind.meanTokens += (cost.promptTokens - kind.meanTokens) * Math.max(minNewestWeight, 1 / kind.prompts)
     kind.at = at
   }
 
@@ -46,13 +48,14 @@
    * is none. `msPerToken`: time to read a prompt token at an engine of median speed.
    */
   findTolerantLimit (msPerToken: number, at: number): number | null {
-    const recent = [...this.#kinds].filter(([, kind]) => at - kind.at <= retentionMs)
+    for (const [key, kind] of this.#kinds) if (at - kind.at > retentionMs) this.#kinds.delete(key)
+    const recent = [...this.#kinds]
     const strictestMs = Math.min(...recent.map(([, { pauseMs }]) => pauseMs))
     const boundTokens = strictestMs * readingShare / promptsInARow / msPerToken
-    const isTolerant = ([level, { pauseMs, promptTokens }]: [number, PauseKind]): boolean =>
-      pauseMs > strictestMs * sameLimitRatio && promptTokens.value > boundTokens * (this.#tolerant.has(level) ? exitShare : 1)
+    const isTolerant = ([key, { pauseMs, meanTokens }]: [string, PauseKind]): boolean =>
+      pauseMs > strictestMs * sameLimitRatio && meanTokens > boundTokens * (this.#tolerant.has(key) ? exitShare : 1)
     const tolerant = recent.filter(isTolerant)
-    this.#tolerant = new Set(tolerant.map(([level]) => level))
+    this.#tolerant = new Set(tolerant.map(([key]) => key))
     return tolerant.length === 0 ? null : Math.min(...tolerant.map(([, { pauseMs }]) => pauseMs))
   }
 }
--- a/src/core/balance/place-on-engine.ts
+++ b/src/core/balance/place-on-engine.ts
@@ -43,13 +43,13 @@
   if (isTolerant && waitedMs < work.targetMs && findOverloadedLevel(context, at) < work.level) return 'later'
   const mayStart = (view: EndpointView): boolean => !isTolerant || hasRoom(view, cost, engine, sharers, at)
   const preferred = listPreferred(input, isTolerant, at)
-  const roomy = others === null ? preferred : preferred.filter(mayStart)
-  if (filter === null && preferred.length > 0 && roomy.length === 0) return 'later'
-  const candidates = filter === null ? roomy : left
-  const affinityCandidates = isTolerant && filter === null ? dedicationOrder.slice(0, counts.base) : candidates
+  const eligible = filter === null && preferred.length > 0 ? preferred : left
+  const candidates = others === null ? eligible : eligible.filter(mayStart)
+  if (candidates.length === 0) return 'later'
+  const affinityCandidates = filter !== null ? left : isTolerant ? dedicationOrder.slice(0, counts.base) : preferred
   const prompt: PromptRequest = { work, cost, engine, waitedMs, minTolerantPauseMs, pauseLimits, isPauseTolerant: isTolerant }
   const unreportedMs = others === null ? null : others.countUnreportedTokens(isTolerant) * state.firstEvent.msPerToken
-  const choice = chooseEngine({ candidates: candidates.length > 0 ? candidates : left, affinityCandidates, holders: context.listHolders(cost), prompt, dedicatedCount: counts.count, boxContext, unreportedMs }, at, draw)
+  const choice = chooseEngine({ candidates, affinityCandidates, holders: context.listHolders(cost), prompt, dedicatedCount: counts.count, boxContext, unreportedMs }, at, draw)
   return mayStart(choice.view) ? choice : 'later'
 }
 
--- a/src/gateway/active-send.ts
+++ b/src/gateway/active-send.ts
@@ -1,4 +1,4 @@
-import type { EndpointView, EventGap, EventRun, Fleet, PlacedRequest } from '../core/index.js'
+import type { EndpointView, EventRun, Fleet, PlacedRequest } from '../core/index.js'
 import type { AnswerHead, EndpointCall } from './endpoint-call.js'
 import type { EventSplitter } from './event-splitter.js'
 import type { Attempt } from './exchange-summary.js'
@@ -23,8 +23,8 @@
   sent.call.resume()
 }
 
-/** Notes the time before the latest event, ms, and before those that preceded it; null for none. */
-export function noteGaps ({ view, run }: ActiveSend, fleet: Fleet, latestMs: number | null, complete: EventGap | null, now: number): void {
-  if (!fleet.contention.isOn && latestMs !== null) fleet.noteGap(view, latestMs, now)
-  if (fleet.contention.isOn && complete !== null) fleet.noteEvents(view, run, complete, now)
+/** Notes that events were received together; `gapMs`: the time before a single one, ms, null for the first and for several. */
+export function noteGaps ({ view, run }: ActiveSend, fleet: Fleet, events: number, gapMs: number | null, now: number): void {
+  if (fleet.contention.isOn) fleet.noteEvents(view, run, events, now)
+  else if (gapMs !== null) fleet.noteGap(view, gapMs, now)
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -194,8 +194,8 @@
 
   #writeEvents (events: readonly StreamEvent[]): void {
     const now = this.#host.now()
-    const latestGapMs = this.#events.add(events, now)
-    if (this.#activeSend !== null) noteGaps(this.#activeSend, this.#host.fleet, latestGapMs, this.#events.completeGap, now)
+    const gapMs = this.#events.add(events, now)
+    if (this.#activeSend !== null) noteGaps(this.#activeSend, this.#host.fleet, events.length, gapMs, now)
     this.#answer.push(events.length === 1 ? events[0].bytes : Buffer.concat(events.map(event => event.bytes)))
   }
 
