--- a/src/core/balance/choose-endpoint.ts
+++ b/src/core/balance/choose-endpoint.ts
@@ -8,6 +8,13 @@
 import { planPrompt } from './prompt-plan.js'
 import type { PromptHolder, PromptPlan } from './prompt-plan.js'
 
+/** What has happened since the other boxes made the reports behind the totals. */
+export interface TotalsDelay {
+  readonly ageMs: number
+  /** Time in which the engines read what the other boxes have sent since, ms. */
+  readonly unreportedMs: number
+}
+
 /** Inputs of the choice of an engine. No list may be empty, except `holders`. */
 export interface EngineChoiceInput {
   readonly candidates: readonly EndpointView[]
@@ -19,8 +26,8 @@
   /** Number of dedicated engines, for the log. */
   readonly dedicatedCount: number
   readonly boxContext: BoxContext
-  /** Time in which the engines read what the other boxes have sent since their reports, ms; null to choose by cost alone. */
-  readonly unreportedMs: number | null
+  /** How far the totals lag behind; null to choose by cost alone. */
+  readonly delay: TotalsDelay | null
 }
 
 const emptyPlan: PromptPlan = { readTokens: 0, fetch: null }
@@ -33,12 +40,14 @@
 }
 
 /** Chooses an engine and how it obtains the prompt. */
-export function chooseEngine ({ candidates, affinityCandidates, holders, prompt, dedicatedCount, boxContext, unreportedMs }: EngineChoiceInput, at: number, draw: number): Choice {
+export function chooseEngine ({ candidates, affinityCandidates, holders, prompt, dedicatedCount, boxContext, delay }: EngineChoiceInput, at: number, draw: number): Choice {
   const { cost, engine: { transfer } } = prompt
   // No affinity is needed if engines can transfer cached prompts between them.
   const affinityEngines = transfer === null ? findAffinityEngines(cost, affinityCandidates) : []
   const medianFailureShare = findMedianFailureShare(candidates)
   const plan = (view: EndpointView): PromptPlan => planPrompt(view, cost, estimateReadTokens(view, cost, affinityEngines), holders, transfer)
-  const estimateMs = (view: EndpointView): number => estimateFirstEventMs(view, prompt, plan(view), at) + estimatePenaltyMs(view, boxContext, medianFailureShare, true, at)
-  return pickLowestCost({ views: candidates, estimateMs, plan, dedicatedCount, affinityEngine: affinityEngines[0], unreportedMs }, draw)
+  // What the totals show as unread may have been read since: otherwise all boxes choose among the few engines that were idle when they were made.
+  const estimateReadMs = (view: EndpointView): number => delay === null ? 0 : Math.min(delay.ageMs, view.countBacklog(prompt.work.priority, at).others * view.readMsPerToken)
+  const estimateMs = (view: EndpointView): number => estimateFirstEventMs(view, prompt, plan(view), at) - estimateReadMs(view) + estimatePenaltyMs(view, boxContext, medianFailureShare, true, at)
+  return pickLowestCost({ views: candidates, estimateMs, plan, dedicatedCount, affinityEngine: affinityEngines[0], unreportedMs: delay?.unreportedMs }, draw)
 }
--- a/src/core/balance/other-boxes.ts
+++ b/src/core/balance/other-boxes.ts
@@ -59,10 +59,12 @@
   estimateUnreportedTokens (service: ServiceName, isTolerant: boolean, at: number): number {
     const total = this.#totals.get(service)
     if (total === undefined) return 0
-    const ageMs = Math.min(expiryMs, Math.max(0, at - this.#reportedAt))
-    return (isTolerant ? total.patient : total.brisk) * ageMs / 1000
+    return (isTolerant ? total.patient : total.brisk) * this.measureAge(at) / 1000
   }
 
+  /** Time since the reports behind the totals, ms; at most the time after which totals are discarded. */
+  measureAge (at: number): number { return Math.min(expiryMs, Math.max(0, at - this.#reportedAt)) }
+
   /** Number of other boxes that queue requests of the service at least as urgent as `priority`. */
   countHolders (service: ServiceName, priority: number): number {
     const others = this.#totals.get(service)
--- a/src/core/balance/place-on-engine.ts
+++ b/src/core/balance/place-on-engine.ts
@@ -17,6 +17,8 @@
 export interface OthersEstimate {
   /** Prompt tokens that they have sent since their reports, to the engines for requests that are pause-tolerant or not. */
   countUnreportedTokens (isTolerant: boolean): number
+  /** Time since their reports, ms. */
+  readonly ageMs: number
 }
 
 export interface PlacementInput {
@@ -48,8 +50,8 @@
   if (candidates.length === 0) return 'later'
   const affinityCandidates = filter !== null ? left : isTolerant ? dedicationOrder.slice(0, counts.base) : preferred
   const prompt: PromptRequest = { work, cost, engine, waitedMs, minTolerantPauseMs, pauseLimits, isPauseTolerant: isTolerant }
-  const unreportedMs = others === null ? null : others.countUnreportedTokens(isTolerant) * state.firstEvent.msPerToken
-  const choice = chooseEngine({ candidates, affinityCandidates, holders: context.listHolders(cost), prompt, dedicatedCount: counts.count, boxContext, unreportedMs }, at, draw)
+  const delay = others === null ? null : { ageMs: others.ageMs, unreportedMs: others.countUnreportedTokens(isTolerant) * state.firstEvent.msPerToken }
+  const choice = chooseEngine({ candidates, affinityCandidates, holders: context.listHolders(cost), prompt, dedicatedCount: counts.count, boxContext, delay }, at, draw)
   return mayStart(choice.view) ? choice : 'later'
 }
 
