--- a/src/core/balance/place-on-engine.ts
+++ b/src/core/balance/place-on-engine.ts
@@ -21,6 +21,8 @@
 export interface OthersEstimate {
   /** Prompt tokens that they have sent since their reports, to the engines for requests that are pause-tolerant or not. */
   countUnreportedTokens (isTolerant: boolean): number
+  /** Time since their reports, ms. */
+  readonly ageMs: number
 }
 
 export interface PlacementInput {
@@ -47,20 +49,20 @@
   if (isTolerant && waitedMs < work.targetMs && findOverloadedLevel(context, at) < work.level) return 'later'
   const mayStart = (view: EndpointView): boolean => !isTolerant || hasRoom(view, cost, engine, sharers, at)
   const preferred = listPreferred(input, isTolerant, at)
-  const roomy = others === null ? preferred : listRoomy(input, preferred, isTolerant, mayStart, at)
-  if (filter === null && preferred.length > 0 && roomy.length === 0) return 'later'
-  const candidates = filter === null ? roomy : left
-  const affinityCandidates = isTolerant && filter === null ? dedicationOrder.slice(0, counts.base) : candidates
+  const eligible = filter === null && preferred.length > 0 ? preferred : left
+  const candidates = others === null ? eligible : listRoomy(input, eligible, isTolerant && filter === null, mayStart, at)
+  if (candidates.length === 0) return 'later'
+  const affinityCandidates = filter !== null ? left : isTolerant ? dedicationOrder.slice(0, counts.base) : preferred
   const prompt: PromptRequest = { work, cost, engine, waitedMs, minTolerantPauseMs, pauseLimits, isPauseTolerant: isTolerant }
-  const unreportedMs = others === null ? null : others.countUnreportedTokens(isTolerant) * state.firstEvent.msPerToken
-  const choice = chooseEngine({ candidates: candidates.length > 0 ? candidates : left, affinityCandidates, holders: context.listHolders(cost), prompt, dedicatedCount: counts.count, boxContext, unreportedMs }, at, draw)
+  const delay = others === null ? null : { ageMs: others.ageMs, unreportedMs: others.countUnreportedTokens(isTolerant) * state.firstEvent.msPerToken }
+  const choice = chooseEngine({ candidates, affinityCandidates, holders: context.listHolders(cost), prompt, dedicatedCount: counts.count, boxContext, delay }, at, draw)
   return mayStart(choice.view) ? choice : 'later'
 }
 
-// The preferred engines with room; for a pause-tolerant request those of its kind's part, or others if none of them has room.
-function listRoomy (input: PlacementInput, preferred: readonly EndpointView[], isTolerant: boolean, mayStart: (view: EndpointView) => boolean, at: number): EndpointView[] {
-  const roomy = preferred.filter(mayStart)
-  if (!isTolerant || roomy.length === 0) return roomy
+// The eligible engines with room; with `isParted`, those of the request's part of the dedicated engines, or others if none of them has room.
+function listRoomy (input: PlacementInput, eligible: readonly EndpointView[], isParted: boolean, mayStart: (view: EndpointView) => boolean, at: number): EndpointView[] {
+  const roomy = eligible.filter(mayStart)
+  if (!isParted || roomy.length === 0) return roomy
   const { context, work, waitedMs } = input
   const { dedicationOrder, counts } = context.snapshot
   const { from, to } = findPart(listTolerantKinds(context, at), work.level, counts.count)
