--- a/src/core/balance/describe-service.ts
+++ b/src/core/balance/describe-service.ts
@@ -40,7 +40,7 @@
   return [...Object.entries(parts).map(([name, value]) => `${name}=${value}`), ...engines].join(' ')
 }
 
-// An engine's id, with a star if it is dedicated, then running requests, tokens ahead, read time per token, time between events and health.
+// An engine's id, with a star if it is dedicated, then running requests, tokens ahead, read time per token, time between events and health; `broken` if most requests of all boxes broke there.
 function describeEngine (view: EndpointView, isDedicated: boolean, at: number): string {
-  return `${view.id}${isDedicated ? '*' : ''}/${view.running}/${Math.round(view.countTokensAhead(Infinity, at))}/${view.readMsPerToken.toFixed(4)}/${view.gapMs?.toFixed(1) ?? '-'}/${view.health.findState(at)}`
+  return `${view.id}${isDedicated ? '*' : ''}/${view.running}/${Math.round(view.countTokensAhead(Infinity, at))}/${view.readMsPerToken.toFixed(4)}/${view.gapMs?.toFixed(1) ?? '-'}/${view.isBroken(at) ? 'broken' : view.health.findState(at)}`
 }
