The reserve for short streams is a share of the read capacity

Cause: where a quarter of the engines reads twice as fast, a fifth of the engines is a third of the capacity; 13 engines with 104 streams and 15,000 unread tokens stood beside 50 with 650,000. Change: behind the switch, a fifth of the total read rate is reserved.

--- a/src/core/balance/agreed-dedicated-count.ts
+++ b/src/core/balance/agreed-dedicated-count.ts
@@ -16,7 +16,7 @@
  * leave a single engine to the short streams of all boxes. With `isContended`, the count leaves what this box finds necessary.
  */
 export function agreeDedicatedCount (state: ServiceState, others: ServiceTotal | null, dedicationOrder: readonly EndpointView[], isContended: boolean, at: number): DedicatedCount {
-  const own = state.dedicatedCount.update(at, measureDemand(state, others, dedicationOrder, at))
+  const own = state.dedicatedCount.update(at, measureDemand(state, others, dedicationOrder, isContended, at))
   const count = Math.max(own.count, others?.apart ?? 0)
   const base = Math.max(own.base, others?.base ?? 0)
   const maxCount = Math.max(1, Math.min(dedicationOrder.length - 1, isContended ? Math.max(own.count, state.dedicatedCount.maxDedicated) : Infinity))
@@ -30,7 +30,7 @@
   return tokens
 }
 
-function measureDemand (state: ServiceState, others: ServiceTotal | null, dedicationOrder: readonly EndpointView[], at: number): ReadingDemand {
+function measureDemand (state: ServiceState, others: ServiceTotal | null, dedicationOrder: readonly EndpointView[], isReservedByRate: boolean, at: number): ReadingDemand {
   const { engine } = state.service
   let waiting = countQueuedTokens(state, others, Infinity)
   let memory = 0
@@ -46,6 +46,7 @@
     sensitiveRate: state.sensitiveDemand.rate(at) + (others?.brisk ?? 0),
     waiting,
     tolerantEngines: memory / ((engine?.memoryTokens ?? Infinity) * plannedMemoryShare),
-    sensitiveEngines: sensitiveStreams / ((engine?.slots ?? Infinity) * plannedSlotShare)
+    sensitiveEngines: sensitiveStreams / ((engine?.slots ?? Infinity) * plannedSlotShare),
+    isReservedByRate
   }
 }
--- a/src/core/balance/dedicated-count.ts
+++ b/src/core/balance/dedicated-count.ts
@@ -22,6 +22,11 @@
   readonly tolerantEngines: number
   /** Slots that pause-sensitive requests in flight take, as a number of engines. */
   readonly sensitiveEngines: number
+  /**
+   * True to reserve a share of the total read rate for pause-sensitive requests instead of a share of the engines: where
+   * a quarter of the engines reads twice as fast as the others, a fifth of the engines is a third of the capacity.
+   */
+  readonly isReservedByRate: boolean
 }
 
 /** Number of dedicated engines, and how many of them are candidates for affinity engines. */
@@ -39,7 +44,7 @@
 const sensitiveLoad = 0.6
 /** Time within which the backlog should be read, s. */
 const backlogTargetS = 2
-/** Fraction of the engines that is never dedicated, so that short requests are served in any burst. */
+/** Fraction of the engines, or of their total read rate, that is never dedicated, so that short requests are served in any burst. */
 const minSensitiveShare = 0.2
 /** Fraction of the engines that pause-tolerant requests keep in a burst of the others, so that they still make progress. */
 const minTolerantShare = 0.3
@@ -123,7 +128,12 @@
 }
 
 // Number of engines that pause-sensitive requests need.
-function countSensitiveEngines ({ rates, sensitiveRate: briskRate, sensitiveEngines: briskEngines }: ReadingDemand): number {
+function countSensitiveEngines ({ rates, sensitiveRate: briskRate, sensitiveEngines: briskEngines, isReservedByRate }: ReadingDemand): number {
+  if (isReservedByRate) {
+    const total = rates.reduce((sum, rate) => sum + rate, 0)
+    const forRate = countEngines(rates.toReversed(), Math.max(briskRate / sensitiveLoad, total * minSensitiveShare))
+    return Math.ceil(Math.max(forRate, briskEngines, 1))
+  }
   const rate = rates[rates.length - 1]
   return Math.ceil(Math.max(briskRate / rate / sensitiveLoad, briskEngines, rates.length * minSensitiveShare, 1))
 }
--- a/test/dedicated-engines.test.ts
+++ b/test/dedicated-engines.test.ts
@@ -4,7 +4,8 @@
 import type { ReadingDemand } from '../src/core/index.js'
 import { createFleet, createLoad, createRecord, createWork, desk, engineService, movingService, nameZone } from './support/fleet-builder.js'
 
-const demand: ReadingDemand = { rates: Array<number>(10).fill(40_000), tolerantRate: 0, sensitiveRate: 0, waiting: 0, tolerantEngines: 0, sensitiveEngines: 0 }
+const demand: ReadingDemand = { rates: Array<number>(10).fill(40_000), tolerantRate: 0, sensitiveRate: 0, waiting: 0, tolerantEngines: 0, sensitiveEngines: 0, isReservedByRate: false }
+const unevenRates = [...Array<number>(6).fill(20_000), 90_000, 90_000]
 const countCases: readonly { name: string, demand: Partial<ReadingDemand>, count: number }[] = [
   { name: 'no demand', demand: {}, count: 1 },
   { name: 'reading for three engines, with planned utilization below one', demand: { tolerantRate: 100_000 }, count: 4 },
@@ -13,6 +14,9 @@
   { name: 'a burst of pause-sensitive requests leaves some engines to long prompts', demand: { tolerantRate: 240_000, sensitiveRate: 900_000 }, count: 3 },
   { name: 'slower engines require a higher count', demand: { rates: Array<number>(10).fill(20_000), tolerantRate: 100_000 }, count: 8 },
   { name: 'memory use requires engines', demand: { tolerantEngines: 4.2 }, count: 5 },
+  { name: 'a fifth of the engines holds more than half of the capacity back', demand: { rates: unevenRates, tolerantRate: 900_000, isReservedByRate: true }, count: 7 },
+  { name: 'without the measures, the reserve is a share of the engines', demand: { rates: unevenRates, tolerantRate: 900_000 }, count: 6 },
+  { name: 'a reserve by rate leaves too little to many pause-sensitive requests', demand: { rates: unevenRates, tolerantRate: 900_000, sensitiveRate: 80_000, isReservedByRate: true }, count: 6 },
   { name: 'a single engine serves all requests', demand: { rates: [40_000], tolerantRate: 100_000 }, count: 1 }
 ]
 
