--- a/src/core/balance/box-load.ts
+++ b/src/core/balance/box-load.ts
@@ -5,6 +5,7 @@
 import type { EndpointId, ServiceName, ZoneName } from '../ids.js'
 import type { CpuRange } from './contention.js'
 import type { KeptCounts } from './kept-slots.js'
+import type { OutcomeCounts } from './recent-outcomes.js'
 import type { ReturnReport } from './return-slots.js'
 import type { WorkspaceRates } from './workspace-demand.js'
 
@@ -55,12 +56,16 @@
   readonly rates?: KindRates
   /** Reading rate of requests whose first event has arrived, in prompt tokens/s; not sent by boxes of earlier versions. */
   readonly read?: number
+  /** Learned start time and time per prompt token to the first event, ms; the median over several boxes; omitted until learned. */
+  readonly firstEvent?: readonly [startMs: number, msPerToken: number]
   /** CPU shares of the boxes; only sent where boxes need to know whether they are alike. */
   readonly boxCpu?: CpuRange
   /** What refused callers were told to return with; only sent while the measures against contention are on. */
   readonly returns?: ReturnReport
   /** Free slots of a plain service's endpoints that boxes are about to use again; only sent while the measures against contention are on. */
   readonly kept?: KeptCounts
+  /** Outcomes at endpoints where requests recently broke; only sent while the measures against contention are on. */
+  readonly outcomes?: OutcomeCounts
 }
 
 /** The load report of a box to its hub. */
