A box that hears no hub keeps the reported number of dedicated engines for 60 s

Cause: without totals, a box computed the number from its own demand alone, about 24 of 63 engines instead of 50, and placed short streams on engines where all others read long prompts.

Change: while the measures against contention are on, the last reported number holds for 60 s after the totals are lost. The replay cuts boxes off from 3 s on, once the boxes have agreed on a number.

The new case of test/placement.test.ts fails on the code before.

--- a/src/core/balance/agreed-dedicated-count.ts
+++ b/src/core/balance/agreed-dedicated-count.ts
@@ -17,7 +17,9 @@
  */
 export function agreeDedicatedCount (state: ServiceState, others: ServiceTotal | null, dedicationOrder: readonly EndpointView[], isContended: boolean, at: number): DedicatedCount {
   const own = state.dedicatedCount.update(at, measureDemand(state, others, dedicationOrder, at))
-  const count = Math.max(own.count, others?.apart ?? 0)
+  // A box that hears no hub would otherwise place short streams on engines where the others read long prompts.
+  if (others !== null) state.dedicatedCount.noteReported(others.apart, at)
+  const count = Math.max(own.count, others?.apart ?? (isContended ? state.dedicatedCount.findReported(at) : 0))
   const base = Math.max(own.base, others?.base ?? 0)
   const maxCount = Math.max(1, Math.min(dedicationOrder.length - 1, isContended ? Math.max(own.count, state.dedicatedCount.maxDedicated) : Infinity))
   return { count: Math.min(count, maxCount), base: Math.min(base, count, maxCount) }
--- a/src/core/balance/dedicated-count.ts
+++ b/src/core/balance/dedicated-count.ts
@@ -49,6 +49,8 @@
 const shrinkAfterMs = 1500
 /** The base changes by one after it has differed from the demand for this long, ms. */
 const baseAfterMs = 10_000
+/** The count that other boxes reported is kept for this long after the last report, ms: the others go on with it, and the load rarely changes much within a minute. */
+const reportedTtlMs = 60_000
 
 export class DedicatedCountController {
   #count = 0
@@ -58,6 +60,7 @@
   #excessSince: number | null = null
   #maxDedicated = Infinity
   #baseDriftSince: number | null = null
+  #reported: { readonly count: number, readonly at: number } | null = null
 
   /** The current count, as computed by this box alone. */
   get counts (): DedicatedCount { return { count: this.#count, base: this.#base } }
@@ -65,6 +68,12 @@
   /** The largest count that left the pause-sensitive requests enough engines at the last update. */
   get maxDedicated (): number { return this.#maxDedicated }
 
+  /** Records the count that other boxes reported. */
+  noteReported (count: number, at: number): void { this.#reported = { count, at } }
+
+  /** The count that other boxes last reported; 0 if there is none or it has expired. */
+  findReported (at: number): number { return this.#reported === null || at - this.#reported.at > reportedTtlMs ? 0 : this.#reported.count }
+
   update (at: number, demand: ReadingDemand): DedicatedCount {
     const engines = demand.rates.length
     const wanted = computeDedicatedCount(demand)
--- a/test/placement-replay.test.ts
+++ b/test/placement-replay.test.ts
@@ -17,7 +17,7 @@
   loadDelayMs: 125,
   // Totals are 125 to 175 ms old.
   loadIntervalMs: 50,
-  lengthMs: 7500,
+  lengthMs: 9500,
   contention: 'on',
   streams: { eventMs: 19.7, tokensPerEvent: 6, chunkTokens: 4096, startMs: 80, lateMs: 25 },
   loadFactor: () => 1
@@ -27,7 +27,7 @@
 const maxUnread = 60_000
 const isWithin = (from: number, to: number) => (at: number): boolean => at >= from && at < to
 const isInBurst = isWithin(4000, 10_000)
-const isCutOff = isWithin(1000, 6000)
+const isCutOff = isWithin(3000, 8000)
 const cutOffBoxes = 6
 
 type Requirement = readonly [name: string, kind: string, share: number, applies: (request: ModelRequest) => boolean]
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -101,6 +101,18 @@
   })
 }
 
+// Guards against short streams of a box that hears no hub, on engines that the others dedicate to long prompts.
+test('a box that hears no hub keeps the agreed number of dedicated engines for a minute', () => {
+  const fleet = createContendedFleet(Array.from({ length: 20 }, (_, i) => `e${i}`))
+  const totals: LoadTotals = { ...noTotals, demands: [{ service: desk, patient: 20_000, brisk: 20_000, apart: 14, base: 8, readingPauseMs: null, held: [], holders: 0 }], zones: [nameZone('zone-a')] }
+  const counts = [[0, totals], [2000, noTotals], [63_000, noTotals]] as const
+  assert.deepEqual(counts.map(([at, others]) => {
+    fleet.noteOthers(others, at)
+    const choice = fleet.choose(createRead(0, 100, 100), [], at, 0)
+    return typeof choice === 'string' ? choice : choice.dedicatedCount
+  }), [14, 14, 8])
+})
+
 // Engines of a fleet: requests and unread tokens of other boxes, whose reports are 200 ms old.
 const placements: readonly { readonly name: string, readonly engines: readonly (readonly [running: number, tokens: number])[], readonly pauseMs: number | null, readonly expected: readonly number[] }[] = [
   // Guards against a long prompt that waits beside an engine with room, as one without is drawn.
