The pool model tells boxes their number only if some are cut off

Cause: the extension of the pool model set the number of boxes in all replays, which changed the existing case of boxes that never exchange their loads: each then took a part of the backlog limit.

Change: the number is set only in replays in which boxes are cut off.

--- a/test/support/pool-model.ts
+++ b/test/support/pool-model.ts
@@ -123,7 +123,7 @@
       const fleet = new Fleet(brandId<ZoneName>('zone-a'), undefined, undefined, new ContentionSwitch({ mode: shape.contention ?? 'off', cpuShare: null, isMarked: false }))
       fleet.configure([composeService(shape.streams?.tokensPerEvent)])
       fleet.applyRecords(records)
-      fleet.noteBoxes(shape.boxes)
+      if (shape.isCutOff !== undefined) fleet.noteBoxes(shape.boxes)
       for (const view of fleet.views) for (const kind of shape.kinds) view.notePrompt(listCachedParts(kind, kind.promptTokens), true)
       return { fleet, queued: [], heardAt: 0 }
     })
