--- a/src/core/balance/place-on-engine.ts
+++ b/src/core/balance/place-on-engine.ts
@@ -49,30 +49,36 @@
   if (isTolerant && waitedMs < work.targetMs && findOverloadedLevel(context, at) < work.level) return 'later'
   const mayStart = (view: EndpointView): boolean => !isTolerant || hasRoom(view, cost, engine, sharers, at)
   const preferred = listPreferred(input, isTolerant, at)
-  const eligible = filter === null && preferred.length > 0 ? preferred : left
-  const candidates = others === null ? eligible : listRoomy(input, eligible, isTolerant && filter === null, mayStart, at)
+  const isPreferred = filter === null && preferred.length > 0
+  const withRoom = (): Candidates => isPreferred ? listWithRoom(input, preferred, isTolerant, mayStart, at) : { engines: left.filter(mayStart), share: 1 }
+  const { engines: candidates, share } = others !== null ? withRoom() : { engines: isPreferred ? preferred : left, share: 1 }
   if (candidates.length === 0) return 'later'
   const affinityCandidates = filter !== null ? left : isTolerant ? dedicationOrder.slice(0, counts.base) : preferred
   const prompt: PromptRequest = { work, cost, engine, waitedMs, minTolerantPauseMs, pauseLimits, isPauseTolerant: isTolerant }
-  const delay = others === null ? null : { ageMs: others.ageMs, unreportedMs: others.countUnreportedTokens(isTolerant) * state.firstEvent.msPerToken }
+  const delay = others === null ? null : { ageMs: others.ageMs, unreportedMs: others.countUnreportedTokens(isTolerant) * share * state.firstEvent.msPerToken }
   const choice = chooseEngine({ candidates, affinityCandidates, holders: context.listHolders(cost), prompt, dedicatedCount: counts.count, boxContext, delay }, at, draw)
   return mayStart(choice.view) ? choice : 'later'
 }
 
-// The eligible engines with room; with `isParted`, those of the request's part of the dedicated engines, or others if none of them has room.
-function listRoomy (input: PlacementInput, eligible: readonly EndpointView[], isParted: boolean, mayStart: (view: EndpointView) => boolean, at: number): EndpointView[] {
-  const roomy = eligible.filter(mayStart)
-  if (!isParted || roomy.length === 0) return roomy
-  const { context, work, waitedMs } = input
-  const { dedicationOrder, counts } = context.snapshot
-  const { from, to } = findPart(listTolerantKinds(context, at), work.level, counts.count)
+interface Candidates {
+  readonly engines: readonly EndpointView[]
+  /** Fraction of what the other boxes send to the preferred engines that these get. */
+  readonly share: number
+}
+
+// The preferred engines with room; for a pause-tolerant request, those of its part, or others if none of them has room.
+function listWithRoom ({ context, work, waitedMs }: PlacementInput, preferred: readonly EndpointView[], isTolerant: boolean, mayStart: (view: EndpointView) => boolean, at: number): Candidates {
+  const roomy = preferred.filter(mayStart)
+  if (!isTolerant || roomy.length === 0) return { engines: roomy, share: 1 }
+  const { dedicationOrder, counts: { count } } = context.snapshot
+  const { from, to } = findPart(listTolerantKinds(context, at), work.level, count)
   const own = new Set(dedicationOrder.slice(from, to))
   const inPart = roomy.filter(view => own.has(view))
-  if (inPart.length > 0) return inPart
+  if (inPart.length > 0) return { engines: inPart, share: (to - from) / count }
   // The parts behind its own belong to kinds whose pause limits its prompt may break.
-  if (waitedMs >= work.targetMs * overflowWaitShare) return roomy
+  if (waitedMs >= work.targetMs * overflowWaitShare) return { engines: roomy, share: 1 }
   const before = new Set(dedicationOrder.slice(0, from))
-  return roomy.filter(view => before.has(view))
+  return { engines: roomy.filter(view => before.has(view)), share: 1 }
 }
 
 function listPreferred ({ context, work, tried }: PlacementInput, isTolerant: boolean, at: number): EndpointView[] {
