Short streams keep to the engines that are never dedicated

Change: behind the switch, short streams use the reserve alone while one of its engines begins with their prompt in time.

--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -38,7 +38,6 @@
 import type { PromptHolder } from './prompt-plan.js'
 import { PauseEstimates } from './pause-estimates.js'
 import { isPauseTolerant } from './prompt-reading.js'
-import type { DedicatedCount } from './dedicated-count.js'
 import { admitToEngines, measureCapacity } from './service-admission.js'
 import type { AdmissionContext } from './service-admission.js'
 import { admitPlain, composeShareReport, findShare } from './service-shares.js'
@@ -286,6 +285,7 @@
       snapshot: this.#findSnapshot(service, at),
       others: this.#others.find(service),
       sharers: this.#others.countUnreportedBoxes(at),
+      reservedFrom: this.contention.isOn ? state.dedicatedCount.maxDedicated : null,
       minTolerantPauseMs: this.#pauses.findMinTolerant(state, at),
       listHolders: cost => this.#listHolders(cost, engine.transfer, at, service)
     }
@@ -340,7 +340,7 @@
     return snapshot
   }
 
-  #agreeDedicatedCount (state: ServiceState, dedicationOrder: readonly EndpointView[], at: number): DedicatedCount {
+  #agreeDedicatedCount (state: ServiceState, dedicationOrder: readonly EndpointView[], at: number): ServiceSnapshot['counts'] {
     return agreeDedicatedCount(state, this.#others.find(state.service.name), dedicationOrder, this.contention.isOn, at)
   }
 
--- a/src/core/balance/service-admission.ts
+++ b/src/core/balance/service-admission.ts
@@ -32,6 +32,8 @@
   readonly others: ServiceTotal | null
   /** Boxes that may use the same engines without their load being known here, including this one. */
   readonly sharers: number
+  /** Position in the dedication order of the first engine that is reserved for pause-sensitive requests, however many are dedicated; null while the measures against contention are off. */
+  readonly reservedFrom: number | null
   /** The shortest tolerated pause with which a request is pause-tolerant, ms. */
   readonly minTolerantPauseMs: number
   listHolders (cost: PromptCost): PromptHolder[]
@@ -167,6 +169,9 @@
   const { snapshot: { dedicationOrder, counts }, engine } = context
   const candidates = listSensitiveEngines(dedicationOrder, counts.count, engine)
   const maxWaitMs = targetMs * congestedWaitShare
+  // Streams on the engines between would pause beside long reads once a burst of these needs more engines.
+  const reserved = context.reservedFrom === null ? [] : dedicationOrder.slice(Math.max(counts.count, context.reservedFrom))
+  if (findShortestWait(reserved, engine.slots, at) <= maxWaitMs) return reserved
   if (findShortestWait(candidates, engine.slots, at) <= maxWaitMs || findKindShares(context, at).size === 0) return candidates
   return listWithinWait(dedicationOrder, engine.slots, maxWaitMs, at)
 }
