Engines that break all boxes' requests are unusable, and on-demand engines serve what the load needs

Change: such engines are left out like ejected ones; on-demand engines are ordered for 0.85 of the measured need instead of 0.7.

--- a/src/core/balance/endpoint-costs.ts
+++ b/src/core/balance/endpoint-costs.ts
@@ -14,7 +14,7 @@
 export const crossZoneMs = 8
 /** The same for a stream, ms: it runs for seconds and is lost if the link between the zones fails. */
 const crossZoneStreamMs = 30
-/** Penalty of an endpoint that is doubtful, failing, broken for other boxes or in an unreachable zone, ms: about the cost of a lost request. */
+/** Penalty of an endpoint that is doubtful, failing or in an unreachable zone, ms: about the cost of a lost request. */
 export const doubtfulPenaltyMs = 400
 /** Delay that each stream causes to the others, ms. */
 const perStreamMs = 0.4
@@ -136,7 +136,6 @@
   if (!boxContext.isConnected(view)) ms += connectMs
   if (boxContext.zones.isUnreachable(zone, at)) ms += doubtfulPenaltyMs
   if (view.health.findState(at) !== 'good') ms += doubtfulPenaltyMs
-  if (view.isBroken(at)) ms += doubtfulPenaltyMs
   ms += Math.min(maxBackedOffMs, view.backedOffOthers * backedOffMs)
   if (view.health.failureShare > medianFailureShare + failureMargin) ms += doubtfulPenaltyMs
   return ms + Math.max(0, view.measureOverdue(at))
--- a/src/core/balance/usable-endpoints.ts
+++ b/src/core/balance/usable-endpoints.ts
@@ -12,12 +12,13 @@
 export const congestedWaitShare = 0.3
 
 /**
- * Endpoints that aren't ejected. If most are ejected for broken answers, the fault lies in the service rather than
+ * Endpoints that aren't ejected, by this box or because the requests of all boxes break there: an engine that resets
+ * connections always has room. If most are ejected for broken answers, the fault lies in the service rather than
  * in single endpoints, and all reachable ones are used.
  */
 export function listUsable (ready: readonly EndpointView[], at: number): EndpointView[] {
   const reachable = ready.filter(view => view.health.isReachable)
-  const good = reachable.filter(view => view.health.findState(at) !== 'out')
+  const good = reachable.filter(view => view.health.findState(at) !== 'out' && !view.isBroken(at))
   return good.length >= ready.length * minUsableShare ? good : reachable
 }
 
--- a/src/core/sizing/price-planner.ts
+++ b/src/core/sizing/price-planner.ts
@@ -61,7 +61,7 @@
   #present = new Map<string, number>()
   #accepted = new Map<string, { readonly at: number, readonly count: number }>()
   #hasOrdered = false
-  /** On-demand endpoints missing for what must remain. */
+  /** On-demand endpoints missing for the load. */
   #missing = 0
 
   constructor (service: ServiceName) {
@@ -152,8 +152,8 @@
     const base = Math.min(most, onDemandPerZone)
     const counts = new Map(zones.map(({ zone }) => [zone, base]))
     const serving = zones.reduce((sum, zone) => sum + zone.spot + zone.onDemand, 0)
-    const { remainingForLoad } = required
-    let missing = serving >= remainingForLoad ? 0 : Math.max(0, remainingForLoad - zones.reduce((sum, { zone }) => sum + base + (spot.get(zone) ?? 0), 0))
+    const { onDemandFrom } = required
+    let missing = serving >= onDemandFrom ? 0 : Math.max(0, onDemandFrom - zones.reduce((sum, { zone }) => sum + base + (spot.get(zone) ?? 0), 0))
     this.#missing = missing
     const byPrice = zones.toSorted((a, b) => (zonePrices.get(a.zone) ?? 1) - (zonePrices.get(b.zone) ?? 1))
     for (const zone of byPrice) {
--- a/src/core/sizing/required-endpoints.ts
+++ b/src/core/sizing/required-endpoints.ts
@@ -30,8 +30,8 @@
   readonly count: number
   /** Endpoints that must remain if one zone loses its spot endpoints. */
   readonly remaining: number
-  /** The same for the measured load alone, without the growth due to a backlog. */
-  readonly remainingForLoad: number
+  /** Number of serving endpoints below which on-demand ones are ordered; without the growth due to a backlog. */
+  readonly onDemandFrom: number
 }
 
 /** Target fraction of slots in use at peak load. Above it, prefill of prompts delays the events of running streams. */
@@ -40,6 +40,11 @@
 const readingUtilization = 0.5
 /** Fraction of the endpoints that is enough for the 8 to 11 s in which a zone has no spot endpoints; engines then read 0.71 of the time. */
 const remainingShare = 0.7
+/**
+ * Fraction of the endpoints for the measured load below which on-demand endpoints are ordered: a fifth of the capacity is
+ * reserved for short streams, so that at 0.7 the other engines read 0.83 of the time, and long prompts are refused.
+ */
+const onDemandShare = 0.85
 /** Window of the peak load, ms: two waves of 15 s, so that the low half of a wave releases nothing. */
 const peakWindowMs = 30_000
 const peakWindowSteps = 30
@@ -83,7 +88,7 @@
     const forLoad = this.#countForLoad(input)
     this.#settledForLoad = settle(this.#settledForLoad, Math.min(most, forLoad), isLoadKnown)
     this.#settled = settle(this.#settled, Math.min(most, Math.max(forLoad, this.#growth.max)), isLoadKnown)
-    return { count: this.#settled, remaining: countRemaining(this.#settled), remainingForLoad: countRemaining(this.#settledForLoad) }
+    return { count: this.#settled, remaining: countRemaining(this.#settled), onDemandFrom: Math.ceil(this.#settledForLoad * onDemandShare) }
   }
 
   /** True until a box has reported load. */
