The soak draws contention: surges of workspaces, slow callers, small answer budgets

Cause: no part of the measures against contention was covered by the soak, so faults of processes and links never met them. Their calls pass the existing checks (own answer, true "not run", at most one run, planned stops). New checks: a caller that reads keeps its answer, a workspace at its usual rate gets half of its calls served in a surge after the faults, and the resident memory of a gateway stays under 150 MB plus four times its budget. The draws use random numbers of their own, so earlier seeds draw as before. Callers that stop reading are exempt from the check of graceful stops alone, as the budget may end their answers at any time (: answer-dropped one second after the caller's last read, while the gateway was draining).

--- a/src/bin/soak.ts
+++ b/src/bin/soak.ts
@@ -19,6 +19,7 @@
   readonly endpoints: string | number
   readonly crashers: string | number
   readonly notices?: boolean
+  readonly contention?: boolean
 }
 
 /** Result of a history: the violated invariants. */
@@ -50,6 +51,7 @@
   .option('--endpoints', 'Number of endpoints of a plain service, with processes', 4)
   .option('--crashers', 'Number of requests that crash every endpoint which runs them and are sent repeatedly, with processes; 0 for none', 0)
   .option('--notices', 'Endpoints announce rate limits, back-off and shutdown in response headers, with processes')
+  .option('--contention', 'Workspaces compete for too few slots and callers read slowly, at gateways with settings for that, with processes')
   .action((options: Options) => run(options))
   .parse(process.argv)
 
@@ -74,7 +76,7 @@
     const { violations } = await parts[name](seed, options)
     if (violations.length > 0) {
       process.stdout.write(`part=${name} seed=${seed} steps=${options.steps} violations=${JSON.stringify(violations)}\n`)
-      exitWithError(failureExitCode, `replay with: npm run soak -- --part ${name} --seed ${seed} --steps ${options.steps} --gateways ${options.gateways} --registries ${options.registries} --engines ${options.engines} --endpoints ${options.endpoints} --crashers ${options.crashers}${options.notices === true ? ' --notices' : ''} --seconds 0`)
+      exitWithError(failureExitCode, `replay with: npm run soak -- --part ${name} --seed ${seed} --steps ${options.steps} --gateways ${options.gateways} --registries ${options.registries} --engines ${options.engines} --endpoints ${options.endpoints} --crashers ${options.crashers}${options.notices === true ? ' --notices' : ''}${options.contention === true ? ' --contention' : ''} --seconds 0`)
     }
     seed += 1
   } while (performance.now() < deadline)
@@ -82,14 +84,14 @@
 }
 
 async function runProcesses (seed: number, options: Options): Promise<HistoryResult> {
-  const deployment = { gateways: Number(options.gateways), registries: Number(options.registries), endpoints: Number(options.endpoints), engines: Number(options.engines), crashers: Number(options.crashers), notices: options.notices === true }
+  const deployment = { gateways: Number(options.gateways), registries: Number(options.registries), endpoints: Number(options.endpoints), engines: Number(options.engines), crashers: Number(options.crashers), notices: options.notices === true, contention: options.contention === true }
   const history = new SoakHistory(seed, Number(options.steps) * stepMs, deployment)
   // A signal stops the child processes before the soak exits.
   const stopAndExit = (): void => { void history.stop().then(() => process.exit(failureExitCode)) }
   process.once('SIGTERM', stopAndExit).once('SIGINT', stopAndExit)
-  const { violations, calls, served, faults, ranked, crashes, logs } = await history.run()
+  const { violations, calls, served, faults, ranked, crashes, contention, logs } = await history.run()
   process.off('SIGTERM', stopAndExit).off('SIGINT', stopAndExit)
-  process.stdout.write(`seed=${seed} calls=${calls} served=${served} faults=${faults} ${ranked.map(({ kind, sent: asked, served, inTime }) => `${kind}=${inTime}/${served}/${asked} `).join('')}${crashes === null ? '' : `ended=${crashes.crashCounts.join('/')} harmless=${crashes.served}/${crashes.sent} back=${crashes.recoveryMs.map(Math.round).join('/')} `}violations=${violations.length}\n`)
+  process.stdout.write(`seed=${seed} calls=${calls} served=${served} faults=${faults} ${ranked.map(({ kind, sent: asked, served, inTime }) => `${kind}=${inTime}/${served}/${asked} `).join('')}${crashes === null ? '' : `ended=${crashes.crashCounts.join('/')} harmless=${crashes.served}/${crashes.sent} back=${crashes.recoveryMs.map(Math.round).join('/')} `}${contention === '' ? '' : `${contention} `}violations=${violations.length}\n`)
   if (violations.length > 0) saveLogs(seed, logs)
   return { violations }
 }
--- a/src/soak/caller-headers.ts
+++ b/src/soak/caller-headers.ts
@@ -8,10 +8,10 @@
 const defaultDeadlineMs = 5000
 
 /** Composes the headers of a caller's request. */
-export function composeCallerHeaders (requestId: string, deadlineMs = defaultDeadlineMs): Record<string, string> {
+export function composeCallerHeaders (requestId: string, deadlineMs = defaultDeadlineMs, key = callerKey): Record<string, string> {
   return {
     host: callerHost,
-    authorization: `Bearer ${callerKey}`,
+    authorization: `Bearer ${key}`,
     'x-wrenlane-request-id': requestId,
     'x-wrenlane-deadline-ms': String(deadlineMs)
   }
--- a/src/soak/fault-draw.ts
+++ b/src/soak/fault-draw.ts
@@ -40,6 +40,8 @@
   | { readonly target: 'proxy', readonly endpoint: number, readonly mode: ProxyMode, readonly ms: number }
   | { readonly target: 'endpoint', readonly endpoint: number, readonly fault: EndpointFault, readonly ms: number }
   | { readonly target: 'drain', readonly endpoint: number, readonly ms: number }
+  /** The endpoint takes several times as long for its answers. */
+  | { readonly target: 'slow', readonly endpoint: number, readonly ms: number }
   | { readonly target: 'notice', readonly endpoint: number, readonly notice: SoakNotice, readonly ms: number }
 
 export interface TimedFault {
@@ -59,6 +61,8 @@
   readonly crashers: number
   /** Whether endpoints give notices on their answers: limits, requests to back off, and leaving. */
   readonly notices: boolean
+  /** Whether workspaces compete for too few slots, and callers read slowly, at gateways with settings for that. */
+  readonly contention?: boolean
 }
 
 const proxyModes: readonly ProxyMode[] = ['delay', 'throttle', 'reset', 'one-way', 'silent']
@@ -159,6 +163,6 @@
   return [{ type: 'pause', ms }, { type: 'kill', ms }, { type: 'stop', ms }, { type: 'tear', ms }, { type: mayWipe ? 'wipe' : 'kill', ms }]
 }
 
-function drawBetween (random: () => number, min: number, max: number): number { return min + random() * (max - min) }
-function pickIndex (random: () => number, count: number): number { return Math.floor(random() * count) }
-function pick<T> (random: () => number, values: readonly T[]): T { return values[pickIndex(random, values.length)] }
+export function drawBetween (random: () => number, min: number, max: number): number { return min + random() * (max - min) }
+export function pickIndex (random: () => number, count: number): number { return Math.floor(random() * count) }
+export function pick<T> (random: () => number, values: readonly T[]): T { return values[pickIndex(random, values.length)] }
--- a/src/soak/fault-injector.ts
+++ b/src/soak/fault-injector.ts
@@ -14,6 +14,8 @@
 const runPollMs = 25
 /** Maximum age of a run when polling finds it, ms: about twice the interval. */
 const runDetectionLagMs = 50
+/** Factor on the time of an answer in a slow stretch. */
+const slowFactor = 2.5
 /** Number of events after which an endpoint breaks off a stream. */
 const breakAfterEvents = 2
 
@@ -64,10 +66,18 @@
         return await this.#applyFor(`endpoint ${fault.endpoint}`, fault.ms, () => { standin.fault = endpointFault }, () => { standin.fault = { type: 'none' } })
       }
       case 'drain': return await this.#drain(endpoints[fault.endpoint], fault.ms)
+      case 'slow': return await this.#slow(endpoints[fault.endpoint], fault.ms)
       case 'notice': return await this.#sendNotice(endpoints[fault.endpoint], fault.notice, fault.ms)
     }
   }
 
+  // Slow stretches of one endpoint may overlap.
+  async #slow ({ standin }: TestbedEndpoint, ms: number): Promise<void> {
+    standin.answerMs *= slowFactor
+    await sleep(ms)
+    standin.answerMs /= slowFactor
+  }
+
   // Applies a fault for `ms` and records it as a disturbance of `part`.
   async #applyFor (part: string, ms: number, begin: () => void, end: () => void): Promise<void> {
     const endDisturbance = this.#disturbances.begin(part, performance.now())
--- a/src/soak/guarantee-checker.ts
+++ b/src/soak/guarantee-checker.ts
@@ -21,6 +21,8 @@
   readonly sentAt: number
   readonly endedAt: number
   readonly result: HttpResult
+  /** Whether the caller stops reading, so that its answer may be ended at any time. */
+  readonly isStalling?: boolean
 }
 
 /** Statuses that guarantee that the request did not run and never will. */
@@ -49,11 +51,12 @@
 
   reportViolation (rule: string, detail: string): void { this.violations.push(`${rule}: ${detail}`) }
 
-  /** Records a call and checks its result by itself. */
-  check (call: CheckedCall): void {
-    this.calls.push(call)
+  /** Records a call and checks its result by itself. `timeoutMs`: of its route. */
+  check (call: CheckedCall, timeoutMs = routeTimeoutMs): void {
+    // Large bodies are not kept.
+    this.calls.push(call.result.status === 200 ? { ...call, result: { ...call.result, body: '' } } : call)
     this.#checkAnswer(call)
-    this.#checkDuration(call)
+    this.#checkDuration(call, timeoutMs)
   }
 
   /**
@@ -91,7 +94,7 @@
       const mayRepeat = call.kind === 'again' || call.kind === 'resume'
       if (!mayRepeat && ran > 1) this.reportViolation('a request that may run at most once ran again', `${call.id} ran ${ran} times`)
       if (notRunStatuses.has(call.result.status) && ran > 0) this.reportViolation('a request ran although its status says that it did not', `${call.id} got ${call.result.status} and ran ${ran} times`)
-      if (ran > 0 && call.result.status === 0 && this.#isGatewayStopOnlyCause(call)) this.reportViolation('a graceful stop cut a request off', `${call.id}: ${call.result.error}`)
+      if (ran > 0 && call.result.status === 0 && call.isStalling !== true && this.#isGatewayStopOnlyCause(call)) this.reportViolation('a graceful stop cut a request off', `${call.id}: ${call.result.error}`)
     }
   }
 
@@ -102,9 +105,9 @@
     if (isComplete ? body !== expected : !expected.startsWith(body)) this.reportViolation('an answer does not belong to its request', `${call.id} got ${JSON.stringify(body.slice(0, 200))}`)
   }
 
-  #checkDuration (call: CheckedCall): void {
+  #checkDuration (call: CheckedCall, timeoutMs: number): void {
     const tookMs = call.endedAt - call.sentAt
-    if (tookMs > routeTimeoutMs + answerMarginMs && this.#isUndisturbed(call, call.endedAt)) this.reportViolation('no final answer within the timeout', `${call.id} took ${Math.round(tookMs)} ms`)
+    if (tookMs > timeoutMs + answerMarginMs && this.#isUndisturbed(call, call.endedAt)) this.reportViolation('no final answer within the timeout', `${call.id} took ${Math.round(tookMs)} ms`)
   }
 
   // Whether nothing that the call depends on was disturbed from `undisturbedMs` before it until `until`.
--- a/src/soak/http-call.ts
+++ b/src/soak/http-call.ts
@@ -1,5 +1,5 @@
 import { request as httpRequest } from 'node:http'
-import type { RequestOptions } from 'node:http'
+import type { IncomingMessage, RequestOptions } from 'node:http'
 import { performance } from 'node:perf_hooks'
 
 /** Result of an HTTP call. */
@@ -16,8 +16,11 @@
   readonly retryAfterMs: number | null
 }
 
+/** Called after each chunk of a body with its size; it may pause the response. */
+export type ReadPacer = (response: IncomingMessage, bytes: number) => void
+
 /** Makes one HTTP call; never rejects, even if the answer breaks off or none arrives. */
-export function callHttp (options: RequestOptions, body: string): Promise<HttpResult> {
+export function callHttp (options: RequestOptions, body: string, pacer: ReadPacer = () => {}): Promise<HttpResult> {
   return new Promise(resolve => {
     const request = httpRequest({ agent: false, ...options }, response => {
       let text = ''
@@ -25,6 +28,7 @@
       response.on('data', (chunk: Buffer) => {
         firstByteAt ??= performance.now()
         text += chunk.toString()
+        pacer(response, chunk.length)
       })
       response.on('error', () => {})
       response.on('close', () => resolve({ status: response.statusCode ?? 0, body: text, isComplete: response.complete, error: '', firstByteAt, retryAfterMs: readRetryAfter(response.headers['retry-after']) }))
--- a/src/soak/program-process.ts
+++ b/src/soak/program-process.ts
@@ -21,6 +21,9 @@
     this.#onUnexpectedExit = onUnexpectedExit
   }
 
+  /** Null if it isn't running. */
+  get pid (): number | null { return this.#child?.pid ?? null }
+
   get isRunning (): boolean { return this.#child !== null }
 
   /** Starts the process; does nothing if it is running. */
--- a/src/soak/soak-callers.ts
+++ b/src/soak/soak-callers.ts
@@ -7,7 +7,9 @@
 import { performance } from 'node:perf_hooks'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { callerHost, callerKey, composeCallerHeaders } from './caller-headers.js'
+import { composeContentionParts } from './contention-plan.js'
 import { callHttp } from './http-call.js'
+import type { ReadPacer } from './http-call.js'
 import { routeTimeoutMs } from './guarantee-checker.js'
 import type { GuaranteeChecker, CheckedCall } from './guarantee-checker.js'
 import { composeRankedRoutes } from './ranked-callers.js'
@@ -75,7 +77,7 @@
     const { testbed } = this.#options
     this.#version += 1
     const version = this.#version
-    const text = JSON.stringify(composeDocument(version, testbed.engines.length > 0))
+    const text = JSON.stringify(composeDocument(version, testbed.engines.length > 0, testbed.contention !== null))
     for (let attempt = 0; attempt < maxPutAttempts; attempt++) {
       const { status } = await testbed.callRegistry((version + attempt) % testbed.registries.length, 'PUT', '/v1/routing', text)
       if (status === 200) {
@@ -116,7 +118,7 @@
     const id = this.#createId()
     const isStream = kind === 'stream' || kind === 'resume'
     const path = isStream ? `/${kind}/events-${minEvents + this.#sent % eventCounts}` : `/${kind}/${this.#sent}`
-    return await this.#send(gateway, agent, { id, kind, path, version: this.#version })
+    return await callGateway(this.#options, gateway, { id, kind, path, version: this.#version }, { agent })
   }
 
   // Calls a path that exists only in one of the newest document versions.
@@ -124,30 +126,35 @@
     const version = Math.max(1, this.#version - Math.floor(this.#options.random() * recentVersions))
     const acknowledgedAt = this.#acknowledgedAt.get(version)
     if (acknowledgedAt === undefined) return
-    const call = await this.#send(gateway, agent, { id: this.#createId(), kind: 'again', path: `/v-${version}/x`, version })
+    const call = await callGateway(this.#options, gateway, { id: this.#createId(), kind: 'again', path: `/v-${version}/x`, version }, { agent })
     // A later version may be in force even without an acknowledgement, so an older version is checked only if a later one was acknowledged.
     const laterAcknowledgedAt = [...this.#acknowledgedAt].filter(([number]) => number > version).map(([, at]) => at)
     const isNewest = version === this.#version
     if (laterAcknowledgedAt.length > 0 || isNewest) this.#options.checker.checkVersionCall(call, acknowledgedAt, laterAcknowledgedAt.length === 0 ? null : Math.min(...laterAcknowledgedAt))
   }
 
-  async #send (gateway: number, agent: Agent, { id, kind, path, version }: Pick<CheckedCall, 'id' | 'kind' | 'path' | 'version'>): Promise<CheckedCall> {
-    const { name, host: gatewayHost } = this.#options.testbed.gateways[gateway]
-    const body = `body of ${id}`
-    const gatewayRestarts = this.#options.countRestarts(name)
-    const sentAt = performance.now()
-    const result = await callHttp({ host: gatewayHost, port: callerPort, method: 'POST', path, headers: composeCallerHeaders(id), agent, timeout: 4 * routeTimeoutMs }, body)
-    return { id, gateway: name, gatewayRestarts, kind, path, body, version, sentAt, endedAt: performance.now(), result }
-  }
-
   #createId (): string {
     this.#sent += 1
     return `${this.#options.seed}-${this.#sent}`
   }
 }
 
-// Composes a routing document; it includes the language-model service if there are engines.
-function composeDocument (version: number, hasEngines: boolean): object {
+/** Makes one call through a gateway. `timeoutMs`: longest inactivity of its connection. */
+export async function callGateway (
+  { testbed, countRestarts }: SoakCallersOptions, gateway: number, { id, kind, path, version }: Pick<CheckedCall, 'id' | 'kind' | 'path' | 'version'>,
+  { agent, key, deadlineMs, timeoutMs = 4 * routeTimeoutMs, pacer }: { agent?: Agent, key?: string, deadlineMs?: number, timeoutMs?: number, pacer?: ReadPacer }
+): Promise<CheckedCall> {
+  const { name, host: gatewayHost } = testbed.gateways[gateway]
+  const body = `body of ${id}`
+  const gatewayRestarts = countRestarts(name)
+  const sentAt = performance.now()
+  const result = await callHttp({ host: gatewayHost, port: callerPort, method: 'POST', path, headers: composeCallerHeaders(id, deadlineMs, key), agent: agent ?? false, timeout: timeoutMs }, body, pacer)
+  return { id, gateway: name, gatewayRestarts, kind, path, body, version, sentAt, endedAt: performance.now(), result }
+}
+
+// Composes a routing document; it includes the language-model service if there are engines, and the services and workspaces of a run with contention.
+function composeDocument (version: number, hasEngines: boolean, hasContention: boolean): object {
+  const contended = hasContention ? composeContentionParts() : { routes: [], services: [], workspaces: [] }
   const services = [{ service: plainService }]
   const route = (name: string, kind: string, more: object = {}) => ({ name, host: callerHost, prefix: `/${name}/`, kind, timeoutMs: routeTimeoutMs, targetMs: 300, mostAttempts: 2, services, ...more })
   const routes = [
@@ -156,9 +163,10 @@
     route('stream', 'events'),
     route('resume', 'events', { resumable: true, pauseMs: 100 }),
     route(`v-${version}`, 'repeatable'),
-    ...hasEngines ? composeRankedRoutes(engineService) : []
+    ...hasEngines ? composeRankedRoutes(engineService) : [],
+    ...contended.routes
   ]
   const { batch: slots, kvTokens: memoryTokens, tokensPerEvent } = engineShape
   const engines = hasEngines ? [{ name: engineService, engine: { slots, memoryTokens, tokensPerEvent } }] : []
-  return { version, routes, services: [{ name: plainService }, ...engines], workspaces: [{ name: 'camp', keys: [callerKey] }] }
+  return { version, routes, services: [{ name: plainService }, ...engines, ...contended.services], workspaces: [{ name: 'camp', keys: [callerKey] }, ...contended.workspaces] }
 }
--- a/src/soak/soak-history.ts
+++ b/src/soak/soak-history.ts
@@ -6,6 +6,7 @@
 import { performance } from 'node:perf_hooks'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { createRandom } from '../runtime/index.js'
+import { drawContention } from './contention-plan.js'
 import { CrashCallers } from './crash-callers.js'
 import type { CrashSummary } from './crash-callers.js'
 import { Disturbances } from './disturbances.js'
@@ -17,9 +18,11 @@
 import type { RankedSummary } from './precedence-checker.js'
 import { GuaranteeChecker, routeTimeoutMs } from './guarantee-checker.js'
 import { RankedCallers, drawBursts } from './ranked-callers.js'
+import { SlowCallers } from './slow-callers.js'
 import { SoakCallers } from './soak-callers.js'
 import { SoakTestbed } from './soak-testbed.js'
 import type { TestbedBox } from './soak-testbed.js'
+import { SurgeCallers } from './surge-callers.js'
 
 /** Result of a soak run. */
 export interface SoakReport {
@@ -32,12 +35,16 @@
   readonly ranked: readonly RankedSummary[]
   /** Results of harmful requests; null without any. */
   readonly crashes: CrashSummary | null
+  /** Describes the results of the callers that compete or read slowly; empty without contention. */
+  readonly contention: string
   /** Newest log lines of each process; empty if there are no violations. */
   readonly logs: ReadonlyMap<string, readonly string[]>
 }
 
 /** Offset of the seed for notices of endpoints, so that their random numbers are independent of those of the other faults. */
 const noticeSeedOffset = 1_000_003
+/** The same for what a run with contention draws. */
+const contentionSeedOffset = 2_000_029
 /** Maximum time until all gateways serve, at the start and after the faults, ms. */
 const startTimeoutMs = 20_000
 const recoveryTimeoutMs = 15_000
@@ -57,23 +64,24 @@
   #precedenceChecker: PrecedenceChecker
   #rankedCallers: RankedCallers | null
   #crashCallers: CrashCallers | null
+  #surgeCallers: SurgeCallers | null
+  #slowCallers: SlowCallers | null
 
   constructor (seed: number, lengthMs: number, shape: SoakShape) {
     this.#lengthMs = lengthMs
     const disturbances = new Disturbances()
     const notices = shape.notices ? drawNotices(createRandom(noticeSeedOffset + seed), shape, lengthMs) : []
-    this.#faults = [...drawFaults(createRandom(seed), shape, lengthMs), ...notices]
+    const plan = shape.contention === true ? drawContention(createRandom(contentionSeedOffset + seed), shape, lengthMs) : null
+    this.#faults = [...drawFaults(createRandom(seed), shape, lengthMs), ...notices, ...plan?.faults ?? []]
     this.#checker = new GuaranteeChecker(disturbances)
-    this.#testbed = new SoakTestbed(shape, seed, (name, code) => this.#checker.reportViolation('a process exited unexpectedly', `${name} with code ${code}`))
+    this.#testbed = new SoakTestbed(shape, seed, plan?.settings ?? null, (name, code) => this.#checker.reportViolation('a process exited unexpectedly', `${name} with code ${code}`))
     this.#noticeChecker = new NoticeChecker(disturbances, this.#checker)
     this.#injector = new FaultInjector(this.#testbed, disturbances, this.#checker)
-    this.#callers = new SoakCallers({
-      seed,
-      testbed: this.#testbed,
-      checker: this.#checker,
-      random: createRandom(seed),
-      countRestarts: gateway => this.#injector.countRestarts(gateway)
-    })
+    const callerOptions = { seed, testbed: this.#testbed, checker: this.#checker, countRestarts: (gateway: string) => this.#injector.countRestarts(gateway) }
+    this.#callers = new SoakCallers({ ...callerOptions, random: createRandom(seed) })
+    const contendedOptions = { ...callerOptions, random: createRandom(contentionSeedOffset + seed) }
+    this.#surgeCallers = plan === null ? null : new SurgeCallers(contendedOptions, plan.surges)
+    this.#slowCallers = plan === null ? null : new SlowCallers(contendedOptions, disturbances, plan.settings)
     this.#precedenceChecker = new PrecedenceChecker(disturbances)
     const rankedOptions = { seed, testbed: this.#testbed, checker: this.#precedenceChecker, random: createRandom(seed) }
     this.#crashCallers = shape.crashers === 0 ? null : new CrashCallers({ seed, testbed: this.#testbed, checker: this.#checker, disturbances, random: createRandom(seed) }, shape.crashers)
@@ -88,11 +96,15 @@
       this.#callers.start()
       this.#rankedCallers?.start()
       this.#crashCallers?.start()
+      this.#surgeCallers?.start()
+      this.#slowCallers?.start()
       await Promise.all([this.#injector.injectAll(this.#faults), sleep(this.#lengthMs)])
       await this.#rankedCallers?.finish()
       await this.#crashCallers?.finish()
       await this.#callers.finish()
       await this.#checkRecovery()
+      await this.#surgeCallers?.finish()
+      await this.#slowCallers?.finish()
       await sleep(settleMs)
       this.#checker.checkRuns(this.#testbed.endpoints.flatMap(({ standin }) => standin.runs))
       this.#noticeChecker.checkArrivals(this.#testbed.endpoints)
@@ -151,6 +163,6 @@
     const boxes = violations.length === 0 ? [] : this.#boxes
     const logs = new Map(boxes.map(({ name, process }) => [name, [...process.lines]]))
     const served = calls.filter(call => call.result.status === 200 && call.result.isComplete).length
-    return { violations, calls: calls.length, served, faults: this.#faults.length, ranked: this.#precedenceChecker.summaries, crashes: this.#crashCallers?.summary ?? null, logs }
+    return { violations, calls: calls.length, served, faults: this.#faults.length, ranked: this.#precedenceChecker.summaries, crashes: this.#crashCallers?.summary ?? null, contention: [this.#surgeCallers, this.#slowCallers].map(callers => callers?.summary ?? '').join(' ').trim(), logs }
   }
 }
--- a/src/soak/soak-testbed.ts
+++ b/src/soak/soak-testbed.ts
@@ -10,6 +10,8 @@
 import { stringify } from 'smol-toml'
 import { StandinEndpoint } from '../standin/index.js'
 import type { CrashShape, PacedEngineShape } from '../standin/index.js'
+import { contentionEndpoints } from './contention-plan.js'
+import type { ContentionPlan } from './contention-plan.js'
 import { FaultProxy } from './fault-proxy.js'
 import type { SoakShape } from './fault-draw.js'
 import { callHttp } from './http-call.js'
@@ -77,12 +79,15 @@
   readonly engines: TestbedEndpoint[] = []
   readonly links: FaultProxy[] = []
   #shape: SoakShape
+  /** Settings by gateway; null in a run without contention. */
+  readonly contention: ContentionPlan['settings'] | null
   #network: number
   #onUnexpectedExit: (name: string, code: number | null) => void
   #heartbeatTimer: NodeJS.Timeout | null = null
 
-  constructor (shape: SoakShape, number: number, onUnexpectedExit: (name: string, code: number | null) => void) {
+  constructor (shape: SoakShape, number: number, contention: ContentionPlan['settings'] | null, onUnexpectedExit: (name: string, code: number | null) => void) {
     this.#shape = shape
+    this.contention = contention
     this.#network = firstNetwork + number % networkCount
     this.#onUnexpectedExit = onUnexpectedExit
   }
@@ -92,6 +97,11 @@
     for (let i = 0; i < this.#shape.registries; i++) await this.#addRegistry(i)
     for (let i = 0; i < this.#shape.gateways; i++) this.#addGateway(i)
     for (let i = 0; i < this.#shape.endpoints; i++) this.endpoints.push(await this.#addEndpoint(`endpoint-${i}`, plainService, zones[this.#shape.crashers === 0 ? 0 : i % zones.length], null))
+    for (const [i, { service, answerMs, slots }] of (this.contention === null ? [] : contentionEndpoints).entries()) {
+      const endpoint = await this.#addEndpoint(`${service}-${i}`, service, zones[i % zones.length], null)
+      Object.assign(endpoint.standin, { answerMs, slots })
+      this.endpoints.push(endpoint)
+    }
     for (let i = 0; i < this.#shape.engines; i++) this.engines.push(await this.#addEndpoint(`engine-${i}`, engineService, zones[i % zones.length], engineShape))
     for (const box of [...this.registries, ...this.gateways]) box.process.start()
     this.#heartbeatTimer = setInterval(() => { for (const endpoint of [...this.endpoints, ...this.engines]) if (!endpoint.standin.isDown) void this.register(endpoint) }, heartbeatMs)
@@ -132,7 +142,7 @@
   async register (endpoint: TestbedEndpoint): Promise<boolean> {
     endpoint.sequence += 1
     const { standin, port, service, zone, stage, sequence, born } = endpoint
-    const body = JSON.stringify({ service, host: this.#composeAddress(2, 0), port, zone, slots: engineShape.batch, born, sequence, stage })
+    const body = JSON.stringify({ service, host: this.#composeAddress(2, 0), port, zone, slots: Math.min(standin.slots, engineShape.batch), born, sequence, stage })
     for (let i = 0; i < this.registries.length; i++) {
       const { status } = await this.callRegistry((sequence + i) % this.registries.length, 'PUT', `/v1/endpoints/${standin.id}`, body)
       if (status === 200) return true
@@ -184,7 +194,9 @@
     const host = this.#composeAddress(1, i)
     const settings = join(this.folder, `${name}.toml`)
     const retries = { ratio: 0.2, extra: 50, windowSeconds: 10 }
-    writeFileSync(settings, stringify({ ...this.#composeShared(name, host, i), listen: `${host}:${callerPort}`, ready: `${host}:${readyPort}`, drainSeconds: 6, retries }))
+    const contended = this.contention?.[i] ?? null
+    const tables = contended === null ? {} : { contention: { mode: 'on' }, answers: { budgetMb: contended.budgetMb }, box: { cpuShare: contended.cpuShare, memoryMb: contended.memoryMb, linkMbps: 100 } }
+    writeFileSync(settings, stringify({ ...this.#composeShared(name, host, i), listen: `${host}:${callerPort}`, ready: `${host}:${readyPort}`, drainSeconds: 6, retries, ...tables }))
     const process = new ProgramProcess(join(programFolder, 'gateway.js'), settings, code => this.#onUnexpectedExit(name, code))
     this.gateways.push({ name, host, process, data: null })
   }
