Steady callers of the soak read answers that a gateway has to hold

Cause: answers of 5 MB fit mostly into the system's buffers, so that a gateway that ends the answers of callers who read was not detected. Change: answers of 10 MB, read at 2 to 4 MB/s.

--- a/src/soak/slow-callers.ts
+++ b/src/soak/slow-callers.ts
@@ -14,12 +14,12 @@
 const stallingPerGateway = 5
 const steadyPerGateway = 2
 const stallingBytes = 24 * 2 ** 20
-const steadyBytes = 5 * 2 ** 20
+const steadyBytes = 10 * 2 ** 20
 const eventBytes = 16 * 1024
 /** Bounds of stalls and of the pauses between calls, ms, and of the pace of steady callers, bytes/ms, who finish within the drain time of a gateway. */
 const stallsMs = [1000, 4000] as const
 const pausesMs = [100, 1000] as const
-const paces = [1500, 4000] as const
+const paces = [2000, 4000] as const
 /** Time within which a call must have ended, ms: the timeout of its route, and time to read what had arrived by then. */
 const maxCallMs = archiveTimeoutMs + 4000
 /** A longer call may exceed the drain time of a gateway, ms; an answer is only expected to be whole if nothing was disturbed for `undisturbedMs` before. */
