--- a/src/core/balance/place-on-engine.ts
+++ b/src/core/balance/place-on-engine.ts
@@ -1,8 +1,8 @@
 /** Places a request with a prompt on an engine, or lets it wait in the box until one has room. */
 import type { EndpointId } from '../ids.js'
 import type { Choice } from './choice.js'
-import { findPart } from './dedicated-parts.js'
 import { chooseEngine } from './choose-endpoint.js'
+import { findPart } from './dedicated-parts.js'
 import { hasRoom } from './endpoint-costs.js'
 import type { BoxContext, PromptRequest } from './endpoint-costs.js'
 import type { EndpointFilter } from './endpoint-filter.js'
@@ -49,9 +49,8 @@
   if (isTolerant && waitedMs < work.targetMs && findOverloadedLevel(context, at) < work.level) return 'later'
   const mayStart = (view: EndpointView): boolean => !isTolerant || hasRoom(view, cost, engine, sharers, at)
   const preferred = listPreferred(input, isTolerant, at)
-  const isPreferred = filter === null && preferred.length > 0
-  const withRoom = (): Candidates => isPreferred ? listWithRoom(input, preferred, isTolerant, mayStart, at) : { engines: left.filter(mayStart), share: 1 }
-  const { engines: candidates, share } = others !== null ? withRoom() : { engines: isPreferred ? preferred : left, share: 1 }
+  const eligible = filter === null && preferred.length > 0 ? preferred : left
+  const { engines: candidates, share } = others === null ? { engines: eligible, share: 1 } : listWithRoom(input, eligible, isTolerant && eligible === preferred, mayStart, at)
   if (candidates.length === 0) return 'later'
   const affinityCandidates = filter !== null ? left : isTolerant ? dedicationOrder.slice(0, counts.base) : preferred
   const prompt: PromptRequest = { work, cost, engine, waitedMs, minTolerantPauseMs, pauseLimits, isPauseTolerant: isTolerant }
@@ -66,10 +65,10 @@
   readonly share: number
 }
 
-// The preferred engines with room; for a pause-tolerant request, those of its part, or others if none of them has room.
-function listWithRoom ({ context, work, waitedMs }: PlacementInput, preferred: readonly EndpointView[], isTolerant: boolean, mayStart: (view: EndpointView) => boolean, at: number): Candidates {
-  const roomy = preferred.filter(mayStart)
-  if (!isTolerant || roomy.length === 0) return { engines: roomy, share: 1 }
+// The eligible engines with room; with `isParted`, those of the request's part of the dedicated engines, or others if none of them has room.
+function listWithRoom ({ context, work, waitedMs }: PlacementInput, eligible: readonly EndpointView[], isParted: boolean, mayStart: (view: EndpointView) => boolean, at: number): Candidates {
+  const roomy = eligible.filter(mayStart)
+  if (!isParted || roomy.length === 0) return { engines: roomy, share: 1 }
   const { dedicationOrder, counts: { count } } = context.snapshot
   const { from, to } = findPart(listTolerantKinds(context, at), work.level, count)
   const own = new Set(dedicationOrder.slice(from, to))
