--- /dev/null
+++ b/src/standin/answer-bodies.ts
@@ -0,0 +1,17 @@
+/** The bodies and events that stand-in endpoints answer with. */
+import type { EndpointRun } from './standin-endpoint.js'
+
+/** The body of a non-streamed answer: a function of the request, so that a test can tell which request it answers. It is larger by `N` bytes if the path contains `bytes-N`. */
+export function composeBody (run: Pick<EndpointRun, 'requestId' | 'method' | 'path' | 'body'>): string {
+  return JSON.stringify({ answers: run.requestId, method: run.method, path: run.path, body: run.body }) + composePadding(run.path, run.requestId)
+}
+
+/** One event of a stream, also larger if the path contains `bytes-N`. All endpoints of a software version send the same, so that a stream can be resumed at another. */
+export function composeEvent (path: string, id: number, software = ''): string {
+  return `id: ${id}\ndata: ${path} ${id}${software === '' ? '' : ` ${software}`}${composePadding(path, path)}\n\n`
+}
+
+// Repeats `text` to the number of bytes that the path asks for.
+function composePadding (path: string, text: string): string {
+  return ''.padEnd(Number(/bytes-(\d+)/.exec(path)?.[1] ?? 0), text)
+}
--- a/src/standin/standin-endpoint.ts
+++ b/src/standin/standin-endpoint.ts
@@ -9,6 +9,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { resetSocket } from '../protocol/index.js'
 import { listenOn, readBody } from './http-tools.js'
+import { composeBody, composeEvent } from './answer-bodies.js'
 import { PacedEngine } from './paced-engine.js'
 import { Silence } from './silence.js'
 import type { PacedEngineShape } from './paced-engine.js'
@@ -109,6 +110,8 @@
 
 export class StandinEndpoint {
   readonly id: string
+  /** Version of its software, which writes its name into each event; empty for none. */
+  software = ''
   readonly runs: EndpointRun[] = []
   fault: EndpointFault = { type: 'none' }
   readonly silence = new Silence()
@@ -309,7 +312,7 @@
       await pacing.awaitBeforeEvent()
       await this.silence.awaitEnd()
       if (response.destroyed) return
-      const event = composeEvent(run.path, id)
+      const event = composeEvent(run.path, id, this.software)
       if (this.fault.type === 'break' && id > this.fault.afterEvents) {
         response.write(event.slice(0, event.length >> 1))
         await sleep(2)
@@ -333,18 +336,3 @@
     return { awaitBeforeEvent: () => engine.awaitEvent(stream), awaitAfterEvent: async () => {} }
   }
 }
-
-/** The body of a non-streamed answer: a function of the request, so that a test can tell which request it answers. It is larger by `N` bytes if the path contains `bytes-N`. */
-export function composeBody (run: Pick<EndpointRun, 'requestId' | 'method' | 'path' | 'body'>): string {
-  return JSON.stringify({ answers: run.requestId, method: run.method, path: run.path, body: run.body }) + composePadding(run.path, run.requestId)
-}
-
-/** One event of a stream, also larger if the path contains `bytes-N`. All endpoints send the same, so that a stream can be resumed at another. */
-export function composeEvent (path: string, id: number): string {
-  return `id: ${id}\ndata: ${path} ${id}${composePadding(path, path)}\n\n`
-}
-
-// Repeats `text` to the number of bytes that the path asks for.
-function composePadding (path: string, text: string): string {
-  return ''.padEnd(Number(/bytes-(\d+)/.exec(path)?.[1] ?? 0), text)
-}
--- a/test/support/route-deployment.ts
+++ b/test/support/route-deployment.ts
@@ -20,7 +20,7 @@
 import { waitFor } from './deployment.js'
 
 /** What a registration says of an endpoint. */
-export type RegisteredEndpoint = Pick<StandinEndpoint, 'id' | 'port'> & { readonly slots?: number }
+export type RegisteredEndpoint = Pick<StandinEndpoint, 'id' | 'port'> & { readonly slots?: number, readonly software?: string }
 
 /** A dialect with the parts that stand-ins and clients need to use it. */
 export interface SpokenDialect {
@@ -36,7 +36,7 @@
   dialect: nativeDialect,
   endpointHeaders: { requestId: 'x-wrenlane-request-id', expectedEndpoint: 'x-wrenlane-endpoint', notRun: 'x-wrenlane-not-run', mark: '', lastEvent: 'last-event-id', limit: 'x-wrenlane-limit', leaving: 'x-wrenlane-leaving', brittle: 'x-wrenlane-brittle' },
   paths: { document: '/v1/routing', endpoints: '/v1/endpoints/' },
-  composeRegistration: (endpoint, service, zone, host, sequence, stage, born) => ({ service, host, port: endpoint.port, zone, slots: Number.isFinite(endpoint.slots) ? endpoint.slots : 8, born, sequence, stage }),
+  composeRegistration: (endpoint, service, zone, host, sequence, stage, born) => ({ service, host, port: endpoint.port, zone, slots: Number.isFinite(endpoint.slots) ? endpoint.slots : 8, born, software: endpoint.software ?? '', sequence, stage }),
   composeCall: (requestId, key, deadlineMs) => ({
     'x-wrenlane-request-id': requestId,
     'x-wrenlane-deadline-ms': String(deadlineMs),
@@ -171,9 +171,10 @@
   }
 
   /** Starts an endpoint and registers it; it registers again after each restart. */
-  async addEndpoint (service: string, zone = zones[0], slots = Infinity): Promise<StandinEndpoint> {
+  async addEndpoint (service: string, zone = zones[0], slots = Infinity, software = ''): Promise<StandinEndpoint> {
     const endpoint = new StandinEndpoint(`endpoint-${this.shape.number}-${this.endpoints.length}`, this.spoken.endpointHeaders)
     endpoint.slots = slots
+    endpoint.software = software
     await endpoint.listen(this.endpointHost)
     this.endpoints.push(endpoint)
     this.#born.set(endpoint.id, Date.now())
