A stream goes on only at the software version that began it

Cause: nothing that continues a stream knew of versions. A retry inside an answer, a second send and the choice for a caller that comes back took any usable endpoint; a box to which a caller came back had no way to learn where the stream had begun.

Change: an exchange is pinned to service and version by its first event. Search, second sends and slots use only endpoints of that version, and events of another one are not relayed.

Why it works: a stream is continued only on positive knowledge of its origin, which is lost or missing at worst; nothing is inferred from what a box happens to see.

--- a/src/core/error-kind.ts
+++ b/src/core/error-kind.ts
@@ -33,6 +33,8 @@
   overloaded: { status: 503, type: 'overloaded_error', outcome: 'not-run', retryAfter: true, meaning: 'Demand of this class exceeds capacity; the latency target cannot be met.' },
   'no-engine': { status: 503, type: 'overloaded_error', outcome: 'not-run', retryAfter: true, meaning: 'No engine for the model is available.' },
   quarantined: { status: 503, type: 'overloaded_error', outcome: 'not-run', retryAfter: true, meaning: 'Endpoints crashed while running this request; it is quarantined for some time.' },
+  'stream-unknown': { status: 503, type: 'overloaded_error', outcome: 'not-run', retryAfter: true, meaning: 'It is unknown which software version began the stream that is to be resumed, or no endpoint of that version is known here yet.' },
+  'stream-version-gone': { status: 410, type: 'invalid_request_error', outcome: 'not-run', retryAfter: false, meaning: 'No endpoint serves the software version that began the stream any more: it can only be started anew.' },
   'no-document': { status: 503, type: 'overloaded_error', outcome: 'not-run', retryAfter: true, meaning: 'This box has not received a routing document yet.' },
   draining: { status: 503, type: 'overloaded_error', outcome: 'not-run', retryAfter: true, meaning: 'This box is shutting down.' },
   'no-quorum': { status: 503, type: 'overloaded_error', outcome: 'not-run', retryAfter: true, meaning: 'No quorum of keepers is reachable, so a non-repeatable call is not started.' },
--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -34,6 +34,8 @@
 
 /** Identifies repeats of the same request: a digest of its method, address, caller and body. */
 export type Fingerprint = Branded<'Fingerprint'>
+/** Identifies a stream over all requests of its caller: a digest of workspace, route and the id of the request that received its first event. */
+export type StreamKey = Branded<'StreamKey'>
 
 /** Brands a plain string without checking it. */
 export function brandId<T extends string> (value: string): T {
--- a/src/gateway/active-send.ts
+++ b/src/gateway/active-send.ts
@@ -1,4 +1,4 @@
-import type { EndpointView, EventRun, Fleet, PlacedRequest } from '../core/index.js'
+import type { EndpointView, EventRun, Fleet, PlacedRequest, StreamOrigin } from '../core/index.js'
 import type { AnswerHead, EndpointCall } from './endpoint-call.js'
 import type { EventSplitter } from './event-splitter.js'
 import type { SendPath } from './send-path.js'
@@ -8,6 +8,8 @@
 export interface ActiveSend {
   readonly call: EndpointCall
   readonly view: EndpointView
+  /** Service and software version of the endpoint when the request was sent. */
+  readonly origin: StreamOrigin
   readonly path: SendPath
   readonly placed: PlacedRequest
   readonly attempt: Attempt
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -12,8 +12,9 @@
 import type { Refusal } from './answers.js'
 import type { Drain } from './drain.js'
 import type { Exchange } from './exchange.js'
-import type { AdmittedRequest } from './admitted-request.js'
+import type { AdmittedRequest, ResumedStream } from './admitted-request.js'
 import { readBody } from './request-body.js'
+import type { Resumption } from './stream-origins.js'
 
 /** What the server needs from its box. */
 export interface CallerServerHost {
@@ -27,6 +28,8 @@
   draw (): number
   /** Prefix of the ids of requests that come without one. */
   readonly boxId: string
+  /** Decides whether a request resumes a stream, and where that stream began. */
+  resolveStream (headers: CallerHeaders, route: Route, workspace: KeyedWorkspace | null): Promise<Resumption>
   begin (request: AdmittedRequest, response: ServerResponse): Exchange
   noteRefused (headers: CallerHeaders | null, refusal: Refusal): void
 }
@@ -138,8 +141,13 @@
     const body = await readBody(request, bodyBytes)
     if (body === null) return
     if (body === 'too-large') return this.#refuse(request, response, headers, { kind: 'body-too-large', text: `request body too large: the limit is ${bodyBytes} bytes` })
+    const resumption = await this.#host.resolveStream(headers, match.route, match.workspace)
     if (request.socket.destroyed) return
-    this.#begin(request, response, this.#admitRequest(request, body, headers, match, arrivedAt))
+    switch (resumption.type) {
+      case 'refused': return this.#refuse(request, response, headers, resumption.refusal)
+      case 'new': return this.#begin(request, response, this.#admitRequest(request, body, headers, null, match, arrivedAt))
+      case 'resumed': return this.#begin(request, response, this.#admitRequest(request, body, headers, resumption.stream, match, arrivedAt))
+    }
   }
 
   #begin (request: IncomingMessage, response: ServerResponse, admitted: AdmittedRequest): void {
@@ -174,13 +182,14 @@
     return left > (route.kind === 'events' ? Math.min(route.timeoutMs, minStreamMs) : route.timeoutMs)
   }
 
-  #admitRequest (request: IncomingMessage, body: Buffer, headers: CallerHeaders, { table, route, workspace }: RouteMatch, arrivedAt: number): AdmittedRequest {
-    const service = pickService(route, this.#host.draw())
+  #admitRequest (request: IncomingMessage, body: Buffer, headers: CallerHeaders, resumed: ResumedStream | null, { table, route, workspace }: RouteMatch, arrivedAt: number): AdmittedRequest {
+    const service = resumed?.origin.service ?? pickService(route, this.#host.draw())
     const priority = rankRequest(route, workspace, table.ranksPerRoute)
     const work: RequestProfile = { service, workspace: workspace?.name, level: route.priority, priority, cost: headers.cost, pauseMs: route.pauseMs, targetMs: route.targetMs }
     const timeoutMs = Math.min(route.timeoutMs, headers.deadlineMs ?? maxTimeoutMs)
     return {
       headers: headers.requestId === '' ? { ...headers, requestId: this.#makeRequestId() } : headers,
+      resumed,
       route,
       service,
       workspace,
--- a/src/gateway/endpoint-search.ts
+++ b/src/gateway/endpoint-search.ts
@@ -11,6 +11,7 @@
 import type { ServiceSigns } from './hedges.js'
 import type { SendOutcome } from './retry-policy.js'
 import type { SlotRequest } from './slot-client.js'
+import type { VersionPin } from './version-pin.js'
 
 /** Time that a search spent on a permit for a rate-limited endpoint and on a slot of a brittle one, ms; null if none was needed. */
 export interface SearchWaits {
@@ -26,6 +27,8 @@
   readonly hasBegun: boolean
   /** True if the route allows the request to run at another endpoint. */
   readonly mayUseAnother: boolean
+  /** The version at which its stream began. */
+  readonly pin: Pick<VersionPin, 'origin' | 'mayUse' | 'findState' | 'noteNotMoved'>
   /** Called with the endpoint found. */
   send (choice: Choice, waits: SearchWaits): void
   /** Called if no endpoint accepts the request. */
@@ -59,6 +62,8 @@
   start (): void {
     const { request } = this.#searcher
     const at = this.#host.now()
+    const version = this.#searcher.pin.findState(this.#host.fleet.listViews(request.service))
+    if (version !== 'serving') return this.#fail({ type: 'no-version', isGone: version === 'gone' })
     const decision = this.#host.guard.decide(request)
     if (decision.type === 'refused') return this.#searcher.fail({ ...decision, type: 'quarantined' })
     if (this.#isLastSend) this.#host.fleet.plain.noteLastSend(request.work)
@@ -77,11 +82,14 @@
   get needsSlot (): boolean { return this.#host.fleet.findUsable(this.#searcher.request.service, this.#host.now()).isBrittle }
 
   /** True if the request may be sent to an endpoint: it was not tried, or a second send there was given up. */
-  isUsable ({ id }: EndpointView): boolean { return this.#givenUp.includes(id) || (this.#searcher.mayUseAnother && !this.#tried.includes(id)) }
+  isUsable ({ id, record }: EndpointView): boolean {
+    return this.#searcher.pin.mayUse(record) && (this.#givenUp.includes(id) || (this.#searcher.mayUseAnother && !this.#tried.includes(id)))
+  }
 
   /** Counts the endpoints that the request may be sent to by their signs. */
   countSigns (signs: ServiceSigns): SignCounts {
     if (!this.#searcher.mayUseAnother) return countSigns(signs.list(this.#givenUp))
+    if (this.#searcher.pin.origin !== null) return countSigns(signs.list(this.#listUsable().map(({ id }) => id)))
     return subtractSigns(signs.counts, signs.list(this.#tried))
   }
 
@@ -122,10 +130,18 @@
     return Number.isFinite(closedMs) ? Math.max(0, closedMs) : 0
   }
 
-  // The request may run at no further endpoint once its attempts are used up, but again at one where a second send was given up.
+  #listUsable (): EndpointView[] { return this.#host.fleet.listViews(this.#searcher.request.service).filter(view => this.isUsable(view)) }
+
+  // A stream goes on only at the version that began it. Once its attempts are used up, a request may run again only at an endpoint where a second send was given up.
   #restrict (filter: EndpointFilter | null): EndpointFilter | null {
-    if (this.#givenUp.length === 0 || this.#searcher.mayUseAnother) return filter
-    return { key: null, avoided: new Set(), mayUse: record => this.#givenUp.includes(record.id) && (filter?.mayUse(record) ?? true) }
+    const { pin, mayUseAnother } = this.#searcher
+    const isGivenUpOnly = this.#givenUp.length > 0 && !mayUseAnother
+    if (pin.origin === null && !isGivenUpOnly) return filter
+    return {
+      key: isGivenUpOnly ? null : filter?.key ?? null,
+      avoided: isGivenUpOnly || filter === null ? new Set() : filter.avoided,
+      mayUse: record => pin.mayUse(record) && (!isGivenUpOnly || this.#givenUp.includes(record.id)) && (filter?.mayUse(record) ?? true)
+    }
   }
 
   // True for a plain call while the measures against contention are on.
@@ -229,6 +245,7 @@
 
   #fail (outcome: SendOutcome): void {
     this.stop()
+    this.#searcher.pin.noteNotMoved(outcome.type)
     this.#searcher.fail(outcome)
   }
 }
--- a/src/gateway/exchange-host.ts
+++ b/src/gateway/exchange-host.ts
@@ -8,6 +8,7 @@
 import type { AdmittedRequest } from './admitted-request.js'
 import type { Hedges } from './hedges.js'
 import type { RetryUse } from './retry-policy.js'
+import type { StreamOrigins } from './stream-origins.js'
 
 /** What an exchange of type `E` needs from its box. */
 export interface ExchangeHost<E> {
@@ -18,6 +19,7 @@
   readonly limits: EndpointLimits
   readonly hedges: Hedges
   readonly answers: AnswerStore
+  readonly origins: StreamOrigins
   now (): number
   /** A random number, at least 0 and less than 1. */
   draw (): number
--- a/src/gateway/exchange-report.ts
+++ b/src/gateway/exchange-report.ts
@@ -31,6 +31,9 @@
     targetMs: request.work.targetMs,
     totalMs: Math.round(totalMs),
     events: summary.events,
+    resumes: request.headers.resumes ?? undefined,
+    lastEvent: request.headers.lastEvent ?? undefined,
+    software: summary.origin === null || summary.origin.software === '' ? undefined : summary.origin.software,
     pauseMs: Math.round(summary.maxPauseMs),
     pauseLimitMs: request.work.pauseMs ?? undefined,
     priority: request.work.cost === null ? undefined : request.work.priority,
@@ -78,7 +81,7 @@
 
 // The endpoint, the time of the send in ms after arrival, the figures behind the choice, and the outcome.
 function formatAttempt (attempt: Attempt, arrivedAt: number): string {
-  return `${attempt.endpoint}@${Math.round(attempt.sentAt - arrivedAt)}:expected=${attempt.expectedMs}:of=${attempt.candidates}:apart=${attempt.dedicatedCount}:read=${Math.round(attempt.plan.readTokens)}:fetch=${formatFetch(attempt)}:home=${attempt.isAffinityEngine ? 1 : 0}${attempt.permitMs === null ? '' : `:permit=${Math.round(attempt.permitMs)}`}${attempt.slotMs === null ? '' : `:slot=${Math.round(attempt.slotMs)}`}${attempt.relay === null ? '' : `:via=${attempt.relay}`}${attempt.isBeside ? ':beside' : ''}:${attempt.end}`
+  return `${attempt.endpoint}@${Math.round(attempt.sentAt - arrivedAt)}:expected=${attempt.expectedMs}:of=${attempt.candidates}:apart=${attempt.dedicatedCount}:read=${Math.round(attempt.plan.readTokens)}:fetch=${formatFetch(attempt)}:home=${attempt.isAffinityEngine ? 1 : 0}${attempt.permitMs === null ? '' : `:permit=${Math.round(attempt.permitMs)}`}${attempt.slotMs === null ? '' : `:slot=${Math.round(attempt.slotMs)}`}${attempt.relay === null ? '' : `:via=${attempt.relay}`}${attempt.software === '' ? '' : `:software=${attempt.software}`}${attempt.isBeside ? ':beside' : ''}:${attempt.end}`
 }
 
 function formatFetch ({ plan: { fetch } }: Attempt): string {
--- a/src/gateway/exchange-sends.ts
+++ b/src/gateway/exchange-sends.ts
@@ -59,11 +59,11 @@
     const { fleet, paths } = this.#host
     const at = this.#host.now()
     const path = paths.choose(view)
-    const attempt: Attempt = { endpoint: view.id, expectedMs: Math.round(expectedMs), candidates, dedicatedCount, plan, isAffinityEngine, sentAt: at, ...waits, relay: path.relay?.address.box ?? null, isBeside: this.#active !== null, end: 'open' }
+    const attempt: Attempt = { endpoint: view.id, software: view.record.software, expectedMs: Math.round(expectedMs), candidates, dedicatedCount, plan, isAffinityEngine, sentAt: at, ...waits, relay: path.relay?.address.box ?? null, isBeside: this.#active !== null, end: 'open' }
     this.attempts.push(attempt)
     const placed = view.place(this.#request.work, plan, at)
     fleet.noteStarted(this.#request.work, at)
-    const sent: ActiveSend = { view, path, placed, attempt, call: this.#startCall(view, path, plan, lastEvent, at, () => sent), run: new EventRun(), head: null, splitter: null }
+    const sent: ActiveSend = { view, origin: { service: view.record.service, software: view.record.software }, path, placed, attempt, call: this.#startCall(view, path, plan, lastEvent, at, () => sent), run: new EventRun(), head: null, splitter: null }
     return sent
   }
 
--- a/src/gateway/exchange-summary.ts
+++ b/src/gateway/exchange-summary.ts
@@ -1,14 +1,16 @@
 /** Summary of an exchange and of each of its sends, for the log and the metrics. */
-import type { Admission, BoxId, EndpointId, ErrorKind, PlainExplanation, PromptPlan } from '../core/index.js'
+import type { Admission, BoxId, EndpointId, ErrorKind, PlainExplanation, PromptPlan, StreamOrigin } from '../core/index.js'
 import type { AdmittedRequest } from './admitted-request.js'
 import type { RetryDenial } from './retry-policy.js'
 
-/** Why a box truncated an answer: a failure or a restart of its endpoint, the deadline, its own memory or its shutdown. A suspicion is no reason. */
-export type CutReason = 'endpoint-failed' | 'restarted' | 'deadline' | 'no-room' | 'stopped'
+/** Why a box truncated an answer: a failure or a restart of its endpoint, no other endpoint of the software version that began the stream, the deadline, its own memory or its shutdown. A suspicion is no reason. */
+export type CutReason = 'endpoint-failed' | 'version-gone' | 'restarted' | 'deadline' | 'no-room' | 'stopped'
 
 /** One send and its outcome. */
 export interface Attempt {
   readonly endpoint: EndpointId
+  /** Version of its software; empty if it doesn't report it. */
+  readonly software: string
   readonly expectedMs: number
   readonly candidates: number
   readonly dedicatedCount: number
@@ -37,6 +39,8 @@
   readonly retryDenial: RetryDenial | null
   /** Null if the request was admitted without estimating its wait. */
   readonly admission: Admission | null
+  /** Where its stream began; null for other answers, and before the first event. */
+  readonly origin: StreamOrigin | null
   readonly attempts: readonly Attempt[]
   readonly firstMs: number | null
   readonly totalMs: number
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -24,6 +24,7 @@
 import { PassedEvents } from './passed-events.js'
 import { RetryPolicy } from './retry-policy.js'
 import type { NextStep, SendOutcome } from './retry-policy.js'
+import { VersionPin } from './version-pin.js'
 import { noteGaps, resumeSend } from './active-send.js'
 import type { ActiveSend } from './active-send.js'
 
@@ -43,6 +44,7 @@
   #hedge: Hedge<Exchange>
   #callerReturn: CallerReturn
   #events: PassedEvents
+  readonly pin: VersionPin
   #firstOutputAt: number | null = null
   #isRunReported = false
   /** Why the answer is truncated if the last failure ends the exchange. */
@@ -53,6 +55,7 @@
     this.request = request
     this.#response = response
     this.#events = new PassedEvents(request.headers.lastEvent)
+    this.pin = new VersionPin(host.origins, request)
     this.#sends = new ExchangeSends(host, request, {
       receiveHead: (sent, head) => this.#receiveHead(sent, head),
       receiveChunk: (sent, chunk) => this.#receiveChunk(sent, chunk),
@@ -125,7 +128,10 @@
   }
 
   /** Handles a search that found no endpoint. */
-  fail (outcome: SendOutcome): void { this.#execute(this.#retryPolicy.decide(outcome)) }
+  fail (outcome: SendOutcome): void {
+    if (outcome.type === 'no-version') this.#failure = 'version-gone'
+    this.#execute(this.#retryPolicy.decide(outcome))
+  }
 
   // Answers.
 
@@ -183,6 +189,7 @@
       return this.#failOver(sent, 'broken', (error as Error).message)
     }
     if (events.length === 0) return
+    if (!this.pin.accept(sent.origin)) return this.#failOver(sent, 'broken', 'another software version began the stream')
     this.#hedge.settle(sent)
     if (sent.placed.firstAt === null) this.#noteFirst(sent)
     this.#startStream(sent)
@@ -329,22 +336,12 @@
     this.#search.stop()
     this.#hedge.stop()
     this.#answer.release()
+    this.pin.end()
     this.#phase = 'ended'
     const { request } = this
-    this.#host.noteEnd(this, {
-      request,
-      outcome,
-      status,
-      cutReason: outcome === 'cut' ? this.#failure : null,
-      retryDenial: this.#retryPolicy.denial,
-      admission: this.#admission,
-      attempts: this.#sends.attempts,
-      firstMs: this.#firstOutputAt === null ? null : this.#firstOutputAt - request.arrivedAt,
-      totalMs: this.#host.now() - request.arrivedAt,
-      ...this.#events.figures,
-      ...this.#search.figures,
-      returns: this.#callerReturn.describe(),
-      plain: this.#host.fleet.plain.explain(request.work)
-    })
+    const end = { request, outcome, status, cutReason: outcome === 'cut' ? this.#failure : null, retryDenial: this.#retryPolicy.denial }
+    const times = { firstMs: this.#firstOutputAt === null ? null : this.#firstOutputAt - request.arrivedAt, totalMs: this.#host.now() - request.arrivedAt }
+    const search = { admission: this.#admission, ...this.#search.figures, plain: this.#host.fleet.plain.explain(request.work) }
+    this.#host.noteEnd(this, { ...end, ...times, ...search, ...this.#events.figures, origin: this.pin.origin, attempts: this.#sends.attempts, returns: this.#callerReturn.describe() })
   }
 }
--- a/src/gateway/fingerprint.ts
+++ b/src/gateway/fingerprint.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto'
 import { brandId } from '../core/index.js'
-import type { Fingerprint } from '../core/index.js'
+import type { Fingerprint, KeyedWorkspace, Route, StreamKey } from '../core/index.js'
 import type { AdmittedRequest } from './admitted-request.js'
 
 /** Length of a fingerprint, bytes: the chance that any two of a million requests collide is below 1 in 10^16. */
@@ -21,3 +21,12 @@
   const digest = createHash('sha256').update(address).update(body).digest()
   return brandId(digest.subarray(0, fingerprintBytes).toString('base64url'))
 }
+
+/** Length of a stream's key, bytes: they are many, and each is sent to two registries. */
+const streamKeyBytes = 9
+
+/** Identifies a stream by the request that received its first event. */
+export function identifyStream (workspace: KeyedWorkspace | null, route: Route, requestId: string): StreamKey {
+  const digest = createHash('sha256').update(JSON.stringify([workspace?.name ?? null, route.name, requestId])).digest()
+  return brandId(digest.subarray(0, streamKeyBytes).toString('base64url'))
+}
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -30,9 +30,10 @@
 import { RegistryFollower } from './registry-follower.js'
 import { RetryBudgets } from './retry-budgets.js'
 import type { RetryUse } from './retry-policy.js'
+import { StreamOrigins } from './stream-origins.js'
 import { SweepTimer } from './sweep-timer.js'
 import { UsageReporter } from './usage-reporter.js'
-import { WaitQueue } from './wait-queue.js'
+import { WaitQueue, createQueueHost } from './wait-queue.js'
 
 /** Monotonic time of this process, ms. */
 function now (): number { return performance.now() }
@@ -58,6 +59,7 @@
   #waitQueue: WaitQueue
   #guard: CrashGuard
   #limits: EndpointLimits
+  #origins: StreamOrigins
   /** Null if usage reporting is off. */
   #usageReporter: UsageReporter | null
   #drain = new Drain(now)
@@ -75,17 +77,11 @@
     this.#retryBudgets = new RetryBudgets(settings.retries)
     this.#loadReporter = this.#createLoadReporter()
     this.#follower = this.#createFollower()
-    this.#waitQueue = new WaitQueue({
-      now,
-      draw: Math.random,
-      isPlainOrdered: () => this.#fleet.contention.isOn,
-      isOverShare: work => this.#fleet.plain.isOverShare(work),
-      countWaitingBoxes: (service, priority) => this.#fleet.countHolders(service, priority),
-      countReservedEngines: service => this.#fleet.countDedicated(service)
-    })
+    this.#waitQueue = new WaitQueue(createQueueHost(this.#fleet, now))
     this.#paths = this.#createPaths()
     this.#guard = new CrashGuard({ log, metrics: dependencies.metrics, fleet: this.#fleet, paths: this.#paths, now, broadcast: update => this.#follower.broadcast({ type: 'crashes', news: update }) })
     this.#limits = this.#createLimits(notices)
+    this.#origins = new StreamOrigins({ ...dependencies, id: brandId(settings.id), zone: brandId(settings.zone), now, listRegistries: () => this.#follower.listReachable(), listRecords: () => this.#directory.records })
     this.#usageReporter = settings.usageWindowSeconds === 0 ? null : new UsageReporter({ windowMs: settings.usageWindowSeconds * 1000, now, findLink: () => this.#follower.findPreferredLink() })
     this.#exchangeHost = this.#createExchangeHost()
     this.#callerServer = this.#createCallerServer()
@@ -129,7 +125,7 @@
   async stop (): Promise<number> {
     const { log } = this.#dependencies
     log.info('gateway-leaving', { inFlight: this.inFlight })
-    const isIdle = (): boolean => this.inFlight === 0 && this.#paths.forwardedCount === 0 && this.answers.isIdle
+    const isIdle = (): boolean => this.inFlight === 0 && this.#origins.pending === 0 && this.#paths.forwardedCount === 0 && this.answers.isIdle
     const drained = this.#drain.run(this.#settings.drainSeconds * 1000, isIdle)
     this.#paths.reportStatus()
     const ms = await drained
@@ -201,7 +197,8 @@
       describePaths: () => ({ relay: this.#paths.relayAddress, lost: this.#paths.lostServices }),
       handleRelays: relays => this.#paths.setRelays(relays),
       handleSlots: answer => this.#limits.takeSlots(answer),
-      handlePermits: answer => this.#limits.takePermits(answer)
+      handlePermits: answer => this.#limits.takePermits(answer),
+      handleStream: answer => this.#origins.receive(answer)
     })
   }
 
@@ -242,6 +239,7 @@
       guard: this.#guard,
       limits: this.#limits,
       hedges: new Hedges(this.#fleet, (service, use) => this.#retryBudgets.has(service, use, now(), this.#gatewayCount.find(now(), 1)), this.#dependencies.metrics),
+      origins: this.#origins,
       answers: new AnswerStore(this.#settings, this.#dependencies, now),
       now,
       draw: Math.random,
@@ -265,6 +263,7 @@
       now,
       draw: Math.random,
       boxId: this.#settings.id,
+      resolveStream: (headers, route, workspace) => this.#origins.resolve(headers, route, workspace),
       begin: (request, response) => this.#startExchange(request, response),
       noteRefused: (headers, refusal) => reportRefusal(headers, refusal, this.#table?.version ?? 0, this.#dependencies)
     }, this.#settings.maxConnections)
@@ -336,6 +335,7 @@
   #sweep (at: number): void {
     for (const exchange of this.#exchanges) exchange.check(at)
     this.#limits.check(at)
+    this.#origins.check(at)
     this.answers.check()
     this.#paths.sweep(at)
   }
--- a/src/gateway/registry-follower.ts
+++ b/src/gateway/registry-follower.ts
@@ -44,6 +44,8 @@
   handlePermits (answer: PermitAnswer): void
   /** Handles an answer to a report about slots. */
   handleSlots (answer: SlotAnswer): void
+  /** Handles an answer to a lookup of a stream. */
+  handleStream (answer: Extract<RouteMessage, { type: 'stream-found' }>): void
 }
 
 /** An answer to a permit call. */
@@ -59,6 +61,11 @@
   readonly zone: ZoneName | null
 }
 
+/** A registry that is reachable, with its link. */
+export interface LinkedRegistry extends ReachableRegistry {
+  readonly link: Link<RouteMessage>
+}
+
 type Input =
   | { readonly type: 'message', readonly link: Link<RouteMessage>, readonly message: RouteMessage }
   | { readonly type: 'open', readonly link: Link<RouteMessage> }
@@ -134,9 +141,9 @@
   get linkCount (): number { return this.#links.dialed.length }
 
   /** Registries that have been heard from recently. */
-  listReachable (): ReachableRegistry[] {
+  listReachable (): LinkedRegistry[] {
     const since = this.#host.now() - aliveWindowMs
-    return this.#links.listActive(since).map(({ host, link }) => ({ host, zone: this.#zones.get(link) ?? null }))
+    return this.#links.listActive(since).map(({ host, link }) => ({ host, zone: this.#zones.get(link) ?? null, link }))
   }
 
   start (seeds: readonly string[]): void {
@@ -242,6 +249,7 @@
       case 'relays': return this.#host.handleRelays(message.relays)
       case 'permits':
       case 'permits-elsewhere': return this.#host.handlePermits(message)
+      case 'stream-found': return this.#host.handleStream(message)
       case 'prompts':
         this.#promptRequests = maxPromptRequests
         return this.#host.handlePrompts(message.prompts)
--- a/src/gateway/retry-policy.ts
+++ b/src/gateway/retry-policy.ts
@@ -13,6 +13,8 @@
 export type SendOutcome =
   /** No endpoint could be chosen. */
   | { readonly type: 'unplaced', readonly why: 'none-known' | 'none-usable' }
+  /** No endpoint of the software version that began the stream takes new requests; `isGone`: it did before, else this box has never known one. */
+  | { readonly type: 'no-version', readonly isGone: boolean }
   /** The box backs off from every endpoint, or their rate limits are exhausted; `retryAfterMs`: until one accepts the request. */
   | { readonly type: 'closed', readonly retryAfterMs: number }
   /** The endpoint stated that it did not run the request; `isMisdirected`: because another endpoint answers at its address; `availableInMs`: until an endpoint accepts requests. */
@@ -99,6 +101,7 @@
   decide (outcome: SendOutcome): NextStep {
     switch (outcome.type) {
       case 'unplaced': return this.#handleUnplaced(outcome.why)
+      case 'no-version': return this.#handleNoVersion(outcome.isGone)
       case 'closed': return this.#handleClosed(outcome.retryAfterMs)
       case 'not-run': return this.#handleNotRun(outcome.isMisdirected, outcome.availableInMs)
       case 'failed': return this.#handleFailed()
@@ -114,6 +117,12 @@
     return refuse('no-engine', why === 'none-known' ? 'the service has no endpoint' : 'no endpoint of the service is available', unusableRetryMs)
   }
 
+  #handleNoVersion (isGone: boolean): NextStep {
+    if (this.#mayHaveRun) return refuse('engine-failed', 'an earlier send failed, and no other endpoint of the software version that began the stream is available')
+    if (isGone) return refuse('stream-version-gone', 'no endpoint of the software version that began the stream serves any more')
+    return refuse('stream-unknown', 'no endpoint of the software version that began the stream is known to this box', unusableRetryMs)
+  }
+
   #handleClosed (retryAfterMs: number): NextStep {
     if (this.#mayHaveRun) return refuse('engine-failed', 'an earlier send failed, and no other endpoint accepts requests at present')
     return refuse('overloaded', 'no endpoint accepts the request at present', retryAfterMs)
--- /dev/null
+++ b/src/gateway/stream-origins.ts
@@ -0,0 +1,208 @@
+/**
+ * Which software version began each resumable stream. A box notes it with the
+ * first event that it relays, and reports it to two registries; a box to which
+ * the caller of a broken stream returns asks all registries. A stream whose origin
+ * is not known is not continued: what two versions write doesn't fit together.
+ */
+import { OriginTable, chooseByHash, isSameOrigin, originRetentionMs } from '../core/index.js'
+import type { BoxId, EndpointRecord, KeyedWorkspace, Route, ServiceName, StreamKey, StreamOrigin, ZoneName } from '../core/index.js'
+import type { CallerHeaders, Link, RouteMessage, StreamOriginReport } from '../protocol/index.js'
+import { Batcher } from '../runtime/index.js'
+import type { EventLog, Metrics } from '../runtime/index.js'
+import type { ResumedStream } from './admitted-request.js'
+import type { Refusal } from './answers.js'
+import { identifyStream } from './fingerprint.js'
+import type { LinkedRegistry } from './registry-follower.js'
+
+/** What the origins need from their box. */
+export interface StreamOriginsHost {
+  readonly log: EventLog
+  readonly metrics: Metrics
+  readonly id: BoxId
+  readonly zone: ZoneName
+  now (): number
+  listRegistries (): readonly LinkedRegistry[]
+  /** The newest record of each endpoint, also of those that are gone. */
+  listRecords (): readonly EndpointRecord[]
+}
+
+/** What a request asks for: a new answer, or the rest of a stream; or why it can't be served. */
+export type Resumption =
+  | { readonly type: 'new' }
+  | { readonly type: 'resumed', readonly stream: ResumedStream }
+  | { readonly type: 'refused', readonly refusal: Refusal }
+
+/** A stream that this box relays now. */
+export interface LiveStream {
+  readonly key: StreamKey
+  readonly origin: StreamOrigin
+  notedAt: number
+}
+
+interface Lookup {
+  /** Registries that have not answered yet. */
+  pending: number
+  readonly timer: NodeJS.Timeout
+  finish (origin: StreamOrigin | null): void
+}
+
+/** First events within this time share a report, ms: a box that is killed takes those with it that it has not reported. */
+const reportDelayMs = 20
+/** Number of registries that store an origin: one may be lost with the box. */
+const storeCount = 2
+/** Origins of streams that go on are reported again at this interval, ms. */
+const renewIntervalMs = originRetentionMs / 4
+/** Origins that are kept for registries while none is reachable; the oldest are dropped first. */
+const maxUnsent = 10_000
+/** Time-out of a lookup, ms: registries answer within a few ms. */
+const lookupMs = 250
+/** `retry-after` of a stream whose origin is not known here, ms: another box may know it. */
+const unknownRetryMs = 150
+
+export class StreamOrigins {
+  #host: StreamOriginsHost
+  #own = new OriginTable()
+  #live = new Set<LiveStream>()
+  #unsent: LiveStream[] = []
+  #batcher = new Batcher<LiveStream>(reportDelayMs, streams => this.#report(streams))
+  /** Links over which all live streams were reported. */
+  #synced = new WeakSet<Link<RouteMessage>>()
+  #lookups = new Map<number, Lookup>()
+  #calls = 0
+
+  constructor (host: StreamOriginsHost) {
+    this.#host = host
+  }
+
+  /** Number of lookups that are under way. */
+  get pending (): number { return this.#lookups.size }
+
+  /** Notes that the first event of a stream, new or resumed, was relayed. */
+  begin (key: StreamKey, origin: StreamOrigin): LiveStream {
+    const stream: LiveStream = { key, origin, notedAt: this.#host.now() }
+    this.#live.add(stream)
+    this.#own.note(key, origin, stream.notedAt)
+    this.#batcher.add(stream)
+    return stream
+  }
+
+  /** Notes that a stream has ended here; its caller may still return. */
+  end (stream: LiveStream): void { this.#live.delete(stream) }
+
+  /** Notes that no endpoint was found for the rest of a stream; `why`: the outcome of the search. */
+  noteNotMoved (requestId: string, { service, software }: StreamOrigin, why: string): void {
+    this.#host.metrics.count('streams-not-moved', { service, why })
+    this.#host.log.warn('stream-not-moved', { request: requestId, service, software, why })
+  }
+
+  /** Decides whether a request resumes a stream, and where that stream began. */
+  async resolve ({ requestId, resumes, lastEvent }: CallerHeaders, route: Route, workspace: KeyedWorkspace | null): Promise<Resumption> {
+    if (route.kind !== 'events' || (resumes === null && lastEvent === null)) return { type: 'new' }
+    if (lastEvent === null) return refuse('bad-request', 'the request names a stream to resume, but not its last event')
+    if (resumes === null) return this.#resolveUnnamed(route)
+    if (resumes === requestId) return refuse('bad-request', 'the request names itself as the one that began the stream to resume')
+    const key = identifyStream(workspace, route, resumes)
+    const own = this.#own.find(key, this.#host.now())
+    const origin = own ?? await this.#lookUp(key)
+    this.#host.metrics.count('stream-lookups', { from: own !== null ? 'own' : origin !== null ? 'registry' : 'none' })
+    if (origin === null || origin === 'ambiguous') return refuse('stream-unknown', 'it is not known which software version began the stream')
+    if (!route.services.some(({ service }) => service === origin.service)) return refuse('stream-version-gone', 'the route no longer leads to the service that began the stream')
+    return { type: 'resumed', stream: { key, origin } }
+  }
+
+  /** Handles a registry's answer to a lookup. */
+  receive ({ call, origin }: Extract<RouteMessage, { type: 'stream-found' }>): void {
+    const lookup = this.#lookups.get(call)
+    if (lookup === undefined) return
+    lookup.pending -= 1
+    if (origin !== null || lookup.pending === 0) lookup.finish(origin)
+  }
+
+  /** Reports live streams to registries that may not know them, and renews reports. */
+  check (at: number): void {
+    for (const { link } of this.#chooseStores()) {
+      if (this.#synced.has(link)) continue
+      this.#synced.add(link)
+      sendReport(link, [...this.#live])
+    }
+    if (this.#unsent.length > 0) this.#report([])
+    const due = [...this.#live].filter(({ notedAt }) => at - notedAt > renewIntervalMs)
+    for (const stream of due) {
+      stream.notedAt = at
+      this.#own.note(stream.key, stream.origin, at)
+      this.#batcher.add(stream)
+    }
+  }
+
+  // Without the id of its first request, the origin is known only where no other version has been seen.
+  #resolveUnnamed (route: Route): Resumption {
+    const services = route.services.filter(({ weight }) => weight > 0)
+    const versions = this.#listVersions(services.map(({ service }) => service))
+    if (versions.length > 1) return refuse('bad-request', 'several software versions serve: the request must name the one that began the stream to resume')
+    if (versions.length === 0 || this.#host.listRegistries().length === 0) return refuse('stream-unknown', 'it is not known which software version began the stream')
+    return { type: 'resumed', stream: { key: null, origin: versions[0] } }
+  }
+
+  /** True if an endpoint of this version is or was known. */
+  hasSeen (origin: StreamOrigin): boolean { return this.#host.listRecords().some(record => isSameOrigin(record, origin)) }
+
+  #listVersions (services: readonly ServiceName[]): StreamOrigin[] {
+    const versions: StreamOrigin[] = []
+    for (const { service, software } of this.#host.listRecords()) {
+      const origin = { service, software }
+      if (services.includes(service) && !versions.some(version => isSameOrigin(version, origin))) versions.push(origin)
+    }
+    return versions
+  }
+
+  #lookUp (key: StreamKey): Promise<StreamOrigin | null> {
+    this.#calls += 1
+    const call = this.#calls
+    const asked = this.#host.listRegistries().filter(({ link }) => link.send({ type: 'find-stream', call, key }))
+    if (asked.length === 0) return Promise.resolve(null)
+    return new Promise(resolve => {
+      const finish = (origin: StreamOrigin | null): void => {
+        clearTimeout(timer)
+        this.#lookups.delete(call)
+        resolve(origin)
+      }
+      const timer = setTimeout(() => finish(null), lookupMs)
+      this.#lookups.set(call, { pending: asked.length, timer, finish })
+    })
+  }
+
+  #report (streams: readonly LiveStream[]): void {
+    const all = [...this.#unsent, ...streams]
+    const isSent = this.#chooseStores().filter(({ link }) => sendReport(link, all)).length > 0
+    this.#unsent = isSent ? [] : all.slice(-maxUnsent)
+  }
+
+  // One in the box's own zone, and others elsewhere: a zone can be lost as a whole.
+  #chooseStores (): LinkedRegistry[] {
+    const registries = this.#host.listRegistries()
+    const local = this.#choose(registries.filter(({ zone }) => zone === this.#host.zone))
+    const remote = this.#choose(registries.filter(one => one !== local && (local === null || one.zone !== this.#host.zone)))
+    const other = this.#choose(registries.filter(one => one !== local && one !== remote))
+    return [local, remote, other].filter(store => store !== null).slice(0, storeCount)
+  }
+
+  #choose (registries: readonly LinkedRegistry[]): LinkedRegistry | null {
+    const host = chooseByHash(this.#host.id, registries.map(one => one.host))
+    return registries.find(one => one.host === host) ?? null
+  }
+}
+
+function sendReport (link: Link<RouteMessage>, streams: readonly LiveStream[]): boolean {
+  const reports = new Map<string, StreamOriginReport & { readonly keys: StreamKey[] }>()
+  for (const { key, origin: { service, software } } of streams) {
+    const label = `${service} ${software}`
+    const report = reports.get(label) ?? { service, software, keys: [] }
+    reports.set(label, report)
+    report.keys.push(key)
+  }
+  return reports.size === 0 || link.send({ type: 'stream-origins', origins: [...reports.values()] })
+}
+
+function refuse (kind: Refusal['kind'], text: string): Resumption {
+  return { type: 'refused', refusal: { kind, text, retryAfterMs: unknownRetryMs } }
+}
--- a/src/gateway/wait-queue.ts
+++ b/src/gateway/wait-queue.ts
@@ -3,7 +3,7 @@
  * load of the engines changes, and every few ms: the most urgent first; within a
  * priority first those that can still meet their target, then by arrival.
  */
-import type { ServiceName, RequestProfile } from '../core/index.js'
+import type { Fleet, ServiceName, RequestProfile } from '../core/index.js'
 import type { Exchange } from './exchange.js'
 import { PlainWaitQueue } from './plain-wait-queue.js'
 
@@ -21,6 +21,18 @@
   countReservedEngines (service: ServiceName): number
 }
 
+/** Composes the queue's host from the box's view of the endpoints. */
+export function createQueueHost (fleet: Fleet, now: () => number): WaitQueueHost {
+  return {
+    now,
+    draw: Math.random,
+    isPlainOrdered: () => fleet.contention.isOn,
+    isOverShare: work => fleet.plain.isOverShare(work),
+    countWaitingBoxes: (service, priority) => fleet.countHolders(service, priority),
+    countReservedEngines: service => fleet.countDedicated(service)
+  }
+}
+
 /** Interval of retries while requests wait, ms: several times within the prefill of one prompt. */
 const retryIntervalMs = 15
 /** Turns per reserved engine: waiting requests prefer different engines, but not evenly. */
--- a/src/protocol/dialect.ts
+++ b/src/protocol/dialect.ts
@@ -20,6 +20,8 @@
   readonly cost: PromptCost | null
   /** Id of the last event received from a broken stream; null for none. */
   readonly lastEvent: string | null
+  /** Id of the request that received the first event of that stream; null if not given. */
+  readonly resumes: string | null
 }
 
 /** Values that the gateway adds as headers to a request to an endpoint. */
--- a/src/protocol/header-dialect.ts
+++ b/src/protocol/header-dialect.ts
@@ -17,6 +17,8 @@
   /** Time left until the caller's deadline, ms. */
   readonly deadline: string
   readonly lastEvent: string
+  /** Id of the request that received the first event of the resumed stream. */
+  readonly resumes: string
   /** "PROMPT,MAX": tokens of the prompt and the maximum to generate. */
   readonly tokens: string
   /** "ID:TOKENS,ID:TOKENS": the prompt's parts in order. */
@@ -113,7 +115,8 @@
       deadlineMs: readMs(headers, this.#lowerNames.deadline),
       key: readKey(readString(headers, 'authorization'), this.#names.keyScheme),
       cost: readCost(readString(headers, this.#lowerNames.tokens), readString(headers, this.#lowerNames.parts)),
-      lastEvent: readString(headers, this.#lowerNames.lastEvent)
+      lastEvent: readString(headers, this.#lowerNames.lastEvent),
+      resumes: readString(headers, this.#lowerNames.resumes)
     }
   }
 
--- a/src/protocol/native-dialect.ts
+++ b/src/protocol/native-dialect.ts
@@ -19,6 +19,7 @@
     requestId: 'x-wrenlane-request-id',
     deadline: 'x-wrenlane-deadline-ms',
     lastEvent: 'last-event-id',
+    resumes: 'x-wrenlane-resumes',
     tokens: 'x-wrenlane-tokens',
     parts: 'x-wrenlane-prompt-parts',
     expectedEndpoint: 'x-wrenlane-endpoint',
--- a/src/protocol/route-message.ts
+++ b/src/protocol/route-message.ts
@@ -2,7 +2,7 @@
  * Messages over the links among registries, and between gateways and registries.
  */
 import type { RaftMessage, ReplicaId, UsageUpdate, VersionedText } from '../coordination/index.js'
-import type { BoxId, ClosedEndpoint, CrashUpdate, EndpointId, EndpointNotice, EndpointRecord, PermitGrant, PermitDemand, PromptReport, ServiceName, SlotGrant, SlotReport, ZoneName } from '../core/index.js'
+import type { BoxId, ClosedEndpoint, CrashUpdate, EndpointId, EndpointNotice, EndpointRecord, PermitGrant, PermitDemand, PromptReport, ServiceName, SlotGrant, SlotReport, StreamKey, StreamOrigin, ZoneName } from '../core/index.js'
 import type { PackedDocument } from './packed-document.js'
 
 /** Result of a document that a registry forwarded to the leader; `held`: the leader already has it or a newer one; `unknown`: it may or may not be in force. */
@@ -16,6 +16,11 @@
   readonly port: number
 }
 
+/** Streams that began at the same service and software version. */
+export interface StreamOriginReport extends StreamOrigin {
+  readonly keys: readonly StreamKey[]
+}
+
 /** One message on a link. */
 export type RouteMessage =
   | { readonly type: 'raft', readonly from: ReplicaId, readonly to: ReplicaId, readonly message: RaftMessage }
@@ -65,5 +70,11 @@
   | { readonly type: 'slots', readonly service: ServiceName, readonly grants: readonly SlotGrant[] }
   /** The requested registry does not give out slots; `leader`: host of the one that does, null if unknown. */
   | { readonly type: 'slots-elsewhere', readonly service: ServiceName, readonly leader: string | null }
+  /** Origins of streams whose first event was relayed, or that still go on, by key. */
+  | { readonly type: 'stream-origins', readonly origins: readonly StreamOriginReport[] }
+  /** Asks for the origin of a stream. */
+  | { readonly type: 'find-stream', readonly call: number, readonly key: StreamKey }
+  /** `origin`: null if the registry doesn't know it. */
+  | { readonly type: 'stream-found', readonly call: number, readonly origin: StreamOrigin | null }
   /** The registries known to the sender, and the number of gateways connected to it. */
   | { readonly type: 'boxes', readonly registries: readonly string[], readonly gateways: number }
--- a/src/registry/document-announcer.ts
+++ b/src/registry/document-announcer.ts
@@ -1,6 +1,6 @@
 /** Announces the version of the active document to gateways, and whether it is the newest committed one. */
 import type { VersionedText } from '../coordination/index.js'
-import type { PackedDocument, RouteMessage } from '../protocol/index.js'
+import type { Link, RouteMessage } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import { RecentDocuments } from './recent-documents.js'
 
@@ -27,8 +27,11 @@
 
   get newest (): VersionedText | null { return this.#recent.newest }
 
-  /** The active document for a gateway that has `heldVersion`, 0 for none; null where there is no newer one. */
-  pack (heldVersion: number): PackedDocument | null { return this.#recent.pack(heldVersion) }
+  /** Sends the active document to a gateway that has `heldVersion`, 0 for none; nothing where there is no newer one. */
+  send (link: Link<RouteMessage>, heldVersion: number): void {
+    const document = this.#recent.pack(heldVersion)
+    if (document !== null) link.send({ type: 'document', document })
+  }
 
   /** Called when the leader changes or is lost. */
   noteRole (): void { this.#hasAnnouncedCurrent = false }
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -24,6 +24,7 @@
 import { MembershipManager } from './membership-manager.js'
 import { OperatorServer } from './operator-server.js'
 import { startLog, openRegistryLog } from './open-log.js'
+import { OriginServer } from './origin-server.js'
 import { PermitServer } from './permit-server.js'
 import { SlotServer } from './slot-server.js'
 import { PromptBatchSender } from './prompt-batches.js'
@@ -63,6 +64,7 @@
   #loadHub: LoadHub
   #permits: PermitServer
   #slots: SlotServer
+  #origins = new OriginServer(now)
   #prompts = new PromptBatchSender(() => this.#loadHub.prompts.prompts)
   #documents: DocumentAnnouncer
   #timers: NodeJS.Timeout[] = []
@@ -298,7 +300,7 @@
       case 'read': return void this.#started.leaderClient.serve(link, message)
       case 'put-end':
       case 'read-end': return this.#leaderClient?.handleAnswer(message)
-      case 'ask-document': return this.#sendDocument(link, message.held)
+      case 'ask-document': return this.#documents.send(link, message.held)
       case 'endpoints': return this.#endpoints.merge(message.records)
       case 'crashes': return this.#crashes.merge(message.news)
       case 'usage': return this.#duties?.mergeUsage(message.tellings)
@@ -308,6 +310,8 @@
       case 'ask-permits': return this.#permits.answer(link, message)
       case 'ask-prompts': return this.#prompts.sendAll(link, now())
       case 'prompts': return this.#loadHub.prompts.note(message.prompts)
+      case 'stream-origins': return this.#origins.note(message.origins)
+      case 'find-stream': return this.#origins.answer(link, message)
       case 'version':
       case 'document':
       case 'notices':
@@ -316,15 +320,11 @@
       case 'slots-elsewhere':
       case 'permits':
       case 'permits-elsewhere':
+      case 'stream-found':
       case 'boxes': return this.#noteViolation('messages-for-registries', message.type)
     }
   }
 
-  #sendDocument (link: Link<RouteMessage>, heldVersion: number): void {
-    const document = this.#documents.pack(heldVersion)
-    if (document !== null) link.send({ type: 'document', document })
-  }
-
   #sendRaft (to: ReplicaId, message: Extract<RouteMessage, { type: 'raft' }>['message']): void {
     const from = this.#log?.id
     if (from !== undefined) this.#links.find(getKeeperName(to), this.#settings.linkPort)?.send({ type: 'raft', from, to, message })
--- a/src/standin/answer-bodies.ts
+++ b/src/standin/answer-bodies.ts
@@ -1,8 +1,15 @@
 /** The bodies and events that stand-in endpoints answer with. */
-import type { EndpointRun } from './standin-endpoint.js'
+
+/** The request that an answer depends on. */
+export interface AnsweredRequest {
+  readonly requestId: string
+  readonly method: string
+  readonly path: string
+  readonly body: string
+}
 
 /** The body of a non-streamed answer: a function of the request, so that a test can tell which request it answers. It is larger by `N` bytes if the path contains `bytes-N`. */
-export function composeBody (run: Pick<EndpointRun, 'requestId' | 'method' | 'path' | 'body'>): string {
+export function composeBody (run: AnsweredRequest): string {
   return JSON.stringify({ answers: run.requestId, method: run.method, path: run.path, body: run.body }) + composePadding(run.path, run.requestId)
 }
 
--- a/test/dialects.test.ts
+++ b/test/dialects.test.ts
@@ -85,9 +85,9 @@
 test('a caller\'s headers are parsed; malformed values are ignored', () => {
   const read = (headers: Record<string, string>) => platformDialect.readCaller(headers)
   assert.deepEqual(read({ 'x-attempt-id': 'id', 'x-deadline-ms': '1500', authorization: 'Token  k', 'x-token-usage': '1460,80', 'x-prefix-hash': '5c:800,91:410,e4:250' }), {
-    requestId: 'id', deadlineMs: 1500, key: 'k', lastEvent: null, cost: { promptTokens: 1460, maxTokens: 80, parts: [{ id: '5c', tokens: 800 }, { id: '91', tokens: 410 }, { id: 'e4', tokens: 250 }] }
+    requestId: 'id', deadlineMs: 1500, key: 'k', lastEvent: null, resumes: null, cost: { promptTokens: 1460, maxTokens: 80, parts: [{ id: '5c', tokens: 800 }, { id: '91', tokens: 410 }, { id: 'e4', tokens: 250 }] }
   })
-  assert.deepEqual(read({ 'x-deadline-ms': 'soon', authorization: 'Bearer k', 'x-token-usage': 'many', 'last-event-id': '7' }), { requestId: '', deadlineMs: null, key: null, lastEvent: '7', cost: null })
+  assert.deepEqual(read({ 'x-deadline-ms': 'soon', authorization: 'Bearer k', 'x-token-usage': 'many', 'last-event-id': '7', resumes: 'a7' }), { requestId: '', deadlineMs: null, key: null, lastEvent: '7', resumes: 'a7', cost: null })
 })
 
 const answers: readonly (readonly [status: number, headers: Record<string, string>, isNotRun: boolean, isOther: boolean, isMarked: boolean])[] = [
--- a/test/registry-follower.test.ts
+++ b/test/registry-follower.test.ts
@@ -34,7 +34,8 @@
     describePaths: () => ({ relay: null, lost: [] }),
     handleRelays: () => {},
     handleSlots: () => {},
-    handlePermits: nothing
+    handlePermits: nothing,
+    handleStream: nothing
   })
 }
 
--- a/test/support/fleet-builder.ts
+++ b/test/support/fleet-builder.ts
@@ -37,3 +37,6 @@
 /** A request with a prompt of 8,000 tokens, 6,000 of them shared, and the report that `e1` has these cached. */
 export const long = createWork({ pauseMs: 600, cost: { promptTokens: 8000, maxTokens: 10, parts: [{ id: 'shared', tokens: 6000 }, { id: 'own', tokens: 2000 }] } })
 export const readShared: LoadTotals['prompts'] = [[brandId('e1'), [['shared', 6000]], true]]
+
+/** The version pin of a request whose answer has not begun. */
+export const unpinned = { origin: null, mayUse: () => true, findState: () => 'serving' as const, noteNotMoved: () => {} }
--- a/test/support/limit-model.ts
+++ b/test/support/limit-model.ts
@@ -14,7 +14,7 @@
 import type { RouteMessage } from '../../src/protocol/index.js'
 import { EventLog, Metrics, createRandom } from '../../src/runtime/index.js'
 import { countMaxInWindow } from '../../src/soak/limit-bounds.js'
-import { createRecord, createWork, desk, engineService } from './fleet-builder.js'
+import { createRecord, createWork, desk, engineService, unpinned } from './fleet-builder.js'
 
 /** A kind of request. */
 export interface KindShape {
@@ -91,6 +91,7 @@
 }
 
 class ModelSearcher implements Searcher {
+  readonly pin = unpinned
   readonly request: AdmittedRequest
   readonly hasBegun = false
   readonly mayUseAnother = true
--- a/test/support/plain-model.ts
+++ b/test/support/plain-model.ts
@@ -8,7 +8,7 @@
 import { EndpointSearch, PlainWaitQueue, RetryPolicy } from '../../src/gateway/index.js'
 import type { AdmittedRequest, ExchangeHost, NextStep, Searcher, SendOutcome } from '../../src/gateway/index.js'
 import { createRandom } from '../../src/runtime/index.js'
-import { createRecord, createWork, desk, nameZone } from './fleet-builder.js'
+import { createRecord, createWork, desk, nameZone, unpinned } from './fleet-builder.js'
 
 /** Parameters of a run. Times in ms; endpoints and boxes are spread over the zones in turn. */
 export interface PlainShape {
@@ -62,6 +62,7 @@
 }
 
 export class ModelCall implements Searcher {
+  readonly pin = unpinned
   readonly request: AdmittedRequest
   readonly workspace: number
   readonly hasBegun = false
--- a/test/support/route-deployment.ts
+++ b/test/support/route-deployment.ts
@@ -36,7 +36,7 @@
   dialect: nativeDialect,
   endpointHeaders: { requestId: 'x-wrenlane-request-id', expectedEndpoint: 'x-wrenlane-endpoint', notRun: 'x-wrenlane-not-run', mark: '', lastEvent: 'last-event-id', limit: 'x-wrenlane-limit', leaving: 'x-wrenlane-leaving', brittle: 'x-wrenlane-brittle' },
   paths: { document: '/v1/routing', endpoints: '/v1/endpoints/' },
-  composeRegistration: (endpoint, service, zone, host, sequence, stage, born) => ({ service, host, port: endpoint.port, zone, slots: Number.isFinite(endpoint.slots) ? endpoint.slots : 8, born, software: endpoint.software ?? '', sequence, stage }),
+  composeRegistration: (endpoint, service, zone, host, sequence, stage, born) => ({ service, host, port: endpoint.port, zone, slots: Number.isFinite(endpoint.slots) ? endpoint.slots : 8, born, sequence, stage, ...(endpoint.software ? { software: endpoint.software } : {}) }),
   composeCall: (requestId, key, deadlineMs) => ({
     'x-wrenlane-request-id': requestId,
     'x-wrenlane-deadline-ms': String(deadlineMs),
--- a/test/support/stalled-streams.ts
+++ b/test/support/stalled-streams.ts
@@ -6,7 +6,7 @@
 import { Hedges } from '../../src/gateway/hedges.js'
 import { RetryBudgets } from '../../src/gateway/retry-budgets.js'
 import { RetryPolicy } from '../../src/gateway/retry-policy.js'
-import { createFleet, createRecord, createWork, desk } from './fleet-builder.js'
+import { createFleet, createRecord, createWork, desk, unpinned } from './fleet-builder.js'
 
 export interface StalledShape {
   readonly endpoints: number
@@ -67,7 +67,7 @@
     const placed = view.place(work, noPlan, -usualMs)
     view.noteFirst(placed, 0)
     policy.noteSend()
-    const search = new EndpointSearch(host as never, { request, hasBegun: true, mayUseAnother: true, isEnded: false } as never)
+    const search = new EndpointSearch(host as never, { request, hasBegun: true, mayUseAnother: true, isEnded: false, pin: unpinned } as never)
     search.noteTried(view)
     const sends = {
       active: { view, placed, path: { relay: null }, splitter: {}, call: { isPaused: false, mayHaveRun: true }, attempt: { sentAt: -usualMs, expectedMs: usualMs } },
