The soak draws software versions and checks each event

Checked: all events of a stream, over all requests for it, come from one version, each once; of the streams taken up at gateways in touch, while two endpoints of the version serve, at least half of the share of new ones go on.

--- a/src/soak/crash-callers.ts
+++ b/src/soak/crash-callers.ts
@@ -10,6 +10,7 @@
 import { composeCallerHeaders } from './caller-headers.js'
 import type { Disturbances } from './disturbances.js'
 import { callHttp } from './http-call.js'
+import { isInTouch } from './in-touch.js'
 import { routeTimeoutMs } from './guarantee-checker.js'
 import type { GuaranteeChecker } from './guarantee-checker.js'
 import { callerPort } from './soak-testbed.js'
@@ -110,20 +111,12 @@
   }
 
   async #sendHarmful (body: string, path: string): Promise<void> {
-    const { testbed, random } = this.#options
+    const { testbed, random, disturbances } = this.#options
     const gateway = Math.floor(random() * testbed.gateways.length)
     const at = performance.now()
     const id = this.#createId()
     await this.#send(gateway, id, path, body)
-    this.#harmfulRequests.push({ id, body, at, wasUndisturbed: this.#isUndisturbed(testbed.gateways[gateway].name, at - propagationMs, performance.now()) })
-  }
-
-  // Whether no fault affected the gateway and a majority of the registries with their links.
-  #isUndisturbed (gateway: string, from: number, to: number): boolean {
-    const { disturbances, testbed: { registries } } = this.#options
-    if (disturbances.wasDisturbed([gateway], from, to)) return false
-    const disturbed = registries.filter(({ name }, i) => disturbances.wasDisturbed([name, `link ${i}`], from, to))
-    return 2 * disturbed.length < registries.length
+    this.#harmfulRequests.push({ id, body, at, wasUndisturbed: isInTouch(disturbances, testbed, testbed.gateways[gateway].name, at - propagationMs, performance.now()) })
   }
 
   async #sendHarmlessRepeatedly (): Promise<void> {
--- a/src/soak/fault-draw.ts
+++ b/src/soak/fault-draw.ts
@@ -71,6 +71,8 @@
   readonly paths?: boolean
   /** Whether endpoints fall silent and go on, with fewer other faults that end answers, and streams are longer. */
   readonly silences?: boolean
+  /** Number of software versions of the endpoints, which crash one after the other; 0 or missing if they name none. */
+  readonly versions?: number
 }
 
 const proxyModes: readonly ProxyMode[] = ['delay', 'throttle', 'reset', 'one-way', 'silent']
--- a/src/soak/guarantee-checker.ts
+++ b/src/soak/guarantee-checker.ts
@@ -27,6 +27,8 @@
 
 /** Statuses that guarantee that the request did not run and never will. */
 const notRunStatuses = new Set([408, 421, 429, 503])
+/** The software version at the end of an event. */
+const versionPattern = / (v\d+)(?=\n)/g
 /** Timeout of the routes, ms. */
 export const routeTimeoutMs = 1500
 /** Time after a request's timeout within which its final answer must arrive, ms. */
@@ -102,8 +104,11 @@
   #checkAnswer (call: CheckedCall): void {
     const { status, isComplete, body } = call.result
     if (status !== 200) return
+    const versions = new Set([...body.matchAll(versionPattern)].map(([, version]) => version))
+    if (versions.size > 1) this.reportViolation('a stream holds events of several software versions', `${call.id}: ${[...versions].join(', ')}`)
+    const received = body.replace(versionPattern, '')
     const expected = composeExpected(call)
-    if (isComplete ? body !== expected : !expected.startsWith(body)) this.reportViolation('an answer does not belong to its request', `${call.id} got ${JSON.stringify(body.slice(0, 200))}`)
+    if (isComplete ? received !== expected : !expected.startsWith(received)) this.reportViolation('an answer does not belong to its request', `${call.id} got ${JSON.stringify(body.slice(0, 200))}`)
   }
 
   #checkDuration (call: CheckedCall, timeoutMs: number): void {
--- a/src/soak/soak-history.ts
+++ b/src/soak/soak-history.ts
@@ -27,6 +27,8 @@
 import { SoakTestbed } from './soak-testbed.js'
 import type { TestbedBox } from './soak-testbed.js'
 import { SurgeCallers } from './surge-callers.js'
+import { VersionCallers } from './version-callers.js'
+import type { VersionSummary } from './version-callers.js'
 
 /** Result of a soak run. */
 export interface SoakReport {
@@ -43,6 +45,8 @@
   readonly ranked: readonly RankedSummary[]
   /** Results of harmful requests; null without any. */
   readonly crashes: CrashSummary | null
+  /** Results of the streams at several software versions; null without any. */
+  readonly versions: VersionSummary | null
   /** Describes the results of the callers that compete or read slowly; empty without contention. */
   readonly contention: string
   /** Newest log lines of each process; empty if there are no violations. */
@@ -59,6 +63,8 @@
 const pathFaultShare = 4
 /** Offset of the seed for silences of endpoints. */
 const silenceSeedOffset = 4_000_037
+/** Offset of the seed for callers of streams at several software versions. */
+const versionSeedOffset = 5_000_011
 /** Of the faults that may end answers, a run with silences has one in this many. */
 const endingFaultShare = 3
 /** Maximum time until all gateways serve, at the start and after the faults, ms. */
@@ -86,6 +92,7 @@
   #crashCallers: CrashCallers | null
   #surgeCallers: SurgeCallers | null
   #slowCallers: SlowCallers | null
+  #versionCallers: VersionCallers | null
 
   constructor (seed: number, lengthMs: number, shape: SoakShape) {
     this.#lengthMs = lengthMs
@@ -110,6 +117,7 @@
     this.#precedenceChecker = new PrecedenceChecker(disturbances)
     const rankedOptions = { seed, testbed: this.#testbed, checker: this.#precedenceChecker, random: createRandom(seed) }
     this.#crashCallers = shape.crashers === 0 ? null : new CrashCallers({ seed, testbed: this.#testbed, checker: this.#checker, disturbances, random: createRandom(seed) }, shape.crashers)
+    this.#versionCallers = (shape.versions ?? 0) === 0 ? null : new VersionCallers({ seed, testbed: this.#testbed, checker: this.#checker, disturbances, random: createRandom(versionSeedOffset + seed) })
     this.#rankedCallers = shape.engines === 0 ? null : new RankedCallers(rankedOptions, drawBursts(createRandom(seed), lengthMs))
   }
 
@@ -123,9 +131,11 @@
       this.#crashCallers?.start()
       this.#surgeCallers?.start()
       this.#slowCallers?.start()
+      this.#versionCallers?.start()
       await Promise.all([this.#injector.injectAll(this.#faults), sleep(this.#lengthMs)])
       await this.#rankedCallers?.finish()
       await this.#crashCallers?.finish()
+      await this.#versionCallers?.finish()
       await this.#callers.finish()
       await this.#checkRecovery()
       await this.#surgeCallers?.finish()
@@ -134,6 +144,7 @@
       this.#checker.checkRuns(this.#testbed.endpoints.flatMap(({ standin }) => standin.runs))
       this.#noticeChecker.checkArrivals(this.#testbed.endpoints)
       this.#crashCallers?.check()
+      this.#versionCallers?.check()
       this.#cutOffCalls = this.#pathChecker.checkCalls()
       if (this.#testbed.hasSilences) this.#silences = this.#silenceChecker.checkCalls(this.#testbed.endpoints)
       for (const violation of this.#precedenceChecker.findViolations()) this.#checker.reportViolation('less urgent requests were served before more urgent ones', violation)
@@ -190,7 +201,7 @@
     const boxes = violations.length === 0 ? [] : this.#boxes
     const logs = new Map(boxes.map(({ name, process }) => [name, [...process.lines]]))
     const served = calls.filter(call => call.result.status === 200 && call.result.isComplete).length
-    return { violations, calls: calls.length, served, faults: this.#faults.length, cutOff: this.#cutOffCalls, silences: this.#silences, ranked: this.#precedenceChecker.summaries, crashes: this.#crashCallers?.summary ?? null, contention: [this.#surgeCallers, this.#slowCallers].map(callers => callers?.summary ?? '').join(' ').trim(), logs }
+    return { violations, calls: calls.length, served, faults: this.#faults.length, cutOff: this.#cutOffCalls, silences: this.#silences, ranked: this.#precedenceChecker.summaries, crashes: this.#crashCallers?.summary ?? null, versions: this.#versionCallers?.summary ?? null, contention: [this.#surgeCallers, this.#slowCallers].map(callers => callers?.summary ?? '').join(' ').trim(), logs }
   }
 }
 
--- a/src/soak/soak-testbed.ts
+++ b/src/soak/soak-testbed.ts
@@ -72,6 +72,8 @@
 const silenceRetries = [retries, { ...retries, extra: 20 }, { ...retries, ratio: 0, extra: 0 }]
 /** Timeout of calls to registries and of readiness checks, ms. */
 const operatorTimeoutMs = 1000
+/** Interval of events in a run with software versions, ms. */
+const versionedEventMs = 20
 /** First second octet of the loopback networks for soak runs, and their number; no other test or deployment uses these. */
 const firstNetwork = 150
 const networkCount = 80
@@ -107,6 +109,7 @@
     for (let i = 0; i < this.#shape.registries; i++) await this.#addRegistry(i)
     for (let i = 0; i < this.#shape.gateways; i++) this.#addGateway(i)
     for (let i = 0; i < this.#shape.endpoints; i++) this.endpoints.push(await this.#addEndpoint(`endpoint-${i}`, plainService, zones[this.#hasSpreadEndpoints ? i % zones.length : 0], null))
+    if (this.hasVersions) for (const [i, { standin }] of this.endpoints.entries()) Object.assign(standin, { software: `v${1 + i % this.#versions}`, eventMs: versionedEventMs })
     for (const [i, { service, answerMs, slots }] of (this.contention === null ? [] : contentionEndpoints).entries()) {
       const endpoint = await this.#addEndpoint(`${service}-${i}`, service, zones[i % zones.length], null)
       Object.assign(endpoint.standin, { answerMs, slots })
@@ -121,6 +124,11 @@
   /** Whether endpoints fall silent, so that callers ask for longer streams. */
   get hasSilences (): boolean { return this.#shape.silences === true }
 
+  /** Whether endpoints name software versions. */
+  get hasVersions (): boolean { return this.#versions > 0 }
+
+  get #versions (): number { return this.#shape.versions ?? 0 }
+
   get retries (): typeof retries { return this.hasSilences ? silenceRetries[this.#network % silenceRetries.length] : retries }
 
   /** Stops everything that was started and removes its files. */
@@ -158,7 +166,7 @@
   async register (endpoint: TestbedEndpoint): Promise<boolean> {
     endpoint.sequence += 1
     const { standin, port, service, zone, stage, sequence, born } = endpoint
-    const body = JSON.stringify({ service, host: this.#composeAddress(2, 0), port, zone, slots: Math.min(standin.slots, engineShape.batch), born, sequence, stage })
+    const body = JSON.stringify({ service, host: this.#composeAddress(2, 0), port, zone, slots: Math.min(standin.slots, engineShape.batch), born, sequence, stage, ...(standin.software === '' ? {} : { software: standin.software }) })
     for (let i = 0; i < this.registries.length; i++) {
       const { status } = await this.callRegistry((sequence + i) % this.registries.length, 'PUT', `/v1/endpoints/${standin.id}`, body)
       if (status === 200) return true
@@ -182,7 +190,7 @@
   #composeAddress (part: number, i: number): string { return `127.${this.#network}.${part}.${i + 1}` }
 
   // Whether endpoints are in all zones; silent ones are in every second run.
-  get #hasSpreadEndpoints (): boolean { return this.#shape.crashers > 0 || (this.hasSilences && this.#network % 2 === 1) }
+  get #hasSpreadEndpoints (): boolean { return this.#shape.crashers > 0 || this.hasVersions || (this.hasSilences && this.#network % 2 === 1) }
 
   get #seeds (): string[] {
     return Array.from({ length: Math.min(maxSeeds, this.#shape.registries) }, (_, i) => `${this.#composeAddress(0, i)}:${operatorPort}`)
