Parts of prompts that crash endpoints are quarantined, not only whole requests

Cause: evidence was kept under a digest of the whole request, which its subject sheds: each arrival counted as another request, so nothing was ever held against the part that they share.

Change: a crash is held against each part that ran there, all but the last, as against each request. A part that the same software has answered within 10 s, at any box, is left out; an answer clears the evidence at that software, not at others. Crashes within 300 ms count once against a part, as a rack does, and a request that explains all of them goes before its parts. What is in quarantine is decided, spread, stored, tried again and lifted as whole requests are. Requests with a suspected part get no second send, and no retry from two crashes on. An error of an endpoint clears no part.

Why it works: a harmful part is never answered where it crashes endpoints, and sound ones are answered all the time.

--- a/src/core/crashes/crash-watch.ts
+++ b/src/core/crashes/crash-watch.ts
@@ -1,6 +1,6 @@
 /**
- * Distinguishes requests that crash the endpoints which run them from requests
- * that merely ran at the same time, and decides where a request may be sent. Free
+ * Distinguishes requests, and parts of prompts, that crash the endpoints which run them
+ * from those that merely ran at the same time, and decides where a request may be sent. Free
  * of I/O: `merge` takes reports and returns the changes to pass on to other boxes.
  * Boxes that have received the same reports reach the same decision independently.
  */
@@ -8,6 +8,7 @@
 import { CrashHistory } from './crash-history.js'
 import type { EndpointCrash } from './endpoint-crash.js'
 import { weighEvidence } from './evidence.js'
+import { isPartKey } from './part-key.js'
 import { Quarantine, computeRefusalMs, labelSoftware, mayTrySoftware } from './quarantine.js'
 import type { StoredEntry, QuarantineEntry } from './quarantine.js'
 
@@ -71,10 +72,10 @@
     return { ends: newCrashes, entries: [...newEntries, ...this.#quarantine.merge(decided, at)] }
   }
 
-  /** Records that an endpoint with this software answered a request, so the request does not crash it. */
+  /** Records that an endpoint with this software answered a request, so the request, or this part of its prompt, does not crash it. Evidence on a part at other software stays. */
   noteAnswered (fingerprint: Fingerprint, label: string, at: number): CrashUpdate {
     const entry = this.#quarantine.find(fingerprint)
-    const ends = this.#history.withdraw(fingerprint, at)
+    const ends = this.#history.withdraw(fingerprint, at, isPartKey(fingerprint) ? label : null)
     if (entry === undefined || entry.state === 'lifted' || entry.sound.includes(label)) return { ends, entries: [] }
     const changed = entry.ended.includes(label) ? composeLiftedEntry(entry, at) : composeEntry({ ...entry, sound: [...entry.sound, label] }, at)
     return { ends, entries: this.#quarantine.merge([changed], at) }
--- a/src/core/crashes/evidence.ts
+++ b/src/core/crashes/evidence.ts
@@ -7,6 +7,7 @@
  */
 import type { Fingerprint } from '../ids.js'
 import { hasUnansweredRun } from './crash-history.js'
+import { isPartKey } from './part-key.js'
 import type { KnownCrash } from './crash-history.js'
 
 /** The evidence against a request. */
@@ -29,6 +30,8 @@
 const minCrashRatePerMs = 1 / 60_000
 /** Windows around a crash in which other crashes are counted, ms: a rack failure, a roll-out, and the whole history. */
 const windowsMs = [1000, 10_000, 600_000]
+/** Crashes within this time count as one against a part of prompts, ms: boxes detect the crash of a rack at different times. */
+const togetherMs = 300
 /** Shorter runs count as this long, ms: durations are not measured more accurately. */
 const minRunMs = 5
 /** From this number of crashes, a request counts as harmful with less weight, and even if another ran during the same crashes: it has never been answered in between. */
@@ -40,12 +43,24 @@
 export function weighEvidence (fingerprint: Fingerprint, crashes: readonly KnownCrash[], countEndpoints: () => number): Evidence {
   const suspected = crashes.filter(({ runs }) => hasUnansweredRun(runs, fingerprint))
   if (suspected.length < minCrashes) return { ends: suspected.length, weight: 0, isHarmful: false }
+  const separate = isPartKey(fingerprint) ? listSeparate(suspected) : suspected
+  if (separate.length < minCrashes) return { ends: suspected.length, weight: 0, isHarmful: false }
   const endpoints = Math.max(1, countEndpoints())
-  const weight = suspected.reduce((sum, crash) => sum + weighCrash(crash, fingerprint, crashes, endpoints), 0)
+  const weight = separate.reduce((sum, crash) => sum + weighCrash(crash, fingerprint, crashes, endpoints), 0)
   const isHarmful = weight >= (suspected.length < manyCrashes ? minWeight : minWeightOfMany) && !hasOtherCause(fingerprint, suspected, crashes)
   return { ends: suspected.length, weight, isHarmful }
 }
 
+// Many requests share a part, so endpoints that end together, as a rack does, count once.
+function listSeparate (crashes: readonly KnownCrash[]): KnownCrash[] {
+  const separate: KnownCrash[] = []
+  for (const crash of [...crashes].sort((a, b) => a.at - b.at)) {
+    const last = separate.at(-1)
+    if (last === undefined || crash.at - last.at > togetherMs) separate.push(crash)
+  }
+  return separate
+}
+
 function weighCrash (crash: KnownCrash, fingerprint: Fingerprint, crashes: readonly KnownCrash[], endpoints: number): number {
   const others = crashes.filter(other => other.service === crash.service && !hasUnansweredRun(other.runs, fingerprint))
   const sameEndpoint = others.filter(other => other.endpoint === crash.endpoint)
@@ -60,8 +75,10 @@
 }
 
 // True if another request was running during all of these crashes and during more, or during the same ones while they are few.
+// Its parts ran wherever a request did, so they are no other cause for it; a request is one for its parts, as it says more.
 function hasOtherCause (fingerprint: Fingerprint, suspected: readonly KnownCrash[], crashes: readonly KnownCrash[]): boolean {
-  const candidates = [...suspected[0].runs.keys()].filter(other => other !== fingerprint && suspected.every(({ runs }) => hasUnansweredRun(runs, other)))
+  const isCandidate = (other: Fingerprint): boolean => other !== fingerprint && (isPartKey(fingerprint) || !isPartKey(other))
+  const candidates = [...suspected[0].runs.keys()].filter(other => isCandidate(other) && suspected.every(({ runs }) => hasUnansweredRun(runs, other)))
   return candidates.some(other => {
     const count = crashes.filter(({ runs }) => hasUnansweredRun(runs, other)).length
     return count > suspected.length || suspected.length < manyCrashes
--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -32,7 +32,7 @@
 /** One run of an endpoint process: a restarted endpoint gets another. */
 export type EndpointId = Branded<'EndpointId'>
 
-/** Identifies repeats of the same request: a digest of its method, address, caller and body. */
+/** Identifies what may crash endpoints: repeats of a request, by a digest of its method, address, caller and body, or a part of prompts. */
 export type Fingerprint = Branded<'Fingerprint'>
 /** Identifies a stream over all requests of its caller: a digest of workspace, route and the id of the request that received its first event. */
 export type StreamKey = Branded<'StreamKey'>
--- a/src/gateway/crash-guard.ts
+++ b/src/gateway/crash-guard.ts
@@ -4,12 +4,12 @@
  * there, and decides whether and where a request may be sent. Decisions use only
  * what this box already knows; no request waits for another box.
  */
-import { CrashWatch, describeEntry, crashUpdateDelayMs, mergeCrashUpdates, labelSoftware } from '../core/index.js'
+import { CrashWatch, SoundParts, describeEntry, isPartKey, crashUpdateDelayMs, mergeCrashUpdates, labelSoftware } from '../core/index.js'
 import type { CrashUpdate, EndpointId, EndpointRecord, EndpointView, Fingerprint, Fleet, EndpointFilter, SendDecision } from '../core/index.js'
 import { Batcher } from '../runtime/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import type { EndpointPaths } from './endpoint-paths.js'
-import { identifyRequest } from './fingerprint.js'
+import { identifyParts, identifyRequest } from './fingerprint.js'
 import type { AdmittedRequest } from './admitted-request.js'
 
 /** What the guard needs from its box. */
@@ -23,8 +23,17 @@
   broadcast (update: CrashUpdate): void
 }
 
-/** How a send ended: with a complete answer, a lost connection, an invalid answer, or no answer in time. */
-export type SendEvidence = 'answered' | 'lost' | 'broken' | 'silent'
+/** How a send ended: with a complete answer, a complete answer that is an error, a lost connection, an invalid answer, or no answer in time. */
+export type SendEvidence = 'answered' | 'failed' | 'lost' | 'broken' | 'silent'
+
+/** What is known of a request, or of a part of its prompt, that restricts where it may be sent. */
+interface SubjectDecision {
+  readonly subject: Fingerprint
+  readonly decision: SendDecision
+}
+
+/** Whether a request may be sent, and what restricts where. */
+export type GuardDecision = Extract<SendDecision, { type: 'refused' }> | { readonly type: 'allowed', readonly decisions: readonly SubjectDecision[] }
 
 /** A request whose send failed. */
 interface BrokenRun {
@@ -56,14 +65,15 @@
  * 300 ms. Earlier failures had another cause; later ones belong to the next incarnation.
  */
 const crashWindowMs = 1000
-const freeDecision: SendDecision = { type: 'free' }
+const allowAll: GuardDecision = { type: 'allowed', decisions: [] }
 
 export class CrashGuard {
   #host: GuardHost
   #watch: CrashWatch
   #pendingReports: Batcher<CrashUpdate>
   #broken = new Map<EndpointId, BrokenIncarnation>()
-  /** Requests in quarantine that this gateway is sending once, as a trial. */
+  #soundParts = new SoundParts()
+  /** Requests in quarantine, or with a part that is, that this gateway is sending once, as a trial. */
   #trials = new Map<Fingerprint, AdmittedRequest>()
 
   constructor (host: GuardHost) {
@@ -72,34 +82,38 @@
     this.#pendingReports = new Batcher(crashUpdateDelayMs, updates => host.broadcast(mergeCrashUpdates(updates)))
   }
 
-  /** Decides whether a request may be sent now, and where. */
-  decide (request: AdmittedRequest): SendDecision {
-    if (this.#watch.isIdle) return freeDecision
-    const fingerprint = identifyRequest(request)
+  /** Decides whether a request may be sent now, and where: by itself and by each part of its prompt. */
+  decide (request: AdmittedRequest): GuardDecision {
+    if (this.#watch.isIdle) return allowAll
     const at = this.#host.now()
     const listLabels = (): ReadonlySet<string> => new Set(this.#host.fleet.listUsable(request.service, at).map(({ record }) => labelSoftware(record)))
-    const decision = this.#watch.decide(fingerprint, listLabels, at)
-    if (decision.type !== 'trial') return decision
-    const running = this.#trials.get(fingerprint)
-    if (running !== undefined && running !== request) return { type: 'refused', retryAfterMs: trialRetryMs, ends: this.#watch.find(fingerprint)?.ends ?? 0 }
-    this.#trials.set(fingerprint, request)
-    return decision
+    const subjects = [identifyRequest(request), ...identifyParts(request).filter(part => this.#watch.find(part) !== undefined)]
+    const decisions = subjects.map(subject => ({ subject, decision: this.#watch.decide(subject, listLabels, at) }))
+    const refused = decisions.map(({ decision }) => decision).find(decision => decision.type === 'refused')
+    if (refused !== undefined) return refused
+    const trials = decisions.filter(({ decision }) => decision.type === 'trial').map(({ subject }) => subject)
+    const busy = trials.find(subject => (this.#trials.get(subject) ?? request) !== request)
+    if (busy !== undefined) return { type: 'refused', retryAfterMs: trialRetryMs, ends: this.#watch.find(busy)?.ends ?? 0 }
+    for (const subject of trials) this.#trials.set(subject, request)
+    return { type: 'allowed', decisions: decisions.filter(({ decision }) => decision.type !== 'free') }
   }
 
-  /** True if endpoints may have crashed while running the request. Claims no trial, unlike `decide`. */
+  /** True if endpoints may have crashed while running the request, or others with a part of its prompt. Claims no trial, unlike `decide`. */
   isSuspect (request: AdmittedRequest): boolean {
     if (this.#watch.isIdle) return false
-    return this.#watch.decide(identifyRequest(request), () => new Set(), this.#host.now()).type !== 'free'
+    if (this.#watch.decide(identifyRequest(request), () => new Set(), this.#host.now()).type !== 'free') return true
+    return identifyParts(request).some(part => this.#watch.countCrashes(part) > 0 || this.#watch.find(part)?.state === 'refused')
   }
 
-  /** The endpoints that a decision allows for a request; null for all. */
-  composeFilter (request: AdmittedRequest, decision: SendDecision): EndpointFilter | null {
-    switch (decision.type) {
-      case 'free':
-      case 'refused': return null
-      case 'suspect': return { key: identifyRequest(request), avoided: decision.ended, mayUse: () => true }
-      case 'sound': return { key: null, avoided: new Set(), mayUse: record => decision.labels.includes(labelSoftware(record)) }
-      case 'trial': return { key: identifyRequest(request), avoided: decision.ended, mayUse: record => decision.labels.length === 0 || decision.labels.includes(labelSoftware(record)) }
+  /** The endpoints that a decision allows; null for all. */
+  composeFilter (decision: GuardDecision): EndpointFilter | null {
+    if (decision.type === 'refused') return null
+    const filters = decision.decisions.map(one => composeSubjectFilter(one)).filter(filter => filter !== null)
+    if (filters.length <= 1) return filters[0] ?? null
+    return {
+      key: filters.map(({ key }) => key).find(key => key !== null) ?? null,
+      avoided: new Set(filters.flatMap(({ avoided }) => [...avoided])),
+      mayUse: record => filters.every(filter => filter.mayUse(record))
     }
   }
 
@@ -107,14 +121,18 @@
   maySendAgain (request: AdmittedRequest): boolean {
     if (this.#watch.isIdle && this.#broken.size === 0) return true
     const fingerprint = identifyRequest(request)
-    if (this.#trials.get(fingerprint) === request) return false
-    return this.#countCrashes(fingerprint) < singleSendCrashes && this.#watch.find(fingerprint)?.state !== 'refused'
+    const subjects = [fingerprint, ...identifyParts(request)]
+    return subjects.every(subject => this.#trials.get(subject) !== request && this.#countCrashes(subject) < singleSendCrashes && this.#watch.find(subject)?.state !== 'refused')
   }
 
   /** Notes how a send ended, `ms` after it was sent. */
   noteSendEnd (request: AdmittedRequest, view: EndpointView, evidence: SendEvidence, ms: number): void {
     switch (evidence) {
-      case 'answered': return this.#handleAnswered(request, view)
+      case 'answered':
+        this.#handleAnswered(request, view)
+        return this.#notePartsAnswered(request, view)
+      // An error may have been answered before anything was written.
+      case 'failed': return this.#handleAnswered(request, view)
       case 'lost': return this.#handleLost(request, view, ms)
       // These don't show whether the endpoint has crashed; only a new incarnation of it does.
       case 'broken':
@@ -132,12 +150,15 @@
   /** Forgets a request that has its final answer. */
   forget (request: AdmittedRequest): void {
     if (this.#trials.size === 0) return
-    const fingerprint = identifyRequest(request)
-    if (this.#trials.get(fingerprint) === request) this.#trials.delete(fingerprint)
+    for (const [subject, trial] of this.#trials) if (trial === request) this.#trials.delete(subject)
   }
 
   /** Merges what a registry reports. It is not forwarded: registries inform one another, and there are many gateways. */
-  merge (update: CrashUpdate): void { this.#logEntries(this.#watch.merge(update, this.#host.now())) }
+  merge (update: CrashUpdate): void {
+    const at = this.#host.now()
+    this.#logEntries(this.#watch.merge(update, at))
+    this.#clearSoundParts(update, at)
+  }
 
   /** Everything known here, for a registry that may know nothing. */
   list (): CrashUpdate { return this.#watch.list(this.#host.now()) }
@@ -162,6 +183,26 @@
     this.#report(this.#watch.noteAnswered(fingerprint, labelSoftware(view.record), this.#host.now()))
   }
 
+  #notePartsAnswered (request: AdmittedRequest, view: EndpointView): void {
+    const at = this.#host.now()
+    const label = labelSoftware(view.record)
+    for (const part of identifyParts(request)) {
+      this.#soundParts.note(part, label, at)
+      for (const { record, runs } of this.#broken.values()) if (labelSoftware(record) === label) runs.delete(part)
+      if (!this.#watch.isIdle) this.#report(this.#watch.noteAnswered(part, label, at))
+    }
+  }
+
+  // Another box may have seen no answer with a part that was answered here.
+  #clearSoundParts ({ ends }: CrashUpdate, at: number): void {
+    for (const crash of ends) {
+      const label = labelSoftware(crash)
+      for (const [key, ms] of crash.runs) {
+        if (ms !== null && isPartKey(key) && this.#soundParts.has(key, label, at)) this.#report(this.#watch.noteAnswered(key, label, at))
+      }
+    }
+  }
+
   // Returns null for endpoints that are draining or gone: their termination is expected and proves nothing.
   #recordBroken (request: AdmittedRequest, view: EndpointView, ms: number): BrokenIncarnation | null {
     const isLeaving = view.record.stage !== 'ready' || this.#host.fleet.findView(view.id) === undefined
@@ -173,8 +214,11 @@
     const incarnation: BrokenIncarnation = isSameIncarnation ? known : { record: view.record, at, runs: new Map<Fingerprint, BrokenRun>(), state: 'unknown' }
     incarnation.at = at
     this.#broken.set(view.id, incarnation)
-    const fingerprint = identifyRequest(request)
-    incarnation.runs.set(fingerprint, { ms, at })
+    incarnation.runs.set(identifyRequest(request), { ms, at })
+    for (const part of identifyParts(request)) {
+      const known = incarnation.runs.get(part)
+      if (!this.#soundParts.has(part, labelSoftware(view.record), at)) incarnation.runs.set(part, { ms: Math.max(ms, known?.ms ?? 0), at })
+    }
     return incarnation
   }
 
@@ -217,6 +261,16 @@
   }
 }
 
+function composeSubjectFilter ({ subject, decision }: SubjectDecision): EndpointFilter | null {
+  switch (decision.type) {
+    case 'free':
+    case 'refused': return null
+    case 'suspect': return isPartKey(subject) ? null : { key: subject, avoided: decision.ended, mayUse: () => true }
+    case 'sound': return { key: null, avoided: new Set(), mayUse: record => decision.labels.includes(labelSoftware(record)) }
+    case 'trial': return { key: subject, avoided: decision.ended, mayUse: record => decision.labels.length === 0 || decision.labels.includes(labelSoftware(record)) }
+  }
+}
+
 // True if the endpoint was restarted, under the same id or at the same address.
 function isLaterIncarnation (record: EndpointRecord, earlier: EndpointRecord): boolean {
   if (record.stage !== 'ready') return false
--- a/src/gateway/endpoint-search.ts
+++ b/src/gateway/endpoint-search.ts
@@ -68,7 +68,7 @@
     if (decision.type === 'refused') return this.#searcher.fail({ ...decision, type: 'quarantined' })
     if (this.#isLastSend) this.#host.fleet.plain.noteLastSend(request.work)
     const waitedMs = this.#isPlainOrdered && this.#isCommitted ? 0 : at - request.arrivedAt
-    const filter = this.#restrict(this.#host.guard.composeFilter(request, decision))
+    const filter = this.#restrict(this.#host.guard.composeFilter(decision))
     if (this.#host.fleet.findUsable(request.service, at).isBrittle) return this.#requestSlot(filter, at)
     const choice = this.#host.fleet.choose(request.work, this.#tried, at, this.#host.draw(), waitedMs, filter)
     if (choice === 'later' || (choice === 'late' && this.#isCommitted)) return this.#enqueue()
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -230,7 +230,7 @@
     const { head } = sent
     if (head === null) return
     this.#sends.end(sent, 'done')
-    this.#noteSendEnd(sent, 'answered')
+    this.#noteSendEnd(sent, head.status < 400 ? 'answered' : 'failed')
     const next = this.#retryPolicy.decide({ type: 'answered', status: head.status })
     if (next.type !== 'pass') return this.#execute(next)
     this.#deliver(head)
@@ -265,7 +265,7 @@
   #handleFailure (sent: ActiveSend, head: AnswerHead): void {
     sent.view.health.noteFailure()
     this.#reportRun(sent.attempt.sentAt)
-    this.#noteSendEnd(sent, 'answered')
+    this.#noteSendEnd(sent, 'failed')
     if (this.#sends.hedge !== null) return this.#cancelSend(sent, `failed ${head.status}`)
     const next = this.#retryPolicy.decide({ type: 'failed' })
     if (next.type === 'pass') return this.#acceptAnswer(sent, head)
