A whole answer is passed on although bytes without end follow it

Cause: Node reports the surplus as a parse error of the request, in the same turn of the event loop as the whole answer, and the call took any error for a truncated answer. Change: an error of the connection after a whole answer doesn't fail the call; the answer ends as without it. Node has closed the connection by then, so nothing is reused.

Evidence: endless-bytes.test.ts, two of six cases failed before (by length, in chunks), 6 of 6 passed in three runs after, ten requests a case; bytes without end in a head, or that are no answer, and answers with neither length nor chunks were handled before. routes-path.test.ts: 37 of 37.

--- a/src/gateway/endpoint-call.ts
+++ b/src/gateway/endpoint-call.ts
@@ -80,7 +80,7 @@
       else this.#hasConnected = true
     })
     this.#request.on('response', answer => this.#receive(answer))
-    this.#request.on('error', error => this.#fail(error.message))
+    this.#request.on('error', error => this.#handleError(error))
     this.#request.end(body.length > 0 ? body : undefined)
   }
 
@@ -135,6 +135,11 @@
     })
   }
 
+  // Bytes after a whole answer belong to no request: the answer ends as it would without them, and Node has closed the connection.
+  #handleError (error: Error): void {
+    if (this.#answer?.complete !== true) this.#fail(error.message)
+  }
+
   #fail (reason: string, failure: CallFailure = 'lost', part: FailedPart = this.#findFailedPart()): void {
     if (this.#isEnded) return
     this.#isEnded = true
