Tests of harmful parts count the late sends of each part, and have two parts in one request

Change: a fourth case; late sends are counted for each part after the fifth crash under it, which is the same for one part.

--- a/test/harmful-parts.test.ts
+++ b/test/harmful-parts.test.ts
@@ -18,17 +18,19 @@
 
 after(async () => { await deployment.stop() })
 
-/** Harmful requests that reached endpoints later than `contactMs` after the fifth crash since `from`. */
-function countLateSends (from: number): number {
-  const fifth = deployment.endpoints.flatMap(({ crashedAt }) => crashedAt).filter(at => at > from).sort((a, b) => a - b)[4] ?? Infinity
-  return deployment.endpoints.flatMap(({ arrivals }) => arrivals).filter(({ requestId, at }) => requestId.startsWith('harmful') && at > fifth + contactMs).length
+/** Requests with a harmful part that reached endpoints later than `contactMs` after the fifth crash under it. */
+function countLateSends (part: string): number {
+  const crashes = deployment.endpoints.flatMap(({ crashBodies, crashedAt }) => crashBodies.map((body, i) => ({ body, at: crashedAt[i] })))
+  const fifth = crashes.filter(({ body }) => body.includes(`${part},`)).map(({ at }) => at).sort((x, y) => x - y)[4] ?? Infinity
+  return deployment.endpoints.flatMap(({ arrivals }) => arrivals).filter(({ requestId, at }) => requestId.includes(`${part},`) && at > fifth + contactMs).length
 }
 
 /** Sends a request that no other one equals, with these parts before one of its own. */
 function ask (path: string, parts: readonly string[], isHarmful: boolean): Promise<CallAnswer> {
   sent += 1
   const listed = [...parts, `own${sent}`].map(part => `${part}:40`).join(',')
-  return deployment.ask(path, { requestId: `${isHarmful ? 'harmful' : 'sound'} ${sent}`, body: `${isHarmful ? crashBodyPrefix : 'sound'} ${sent}`, gateway: sent % gateways, headers: { 'x-wrenlane-tokens': '160,20', 'x-wrenlane-prompt-parts': listed } })
+  const name = `${parts.join(',')}, ${sent}`
+  return deployment.ask(path, { requestId: name, body: `${isHarmful ? crashBodyPrefix : 'sound'} ${name}`, gateway: sent % gateways, headers: { 'x-wrenlane-tokens': '160,20', 'x-wrenlane-prompt-parts': listed } })
 }
 
 /** Sends a harmful request and three sound ones that share its other parts, again and again. */
@@ -45,17 +47,17 @@
 /** Sends that are accepted once five crashes have shown a part to be harmful and all boxes in touch have had time to learn of it, ms. */
 const contactMs = 3000
 const maxLateSends = 3
-const cases: readonly { name: string, path: string, harmful: (round: number) => readonly string[] }[] = [
-  { name: 'a part in the middle of a prompt', path: '/again/x', harmful: round => ['system', 'bad1', `camp${round % 3}`] },
-  { name: 'the first part of a prompt', path: '/once/x', harmful: round => ['bad2', 'system', `camp${round % 3}`] },
-  { name: 'a part of streams that may be resumed', path: '/resume/events-40', harmful: round => ['system', `camp${round % 3}`, 'bad3'] }
+const cases: readonly { name: string, path: string, bad: readonly string[], harmful: (round: number) => readonly string[] }[] = [
+  { name: 'a part in the middle of a prompt', path: '/again/x', bad: ['bad1'], harmful: round => ['system', 'bad1', `camp${round % 3}`] },
+  { name: 'the first part of a prompt', path: '/once/x', bad: ['bad2'], harmful: round => ['bad2', 'system', `camp${round % 3}`] },
+  { name: 'a part of streams that may be resumed', path: '/resume/events-40', bad: ['bad3'], harmful: round => ['system', `camp${round % 3}`, 'bad3'] },
+  { name: 'one of two parts, or both', path: '/again/x', bad: ['bad4', 'bad5'], harmful: round => ['system', ...(round % 10 < 3 ? ['bad4', 'bad5'] : [`bad${4 + round % 2}`]), `camp${round % 3}`] }
 ]
 
-for (const { name, path, harmful } of cases) {
+for (const { name, path, bad, harmful } of cases) {
   test(`requests that share only ${name} no longer crash one endpoint after the other`, async () => {
-    const from = performance.now()
     const sound = await play(60, harmful, path)
-    assert.ok(countLateSends(from) <= maxLateSends, `${countLateSends(from)} late sends`)
+    for (const part of bad) assert.ok(countLateSends(part) <= maxLateSends, `${countLateSends(part)} late sends of ${part}`)
     const late = sound.slice(sound.length / 2)
     assert.deepEqual(late.filter(({ status }) => status !== 200).map(({ status, body }) => `${status} ${body}`), [])
     const answer = await ask(path, harmful(0), true)
