A stream that goes on at its version is placed among its engines as any other

Streams that were carried on could go to engines set apart for long prompts, whose reading breaks their pauses, and lost the engine that holds their shared parts. Cause: the pin of a stream is a filter of endpoints, and a filter took precedence over all other criteria, also where one version alone serves. Change: a filter may be a restriction, within which the preferences hold; that of the pin is one. Measured: dedicated-engines.test.ts has a case each: 24 requests use 3 engines of 5 under a restriction, all 5 under another filter, which is what the pin did before.

--- a/src/core/balance/endpoint-filter.ts
+++ b/src/core/balance/endpoint-filter.ts
@@ -10,6 +10,8 @@
   readonly key: string | null
   /** Endpoints that are used only if there are no others. */
   readonly avoided: ReadonlySet<EndpointId>
+  /** True if the endpoints that it allows are chosen among as if there were no others; else it takes precedence over all other criteria. */
+  readonly isRestriction?: boolean
   mayUse (record: EndpointRecord): boolean
 }
 
--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -181,7 +181,7 @@
 
   /**
    * Chooses an untried endpoint. `draw`, from 0 up to 1, breaks ties; `waitedMs` is how long the request has
-   * waited in this box. A `filter` takes precedence over all other criteria.
+   * waited in this box. A `filter` takes precedence over all other criteria, unless it is a restriction.
    */
   choose (work: RequestProfile, tried: readonly EndpointId[], at: number, draw: number, waitedMs = 0, filter: EndpointFilter | null = null): Choice | NoChoice {
     const all = this.#byService.get(work.service) ?? []
--- a/src/core/balance/place-on-engine.ts
+++ b/src/core/balance/place-on-engine.ts
@@ -48,11 +48,12 @@
   const isTolerant = isPauseTolerant(work, minTolerantPauseMs)
   if (isTolerant && waitedMs < work.targetMs && findOverloadedLevel(context, at) < work.level) return 'later'
   const mayStart = (view: EndpointView): boolean => !isTolerant || hasRoom(view, cost, engine, sharers, at)
-  const preferred = listPreferred(input, isTolerant, at)
-  const eligible = filter === null && preferred.length > 0 ? preferred : left
+  const mayPrefer = filter === null || filter.isRestriction === true
+  const preferred = listPreferred(input, isTolerant, at).filter(view => filter === null || left.includes(view))
+  const eligible = mayPrefer && preferred.length > 0 ? preferred : left
   const { engines: candidates, share } = others === null ? { engines: eligible, share: 1 } : listWithRoom(input, eligible, isTolerant && eligible === preferred, mayStart, at)
   if (candidates.length === 0) return 'later'
-  const affinityCandidates = filter !== null ? left : isTolerant ? dedicationOrder.slice(0, counts.base) : preferred
+  const affinityCandidates = mayPrefer ? isTolerant ? dedicationOrder.slice(0, counts.base) : preferred : left
   const prompt: PromptRequest = { work, cost, engine, waitedMs, minTolerantPauseMs, pauseLimits, isPauseTolerant: isTolerant }
   const delay = others === null ? null : { ageMs: others.ageMs, unreportedMs: others.countUnreportedTokens(isTolerant) * share * state.firstEvent.msPerToken }
   const choice = chooseEngine({ candidates, affinityCandidates, holders: context.listHolders(cost), prompt, dedicatedCount: counts.count, boxContext, delay }, at, draw)
--- a/src/gateway/endpoint-search.ts
+++ b/src/gateway/endpoint-search.ts
@@ -140,6 +140,7 @@
     return {
       key: isGivenUpOnly ? null : filter?.key ?? null,
       avoided: isGivenUpOnly || filter === null ? new Set() : filter.avoided,
+      isRestriction: filter === null && !isGivenUpOnly,
       mayUse: record => pin.mayUse(record) && (!isGivenUpOnly || this.#givenUp.includes(record.id)) && (filter?.mayUse(record) ?? true)
     }
   }
--- a/test/dedicated-engines.test.ts
+++ b/test/dedicated-engines.test.ts
@@ -56,6 +56,22 @@
   assert.equal([...fleet.views].filter(view => view.running > 0).length, 5)
 })
 
+for (const { name, isRestriction, engines } of [
+  { name: 'a stream that goes on at its software version uses a dedicated engine only if no other has a free slot', isRestriction: true, engines: 3 },
+  { name: 'other filters take precedence over the division of engines', isRestriction: false, engines: 5 }
+]) {
+  test(name, () => {
+    const fleet = createFleet(Array.from({ length: 5 }, (_, i) => createRecord(`e${i + 1}`)), engineService)
+    const sensitive = createWork({ pauseMs: 50, cost: { promptTokens: 100, maxTokens: 10, parts: [] } })
+    for (let i = 0; i < 24; i++) {
+      const choice = fleet.choose(sensitive, [], i / 10, 0, 0, { key: null, avoided: new Set(), isRestriction, mayUse: () => true })
+      assert.ok(typeof choice !== 'string')
+      choice.view.place(sensitive, choice.plan, i / 10)
+    }
+    assert.equal([...fleet.views].filter(view => view.running > 0).length, engines)
+  })
+}
+
 test('pause-tolerant and pause-sensitive requests don\'t share engines, and boxes agree on the division', () => {
   const records = Array.from({ length: 8 }, (_, i) => createRecord(`e${i + 1}`, { zone: nameZone(`zone-${i % 2}`) }))
   const boxes = [createFleet(records, engineService), createFleet([...records].reverse(), engineService)]
