Lookups of streams are bounded

Cause: each request that named an unknown stream asked up to twelve registries, without a bound on those under way. Change: at most 500 at a time a box, so 2,000 a second with registries that are silent; more are refused with 503 stream-unknown. The memory that a comment gives for origins is the measured one (138 bytes each, 300,000 of them 39.5 MB).

--- a/src/core/streams/origin-table.ts
+++ b/src/core/streams/origin-table.ts
@@ -20,7 +20,7 @@
 
 /** Origins are kept for this long after they were last noted, ms: longer than callers take to return. */
 export const originRetentionMs = 120_000
-/** Maximum number of origins; the oldest are dropped first. At about 150 bytes each, 45 MB. */
+/** Maximum number of origins; the oldest are dropped first. At some 140 bytes each, 40 MB. */
 const maxOrigins = 300_000
 
 export class OriginTable {
--- a/src/gateway/stream-origins.ts
+++ b/src/gateway/stream-origins.ts
@@ -54,6 +54,8 @@
 const renewIntervalMs = originRetentionMs / 4
 /** Origins that are kept for registries while none is reachable; the oldest are dropped first. */
 const maxUnsent = 10_000
+/** Lookups under way at the same time; requests beyond them are refused as if nobody knew their streams. */
+const maxLookups = 500
 /** Time-out of a lookup, ms: registries answer within a few ms. */
 const lookupMs = 250
 /** `retry-after` of a stream whose origin is not known here, ms: another box may know it. */
@@ -118,7 +120,7 @@
     if (origin !== null || lookup.pending === 0) lookup.finish(origin)
   }
 
-  /** Reports live streams to registries that may not know them, and renews reports. */
+  /** Reports live streams to registries that may not know them, and again once a report is old. */
   check (at: number): void {
     for (const { link } of this.#chooseStores()) {
       if (this.#synced.has(link)) continue
@@ -156,6 +158,7 @@
   }
 
   #lookUp (key: StreamKey): Promise<StreamOrigin | null> {
+    if (this.#lookups.size >= maxLookups) return Promise.resolve(null)
     this.#calls += 1
     const call = this.#calls
     const asked = this.#host.listRegistries().filter(({ link }) => link.send({ type: 'find-stream', call, key }))
