The soak draws harmful parts of prompts beside software versions

Checked: at most three sends of each part, at gateways in touch, later than 3 s after the fifth crash under it; no sound request is quarantined.

It counts every crash of a stand-in now, by the stand-in's own record.

--- a/src/bin/soak.ts
+++ b/src/bin/soak.ts
@@ -23,6 +23,7 @@
   readonly paths?: boolean
   readonly silences?: boolean
   readonly versions: string | number
+  readonly parts: string | number
 }
 
 /** Result of a history: the violated invariants. */
@@ -58,6 +59,7 @@
   .option('--paths', 'Gateways lose their paths to all endpoints, beside fewer other faults, with processes; not with --crashers')
   .option('--silences', 'Endpoints fall silent and go on, beside fewer other faults that end answers, with processes; not with --crashers or --paths')
   .option('--versions', 'Number of software versions of the endpoints, which crash one after the other while callers take up their streams, with processes; 0 for none', 0)
+  .option('--parts', 'Number of harmful parts of prompts, which crash endpoints under requests of which no two are alike, with processes; 0 for none', 0)
   .action((options: Options) => run(options))
   .parse(process.argv)
 
@@ -66,7 +68,7 @@
   const [seconds, firstSeed, steps] = [options.seconds, options.seed, options.steps].map(Number)
   if (!(seconds >= 0) || !Number.isInteger(firstSeed) || !(steps > 0)) exitWithError(usageExitCode, '--seconds must be at least 0, --seed an integer and --steps above 0')
   if (![options.gateways, options.registries, options.endpoints].every(count => Number.isInteger(Number(count)) && Number(count) > 0)) exitWithError(usageExitCode, '--gateways, --registries and --endpoints must be integers of at least 1')
-  if (![options.engines, options.crashers, options.versions].every(count => Number.isInteger(Number(count)) && Number(count) >= 0)) exitWithError(usageExitCode, '--engines, --crashers and --versions must be integers of at least 0')
+  if (![options.engines, options.crashers, options.versions, options.parts].every(count => Number.isInteger(Number(count)) && Number(count) >= 0)) exitWithError(usageExitCode, '--engines, --crashers, --versions and --parts must be integers of at least 0')
   if (options.paths === true && Number(options.crashers) > 0) exitWithError(usageExitCode, '--paths and --crashers exclude each other')
   if (options.silences === true && (Number(options.crashers) > 0 || options.paths === true)) exitWithError(usageExitCode, '--silences excludes --crashers and --paths')
   const names = options.part === 'all' ? defaultParts : [options.part]
@@ -84,7 +86,7 @@
     const { violations } = await parts[name](seed, options)
     if (violations.length > 0) {
       process.stdout.write(`part=${name} seed=${seed} steps=${options.steps} violations=${JSON.stringify(violations)}\n`)
-      exitWithError(failureExitCode, `replay with: npm run soak -- --part ${name} --seed ${seed} --steps ${options.steps} --gateways ${options.gateways} --registries ${options.registries} --engines ${options.engines} --endpoints ${options.endpoints} --crashers ${options.crashers} --versions ${options.versions}${options.notices === true ? ' --notices' : ''}${options.contention === true ? ' --contention' : ''}${options.paths === true ? ' --paths' : ''}${options.silences === true ? ' --silences' : ''} --seconds 0`)
+      exitWithError(failureExitCode, `replay with: npm run soak -- --part ${name} --seed ${seed} --steps ${options.steps} --gateways ${options.gateways} --registries ${options.registries} --engines ${options.engines} --endpoints ${options.endpoints} --crashers ${options.crashers} --versions ${options.versions} --parts ${options.parts}${options.notices === true ? ' --notices' : ''}${options.contention === true ? ' --contention' : ''}${options.paths === true ? ' --paths' : ''}${options.silences === true ? ' --silences' : ''} --seconds 0`)
     }
     seed += 1
   } while (performance.now() < deadline)
@@ -92,14 +94,14 @@
 }
 
 async function runProcesses (seed: number, options: Options): Promise<HistoryResult> {
-  const deployment = { gateways: Number(options.gateways), registries: Number(options.registries), endpoints: Number(options.endpoints), engines: Number(options.engines), crashers: Number(options.crashers), notices: options.notices === true, contention: options.contention === true, paths: options.paths === true, silences: options.silences === true, versions: Number(options.versions) }
+  const deployment = { gateways: Number(options.gateways), registries: Number(options.registries), endpoints: Number(options.endpoints), engines: Number(options.engines), crashers: Number(options.crashers), notices: options.notices === true, contention: options.contention === true, paths: options.paths === true, silences: options.silences === true, versions: Number(options.versions), harmfulParts: Number(options.parts) }
   const history = new SoakHistory(seed, Number(options.steps) * stepMs, deployment)
   // A signal stops the child processes before the soak exits.
   const stopAndExit = (): void => { void history.stop().then(() => process.exit(failureExitCode)) }
   process.once('SIGTERM', stopAndExit).once('SIGINT', stopAndExit)
-  const { violations, calls, served, faults, cutOff, silences, ranked, crashes, versions, contention, logs } = await history.run()
+  const { violations, calls, served, faults, cutOff, silences, ranked, crashes, versions, parts: harmful, contention, logs } = await history.run()
   process.off('SIGTERM', stopAndExit).off('SIGINT', stopAndExit)
-  process.stdout.write(`seed=${seed} calls=${calls} served=${served} faults=${faults} ${ranked.map(({ kind, sent: asked, served, inTime }) => `${kind}=${inTime}/${served}/${asked} `).join('')}${crashes === null ? '' : `ended=${crashes.crashCounts.join('/')} harmless=${crashes.served}/${crashes.sent} back=${crashes.recoveryMs.map(Math.round).join('/')} `}${versions === null ? '' : `streams=${versions.streams} takenup=${versions.wentOn}/${versions.takenUp} new=${versions.begun}/${versions.sent} `}${cutOff.sent === 0 ? '' : `cutoff=${cutOff.served}/${cutOff.sent} `}${silences === null ? '' : `begun=${silences.begun.whole}/${silences.begun.sent} waiting=${silences.waiting.whole}/${silences.waiting.sent} lasting=${silences.lasting.whole}/${silences.lasting.sent} refused=${silences.unmet.refused}/${silences.unmet.sent} `}${contention === '' ? '' : `${contention} `}violations=${violations.length}\n`)
+  process.stdout.write(`seed=${seed} calls=${calls} served=${served} faults=${faults} ${ranked.map(({ kind, sent: asked, served, inTime }) => `${kind}=${inTime}/${served}/${asked} `).join('')}${crashes === null ? '' : `ended=${crashes.crashCounts.join('/')} harmless=${crashes.served}/${crashes.sent} back=${crashes.recoveryMs.map(Math.round).join('/')} `}${versions === null ? '' : `streams=${versions.streams} takenup=${versions.wentOn}/${versions.takenUp} new=${versions.begun}/${versions.sent} `}${harmful === null ? '' : `partcrashes=${harmful.crashes.join('/')} late=${harmful.lateSends.join('/')} sound=${harmful.served[0]}/${harmful.sent[0]},${harmful.served[1]}/${harmful.sent[1]} `}${cutOff.sent === 0 ? '' : `cutoff=${cutOff.served}/${cutOff.sent} `}${silences === null ? '' : `begun=${silences.begun.whole}/${silences.begun.sent} waiting=${silences.waiting.whole}/${silences.waiting.sent} lasting=${silences.lasting.whole}/${silences.lasting.sent} refused=${silences.unmet.refused}/${silences.unmet.sent} `}${contention === '' ? '' : `${contention} `}violations=${violations.length}\n`)
   if (violations.length > 0) saveLogs(seed, logs)
   return { violations }
 }
--- a/src/soak/fault-draw.ts
+++ b/src/soak/fault-draw.ts
@@ -73,6 +73,8 @@
   readonly silences?: boolean
   /** Number of software versions of the endpoints, which crash one after the other; 0 or missing if they name none. */
   readonly versions?: number
+  /** Number of harmful parts of prompts, which crash each endpoint that runs a request with one; 0 or missing for none. */
+  readonly harmfulParts?: number
 }
 
 const proxyModes: readonly ProxyMode[] = ['delay', 'throttle', 'reset', 'one-way', 'silent']
--- a/src/soak/soak-history.ts
+++ b/src/soak/soak-history.ts
@@ -13,6 +13,8 @@
 import { drawFaults, drawNotices, drawPathFaults } from './fault-draw.js'
 import type { SoakFault, SoakShape, TimedFault } from './fault-draw.js'
 import { FaultInjector } from './fault-injector.js'
+import { PartCallers } from './part-callers.js'
+import type { PartSummary } from './part-callers.js'
 import { PathChecker } from './path-checker.js'
 import { NoticeChecker } from './notice-checker.js'
 import { PrecedenceChecker } from './precedence-checker.js'
@@ -47,6 +49,8 @@
   readonly crashes: CrashSummary | null
   /** Results of the streams at several software versions; null without any. */
   readonly versions: VersionSummary | null
+  /** Results of requests with harmful parts; null without any. */
+  readonly parts: PartSummary | null
   /** Describes the results of the callers that compete or read slowly; empty without contention. */
   readonly contention: string
   /** Newest log lines of each process; empty if there are no violations. */
@@ -65,6 +69,8 @@
 const silenceSeedOffset = 4_000_037
 /** Offset of the seed for callers of streams at several software versions. */
 const versionSeedOffset = 5_000_011
+/** The same for callers of harmful parts. */
+const partSeedOffset = 6_000_011
 /** Of the faults that may end answers, a run with silences has one in this many. */
 const endingFaultShare = 3
 /** Maximum time until all gateways serve, at the start and after the faults, ms. */
@@ -93,6 +99,8 @@
   #surgeCallers: SurgeCallers | null
   #slowCallers: SlowCallers | null
   #versionCallers: VersionCallers | null
+  #partCallers: PartCallers | null
+  #parts: PartSummary | null = null
 
   constructor (seed: number, lengthMs: number, shape: SoakShape) {
     this.#lengthMs = lengthMs
@@ -118,6 +126,7 @@
     const rankedOptions = { seed, testbed: this.#testbed, checker: this.#precedenceChecker, random: createRandom(seed) }
     this.#crashCallers = shape.crashers === 0 ? null : new CrashCallers({ seed, testbed: this.#testbed, checker: this.#checker, disturbances, random: createRandom(seed) }, shape.crashers)
     this.#versionCallers = (shape.versions ?? 0) === 0 ? null : new VersionCallers({ seed, testbed: this.#testbed, checker: this.#checker, disturbances, random: createRandom(versionSeedOffset + seed) })
+    this.#partCallers = (shape.harmfulParts ?? 0) === 0 ? null : new PartCallers({ seed, testbed: this.#testbed, checker: this.#checker, disturbances, random: createRandom(partSeedOffset + seed) }, shape.harmfulParts ?? 0)
     this.#rankedCallers = shape.engines === 0 ? null : new RankedCallers(rankedOptions, drawBursts(createRandom(seed), lengthMs))
   }
 
@@ -132,10 +141,12 @@
       this.#surgeCallers?.start()
       this.#slowCallers?.start()
       this.#versionCallers?.start()
+      this.#partCallers?.start()
       await Promise.all([this.#injector.injectAll(this.#faults), sleep(this.#lengthMs)])
       await this.#rankedCallers?.finish()
       await this.#crashCallers?.finish()
       await this.#versionCallers?.finish()
+      await this.#partCallers?.finish()
       await this.#callers.finish()
       await this.#checkRecovery()
       await this.#surgeCallers?.finish()
@@ -145,6 +156,7 @@
       this.#noticeChecker.checkArrivals(this.#testbed.endpoints)
       this.#crashCallers?.check()
       this.#versionCallers?.check()
+      this.#parts = this.#partCallers?.check() ?? null
       this.#cutOffCalls = this.#pathChecker.checkCalls()
       if (this.#testbed.hasSilences) this.#silences = this.#silenceChecker.checkCalls(this.#testbed.endpoints)
       for (const violation of this.#precedenceChecker.findViolations()) this.#checker.reportViolation('less urgent requests were served before more urgent ones', violation)
@@ -201,7 +213,7 @@
     const boxes = violations.length === 0 ? [] : this.#boxes
     const logs = new Map(boxes.map(({ name, process }) => [name, [...process.lines]]))
     const served = calls.filter(call => call.result.status === 200 && call.result.isComplete).length
-    return { violations, calls: calls.length, served, faults: this.#faults.length, cutOff: this.#cutOffCalls, silences: this.#silences, ranked: this.#precedenceChecker.summaries, crashes: this.#crashCallers?.summary ?? null, versions: this.#versionCallers?.summary ?? null, contention: [this.#surgeCallers, this.#slowCallers].map(callers => callers?.summary ?? '').join(' ').trim(), logs }
+    return { violations, calls: calls.length, served, faults: this.#faults.length, cutOff: this.#cutOffCalls, silences: this.#silences, ranked: this.#precedenceChecker.summaries, crashes: this.#crashCallers?.summary ?? null, versions: this.#versionCallers?.summary ?? null, parts: this.#parts, contention: [this.#surgeCallers, this.#slowCallers].map(callers => callers?.summary ?? '').join(' ').trim(), logs }
   }
 }
 
--- a/src/soak/version-callers.ts
+++ b/src/soak/version-callers.ts
@@ -54,6 +54,8 @@
 /** Interval at which an endpoint crashes, ms, and how long it is down. */
 const crashIntervalMs = 1200
 const downMs = 2000
+/** The longest time for which an endpoint is down after a crash of any cause, ms. */
+const maxDownMs = 2500
 /** A gateway counts as in touch once it and most registries were undisturbed for this long, ms. */
 const inTouchMs = 3000
 /** An endpoint counts as serving once it was undisturbed for this long, ms. */
@@ -99,13 +101,10 @@
   }
 
   async #crashEndpoints (): Promise<void> {
-    const { testbed: { endpoints }, random, disturbances } = this.#options
+    const { testbed: { endpoints }, random } = this.#options
     while (!this.#isStopping) {
       await sleep(crashIntervalMs)
-      const index = Math.floor(random() * endpoints.length)
-      const now = performance.now()
-      endpoints[index].standin.simulateCrash('', downMs)
-      disturbances.begin(`crash ${index}`, now)(now + downMs)
+      endpoints[Math.floor(random() * endpoints.length)].standin.simulateCrash('', downMs)
     }
   }
 
@@ -145,8 +144,9 @@
   // Whether two endpoints of the versions were undisturbed around a request.
   #isServed (versions: ReadonlySet<string>, sentAt: number): boolean {
     const { testbed: { endpoints }, disturbances } = this.#options
-    const parts = ['endpoint', 'proxy', 'drain', 'crash']
-    const serving = endpoints.filter(({ standin }, i) => versions.has(standin.software) && !disturbances.wasDisturbed(parts.map(part => `${part} ${i}`), sentAt - servingMs, performance.now()))
+    const parts = ['endpoint', 'proxy', 'drain']
+    const hasCrashed = (crashedAt: readonly number[]): boolean => crashedAt.some(at => at > sentAt - maxDownMs - servingMs)
+    const serving = endpoints.filter(({ standin }, i) => versions.has(standin.software) && !hasCrashed(standin.crashedAt) && !disturbances.wasDisturbed(parts.map(part => `${part} ${i}`), sentAt - servingMs, performance.now()))
     return serving.length >= 2
   }
 
@@ -155,7 +155,7 @@
     const { name, host } = testbed.gateways[Math.floor(random() * testbed.gateways.length)]
     const headers = { ...composeCallerHeaders(id, deadlineMs), ...(resumes === null ? {} : { 'last-event-id': String(lastId), 'x-wrenlane-resumes': resumes }) }
     const sentAt = performance.now()
-    const { status, body, isComplete } = await callHttp({ host, port: callerPort, method: 'POST', path, headers, agent: false, timeout: 2 * deadlineMs }, 'a stream')
+    const { status, body, isComplete } = await callHttp({ host, port: callerPort, method: 'POST', path, headers, agent: false, timeout: 2 * deadlineMs }, `stream ${resumes ?? id}`)
     const wasInTouch = isInTouch(disturbances, testbed, name, sentAt - inTouchMs, performance.now())
     if (status !== 200) return { wasInTouch, sentAt, ids: [], versions: [], isComplete: false }
     // The last event may have been received in part.
