Sound parts are not quarantined for the crashes of harmful ones that they share requests with

Cause: three crashes without an answer at the same software decided, and a part counted as explained only by one other part that was at all of them. With two harmful parts no single one was; with three versions each crash could be at another, where nothing had answered the sound part lately. A part that all requests have was kept out by answers alone, so nothing kept it out while none came.

Change: a crash counts against a part only if no part ran there that was at more of them (or as many, while few); four crashes, six where other software has answered the part lately; a part is blamed, and explains others, only while requests of the service that lack it are answered. Registries see no answers and pass on what gateways decide.

--- a/src/core/crashes/crash-watch.ts
+++ b/src/core/crashes/crash-watch.ts
@@ -8,6 +8,7 @@
 import { CrashHistory } from './crash-history.js'
 import type { EndpointCrash } from './endpoint-crash.js'
 import { weighEvidence } from './evidence.js'
+import type { PartStanding } from './evidence.js'
 import { isPartKey } from './part-key.js'
 import { Quarantine, computeRefusalMs, labelSoftware, mayTrySoftware } from './quarantine.js'
 import type { StoredEntry, QuarantineEntry } from './quarantine.js'
@@ -43,10 +44,12 @@
   #history = new CrashHistory()
   #quarantine = new Quarantine()
   #countEndpoints: (service: ServiceName) => number
+  #judgePart: (part: Fingerprint, service: ServiceName) => PartStanding
 
-  /** `countEndpoints`: number of usable endpoints of a service. */
-  constructor (countEndpoints: (service: ServiceName) => number) {
+  /** `countEndpoints`: number of usable endpoints of a service; `judgePart`: what its answers say of a part. */
+  constructor (countEndpoints: (service: ServiceName) => number, judgePart: (part: Fingerprint, service: ServiceName) => PartStanding = () => 'suspicious') {
     this.#countEndpoints = countEndpoints
+    this.#judgePart = judgePart
   }
 
   /** True if nothing is recorded: then every request is `free` without a lookup. */
@@ -109,7 +112,7 @@
     const newest = suspected.at(-1)
     if (newest === undefined) return null
     const known = this.#quarantine.find(fingerprint)
-    const { ends, weight, isHarmful } = weighEvidence(fingerprint, this.#history.crashes, () => this.#countEndpoints(newest.service))
+    const { ends, weight, isHarmful } = weighEvidence(fingerprint, { crashes: this.#history.crashes, countEndpoints: () => this.#countEndpoints(newest.service), judgePart: part => this.#judgePart(part, newest.service) })
     const labels = [...new Set(suspected.map(labelSoftware))].sort()
     if (known !== undefined && known.state === 'refused') return this.#extend(known, labels, ends, at)
     if (!isHarmful) return null
--- a/src/core/crashes/evidence.ts
+++ b/src/core/crashes/evidence.ts
@@ -22,6 +22,8 @@
 
 /** Minimum number of crashes: two may come from a rack, or from one faulty endpoint and its restart. */
 const minCrashes = 3
+/** Minimum number of crashes for a part of prompts: a few of the requests with one harmful part may share another by chance. */
+const minPartCrashes = 4
 /** Probability of e^-12, six in a million: among a thousand retried requests at failing endpoints, none is misclassified. */
 const minWeight = 12
 /** Upper bound on the weight of one crash, so that no single coincidence decides. */
@@ -39,18 +41,54 @@
 /** Minimum weight from `manyCrashes` on. Probability of e^-8, three in ten thousand: a request that queues for seconds at busy endpoints gains little weight per crash. */
 const minWeightOfMany = 8
 
-/** Computes the evidence against a request. `countEndpoints`: number of usable endpoints of its service; called only if there are enough crashes. */
-export function weighEvidence (fingerprint: Fingerprint, crashes: readonly KnownCrash[], countEndpoints: () => number): Evidence {
+/**
+ * `unknown`: no request that lacks the part was answered lately, so its crashes say nothing; `doubtful`: one was, but other software
+ * has answered the part lately; `suspicious`: one was, and none with the part.
+ */
+export type PartStanding = 'unknown' | 'doubtful' | 'suspicious'
+
+/** What the evidence against a request or a part of prompts is weighed with. */
+export interface EvidenceContext {
+  readonly crashes: readonly KnownCrash[]
+  /** Number of usable endpoints of the service; called only if there are enough crashes. */
+  countEndpoints (): number
+  /** What is known of answers to requests of the service, with and without a part. */
+  judgePart (part: Fingerprint): PartStanding
+}
+
+/** Computes the evidence against a request, or a part of prompts. */
+export function weighEvidence (fingerprint: Fingerprint, context: EvidenceContext): Evidence {
+  const { crashes } = context
   const suspected = crashes.filter(({ runs }) => hasUnansweredRun(runs, fingerprint))
+  const isPart = isPartKey(fingerprint)
   if (suspected.length < minCrashes) return { ends: suspected.length, weight: 0, isHarmful: false }
-  const separate = isPartKey(fingerprint) ? listSeparate(suspected) : suspected
-  if (separate.length < minCrashes) return { ends: suspected.length, weight: 0, isHarmful: false }
-  const endpoints = Math.max(1, countEndpoints())
-  const weight = separate.reduce((sum, crash) => sum + weighCrash(crash, fingerprint, crashes, endpoints), 0)
+  const counted = isPart ? listSeparate(listUnexplained(fingerprint, suspected, context)) : suspected
+  if (counted.length < (isPart ? findMinCrashes(context.judgePart(fingerprint)) : minCrashes)) return { ends: suspected.length, weight: 0, isHarmful: false }
+  const endpoints = Math.max(1, context.countEndpoints())
+  const weight = counted.reduce((sum, crash) => sum + weighCrash(crash, fingerprint, crashes, endpoints), 0)
   const isHarmful = weight >= (suspected.length < manyCrashes ? minWeight : minWeightOfMany) && !hasOtherCause(fingerprint, suspected, crashes)
   return { ends: suspected.length, weight, isHarmful }
 }
 
+// Crashes at which no other part ran that was at more of them, or at as many while they are few.
+function listUnexplained (part: Fingerprint, suspected: readonly KnownCrash[], { crashes, judgePart }: EvidenceContext): readonly KnownCrash[] {
+  const countCrashes = (other: Fingerprint): number => crashes.filter(({ runs }) => hasUnansweredRun(runs, other)).length
+  const others = new Set(suspected.flatMap(({ runs }) => [...runs.keys()].filter(other => other !== part && isPartKey(other))))
+  const stronger = [...others].filter(other => {
+    const count = countCrashes(other)
+    return (count > suspected.length || (count === suspected.length && count < manyCrashes)) && judgePart(other) !== 'unknown'
+  })
+  return suspected.filter(({ runs }) => !stronger.some(other => hasUnansweredRun(runs, other)))
+}
+
+function findMinCrashes (standing: PartStanding): number {
+  switch (standing) {
+    case 'unknown': return Infinity
+    case 'doubtful': return manyCrashes
+    case 'suspicious': return minPartCrashes
+  }
+}
+
 // Many requests share a part, so endpoints that end together, as a rack does, count once.
 function listSeparate (crashes: readonly KnownCrash[]): KnownCrash[] {
   const separate: KnownCrash[] = []
@@ -75,10 +113,9 @@
 }
 
 // True if another request was running during all of these crashes and during more, or during the same ones while they are few.
-// Its parts ran wherever a request did, so they are no other cause for it; a request is one for its parts, as it says more.
+// Parts are no other cause: those of a request ran wherever it did, and those of others were weighed before.
 function hasOtherCause (fingerprint: Fingerprint, suspected: readonly KnownCrash[], crashes: readonly KnownCrash[]): boolean {
-  const isCandidate = (other: Fingerprint): boolean => other !== fingerprint && (isPartKey(fingerprint) || !isPartKey(other))
-  const candidates = [...suspected[0].runs.keys()].filter(other => isCandidate(other) && suspected.every(({ runs }) => hasUnansweredRun(runs, other)))
+  const candidates = [...suspected[0].runs.keys()].filter(other => other !== fingerprint && !isPartKey(other) && suspected.every(({ runs }) => hasUnansweredRun(runs, other)))
   return candidates.some(other => {
     const count = crashes.filter(({ runs }) => hasUnansweredRun(runs, other)).length
     return count > suspected.length || suspected.length < manyCrashes
--- a/src/gateway/crash-guard.ts
+++ b/src/gateway/crash-guard.ts
@@ -78,7 +78,7 @@
 
   constructor (host: GuardHost) {
     this.#host = host
-    this.#watch = new CrashWatch(service => host.fleet.listUsable(service, host.now()).length)
+    this.#watch = new CrashWatch(service => host.fleet.listUsable(service, host.now()).length, (part, service) => this.#soundParts.judge(part, service, host.now()))
     this.#pendingReports = new Batcher(crashUpdateDelayMs, updates => host.broadcast(mergeCrashUpdates(updates)))
   }
 
@@ -186,8 +186,8 @@
   #notePartsAnswered (request: AdmittedRequest, view: EndpointView): void {
     const at = this.#host.now()
     const label = labelSoftware(view.record)
+    this.#soundParts.noteAnswered(identifyParts(request), view.record.service, label, at)
     for (const part of identifyParts(request)) {
-      this.#soundParts.note(part, label, at)
       for (const { record, runs } of this.#broken.values()) if (labelSoftware(record) === label) runs.delete(part)
       if (!this.#watch.isIdle) this.#report(this.#watch.noteAnswered(part, label, at))
     }
--- a/src/registry/crash-replicator.ts
+++ b/src/registry/crash-replicator.ts
@@ -25,7 +25,8 @@
 
   constructor (host: CrashReplicatorHost) {
     this.#host = host
-    this.#crashes = new CrashWatch(host.countEndpoints)
+    // Registries see no answers, so only gateways blame parts of prompts.
+    this.#crashes = new CrashWatch(host.countEndpoints, () => 'unknown')
     this.#unsent = new Batcher(crashUpdateDelayMs, updates => host.broadcast(mergeCrashUpdates(updates)))
   }
 
