Tests use other loopback networks than soak runs

Three more new tests stood in the range (204 to 206).

The four tests have 143 to 146, which nothing else uses.

--- a/src/soak/soak-testbed.ts
+++ b/src/soak/soak-testbed.ts
@@ -80,6 +80,16 @@
 /** A torn record: some bytes of a record whose write was cut off by a power loss. */
 const tornBytes = Buffer.from([0, 0, 1, 42, 7, 7, 7])
 
+/** The second octet of the loopback addresses of the run with the given number. */
+export function computeNetwork (number: number): number {
+  return firstNetwork + number % networkCount
+}
+
+/** Whether a second octet is reserved for soak runs. */
+export function isSoakNetwork (network: number): boolean {
+  return network >= firstNetwork && network < firstNetwork + networkCount
+}
+
 export class SoakTestbed {
   readonly folder = mkdtempSync(join(tmpdir(), 'wrenlane-soak-'))
   readonly registries: TestbedBox[] = []
@@ -100,7 +110,7 @@
   constructor (shape: SoakShape, number: number, contention: ContentionPlan['settings'] | null, onUnexpectedExit: (name: string, exit: ProcessExit) => void) {
     this.#shape = shape
     this.contention = contention
-    this.#network = firstNetwork + number % networkCount
+    this.#network = computeNetwork(number)
     this.#onUnexpectedExit = onUnexpectedExit
   }
 
--- a/test/crowded-gateway.test.ts
+++ b/test/crowded-gateway.test.ts
@@ -11,7 +11,7 @@
 let deployment: RouteDeployment
 
 before(async () => {
-  deployment = await RouteDeployment.start({ number: 206, gateways: 4 })
+  deployment = await RouteDeployment.start({ number: 146, gateways: 4 })
   await deployment.putDocument(composeDocument(1))
   for (let i = 0; i < 6; i++) await deployment.addEndpoint('desk', ['zone-a', 'zone-b', 'zone-c'][i % 3], 16)
 })
--- a/test/endless-bytes.test.ts
+++ b/test/endless-bytes.test.ts
@@ -37,7 +37,7 @@
 }
 
 before(async () => {
-  deployment = await RouteDeployment.start({ number: 205, registries: 1, gateways: 1 })
+  deployment = await RouteDeployment.start({ number: 145, registries: 1, gateways: 1 })
   await deployment.putDocument(composeDocument(1))
   server = createServer(socket => {
     sockets.add(socket)
--- a/test/harmful-parts.test.ts
+++ b/test/harmful-parts.test.ts
@@ -11,7 +11,7 @@
 let sent = 0
 
 before(async () => {
-  deployment = await RouteDeployment.start({ number: 204, gateways, gateway: { retries: { ratio: 0.2, extra: 500, windowSeconds: 10 } } })
+  deployment = await RouteDeployment.start({ number: 144, gateways, gateway: { retries: { ratio: 0.2, extra: 500, windowSeconds: 10 } } })
   await deployment.putDocument(composeDocument(1))
   for (let i = 0; i < endpoints; i++) (await deployment.addEndpoint('desk')).crash = { afterMs: 20, downMs: 200 }
 })
--- a/test/stream-versions.test.ts
+++ b/test/stream-versions.test.ts
@@ -14,7 +14,7 @@
 const rounds = Array.from({ length: 16 }, (_, i) => i)
 
 before(async () => {
-  deployment = await RouteDeployment.start({ number: 203, gateways: 3 })
+  deployment = await RouteDeployment.start({ number: 143, gateways: 3 })
   const document = composeDocument(1)
   const { routes, workspaces } = document
   const resume = routes.find(route => 'name' in route && route.name === 'resume')
