A stream's origin is reported before its first event is relayed

What callers saw: a stream whose gateway was killed within 20 ms of the first event was refused elsewhere with 503 stream-unknown at every try, although its version served.

Cause: reports to registries were collected for 20 ms, and a killed box took those with it that it had not sent.

Change: the report of a new stream is sent as it begins, before its first event is relayed; messages of one turn of the event loop still share a frame.

--- a/src/gateway/stream-origins.ts
+++ b/src/gateway/stream-origins.ts
@@ -7,7 +7,6 @@
 import { OriginTable, chooseByHash, isSameOrigin, originRetentionMs } from '../core/index.js'
 import type { BoxId, EndpointRecord, KeyedWorkspace, Route, ServiceName, StreamKey, StreamOrigin, ZoneName } from '../core/index.js'
 import type { CallerHeaders, Link, RouteMessage, StreamOriginReport } from '../protocol/index.js'
-import { Batcher } from '../runtime/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
 import type { ResumedStream } from './admitted-request.js'
 import type { Refusal } from './answers.js'
@@ -46,8 +45,6 @@
   finish (origin: StreamOrigin | null): void
 }
 
-/** First events within this time share a report, ms: a box that is killed takes those with it that it has not reported. */
-const reportDelayMs = 20
 /** Number of registries that store an origin: one may be lost with the box. */
 const storeCount = 2
 /** Origins of streams that go on are reported again at this interval, ms. */
@@ -66,7 +63,6 @@
   #own = new OriginTable()
   #live = new Set<LiveStream>()
   #unsent: LiveStream[] = []
-  #batcher = new Batcher<LiveStream>(reportDelayMs, streams => this.#report(streams))
   /** Links over which all live streams were reported. */
   #synced = new WeakSet<Link<RouteMessage>>()
   #lookups = new Map<number, Lookup>()
@@ -79,12 +75,12 @@
   /** Number of lookups that are under way. */
   get pending (): number { return this.#lookups.size }
 
-  /** Notes that the first event of a stream, new or resumed, was relayed. */
+  /** Notes and reports the first event of a stream, new or resumed. To be called before the event is relayed: a caller that has it can return elsewhere. */
   begin (key: StreamKey, origin: StreamOrigin): LiveStream {
     const stream: LiveStream = { key, origin, notedAt: this.#host.now() }
     this.#live.add(stream)
     this.#own.note(key, origin, stream.notedAt)
-    this.#batcher.add(stream)
+    this.#report([stream])
     return stream
   }
 
@@ -132,8 +128,8 @@
     for (const stream of due) {
       stream.notedAt = at
       this.#own.note(stream.key, stream.origin, at)
-      this.#batcher.add(stream)
     }
+    if (due.length > 0) this.#report(due)
   }
 
   // Without the id of its first request, the origin is known only where no other version has been seen.
--- a/test/stream-versions.test.ts
+++ b/test/stream-versions.test.ts
@@ -144,6 +144,17 @@
   assert.equal(countRuns('gone again'), 0)
 })
 
+test('a stream whose gateway was killed right after its first event goes on at the version that began it', async () => {
+  for (const round of rounds.slice(0, 4)) {
+    const broken = await deployment.ask(path, { requestId: `short-${round}`, gateway: 2, noteData: () => deployment.gateways[2].kill() })
+    const rest = await deployment.ask(path, { gateway: 1, headers: { 'last-event-id': findLastId(broken.body), 'x-wrenlane-resumes': `short-${round}` } })
+    assert.equal(rest.status, 200, rest.body)
+    assert.deepEqual(listVersions(rest.body), listVersions(broken.body))
+    await deployment.startGateway(2)
+    await waitFor(async () => (await deployment.ask(path, { gateway: 2 })).status === 200, 'the gateway started again')
+  }
+})
+
 test('a stream whose gateway was killed goes on at the version that began it', async () => {
   const broken = await Promise.all(rounds.map(round => begin(`killed-${round}`, 2)))
   deployment.gateways[2].kill()
--- a/test/support/route-deployment.ts
+++ b/test/support/route-deployment.ts
@@ -208,9 +208,9 @@
   }
 
   /** Sends a caller's request to a gateway. */
-  async ask (path: string, more: { readonly requestId?: string, readonly method?: string, readonly body?: string, readonly gateway?: number, readonly headers?: Record<string, string>, readonly keyed?: boolean, readonly deadlineMs?: number, readonly agent?: Agent, readonly host?: string } = {}): Promise<CallAnswer> {
+  async ask (path: string, more: { readonly requestId?: string, readonly method?: string, readonly body?: string, readonly gateway?: number, readonly headers?: Record<string, string>, readonly keyed?: boolean, readonly deadlineMs?: number, readonly agent?: Agent, readonly host?: string, noteData? (): void } = {}): Promise<CallAnswer> {
     const headers = { host: more.host ?? 'camp.example', ...this.spoken.composeCall(more.requestId ?? `r${Math.random()}`, more.keyed === false ? null : key, more.deadlineMs ?? 5000), ...more.headers }
-    return await call({ host: this.gatewayHost(more.gateway ?? 0), port: callerPort, method: more.method ?? 'POST', path, headers, body: more.body ?? 'a body', agent: more.agent })
+    return await call({ host: this.gatewayHost(more.gateway ?? 0), port: callerPort, method: more.method ?? 'POST', path, headers, body: more.body ?? 'a body', agent: more.agent, noteData: more.noteData })
   }
 
   async isReady (gateway: number): Promise<number> {
@@ -230,12 +230,15 @@
 }
 
 /** Makes one HTTP request; also resolves if the answer is truncated. */
-export function call (what: { readonly host: string, readonly port: number, readonly method: string, readonly path: string, readonly headers: Record<string, string>, readonly body: string, readonly agent?: Agent }): Promise<CallAnswer> {
+export function call (what: { readonly host: string, readonly port: number, readonly method: string, readonly path: string, readonly headers: Record<string, string>, readonly body: string, readonly agent?: Agent, noteData? (): void }): Promise<CallAnswer> {
   return new Promise(resolve => {
-    const { body, ...options } = what
+    const { body, noteData, ...options } = what
     const request = httpRequest({ ...options, agent: what.agent ?? false }, response => {
       let text = ''
-      response.on('data', (chunk: Buffer) => { text += chunk.toString() })
+      response.on('data', (chunk: Buffer) => {
+        text += chunk.toString()
+        noteData?.()
+      })
       response.on('error', () => {})
       response.on('close', () => resolve({ status: response.statusCode ?? 0, headers: response.headers, body: text, isWhole: response.complete }))
     })
