--- a/test/support/route-deployment.ts
+++ b/test/support/route-deployment.ts
@@ -55,6 +55,8 @@
   readonly gateway?: Partial<GatewaySettings>
   /** How each gateway connects to endpoints; the default where there is none. */
   readonly connectors?: readonly Connector[]
+  /** Whether registries accept links at `registryLinkHost`, so that a proxy can stand at the address where other boxes reach them. */
+  readonly bindsRegistriesElsewhere?: boolean
 }
 
 /** The answer to a caller. `isWhole` is false if it was truncated. */
@@ -93,12 +95,19 @@
   /** Starts the boxes; on return the log has a leader, and no document is active. */
   static async start (shape: RouteShape): Promise<RouteDeployment> {
     const deployment = new RouteDeployment(shape)
-    for (let i = 0; i < (shape.registries ?? 3); i++) await deployment.startRegistry(i, true)
-    for (let i = 0; i < (shape.gateways ?? 1); i++) await deployment.startGateway(i)
-    await waitFor(() => deployment.registries.some(one => one?.keeperLog.isLeader === true), 'a leader')
+    await deployment.startBoxes()
     return deployment
   }
 
+  /** Starts the boxes of a deployment that was constructed without `start`. */
+  async startBoxes (): Promise<void> {
+    for (let i = 0; i < (this.shape.registries ?? 3); i++) await this.startRegistry(i, true)
+    for (let i = 0; i < (this.shape.gateways ?? 1); i++) await this.startGateway(i)
+    await waitFor(() => this.registries.some(one => one?.keeperLog.isLeader === true), 'a leader')
+  }
+
+  readonly linkPort = linkPort
+  registryLinkHost (i: number): string { return `127.${this.shape.number}.3.${i + 1}` }
   registryHost (i: number): string { return `127.${this.shape.number}.0.${i + 1}` }
   gatewayHost (i: number): string { return `127.${this.shape.number}.1.${i + 1}` }
   get endpointHost (): string { return `127.${this.shape.number}.2.1` }
@@ -119,7 +128,7 @@
       logLinesPerSecond: 1000,
       statsd: null,
       listen: `${host}:${operatorPort}`,
-      bind: '',
+      bind: this.shape.bindsRegistriesElsewhere === true ? this.registryLinkHost(i) : '',
       data: join(this.folder, `registry-${i}`),
       first,
       faults: 1,
@@ -172,6 +181,13 @@
 
   /** Starts an endpoint and registers it; it registers again after each restart. */
   async addEndpoint (service: string, zone = zones[0], slots = Infinity, software = ''): Promise<StandinEndpoint> {
+    const endpoint = await this.startEndpoint(service, zone, slots, software)
+    await waitFor(() => this.gateways.every(gateway => gateway.fleet.findView(endpoint.id as never) !== undefined), `${endpoint.id} known to all gateways`)
+    return endpoint
+  }
+
+  /** As `addEndpoint`, but doesn't wait until the gateways know it. */
+  async startEndpoint (service: string, zone = zones[0], slots = Infinity, software = ''): Promise<StandinEndpoint> {
     const endpoint = new StandinEndpoint(`endpoint-${this.shape.number}-${this.endpoints.length}`, this.spoken.endpointHeaders)
     endpoint.slots = slots
     endpoint.software = software
@@ -184,7 +200,6 @@
       void this.register(endpoint, service, 'ready', zone)
     }
     await this.register(endpoint, service, 'ready', zone)
-    await waitFor(() => this.gateways.every(gateway => gateway.fleet.findView(endpoint.id as never) !== undefined), `${endpoint.id} known to all gateways`)
     return endpoint
   }
 
