Registries that restart are told of streams that have broken off, too

What callers saw: a stream that had broken off before its registries restarted was refused elsewhere with 503 stream-unknown until its two minutes were over, although its first gateway still knew it.

Cause: a gateway told a registry that was new to it only of its live streams. The callers who return are those whose streams are no longer live.

Change: it tells of all its streams of the last two minutes, 10,000 at most. That covers those that began while no registry was reachable, which had a list of their own. 36 KB once for each new registry at the size to design for (computed).

stream-versions.test.ts breaks a stream off, restarts all registries and takes it up at another gateway: timed out before, passes now (16 of 16, origin-table 9 of 9, versions-beside-cuts 2 of 2).

--- a/src/core/streams/origin-table.ts
+++ b/src/core/streams/origin-table.ts
@@ -52,6 +52,14 @@
     return stored.origin ?? 'ambiguous'
   }
 
+  /** Up to `most` streams with a known origin, those that were noted last. */
+  listLatest (most: number, at: number): [StreamKey, StreamOrigin][] {
+    this.#dropOld(at)
+    const listed: [StreamKey, StreamOrigin][] = []
+    for (const [key, { origin }] of [...this.#origins].slice(-most)) if (origin !== null) listed.push([key, origin])
+    return listed
+  }
+
   #dropOld (at: number): void {
     for (const [key, stored] of this.#origins) {
       if (at - stored.at <= this.#retentionMs && this.#origins.size <= this.#maxOrigins) return
--- a/src/gateway/stream-origins.ts
+++ b/src/gateway/stream-origins.ts
@@ -49,8 +49,8 @@
 const storeCount = 2
 /** Origins of streams that go on are reported again at this interval, ms. */
 const renewIntervalMs = originRetentionMs / 4
-/** Origins that are kept for registries while none is reachable; the oldest are dropped first. */
-const maxUnsent = 10_000
+/** Number of streams that a registry is told of when it is new to this box, or was lost and is back: the latest ones. */
+const maxToldAnew = 10_000
 /** Lookups under way at the same time; requests beyond them are refused as if nobody knew their streams. */
 const maxLookups = 500
 /** Time-out of a lookup, ms: registries answer within a few ms. */
@@ -62,8 +62,7 @@
   #host: StreamOriginsHost
   #own = new OriginTable()
   #live = new Set<LiveStream>()
-  #unsent: LiveStream[] = []
-  /** Links over which all live streams were reported. */
+  /** Links over which all streams of this box were reported. */
   #synced = new WeakSet<Link<RouteMessage>>()
   #lookups = new Map<number, Lookup>()
   #calls = 0
@@ -116,14 +115,13 @@
     if (origin !== null || lookup.pending === 0) lookup.finish(origin)
   }
 
-  /** Reports live streams to registries that may not know them, and again once a report is old. */
+  /** Reports the streams of this box to registries that may not know them, also those that have ended; live ones again once their report is old. */
   check (at: number): void {
     for (const { link } of this.#chooseStores()) {
       if (this.#synced.has(link)) continue
       this.#synced.add(link)
-      sendReport(link, [...this.#live])
+      sendReport(link, this.#own.listLatest(maxToldAnew, at).map(([key, origin]) => ({ key, origin })))
     }
-    if (this.#unsent.length > 0) this.#report([])
     const due = [...this.#live].filter(({ notedAt }) => at - notedAt > renewIntervalMs)
     for (const stream of due) {
       stream.notedAt = at
@@ -171,9 +169,7 @@
   }
 
   #report (streams: readonly LiveStream[]): void {
-    const all = [...this.#unsent, ...streams]
-    const isSent = this.#chooseStores().filter(({ link }) => sendReport(link, all)).length > 0
-    this.#unsent = isSent ? [] : all.slice(-maxUnsent)
+    for (const { link } of this.#chooseStores()) sendReport(link, streams)
   }
 
   // One in the box's own zone, and others elsewhere: a zone can be lost as a whole.
@@ -191,7 +187,7 @@
   }
 }
 
-function sendReport (link: Link<RouteMessage>, streams: readonly LiveStream[]): boolean {
+function sendReport (link: Link<RouteMessage>, streams: readonly Pick<LiveStream, 'key' | 'origin'>[]): void {
   const reports = new Map<string, StreamOriginReport & { readonly keys: StreamKey[] }>()
   for (const { key, origin: { service, software } } of streams) {
     const label = `${service} ${software}`
@@ -199,7 +195,7 @@
     reports.set(label, report)
     report.keys.push(key)
   }
-  return reports.size === 0 || link.send({ type: 'stream-origins', origins: [...reports.values()] })
+  if (reports.size > 0) link.send({ type: 'stream-origins', origins: [...reports.values()] })
 }
 
 function refuse (kind: Refusal['kind'], text: string): Resumption {
--- a/test/origin-table.test.ts
+++ b/test/origin-table.test.ts
@@ -33,4 +33,6 @@
   table.note(brandId<StreamKey>('stream 2'), v1, 5)
   table.note(brandId<StreamKey>('stream 5'), v1, 6)
   assert.deepEqual([0, 1, 2, 3, 4, 5].filter(i => table.find(brandId<StreamKey>(`stream ${i}`), 6) !== null), [2, 4, 5])
+  assert.deepEqual(table.listLatest(2, 6).map(([key]) => key), ['stream 2', 'stream 5'])
+  assert.deepEqual(table.listLatest(2, 66).map(([key]) => key), ['stream 5'])
 })
--- a/test/stream-versions.test.ts
+++ b/test/stream-versions.test.ts
@@ -144,6 +144,15 @@
   assert.equal(countRuns('gone again'), 0)
 })
 
+test('a stream that broke off before all registries restarted goes on at the version that began it', async () => {
+  const broken = await begin('before the restart', 0)
+  for (const registry of deployment.registries) registry?.kill()
+  await Promise.all(deployment.registries.map((_, i) => deployment.startRegistry(i, false)))
+  let rest: CallAnswer | undefined
+  await waitFor(async () => (rest = await takeUp('after the restart', 'before the restart', 1)).status === 200, 'the stream known again')
+  assert.deepEqual(listVersions(rest?.body ?? ''), listVersions(broken.body))
+})
+
 test('a stream whose gateway was killed right after its first event goes on at the version that began it', async () => {
   for (const round of rounds.slice(0, 4)) {
     const broken = await deployment.ask(path, { requestId: `short-${round}`, gateway: 2, noteData: () => deployment.gateways[2].kill() })
