A gateway that stops answers requests whose deadline has passed instead of cutting them

What callers saw: a plain call to a gateway under a planned stop ended with ECONNRESET instead of an answer.

Cause: a draining box accepts what can finish in the time left, but deadlines are checked every 40 ms, so one that passes just before the stop had not been seen.

Change: the stop checks all exchanges once more before it cuts.

--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -121,14 +121,14 @@
   /** Adds seed addresses; registries known before stay known. */
   setSeeds (seeds: readonly string[]): void { this.#follower.setSeeds(seeds) }
 
-  /** Drains the box and stops it: callers that still arrive are served until it is idle or the drain time is over. Returns the number of requests that had to be cut. */
+  /** Drains the box and stops it: callers that still arrive are served until it is idle or the drain time is over. Requests past their deadline get their final answer. Returns the number of requests that had to be cut. */
   async stop (): Promise<number> {
     const { log } = this.#dependencies
     log.info('gateway-leaving', { inFlight: this.inFlight })
-    const isIdle = (): boolean => this.inFlight === 0 && this.#origins.pending === 0 && this.#paths.forwardedCount === 0 && this.answers.isIdle
-    const drained = this.#drain.run(this.#settings.drainSeconds * 1000, isIdle)
+    const drained = this.#drain.run(this.#settings.drainSeconds * 1000, () => this.inFlight === 0 && this.#origins.pending === 0 && this.#paths.forwardedCount === 0 && this.answers.isIdle)
     this.#paths.reportStatus()
     const ms = await drained
+    for (const exchange of [...this.#exchanges]) exchange.check(now())
     const cut = this.inFlight
     for (const exchange of [...this.#exchanges]) exchange.cut('stopped')
     this.#usageReporter?.flush()
--- a/test/planned-stop.test.ts
+++ b/test/planned-stop.test.ts
@@ -1,7 +1,10 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { composeAnswer } from '../src/standin/index.js'
 import { Deployment, sendChat, host, readStream, send, waitFor } from './support/deployment.js'
+import { RouteDeployment, composeDocument } from './support/route-deployment.js'
+import type { CallAnswer } from './support/route-deployment.js'
 
 test('a graceful shutdown with 200 streams in flight aborts none', async () => {
   const deployment = await Deployment.start({ port: 21_300, entries: 2, engines: 4, places: 59, entry: { balancerLagMs: 1500 }, engine: { batch: 60, baseMs: 10 } })
@@ -62,3 +65,25 @@
     await deployment.stop()
   }
 })
+
+test('a gateway that stopped cut off requests which it had accepted as their deadline was before its own', async () => {
+  const deployment = await RouteDeployment.start({ number: 149, gateway: { drainSeconds: 1 } })
+  try {
+    const document = composeDocument(1)
+    await deployment.putDocument(Object.assign(document, { routes: document.routes.map(route => ({ ...route, timeoutMs: 300 })) }))
+    const endpoint = await deployment.addEndpoint('desk')
+    endpoint.fault = { type: 'hang' }
+    const stopped = deployment.gateways[0].stop()
+    const answers: Promise<CallAnswer>[] = []
+    // The last of these are refused, as their deadline would be after the stop.
+    for (const startedAt = performance.now(); performance.now() - startedAt < 500;) {
+      answers.push(deployment.ask('/once/x'))
+      await sleep(5)
+    }
+    const statuses = (await Promise.all(answers)).map(({ status }) => status)
+    assert.equal(await stopped, 0)
+    assert.deepEqual([...new Set(statuses)].sort((a, b) => a - b), [503, 504])
+  } finally {
+    await deployment.stop()
+  }
+})
