--- a/scripts/measure-versions.js
+++ b/scripts/measure-versions.js
@@ -9,6 +9,7 @@
   ['gateways killed', { kills: true }],
   ['roll-out', { versions: Array.from({ length: 12 }, () => 'v1'), rollOut: true }],
   ['gateways killed, three cut off', { kills: true, cut: 3 }],
+  ['endpoints come back with another version or none', { versions: sideBySide.map((version, i) => i % 3 === 0 ? '' : version), swaps: true, kills: true }],
   ['one version, gateways killed', { versions: Array.from({ length: 12 }, () => 'v1'), kills: true }]
 ]
 for (const [name, more] of cases) {
--- a/test/support/route-deployment.ts
+++ b/test/support/route-deployment.ts
@@ -187,11 +187,11 @@
   }
 
   /** As `addEndpoint`, but doesn't wait until the gateways know it. */
-  async startEndpoint (service: string, zone = zones[0], slots = Infinity, software = ''): Promise<StandinEndpoint> {
+  async startEndpoint (service: string, zone = zones[0], slots = Infinity, software = '', port = 0): Promise<StandinEndpoint> {
     const endpoint = new StandinEndpoint(`endpoint-${this.shape.number}-${this.endpoints.length}`, this.spoken.endpointHeaders)
     endpoint.slots = slots
     endpoint.software = software
-    await endpoint.listen(this.endpointHost)
+    await endpoint.listen(this.endpointHost, port)
     this.endpoints.push(endpoint)
     this.#born.set(endpoint.id, Date.now())
     endpoint.noteRestart = () => {
--- a/test/support/version-run.ts
+++ b/test/support/version-run.ts
@@ -12,7 +12,7 @@
   /** Number of the deployment. */
   readonly number: number
   readonly gateways: number
-  /** Versions of the endpoints at the start. */
+  /** Versions of the endpoints at the start; empty for one that names none. */
   readonly versions: readonly string[]
   readonly ms: number
   /** Whether a gateway is killed every 5 s. */
@@ -21,6 +21,8 @@
   readonly cut?: number
   /** Whether each endpoint of v1 drains, ends and is replaced by one of v2. */
   readonly rollOut?: boolean
+  /** Whether an endpoint that crashed comes back with any of the versions. */
+  readonly swaps?: boolean
 }
 
 /** Requests to gateways in touch for the rest of a stream; `wentOn`: how many brought events. */
@@ -102,8 +104,8 @@
     await waitFor(() => this.#deployment.gateways.every(({ fleet }) => [...fleet.views].length >= this.#shape.versions.length), 'the endpoints known')
   }
 
-  async #addEndpoint (zone: string, version: string): Promise<void> {
-    const endpoint = await this.#deployment.startEndpoint('desk', zone, 16, version)
+  async #addEndpoint (zone: string, version: string, port = 0): Promise<void> {
+    const endpoint = await this.#deployment.startEndpoint('desk', zone, 16, version, port)
     endpoint.eventMs = eventMs
     this.#endpoints.push(endpoint)
   }
@@ -125,13 +127,16 @@
     await Promise.all(streams)
   }
 
+  // Each comes back at its address under another id.
   async #crashEndpoints (): Promise<void> {
+    const { swaps = false, versions } = this.#shape
     while (!this.#isEnding) {
       await sleep(crashIntervalMs)
       const endpoint = this.#endpoints[Math.floor(Math.random() * this.#endpoints.length)]
       this.#endpoints = this.#endpoints.filter(one => one !== endpoint)
       endpoint.close()
-      void sleep(downMs).then(() => this.#isEnding ? undefined : this.#addEndpoint(zones[this.#endpoints.length % zones.length], endpoint.software))
+      const version = swaps ? versions[Math.floor(Math.random() * versions.length)] : endpoint.software
+      void sleep(downMs).then(() => this.#isEnding ? undefined : this.#addEndpoint(zones[this.#endpoints.length % zones.length], version, endpoint.port))
     }
   }
 
@@ -222,5 +227,5 @@
 /** The ids of the events of an answer, and the versions that wrote them; the last one may have been received in part. */
 function readEvents (body: string): [number[], string[]] {
   const whole = body.slice(0, body.lastIndexOf('\n\n') + 1)
-  return [[...whole.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id)), [...whole.matchAll(/ (v\d+)$/gm)].map(([, version]) => version)]
+  return [[...whole.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id)), [...whole.matchAll(/^data: \S+ \d+(?: (v\d+))?$/gm)].map(([, version]) => version ?? '')]
 }
