A box that was held up reads the answers to its lookups before it refuses a stream

What callers saw: 503 stream-unknown for a stream that the registries know, from a gateway without processor time. Found by reading, not seen alone: Node runs timers that are due before it reads sockets, so a box that is held up for 250 ms takes the answers in its buffers for missing.

Change: a time-out that fires more than 50 ms late starts again. The test holds the event loop up for 400 ms during a lookup: refused before, resumed now.

--- a/src/gateway/stream-origins.ts
+++ b/src/gateway/stream-origins.ts
@@ -41,7 +41,6 @@
 interface Lookup {
   /** Registries that have not answered yet. */
   pending: number
-  readonly timer: NodeJS.Timeout
   finish (origin: StreamOrigin | null): void
 }
 
@@ -55,6 +54,8 @@
 const maxLookups = 500
 /** Time-out of a lookup, ms: registries answer within a few ms. */
 const lookupMs = 250
+/** A time-out that comes later than due by this much shows that this box was held up, ms: answers may wait unread. */
+const heldUpMs = 50
 /** `retry-after` of a stream whose origin is not known here, ms: another box may know it. */
 const unknownRetryMs = 150
 
@@ -163,8 +164,15 @@
         this.#lookups.delete(call)
         resolve(origin)
       }
-      const timer = setTimeout(() => finish(null), lookupMs)
-      this.#lookups.set(call, { pending: asked.length, timer, finish })
+      const startTimer = (): NodeJS.Timeout => {
+        const dueAt = this.#host.now() + lookupMs
+        return setTimeout(() => {
+          if (this.#host.now() - dueAt <= heldUpMs) finish(null)
+          else timer = startTimer()
+        }, lookupMs)
+      }
+      let timer = startTimer()
+      this.#lookups.set(call, { pending: asked.length, finish })
     })
   }
 
--- /dev/null
+++ b/test/stream-origins.test.ts
@@ -0,0 +1,37 @@
+import assert from 'node:assert/strict'
+import { performance } from 'node:perf_hooks'
+import { test } from 'node:test'
+import { brandId } from '../src/core/index.js'
+import type { StreamOrigin } from '../src/core/index.js'
+import { StreamOrigins } from '../src/gateway/stream-origins.js'
+import type { Resumption } from '../src/gateway/stream-origins.js'
+
+const origin: StreamOrigin = { service: brandId('desk'), software: 'v1' }
+const route = { name: 'resume', kind: 'events', resumable: true, services: [{ service: 'desk', weight: 1 }] }
+const headers = { requestId: 'second', resumes: 'first', lastEvent: '3' }
+
+/** Blocks the event loop. */
+function hold (ms: number): void {
+  for (const from = performance.now(); performance.now() - from < ms;);
+}
+
+/** A lookup at a box with one registry, which answers after `answerMs`, if at all; the box is held up from the start on. */
+const cases: readonly { name: string, heldUpMs: number, answerMs: number, type: Resumption['type'] }[] = [
+  { name: 'is resumed where its registry answers at once', heldUpMs: 0, answerMs: 0, type: 'resumed' },
+  { name: 'is refused where its registry does not answer in time', heldUpMs: 0, answerMs: 2000, type: 'refused' },
+  { name: 'was refused as unknown by a box that was held up before it read the answer', heldUpMs: 400, answerMs: 450, type: 'resumed' }
+]
+
+for (const { name, heldUpMs, answerMs, type } of cases) {
+  test(`a stream ${name}`, async () => {
+    const sent: { readonly type: string, readonly call?: number }[] = []
+    const registry = { host: '127.0.0.1', zone: 'zone-a', link: { send: (message: { readonly type: string }) => { sent.push(message); return true } } }
+    const origins = new StreamOrigins({ id: 'gateway-1', zone: 'zone-a', now: () => performance.now(), listRegistries: () => [registry], listRecords: () => [], metrics: { count: () => {} }, log: {} } as never)
+    const resolved = origins.resolve(headers as never, route as never, null)
+    const { call } = sent.find(message => message.type === 'find-stream') as { readonly call: number }
+    const timer = setTimeout(() => origins.receive({ type: 'stream-found', call, origin }), answerMs)
+    hold(heldUpMs)
+    assert.equal((await resolved).type, type)
+    clearTimeout(timer)
+  })
+}
