A request that ran at two crashes is no longer sent again and again to one endpoint that breaks its connections

What callers saw: streams that they took up got 502 at every try, at all gateways, while sound endpoints were free.

Cause: a request that ran as endpoints crashed is led to one endpoint by all boxes, chosen by a hash among those that have not crashed under it, and gets one send per arrival. A stream that is taken up is the same request, so this hits callers that return most.

--- a/src/gateway/crash-guard.ts
+++ b/src/gateway/crash-guard.ts
@@ -108,7 +108,7 @@
   /** The endpoints that a decision allows; null for all. */
   composeFilter (decision: GuardDecision): EndpointFilter | null {
     if (decision.type === 'refused') return null
-    const filters = decision.decisions.map(one => composeSubjectFilter(one)).filter(filter => filter !== null)
+    const filters = decision.decisions.map(one => composeSubjectFilter(one, this.#listStillRunning(one.subject))).filter(filter => filter !== null)
     if (filters.length <= 1) return filters[0] ?? null
     return {
       key: filters.map(({ key }) => key).find(key => key !== null) ?? null,
@@ -256,18 +256,25 @@
     return this.#watch.countCrashes(fingerprint) + likely
   }
 
+  // Endpoints where sends of a request failed lately although they have not crashed.
+  #listStillRunning (subject: Fingerprint): EndpointId[] {
+    const from = this.#host.now() - brokenRetentionMs
+    return [...this.#broken].filter(([, { state, at, runs }]) => state === 'unknown' && at >= from && runs.has(subject)).map(([id]) => id)
+  }
+
   #dropExpired (at: number): void {
     for (const [id, incarnation] of this.#broken) if (at - incarnation.at > brokenRetentionMs || this.#broken.size > maxBroken) this.#broken.delete(id)
   }
 }
 
-function composeSubjectFilter ({ subject, decision }: SubjectDecision): EndpointFilter | null {
+// `failed`: endpoints that are avoided as well as those that crashed: the request would be sent to the same one each time.
+function composeSubjectFilter ({ subject, decision }: SubjectDecision, failed: readonly EndpointId[]): EndpointFilter | null {
   switch (decision.type) {
     case 'free':
     case 'refused': return null
-    case 'suspect': return isPartKey(subject) ? null : { key: subject, avoided: decision.ended, mayUse: () => true }
+    case 'suspect': return isPartKey(subject) ? null : { key: subject, avoided: new Set([...decision.ended, ...failed]), mayUse: () => true }
     case 'sound': return { key: null, avoided: new Set(), mayUse: record => decision.labels.includes(labelSoftware(record)) }
-    case 'trial': return { key: subject, avoided: decision.ended, mayUse: record => decision.labels.length === 0 || decision.labels.includes(labelSoftware(record)) }
+    case 'trial': return { key: subject, avoided: new Set([...decision.ended, ...failed]), mayUse: record => decision.labels.length === 0 || decision.labels.includes(labelSoftware(record)) }
   }
 }
 
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -10,6 +10,7 @@
 import { after, before, test } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { crashBodyPrefix } from '../src/standin/index.js'
+import type { StandinEndpoint } from '../src/standin/index.js'
 import { waitFor } from './support/deployment.js'
 import { RouteDeployment, composeDocument } from './support/route-deployment.js'
 import type { CallAnswer } from './support/route-deployment.js'
@@ -67,6 +68,29 @@
   assert.deepEqual(observed, kinds.flatMap(({ name }) => [`one that ${name}: few`, ...Array.from({ length: gateways }, () => 'refused')]))
 })
 
+test('a request that ran at two crashes was sent again and again to one endpoint that breaks its connections', async () => {
+  const body = 'ran at two crashes'
+  const listRunners = (): StandinEndpoint[] => deployment.endpoints.filter(({ runs }) => runs.some(run => run.body === body))
+  const first = deployment.ask('/again/wait-200', { body })
+  for (const count of [1, 2]) {
+    await waitFor(() => listRunners().length === count, `run ${count}`)
+    listRunners().find(({ isDown, crashBodies }) => !isDown && !crashBodies.includes(body))?.simulateCrash(body, downMs)
+  }
+  await first
+  await awaitEndpoints()
+  for (const endpoint of deployment.endpoints) {
+    endpoint.runs.length = 0
+    endpoint.fault = { type: 'lose' }
+  }
+  await deployment.ask('/again/wait-200', { body })
+  const [chosen] = listRunners()
+  for (const endpoint of deployment.endpoints) if (endpoint !== chosen) endpoint.fault = { type: 'none' }
+  await sleep(500)
+  const again = await deployment.ask('/again/wait-200', { body })
+  chosen.fault = { type: 'none' }
+  assert.equal(again.status, 200)
+})
+
 test('a harmful request seen at one gateway crashes few more endpoints when it arrives at all gateways at once', async () => {
   const body = `${crashBodyPrefix}: at one, then at all`
   await deployment.ask('/again/y', { body })
