--- a/src/soak/version-callers.ts
+++ b/src/soak/version-callers.ts
@@ -4,6 +4,7 @@
  */
 import { performance } from 'node:perf_hooks'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { readEvents } from '../standin/index.js'
 import { composeCallerHeaders } from './caller-headers.js'
 import type { Disturbances } from './disturbances.js'
 import type { GuaranteeChecker } from './guarantee-checker.js'
@@ -158,15 +159,8 @@
     const { status, body, isComplete } = await callHttp({ host, port: callerPort, method: 'POST', path, headers, agent: false, timeout: 2 * deadlineMs }, `stream ${resumes ?? id}`)
     const wasInTouch = isInTouch(disturbances, testbed, name, sentAt - inTouchMs, performance.now())
     if (status !== 200) return { wasInTouch, sentAt, ids: [], versions: [], isComplete: false }
-    // The last event may have been received in part.
-    const whole = body.slice(0, body.lastIndexOf('\n\n') + 1)
-    return {
-      wasInTouch,
-      sentAt,
-      ids: [...whole.matchAll(/^id: (\d+)$/gm)].map(([, number]) => Number(number)),
-      versions: [...new Set([...whole.matchAll(/ (v\d+)$/gm)].map(([, version]) => version))],
-      isComplete
-    }
+    const { ids, versions } = readEvents(body)
+    return { wasInTouch, sentAt, ids, versions: [...new Set(versions)], isComplete }
   }
 
   #createId (): string {
--- a/src/standin/answer-bodies.ts
+++ b/src/standin/answer-bodies.ts
@@ -18,6 +18,13 @@
   return `id: ${id}\ndata: ${path} ${id}${software === '' ? '' : ` ${software}`}${composePadding(path, path)}\n\n`
 }
 
+/** The ids and software versions of the events in a stream, or in the part of it that was received; the last event may be cut off. */
+export function readEvents (body: string): { readonly ids: readonly number[], readonly versions: readonly string[] } {
+  const whole = body.slice(0, body.lastIndexOf('\n\n') + 1)
+  const events = [...whole.matchAll(/^id: (\d+)\ndata: \S+ \d+(?: (\S+))?$/gm)]
+  return { ids: events.map(([, id]) => Number(id)), versions: events.map(([, , version]) => version ?? '') }
+}
+
 // Repeats `text` to the number of bytes that the path asks for.
 function composePadding (path: string, text: string): string {
   return ''.padEnd(Number(/bytes-(\d+)/.exec(path)?.[1] ?? 0), text)
--- a/test/support/version-run.ts
+++ b/test/support/version-run.ts
@@ -3,6 +3,7 @@
  * broken streams up at other gateways; gateways are killed, cut off from the registries, and versions are rolled out.
  */
 import { setTimeout as sleep } from 'node:timers/promises'
+import { readEvents } from '../../src/standin/index.js'
 import type { StandinEndpoint } from '../../src/standin/index.js'
 import { waitFor } from './deployment.js'
 import { RegistryCut } from './registry-cut.js'
@@ -50,12 +51,15 @@
 
 const events = 40
 const path = `/resume/events-${events}`
+/** Interval of the events of a stream, and pause between the starts of two streams, ms. */
 const eventMs = 50
-const startIntervalMs = 31
+const streamPauseMs = 31
+/** How often an endpoint crashes and a gateway is killed, how long each is down, and how long an endpoint drains, ms. */
 const crashIntervalMs = 1200
-const downMs = 2000
 const killIntervalMs = 5000
+const downMs = 2000
 const drainMs = 2500
+/** Most requests for a stream, the pause between two of them, and their deadline, ms. */
 const maxTries = 4
 const retryMs = 150
 const deadlineMs = 12_000
@@ -122,7 +126,7 @@
     const streams: Promise<void>[] = []
     while (!this.#isEnding) {
       streams.push(this.#callStream(`stream-${streams.length}`))
-      await sleep(startIntervalMs)
+      await sleep(streamPauseMs)
     }
     await Promise.all(streams)
   }
@@ -192,7 +196,7 @@
       const sentAt = performance.now()
       const headers: Record<string, string> = began === null ? {} : { 'last-event-id': String(ids.at(-1) ?? 0), 'x-wrenlane-resumes': began.id }
       const { status, body } = await this.#deployment.ask(path, { requestId: id, gateway, deadlineMs, headers })
-      const [newIds, newVersions] = status === 200 ? readEvents(body) : [[], []]
+      const { ids: newIds, versions: newVersions } = readEvents(status === 200 ? body : '')
       if (this.#inTouchSince[gateway] + settleMs < sentAt) {
         this.#count(newIds.length > 0, began)
         if (newIds.length === 0) this.#countFailure(began === null ? 'new' : began.isCutOff ? 'begun at a gateway cut off' : 'begun elsewhere', status, body)
@@ -223,9 +227,3 @@
     if (hasEvents) taken.wentOn += 1
   }
 }
-
-/** The ids of the events of an answer, and the versions that wrote them; the last one may have been received in part. */
-function readEvents (body: string): [number[], string[]] {
-  const whole = body.slice(0, body.lastIndexOf('\n\n') + 1)
-  return [[...whole.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id)), [...whole.matchAll(/^data: \S+ \d+(?: (v\d+))?$/gm)].map(([, version]) => version ?? '')]
-}
