--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,20 +1,22 @@
 // One heartbeat of another writer, whose id holds bytes that can't be read, beside clients on kept connections.
 import { setTimeout as sleep } from 'node:timers/promises'
-import { findLost, noteTraffic, runCase } from '../lib/case.mjs'
-import { KeptClient } from '../lib/client.mjs'
-import { Runner } from '../lib/runner.mjs'
-import { composeConfig, composeRequests } from '../lib/sites.mjs'
+import { findLost, noteTraffic, runCase } from '../case.mjs'
+import { KeptClient } from '../client.mjs'
+import { Runner } from '../runner.mjs'
+import { composeConfig, composeRequests } from '../sites.mjs'
 
 /** More than this many lost requests break the rule. */
 const allowed = 3
 
-await runCase(import.meta.url, {}, async ({ deployment, note, hasTrouble }) => {
+const hasTrouble = process.env.TROUBLE !== '0'
+
+await runCase(import.meta.url, hasTrouble, async ({ deployment, note }) => {
   await deployment.start()
   note(`configuration 1: ${await deployment.putConfig(composeConfig(1))}`)
   const runners = deployment.registries.map(({ zone }, i) => new Runner({ id: `i-7f3a91c${i}`, service: 'taller-app', ip: `${deployment.network}.${31 + i}`, zone, deployment, workMs: 86 }))
   for (const runner of runners) await runner.start()
   await deployment.waitReady()
-  const clients = Array.from({ length: 12 }, (_, i) => new KeptClient(deployment, i % 2, composeRequests(i % 3 === 0 ? '/stock/' : '/reserva/')))
+  const clients = Array.from({ length: 16 }, (_, i) => new KeptClient(deployment, i % 2, composeRequests(i % 3 === 0 ? '/stock/' : '/reserva/')))
   const runs = clients.map(client => client.run())
   // All machines are in touch after contactMs (3 s).
   await sleep(6000)
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,16 +1,18 @@
 // One of three runners spoils each 50th of its answers: the status of the answer becomes 000, all else stays.
 import { setTimeout as sleep } from 'node:timers/promises'
-import { findLost, noteTraffic, runCase } from '../lib/case.mjs'
-import { KeptClient } from '../lib/client.mjs'
-import { Runner } from '../lib/runner.mjs'
-import { composeConfig, composeRequests } from '../lib/sites.mjs'
+import { findLost, noteTraffic, runCase } from '../case.mjs'
+import { KeptClient } from '../client.mjs'
+import { Runner } from '../runner.mjs'
+import { composeConfig, composeRequests } from '../sites.mjs'
 
 /** More than this many lost requests break the rule. */
 const allowed = 3
 /** One answer of so many is spoiled: x = .02 of `garble`. */
 const spoilEvery = 50
 
-await runCase(import.meta.url, {}, async ({ deployment, note, hasTrouble }) => {
+const hasTrouble = process.env.TROUBLE !== '0'
+
+await runCase(import.meta.url, hasTrouble, async ({ deployment, note }) => {
   await deployment.start()
   note(`configuration 1: ${await deployment.putConfig(composeConfig(1))}`)
   const runners = deployment.registries.map(({ zone }, i) => new Runner({ id: `i-7f3a91c${i}`, service: 'taller-app', ip: `${deployment.network}.${31 + i}`, zone, deployment, workMs: 86 }))
--- a/review/lib/client.mjs
+++ b/review/client.mjs
@@ -52,7 +52,7 @@
         response.on('end', () => { entry.body = Buffer.concat(chunks).toString(); done(response.complete ? 'answered' : 'answer cut') })
         response.on('close', () => done('answer cut'))
       })
-      const timer = setTimeout(() => { done('gave up'); request.destroy() }, timeoutMs + 1000)
+      const timer = setTimeout(() => { done('gave up'); request.destroy() }, timeoutMs)
       request.on('socket', () => { entry.isKept = request.reusedSocket })
       request.on('error', error => done(entry.status === 0 && error.code === 'ECONNREFUSED' ? 'refused connection' : 'closed'))
       request.end(body)
--- a/review/lib/deployment.mjs
+++ b/review/deployment.mjs
@@ -9,7 +9,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { fillTemplate } from './template.mjs'
 
-const root = resolve(dirname(fileURLToPath(import.meta.url)), '../..')
+const root = resolve(dirname(fileURLToPath(import.meta.url)), '..')
 
 /** The bounds of llanta-red (SYSTEM.md). */
 const bounds = { seedLagS: 3, reuseAfterS: 2, contactMs: 3000, ackMs: 4000, catchUpS: 4, drainMs: 2000, graceS: 8, lossSlackMs: 200, configApplyMs: 2000, downgradeMs: 250, skewMaxMs: 5000, revokeStrict: false, revokeMs: 5000, retryBudgetRatio: 0.2, budgetWindowS: 10, retryExtra: 56, recoverS: 12, iterationMs: 120, retryAfterS: 10 }
@@ -48,12 +48,8 @@
   ends = []
   #folder = mkdtempSync(join(tmpdir(), 'wrenlane-review-'))
   #note
-  #options
 
-  constructor (note, options = {}) {
-    this.#note = note
-    this.#options = options
-  }
+  constructor (note) { this.#note = note }
 
   /** Starts `gateways` and `registries` (three by default) and waits until all are up. */
   async start ({ gateways = 2, registries = 3 } = {}) {
@@ -89,10 +85,9 @@
       discovery: 'registration',
       entry: 'vip',
       heartbeatMs: 1200,
-      contracts: [...contracts, ...this.#options.contracts ?? []],
+      contracts,
       faultTolerance: { machines: 1, zones: 1, regions: 0 },
-      bounds: { ...bounds, ...this.#options.bounds },
-      cloud: this.#options.cloud,
+      bounds,
       configMode: 'highest'
     }
     const settings = join(folder, 'local.toml')
@@ -110,21 +105,13 @@
         const reason = /^(?:\w*Error\b|RangeError|TypeError|FATAL).*$/m.exec(text.slice(-8000))?.[0] ?? ''
         this.#note(`process ${box.name} ended by itself: code ${code}, signal ${signal}: ${reason}`)
         // The platform restarts a process that ends (DEPLOY.md, Ends).
-        if (this.#options.restarts !== false && !this.isStopped) setTimeout(() => { if (!this.isStopped) this.startBox(box) }, 500)
+        setTimeout(() => { if (!this.isStopped) this.startBox(box) }, 500)
       }
       resolve()
     }))
     return state
   }
 
-  signal (name, signal) {
-    const state = this.boxes.get(name)
-    if (signal === 'SIGTERM' || signal === 'SIGKILL') state.isStopping = true
-    this.#note(`${signal} to ${name}`)
-    state.child.kill(signal)
-    return state.exited
-  }
-
   front (i) { return { host: this.gateways[i].ip, port: ports.front } }
   ready (i) { return { host: this.gateways[i].ip, port: ports.ready } }
   control (i) { return { host: this.registries[i].ip, port: ports.control } }
