Review case 1: clients out of step

In step, few requests were in flight when a gateway ended, and the rule held in a clean clone. Added: a spread of the runners' work and staggered clients.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -13,11 +13,16 @@
 await runCase(import.meta.url, hasTrouble, async ({ deployment, note }) => {
   await deployment.start()
   note(`configuration 1: ${await deployment.putConfig(composeConfig(1))}`)
-  const runners = deployment.registries.map(({ zone }, i) => new Runner({ id: `i-7f3a91c${i}`, service: 'taller-app', ip: `${deployment.network}.${31 + i}`, zone, deployment, workMs: 86 }))
+  const runners = deployment.registries.map(({ zone }, i) => new Runner({ id: `i-7f3a91c${i}`, service: 'taller-app', ip: `${deployment.network}.${31 + i}`, zone, deployment, workMs: 86, spread: 0.5 }))
   for (const runner of runners) await runner.start()
   await deployment.waitReady()
   const clients = Array.from({ length: 16 }, (_, i) => new KeptClient(deployment, i % 2, composeRequests(i % 3 === 0 ? '/stock/' : '/reserva/')))
-  const runs = clients.map(client => client.run())
+  const runs = []
+  // Out of step, so that requests are in flight at any moment.
+  for (const client of clients) {
+    runs.push(client.run())
+    await sleep(7)
+  }
   // All machines are in touch after contactMs (3 s).
   await sleep(6000)
   if (hasTrouble) {
--- a/review/runner.mjs
+++ b/review/runner.mjs
@@ -11,9 +11,9 @@
   #seq = 0
   #call = 0
 
-  /** `serve(request, response, run)`: answers a request that runs; without it a short whole answer. */
-  constructor ({ id, service, ip, zone, deployment, slots = 6, version = 'v1', workMs = 30, serve = null, fields = {} }) {
-    Object.assign(this, { id, service, ip, zone, deployment, slots, version, workMs, serve, fields })
+  /** `spread`: how far `workMs` varies, as a share of it. `serve(request, response, run)`: answers a request that runs; without it a short whole answer. */
+  constructor ({ id, service, ip, zone, deployment, slots = 6, version = 'v1', workMs = 30, spread = 0, serve = null, fields = {} }) {
+    Object.assign(this, { id, service, ip, zone, deployment, slots, version, workMs, spread, serve, fields })
     this.born = Date.now()
     this.#server = createServer({ keepAliveTimeout: 15_000 }, (request, response) => this.#receive(request, response))
   }
@@ -62,7 +62,7 @@
       this.runs.push(run)
       response.on('close', () => { if (!response.writableFinished) run.isCancelled = true })
       if (this.serve !== null) return this.serve(request, response, run)
-      setTimeout(() => this.answer(response, run), this.workMs)
+      setTimeout(() => this.answer(response, run), this.workMs * (1 + this.spread * (2 * Math.random() - 1)))
     })
   }
 
