--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,8 +1,8 @@
 /** Two machines of the core, each with a successor that has caught up, are taken away as planned, one after the other. */
 import { fileURLToPath } from 'node:url'
-import { Operator, call, sleep } from '../stand-2/calls.mjs'
-import { CannotRun, Deployment, bounds, ports, zones } from '../stand-2/deployment.mjs'
-import { hasTrouble, runCase } from '../stand-2/record.mjs'
+import { Operator, call, sleep } from '../calls-2.mjs'
+import { CannotRun, Deployment, bounds, ports, zones } from '../deployment-2.mjs'
+import { hasTrouble, runCase } from '../record-2.mjs'
 
 /** From the end of the first machine to the SIGTERM of the second, ms: the pause between machines that are stopped in turn. */
 const pauseMs = 1000
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,9 +1,9 @@
 /** The machines of the core are replaced one after the other, four times around; then a route is moved to another service. */
 import { fileURLToPath } from 'node:url'
-import { Operator, call, sleep } from '../stand-2/calls.mjs'
-import { CannotRun, Deployment, bounds, ports, zones } from '../stand-2/deployment.mjs'
-import { hasTrouble, runCase } from '../stand-2/record.mjs'
-import { Runner } from '../stand-2/runner.mjs'
+import { Operator, call, sleep } from '../calls-2.mjs'
+import { CannotRun, Deployment, bounds, ports, zones } from '../deployment-2.mjs'
+import { hasTrouble, runCase } from '../record-2.mjs'
+import { Runner } from '../runner-2.mjs'
 
 /** Twelve replacements: each of the three machines is replaced four times. */
 const replacements = 12
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,9 +1,9 @@
 /** A gateway gets SIGTERM while the runners of its streams are busy and further streams wait in the gateway. */
 import { fileURLToPath } from 'node:url'
-import { Operator, call, sleep } from '../stand-2/calls.mjs'
-import { CannotRun, Deployment, ports, zones } from '../stand-2/deployment.mjs'
-import { hasTrouble, runCase } from '../stand-2/record.mjs'
-import { StreamRunner } from '../stand-2/stream-runner.mjs'
+import { Operator, call, sleep } from '../calls-2.mjs'
+import { CannotRun, Deployment, ports, zones } from '../deployment-2.mjs'
+import { hasTrouble, runCase } from '../record-2.mjs'
+import { StreamRunner } from '../stream-runner-2.mjs'
 
 const host = 'desk.example'
 /** Clients give up a stream after a gap of four times its objective, ms. */
--- a/review/stand-2/deployment.mjs
+++ b/review/deployment-2.mjs
@@ -8,9 +8,9 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { fillTemplate } from './template.mjs'
+import { fillTemplate } from './template-2.mjs'
 
-const root = fileURLToPath(new URL('../../', import.meta.url))
+const root = fileURLToPath(new URL('../', import.meta.url))
 
 /** Ports, alike on all machines. */
 export const ports = { front: 8227, ready: 8220, control: 8229, range: [7340, 7355] }
--- a/review/stand-2/record.mjs
+++ b/review/record-2.mjs
@@ -1,7 +1,7 @@
 /** Runs one case: its record in `record.txt`, its exit code, and its longest time. */
 import { rmSync, appendFileSync } from 'node:fs'
 import { join } from 'node:path'
-import { CannotRun } from './deployment.mjs'
+import { CannotRun } from './deployment-2.mjs'
 
 const maxSeconds = 118
 
--- a/review/stand-2/runner.mjs
+++ b/review/runner-2.mjs
@@ -3,8 +3,8 @@
  * names the request; registers itself at a registry every `heartbeatMs`. It records each request that it runs.
  */
 import { createServer } from 'node:http'
-import { call } from './calls.mjs'
-import { heartbeatMs } from './deployment.mjs'
+import { call } from './calls-2.mjs'
+import { heartbeatMs } from './deployment-2.mjs'
 
 export class Runner {
   id
--- a/review/stand-2/stream-runner.mjs
+++ b/review/stream-runner-2.mjs
@@ -3,7 +3,7 @@
  * time, queues `queue` more and states of the rest that they did not run. It ends its work at the deadline that it was given
  * and when its caller closes the connection.
  */
-import { Runner } from './runner.mjs'
+import { Runner } from './runner-2.mjs'
 
 export class StreamRunner extends Runner {
   slots = 2
