Gateways answer their requests at a second SIGTERM, and at one during start

What callers saw: a closed connection and no answer, where the second SIGTERM ended the process at once, and where the first came after the port for callers was open but before the program had a handler of the signal.

Cause: handlers were installed when the start was complete; until then a signal ends a process. The second signal called process.exit.

Change: the handlers of a gateway are installed before it starts, and `stop` awaits the start. The second signal ends the drain, so that its final answers are written; the third ends the process.

--- a/src/bin/program.ts
+++ b/src/bin/program.ts
@@ -77,12 +77,16 @@
   }
 }
 
-/** On the first SIGTERM or SIGINT calls `stop` and exits with its code; exits immediately on the second. */
-export function handleSignals (stop: () => Promise<number>, countInFlight: () => number): void {
-  let isStopping = false
+/**
+ * On the first SIGTERM or SIGINT calls `stop` and exits with its code. On the second calls `hasten`, with which `stop`
+ * ends soon; without it exits immediately, as on the third.
+ */
+export function handleSignals (stop: () => Promise<number>, countInFlight: () => number, hasten?: () => void): void {
+  let signals = 0
   const handleSignal = (): void => {
-    if (isStopping) exitWithError(failureExitCode, `stopped immediately; ${countInFlight()} requests in flight were aborted`)
-    isStopping = true
+    signals += 1
+    if (signals === 2 && hasten !== undefined) return hasten()
+    if (signals > 1) exitWithError(failureExitCode, `stopped immediately; ${countInFlight()} requests in flight were aborted`)
     stop().then(code => process.exit(code), (error: Error) => exitWithError(failureExitCode, error.message))
   }
   process.on('SIGTERM', handleSignal)
--- a/src/bin/route-program.ts
+++ b/src/bin/route-program.ts
@@ -28,13 +28,16 @@
   void runProgram(async () => {
     const context = await createContext<GatewaySettings>(path, gatewayFields, createGatewayIntake)
     const box = new GatewayBox(context.settings, { ...context, dialect, connect })
-    await box.start()
-    followSettings<GatewaySettings>(path, gatewayFields, context.log, settings => box.setSeeds(settings.seeds))
+    // Handled before the start is complete, as the box may have requests by then.
+    const started = box.start()
     handleSignals(async () => {
+      await started
       const cutRequests = await box.stop()
       await context.flush()
       return cutRequests === 0 ? 0 : 1
-    }, () => box.inFlight)
+    }, () => box.inFlight, () => box.hasten())
+    await started
+    followSettings<GatewaySettings>(path, gatewayFields, context.log, settings => box.setSeeds(settings.seeds))
   })
 }
 
