Registries that join a running log take over the votes of earlier ones

Cause: a successor stayed a learner until a voter had been silent for 2.5 s. Two of three votes were gone before that.

Change: the log's members name newcomers, learners that joined a running log. Once one has caught up and all voters are heard, it takes over the vote of the earliest voter of its zone, in two changes that follow at once. A leader whose vote is due hands over first, with the lease of its duties, to the voter that joined last.

Why it works: machines that may be taken away have no vote any more, and the number of voters and their zones stay as they were.

--- a/src/coordination/log/log-types.ts
+++ b/src/coordination/log/log-types.ts
@@ -13,6 +13,8 @@
 export interface Members {
   readonly voters: readonly ReplicaId[]
   readonly learners: readonly ReplicaId[]
+  /** Those that joined a running log and have not yet taken over the vote of an earlier replica of their zone. */
+  readonly newcomers?: readonly ReplicaId[]
 }
 
 /** Payload of a log entry. */
--- a/src/coordination/log/raft-leader.ts
+++ b/src/coordination/log/raft-leader.ts
@@ -210,7 +210,8 @@
 
   #sendTimeoutNow (): void {
     const { id: own, log, term } = this.#host
-    const successor = log.members.voters.find(id => id !== own && this.#getProgress(id).match === log.lastIndex)
+    // The voter that joined last: an earlier one may be about to leave, too.
+    const successor = [...log.members.voters].reverse().find(id => id !== own && this.#getProgress(id).match === log.lastIndex)
     if (successor !== undefined) this.#host.emit({ type: 'send', to: successor, message: { type: 'timeoutNow', term }, early: false })
   }
 
--- a/src/protocol/route-message.ts
+++ b/src/protocol/route-message.ts
@@ -24,8 +24,8 @@
 /** One message on a link. */
 export type RouteMessage =
   | { readonly type: 'raft', readonly from: ReplicaId, readonly to: ReplicaId, readonly message: RaftMessage }
-  /** Identifies a registry; repeated periodically as a keep-alive. */
-  | { readonly type: 'registry-hello', readonly replica: ReplicaId, readonly zone: string, readonly registries: readonly string[] }
+  /** Identifies a registry; repeated periodically as a keep-alive. `later`: whether it was started to join a running log; earlier builds don't say it. */
+  | { readonly type: 'registry-hello', readonly replica: ReplicaId, readonly zone: string, readonly later?: boolean, readonly registries: readonly string[] }
   /** Identifies a gateway; `version`: of its document in force; `relay`: where it forwards requests for others, null or missing while it doesn't; `lost`: services to which its paths are lost. */
   | { readonly type: 'gateway-hello', readonly gateway: BoxId, readonly version: number, readonly relay?: RelayAddress | null, readonly lost?: readonly ServiceName[] }
   /** Requests relays for a gateway in a zone. */
--- a/src/registry/duty-runner.ts
+++ b/src/registry/duty-runner.ts
@@ -42,7 +42,7 @@
   #heldFence: number | null = null
   #ticks = 0
   #lastLeader: Link<RouteMessage> | undefined
-  #isStopping = false
+  #isSuspended = false
   #timer: NodeJS.Timeout | null = null
 
   constructor (settings: DutySettings, host: DutyRunnerHost) {
@@ -72,8 +72,8 @@
   mergeUsage (reports: readonly UsageUpdate[]): void { this.#usage.merge(reports) }
 
   /** Makes no more calls, and releases the lease once none is in flight, so that the next holder need not wait for its expiry. */
-  async stop (): Promise<void> {
-    this.#isStopping = true
+  async suspend (): Promise<void> {
+    this.#isSuspended = true
     await waitUntil(() => this.#client.openCount === 0, this.#client.maxDurationMs)
     // A call that may still arrive must not do so after the next holder's first call; in that case the lease has to expire.
     const canRelease = this.#client.openCount === 0 && this.#host.now() - this.#client.lastUnknownOutcomeAt > this.#leaseMs
@@ -83,6 +83,9 @@
     this.#host.log.info('lease', { duty, state: 'released', fence: command.type === 'release' ? command.fence : 0 })
   }
 
+  /** Takes part again, if this registry still leads or comes to lead. */
+  resume (): void { this.#isSuspended = false }
+
   close (): void {
     if (this.#timer !== null) clearInterval(this.#timer)
     this.#client.close()
@@ -95,11 +98,11 @@
     const { keeper } = this.#host
     const now = this.#readClocks()
     this.#lease.observe(keeper.state.leases.find(duty), now)
-    const command = this.#lease.decide(now, keeper.isLeader && !this.#isStopping)
+    const command = this.#lease.decide(now, keeper.isLeader && !this.#isSuspended)
     if (command !== null) void this.#requestLease(command)
     if (this.#ticks % forwardEveryTicks === 0) this.#forward()
     this.#updateFence(this.#lease.findFence(now, this.#client.callTimeoutMs))
-    if (this.#heldFence === null || !keeper.isLeader || this.#isStopping) return
+    if (this.#heldFence === null || !keeper.isLeader || this.#isSuspended) return
     this.#usage.step()
     this.#scaler.step(call => this.#call(call))
   }
@@ -126,11 +129,11 @@
   }
 
   async #call (call: DutyCall): Promise<DutyCallResult> {
-    if (this.#isStopping) return { type: 'not-held' }
+    if (this.#isSuspended) return { type: 'not-held' }
     if (this.#client.openCount >= maxConcurrentCalls) return { type: 'failed', reason: 'too many calls are under way' }
     const startedAt = this.#host.now()
     const result = await this.#client.call(() => {
-      const fence = this.#isStopping ? null : this.#lease.findFence(this.#readClocks(), this.#client.callTimeoutMs)
+      const fence = this.#isSuspended ? null : this.#lease.findFence(this.#readClocks(), this.#client.callTimeoutMs)
       return fence === null ? null : this.#host.dialect.composeDuty(call, { holder: this.#host.id, fence })
     })
     this.#host.metrics.time('duty-call', this.#host.now() - startedAt, { call: call.type, end: result.type === 'answered' ? String(result.status) : result.type })
--- a/src/registry/membership-manager.ts
+++ b/src/registry/membership-manager.ts
@@ -3,7 +3,7 @@
  * and makes one change at a time where a voter is silent or missing.
  */
 import { planMembers } from '../coordination/index.js'
-import type { KeeperLog, KeeperObservation, MembershipTarget, ReplicaId } from '../coordination/index.js'
+import type { KeeperLog, KeeperObservation, Members, MembershipTarget, Replica, ReplicaId } from '../coordination/index.js'
 import type { EventLog } from '../runtime/index.js'
 
 /** What the manager needs of its box. */
@@ -13,10 +13,13 @@
   readonly faults: number
   readonly log: EventLog
   now (): number
+  /** Hands the log over to another registry, with the duties of its leader. */
+  transfer (): Promise<void>
 }
 
 interface RegistryContact {
   readonly zone: string
+  readonly isLater: boolean
   readonly lastHeardAt: number
 }
 
@@ -24,6 +27,10 @@
 const replaceVoterMs = 2500
 /** A silent learner, or registry that is not a seed, is removed after this, ms. */
 const dropLearnerMs = 60_000
+/** Membership changes that are made at once at most. */
+const maxStepsAtOnce = 8
+/** Time after which a transfer of leadership that failed is tried again, ms. */
+const transferRetryMs = 2000
 /** The fewest voters that tolerate one failure. */
 const minVoters = 3
 
@@ -31,12 +38,14 @@
   #host: MembershipManagerHost
   #replicas = new Map<ReplicaId, RegistryContact>()
   #isChanging = false
+  /** When leadership may be transferred again. */
+  #transferAt = -Infinity
 
   constructor (host: MembershipManagerHost) { this.#host = host }
 
-  /** Records that a message from a replica was received. */
-  noteMessage (replica: ReplicaId, zone: string): void {
-    this.#replicas.set(replica, { zone, lastHeardAt: this.#host.now() })
+  /** Records that a message from a replica was received. `isLater`: whether it was started to join a running log. */
+  noteMessage (replica: ReplicaId, zone: string, isLater: boolean): void {
+    this.#replicas.set(replica, { zone, isLater, lastHeardAt: this.#host.now() })
   }
 
   /** Removes the replicas that have been silent for `dropLearnerMs`; returns them. */
@@ -51,17 +60,42 @@
     return expired
   }
 
-  /** Makes the next membership change that is needed, where this box leads and none is in progress. */
+  /**
+   * Makes the membership changes that are needed, one after the other, where this box leads and none is in progress. A vote
+   * moves in two of them: between these, the loss of its zone would cost the quorum, so the second follows at once.
+   */
   async reconcile (keeperLog: KeeperLog): Promise<void> {
-    const { replica } = keeperLog
-    if (replica?.isLeader !== true || this.#isChanging || !replica.node.hasCommittedMembers) return
-    const observations = this.#listObservations(keeperLog.id, replica.node.matches)
-    const next = planMembers({ members: replica.members, self: replica.id, commit: replica.node.commitIndex, observations }, this.#target)
-    if (next === null) return
+    if (this.#isChanging) return
     this.#isChanging = true
-    const outcome = await replica.changeMembers(next)
+    for (let i = 0; i < maxStepsAtOnce && await this.#takeStep(keeperLog);) i += 1
     this.#isChanging = false
-    this.#host.log.info('members', { voters: next.voters.join(','), learners: next.learners.join(','), end: outcome.type === 'rejected' ? outcome.fault : outcome.type })
+  }
+
+  // True if a further step may be due.
+  async #takeStep ({ id, replica }: KeeperLog): Promise<boolean> {
+    if (replica?.isLeader !== true || !replica.node.hasCommittedMembers) return false
+    const observations = this.#listObservations(id, replica.node.matches)
+    const next = planMembers({ members: replica.members, self: replica.id, commit: replica.node.commitIndex, observations }, this.#target)
+    switch (next?.type) {
+      case undefined: return false
+      case 'transfer':
+        if (this.#host.now() >= this.#transferAt) await this.#transfer(replica)
+        return false
+      case 'change': return await this.#change(replica, next.members)
+    }
+  }
+
+  // The log takes no proposals meanwhile.
+  async #transfer (replica: Replica): Promise<void> {
+    this.#transferAt = this.#host.now() + transferRetryMs
+    await this.#host.transfer()
+    this.#host.log.info('leadership-transfer', { end: replica.isLeader ? 'failed' : 'done' })
+  }
+
+  async #change (replica: Replica, { voters, learners, newcomers = [] }: Members): Promise<boolean> {
+    const outcome = await replica.changeMembers({ voters, learners, ...(newcomers.length === 0 ? {} : { newcomers }) })
+    this.#host.log.info('members', { voters: voters.join(','), learners: learners.join(','), newcomers: newcomers.join(','), end: outcome.type === 'rejected' ? outcome.fault : outcome.type })
+    return outcome.type === 'applied'
   }
 
   get #target (): MembershipTarget {
@@ -71,8 +105,8 @@
 
   #listObservations (self: ReplicaId, matches: ReadonlyMap<ReplicaId, number>): KeeperObservation[] {
     const now = this.#host.now()
-    const observations: KeeperObservation[] = [{ replica: self, zone: this.#host.zone, silentMs: 0, match: matches.get(self) ?? 0 }]
-    for (const [replica, { zone, lastHeardAt }] of this.#replicas) observations.push({ replica, zone, silentMs: now - lastHeardAt, match: matches.get(replica) ?? 0 })
+    const observations: KeeperObservation[] = [{ replica: self, zone: this.#host.zone, isLater: false, silentMs: 0, match: matches.get(self) ?? 0 }]
+    for (const [replica, { zone, isLater, lastHeardAt }] of this.#replicas) observations.push({ replica, zone, isLater, silentMs: now - lastHeardAt, match: matches.get(replica) ?? 0 })
     return observations
   }
 }
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -76,7 +76,7 @@
     const { log } = dependencies
     this.#links = this.#createLinks()
     this.#hosts = new KnownHosts(settings.host, settings.linkPort, this.#links)
-    this.#membership = new MembershipManager({ zone: settings.zone, faults: settings.faults, log, now })
+    this.#membership = new MembershipManager({ zone: settings.zone, faults: settings.faults, log, now, transfer: () => this.#transfer() })
     this.#endpoints = this.#createEndpointTracker()
     this.#loadHub = new LoadHub({ id: brandId(settings.id), log, intake: this.#dependencies.intake, now, listOthers: () => this.#hosts.others, findService: endpoint => this.#endpoints.findService(endpoint) })
     this.#permits = this.#createPermitServer()
@@ -127,12 +127,18 @@
 
   /** Transfers leadership, then shuts down. */
   async stop (): Promise<void> {
-    await this.#duties?.stop()
-    await this.#log?.replica?.transfer()
+    await this.#transfer()
     this.kill()
     this.#dependencies.log.info('registry-stopped')
   }
 
+  // The lease on the duties is released first, so that the next leader need not wait until it expires.
+  async #transfer (): Promise<void> {
+    await this.#duties?.suspend()
+    await this.#log?.replica?.transfer()
+    this.#duties?.resume()
+  }
+
   /** Shuts down at once, as a crash would. */
   kill (): void {
     for (const timer of this.#timers) clearInterval(timer)
@@ -143,8 +149,6 @@
     this.#log?.close().catch((error: Error) => this.#dependencies.log.warn('disk-not-closed', { error: error.message }))
   }
 
-  // Construction.
-
   #createLinks (): LinkPool<RouteMessage> {
     const { log, secret, intake } = this.#dependencies
     return new LinkPool<RouteMessage>({
@@ -259,13 +263,12 @@
 
   #sendHello (link: Link<RouteMessage>): void {
     if (this.#log === null) return
-    link.send({ type: 'registry-hello', replica: this.#log.id, zone: this.#settings.zone, registries: this.#hosts.others })
+    link.send({ type: 'registry-hello', replica: this.#log.id, zone: this.#settings.zone, later: !this.#settings.first, registries: this.#hosts.others })
   }
 
   #handleRegistryHello (message: Extract<RouteMessage, { type: 'registry-hello' }>): void {
-    const host = getKeeperName(message.replica)
-    this.#membership.noteMessage(message.replica, message.zone)
-    this.#hosts.add(host)
+    this.#membership.noteMessage(message.replica, message.zone, message.later === true)
+    this.#hosts.add(getKeeperName(message.replica))
     for (const other of message.registries) this.#hosts.add(other)
   }
 
@@ -331,8 +334,6 @@
     if (from !== undefined) this.#links.find(getKeeperName(to), this.#settings.linkPort)?.send({ type: 'raft', from, to, message })
   }
 
-  // Broadcasts.
-
   #broadcastToAll (message: RouteMessage): void {
     this.#gateways.broadcast(message)
     this.#broadcastToRegistries(message)
