Tests of stops use loopback networks of their own, and no import circle

Cause: gateway-stop.test.ts and a case of registry.test.ts took networks of other files, with which they collide in parallel runs; the estimate of a stream's time imported the measurements that hold its pace.

Measured: networks.test.ts and layers.test.ts failed and pass.

--- a/src/core/balance/stream-pace.ts
+++ b/src/core/balance/stream-pace.ts
@@ -1,12 +1,7 @@
-import type { EndpointView } from './endpoint-view.js'
-import type { EngineStats } from './engine-stats.js'
 import { SlidingMax } from './sliding-max.js'
-import type { RequestProfile } from './work.js'
 
 /** How long the time of a stream counts, ms. */
 const ttlMs = 60_000
-/** Factor by which a stream may take longer than recent ones show. */
-const margin = 1.25
 
 /** How slowly the recent streams of a service were written: the slowest bounds how long a further one takes from its first event to its end. */
 export class StreamPace {
@@ -23,11 +18,3 @@
     return maxTokens === 0 || msPerToken < 0 ? null : msPerToken * maxTokens
   }
 }
-
-/** Time within which a stream that is sent now to one of the usable endpoints has ended, ms; null if its length isn't known. */
-export function estimateStreamMs ({ streamPace, firstEvent }: EngineStats, usable: readonly EndpointView[], { cost, priority }: RequestProfile, at: number): number | null {
-  const writingMs = cost === null ? null : streamPace.estimateMs(cost.maxTokens, at)
-  if (cost === null || writingMs === null || usable.length === 0) return null
-  const readingMs = Math.min(...usable.map(view => (view.countTokensAhead(priority, at) + cost.promptTokens) * view.readMsPerToken))
-  return (firstEvent.startMs + readingMs + writingMs) * margin
-}
--- a/test/gateway-stop.test.ts
+++ b/test/gateway-stop.test.ts
@@ -44,10 +44,10 @@
 }
 
 const waitingCases: readonly WaitingCase[] = [
-  { name: 'streams that waited for a slot at SIGTERM were closed without an answer', number: 150, path: '/stream/events-40', sentMs: -300 },
-  { name: 'streams that came after SIGTERM and waited were closed without an answer', number: 151, path: '/stream/events-40', sentMs: 200 },
-  { name: 'resumable streams that waited at SIGTERM were closed without an answer', number: 152, path: '/resume/events-40', sentMs: -300 },
-  { name: 'resumable streams that came after SIGTERM and waited were closed without an answer', number: 153, path: '/resume/events-40', sentMs: 200 }
+  { name: 'streams that waited for a slot at SIGTERM were closed without an answer', number: 239, path: '/stream/events-40', sentMs: -300 },
+  { name: 'streams that came after SIGTERM and waited were closed without an answer', number: 240, path: '/stream/events-40', sentMs: 200 },
+  { name: 'resumable streams that waited at SIGTERM were closed without an answer', number: 241, path: '/resume/events-40', sentMs: -300 },
+  { name: 'resumable streams that came after SIGTERM and waited were closed without an answer', number: 242, path: '/resume/events-40', sentMs: 200 }
 ]
 
 describe('requests that wait in a gateway that stops', { concurrency: 4 }, () => {
@@ -88,9 +88,9 @@
 }
 
 const endCases: readonly EndCase[] = [
-  { name: 'calls whose endpoint had not answered were closed without an answer at the end of the drain', number: 154, path: '/once/x', statuses: [504] },
-  { name: 'repeatable calls whose endpoint had not answered were closed without an answer at the end of the drain', number: 155, path: '/again/x', statuses: [504] },
-  { name: 'streams whose endpoint had not answered were closed without an answer at the end of the drain', number: 156, path: '/stream/events-9', statuses: [504] }
+  { name: 'calls whose endpoint had not answered were closed without an answer at the end of the drain', number: 243, path: '/once/x', statuses: [504] },
+  { name: 'repeatable calls whose endpoint had not answered were closed without an answer at the end of the drain', number: 244, path: '/again/x', statuses: [504] },
+  { name: 'streams whose endpoint had not answered were closed without an answer at the end of the drain', number: 245, path: '/stream/events-9', statuses: [504] }
 ]
 
 describe('requests in flight when the drain of a gateway ends', { concurrency: 4 }, () => {
@@ -114,7 +114,7 @@
 })
 
 test('a request whose body was still being read when the drain ended was closed without an answer', async () => {
-  const { deployment } = await start({ number: 157, drainSeconds: 1 })
+  const { deployment } = await start({ number: 246, drainSeconds: 1 })
   try {
     const status = new Promise<number>(resolve => {
       const request = httpRequest({ host: deployment.gatewayHost(0), port: boxPorts.callerPort, method: 'POST', path: '/once/x', headers: { host: 'camp.example', 'content-length': 100, ...deployment.spoken.composeCall('slow', 'test-key', 500) } }, response => resolve(response.statusCode ?? 0))
@@ -130,7 +130,7 @@
 })
 
 test('a body that was read to its end late in the drain was sent to an endpoint and cut', async () => {
-  const { deployment, endpoint } = await start({ number: 158, drainSeconds: 2 })
+  const { deployment, endpoint } = await start({ number: 247, drainSeconds: 2 })
   try {
     endpoint.answerMs = 3000
     const status = new Promise<number>(resolve => {
@@ -149,7 +149,7 @@
 })
 
 test('requests on kept connections were sent in the last moment of a drain and then closed', async () => {
-  const { deployment, endpoint } = await start({ number: 159, drainSeconds: 8 })
+  const { deployment, endpoint } = await start({ number: 248, drainSeconds: 8 })
   const agent = new Agent({ keepAlive: true, maxSockets: 8 })
   try {
     endpoint.answerMs = 30
@@ -188,9 +188,9 @@
 }
 
 const lateCases: readonly LateCase[] = [
-  { name: 'streams that came late in a drain of 9 s were sent and cut', number: 160, drainSeconds: 9, sentMs: 2500, eventMs: 200, status: 503 },
-  { name: 'streams of unknown length were sent late in a drain and cut', number: 161, drainSeconds: 9, sentMs: 2500, eventMs: -200, status: 503 },
-  { name: 'streams known to end in time are served in a drain', number: 162, drainSeconds: 4, sentMs: 500, eventMs: 10, status: 200 }
+  { name: 'streams that came late in a drain of 9 s were sent and cut', number: 249, drainSeconds: 9, sentMs: 2500, eventMs: 200, status: 503 },
+  { name: 'streams of unknown length were sent late in a drain and cut', number: 250, drainSeconds: 9, sentMs: 2500, eventMs: -200, status: 503 },
+  { name: 'streams known to end in time are served in a drain', number: 251, drainSeconds: 4, sentMs: 500, eventMs: 10, status: 200 }
 ]
 
 describe('streams that come in a drain', { concurrency: 4 }, () => {
@@ -215,7 +215,7 @@
 })
 
 test('a second signal ended requests without an answer', async () => {
-  const { deployment, endpoint } = await start({ number: 163, drainSeconds: 60 })
+  const { deployment, endpoint } = await start({ number: 252, drainSeconds: 60 })
   try {
     endpoint.fault = { type: 'hang' }
     const asked = [deployment.ask('/once/x', { requestId: 'r1', deadlineMs: timeoutMs }), deployment.ask('/once/x', { requestId: 'r2', deadlineMs: timeoutMs })]
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -248,7 +248,7 @@
   assert.equal(await readNewest(deployment, 1), 4)
 }, { registries: 5, gateways: 0 }))
 
-test('two planned removals in turn ended the quorum for good, though both registries had successors', () => withDeployment(44, async deployment => {
+test('two planned removals in turn ended the quorum for good, though both registries had successors', () => withDeployment(47, async deployment => {
   await deployment.putDocument(composeDocument(1))
   const successors = [await deployment.startRegistry(3, false), await deployment.startRegistry(4, false)]
   const voters = () => deployment.registries.find(one => one?.keeperLog.isLeader === true)?.keeperLog.replica?.members.voters ?? []
