Peers that are gone for good are forgotten, and take no place from later ones

What callers saw: after twelve planned replacements in the core, one at a time, gateways that had not been restarted had no link to any registry.

Cause: a gateway kept every registry that it had heard of, twelve at most, and removed none. The list of registries had the related fault that a removed one came back with the next hello of another, and that seeds were never removed.

Evidence: registry-follower.test.ts lists twelve registries that are gone, then one that is up: it is never dialed on the code before.

Change: PeerList, for gateways and registries. A peer that was neither connected nor listed for 10 or 15 s is forgotten; members of the log are not. Only peers to which a box was connected itself are told to others, so that hearsay keeps none alive. A box that is connected to none forgets none and tries its seeds, also those of a SIGHUP. An address that is given up while its connection is being opened gets no link any more, and the times of gone hubs are dropped.

Why it works: what is known is bounded by what is up, not by what ever was; and the boxes that may be cut off are the ones that forget nothing.

--- a/src/config/route-events.ts
+++ b/src/config/route-events.ts
@@ -101,6 +101,7 @@
   'disk-not-closed': { about: 'Closing the log files at shutdown failed (registry).', fields: { error: 'the reason' } },
   'disk-failed': { about: 'The replica stopped because of a disk failure (registry).', fields: { error: 'the reason' } },
   'registry-met': { about: 'A link to a registry was opened (gateway).', fields: { registry: 'its name' } },
+  'registry-forgotten': { about: 'A registry was away for so long, without another one listing it, that it is no longer dialled (gateway). It is found again if it comes back.', fields: { host: 'its address' } },
   'registry-lost': { about: 'A link to a registry was closed (gateway).', fields: { registry: 'its name', left: 'number of open links' } },
   'gateway-met': { about: 'A gateway identified itself on its link (registry).', fields: { gateway: 'its name', version: 'version of its document' } },
   'gateway-lost': { about: 'The link of a gateway was closed (registry).', fields: { gateway: 'its name' } },
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -120,7 +120,7 @@
     this.#dependencies.log.info('gateway-started', { listen, seeds: seeds.join(',') })
   }
 
-  /** Adds seed addresses; registries known before stay known. */
+  /** Replaces the seed addresses; registries that are known stay known while they are up. */
   setSeeds (seeds: readonly string[]): void { this.#follower.setSeeds(seeds) }
 
   /** Drains the box and stops it: callers that still arrive are served until it is idle or the drain time is over, if their requests are sure to end by then. All others get a final answer, but for answers that have begun: these are truncated. Returns the number of requests that were in flight at its end. */
--- a/src/gateway/load-reporter.ts
+++ b/src/gateway/load-reporter.ts
@@ -164,6 +164,7 @@
   // Replaces a hub that is silent, and one of another zone as soon as one of this zone is reachable.
   #updateHub (now: number): void {
     const hub = this.#hub
+    for (const [host, until] of this.#avoidedUntil) if (until <= now) this.#avoidedUntil.delete(host)
     if (hub !== null && now - Math.max(hub.lastReceivedAt, hub.chosenAt) > hubTimeoutMs) this.#avoidedUntil.set(hub.host, now + avoidHubMs)
     const best = this.#findHub(now)
     if (best === hub?.host || best === undefined) return
--- a/src/gateway/registry-follower.ts
+++ b/src/gateway/registry-follower.ts
@@ -4,7 +4,7 @@
  * While no registry is reachable, the gateway continues with what it has.
  */
 import { parseAddress } from '../config/index.js'
-import { DocumentPull } from '../coordination/index.js'
+import { DocumentPull, PeerList } from '../coordination/index.js'
 import type { HolderState, PullTimeouts, VersionedText } from '../coordination/index.js'
 import { VersionCoverage, brandId, chooseByHash, filterRecords } from '../core/index.js'
 import type { BoxId, CrashUpdate, EndpointNotice, EndpointRecord, PromptReport, SeenVersions, ServiceName, ZoneName } from '../core/index.js'
@@ -97,6 +97,8 @@
 const maxPromptRequests = 4
 /** Maximum number of links to registries: one for each registry of a system of the supported size. */
 const maxLinks = 12
+/** A registry that no other one lists is forgotten after this long without a link, ms: longer than a restart. */
+const forgetMs = 10_000
 /** Size of the inbox; few messages are expected, as registries send only changes. */
 const maxQueuedInputs = 10_000
 
@@ -104,7 +106,7 @@
   #host: FollowerHost
   #links: LinkPool<RouteMessage>
   #inbox = new Inbox<Input>(maxQueuedInputs)
-  #hosts = new Set<string>()
+  #registries: PeerList
   /** Number of registries that are up, as last listed by one; Infinity before that. */
   #listedCount = Infinity
   /** Hosts that have not been dialled yet. */
@@ -138,6 +140,7 @@
       noteClosed: link => this.#inbox.post({ type: 'closed', link }),
       noteFault: (fault, peer) => host.log.warn('link-fault', { fault, peer })
     }, dialOptions)
+    this.#registries = new PeerList(null, { forgetMs, mostPeers: maxLinks }, { dial: registry => this.#undialed.push(registry), disconnect: registry => this.#disconnect(registry) })
     this.#inbox.run(input => this.#handleInput(input))
   }
 
@@ -161,9 +164,9 @@
     this.#timer = setInterval(() => this.#inbox.post({ type: 'tick' }), tickMs)
   }
 
-  /** Adds seeds; registries known before stay known. */
+  /** Replaces the seeds; registries that are known stay known while they are up. */
   setSeeds (seeds: readonly string[]): void {
-    for (const seed of seeds) this.#addRegistry(parseAddress(seed).host)
+    this.#registries.setSeeds(seeds.map(seed => parseAddress(seed).host), this.#host.now())
   }
 
   /** Sends to every connected registry. */
@@ -202,10 +205,10 @@
     this.#links.close()
   }
 
-  #addRegistry (host: string): void {
-    if (this.#hosts.has(host) || this.#hosts.size >= maxLinks) return
-    this.#hosts.add(host)
-    this.#undialed.push(host)
+  #disconnect (host: string): void {
+    this.#undialed = this.#undialed.filter(one => one !== host)
+    this.#links.disconnect(host, this.#host.linkPort)
+    this.#host.log.info('registry-forgotten', { host })
   }
 
   // Dials one registry at a time, each gateway in its own order: hundreds of gateways that start together would otherwise
@@ -266,7 +269,7 @@
         return this.#host.handlePrompts(message.prompts)
       case 'boxes':
         this.#listedCount = message.registries.length
-        for (const host of message.registries) this.#addRegistry(host)
+        this.#registries.noteListed(message.registries, this.#host.now())
         return this.#host.handleGatewayCount(message.gateways)
       default: return this.#host.log.error('violation', { rule: 'messages-for-gateways', detail: message.type })
     }
@@ -294,6 +297,7 @@
     for (const [link, zone] of this.#zones) {
       if (this.#host.now() - link.lastReceivedAt < 2 * heartbeat.intervalMs) this.#host.noteZoneAlive(zone)
     }
+    this.#registries.check(this.#links.connectedHosts, this.#host.now())
     this.#dialNext()
     this.#requestDocument()
     this.#requestPrompts()
@@ -325,7 +329,7 @@
   #isSettling (now: number): boolean {
     if (this.#firstAnnouncedAt === null) return true
     if (this.#knowsNewest) return false
-    return this.#document === null && this.#pull.advertisedCount < this.#hosts.size && now - this.#firstAnnouncedAt < settleMs
+    return this.#document === null && this.#pull.advertisedCount < this.#registries.hosts.length && now - this.#firstAnnouncedAt < settleMs
   }
 
   // Registries of the same zone are preferred, as traffic between zones is expensive.
--- a/src/protocol/link-pool.ts
+++ b/src/protocol/link-pool.ts
@@ -99,6 +99,11 @@
     return [...this.#dialed.values()].flatMap(({ link }) => link?.isOpen === true ? [link] : [])
   }
 
+  /** Hosts to which a dialed link is open. */
+  get connectedHosts (): string[] {
+    return [...this.#dialed.values()].flatMap(({ host, link }) => link?.isOpen === true ? [host] : [])
+  }
+
   /** Dialed hosts with an open link on which data was received since `since`, a time as of `performance.now()`. */
   listActive (since: number): { readonly host: string, readonly link: Link<Message> }[] {
     return [...this.#dialed.values()].flatMap(({ host, link }) => link?.isOpen === true && link.lastReceivedAt >= since ? [{ host, link }] : [])
@@ -127,6 +132,7 @@
     const timer = setTimeout(() => socket.destroy(), this.#timing.connectMs)
     socket.once('connect', () => {
       clearTimeout(timer)
+      if (!dialed.isWanted) return void socket.destroy()
       dialed.retryMs = minRetryMs
       dialed.link = this.#accept(socket, 'caller')
     })
--- a/src/registry/gateway-greeter.ts
+++ b/src/registry/gateway-greeter.ts
@@ -48,6 +48,6 @@
   /** The message with the registries and the number of gateways. */
   composeBoxes (): RouteMessage {
     const { host, hosts, gateways } = this.#host
-    return { type: 'boxes', registries: [host, ...hosts.others], gateways: gateways.count }
+    return { type: 'boxes', registries: [host, ...hosts.recent], gateways: gateways.count }
   }
 }
--- a/src/registry/known-hosts.ts
+++ b/src/registry/known-hosts.ts
@@ -1,46 +1,45 @@
 import { parseAddress } from '../config/index.js'
-import { getKeeperName } from '../coordination/index.js'
+import { PeerList, getKeeperName } from '../coordination/index.js'
 import type { Replica } from '../coordination/index.js'
 import type { LinkPool, RouteMessage } from '../protocol/index.js'
 
-/** The other known registries. Each is dialed until it is removed; seeds are never removed. */
+/** A registry that is no member of the log is forgotten after this long without contact, ms: longer than a restart. */
+const forgetMs = 15_000
+/** More registries than a system of the supported size has. */
+const mostHosts = 64
+
+/** The other registries that this one knows, by their hosts, and keeps links to. */
 export class KnownHosts {
-  #ownHost: string
-  #linkPort: number
+  #now: () => number
   #links: LinkPool<RouteMessage>
-  #hosts = new Set<string>()
-  #seeds: readonly string[] = []
+  #peers: PeerList
 
-  constructor (ownHost: string, linkPort: number, links: LinkPool<RouteMessage>) {
-    this.#ownHost = ownHost
-    this.#linkPort = linkPort
+  constructor (ownHost: string, linkPort: number, links: LinkPool<RouteMessage>, now: () => number) {
+    this.#now = now
     this.#links = links
+    this.#peers = new PeerList(ownHost, { forgetMs, mostPeers: mostHosts }, {
+      dial: host => links.dial(host, linkPort),
+      disconnect: host => links.disconnect(host, linkPort)
+    })
   }
 
-  get others (): string[] { return [...this.#hosts] }
-  get seeds (): readonly string[] { return this.#seeds }
-
-  /** Replaces the seeds, given by the addresses that operators use; hosts that are already known stay known. */
-  setSeeds (addresses: readonly string[]): void {
-    this.#seeds = addresses.map(address => parseAddress(address).host)
-    for (const host of this.#seeds) this.add(host)
-  }
+  get all (): string[] { return this.#peers.hosts }
+  /** Those that others are told of. */
+  get recent (): string[] { return this.#peers.listRecent(this.#now()) }
+  get seeds (): readonly string[] { return this.#peers.seeds }
 
-  /** Adds the members of the log, as all seeds may be gone by the time that a box restarts. */
-  addMembers (replica: Replica | null): void {
-    if (replica === null) return
-    for (const member of [...replica.members.voters, ...replica.members.learners]) this.add(getKeeperName(member))
-  }
+  /** Replaces the seeds, given by the addresses that operators use. */
+  setSeeds (addresses: readonly string[]): void { this.#peers.setSeeds(addresses.map(address => parseAddress(address).host), this.#now()) }
 
-  add (host: string): void {
-    if (host === this.#ownHost || this.#hosts.has(host)) return
-    this.#hosts.add(host)
-    this.#links.dial(host, this.#linkPort)
+  /** Notes a registry that has said hello, and those that it listed. */
+  noteHello (host: string, others: readonly string[]): void {
+    this.#peers.noteHeard(host, this.#now())
+    this.#peers.noteListed(others, this.#now())
   }
 
-  remove (host: string): void {
-    if (this.#seeds.includes(host)) return
-    this.#hosts.delete(host)
-    this.#links.disconnect(host, this.#linkPort)
+  /** Forgets the registries that are gone. Members of the log are kept: all seeds may be gone by the time that a box restarts. */
+  check (replica: Replica | null): void {
+    if (replica !== null) this.#peers.setMembers([...replica.members.voters, ...replica.members.learners].map(getKeeperName), this.#now())
+    this.#peers.check(this.#links.connectedHosts, this.#now())
   }
 }
--- a/src/registry/membership-manager.ts
+++ b/src/registry/membership-manager.ts
@@ -48,16 +48,10 @@
     this.#replicas.set(replica, { zone, isLater, lastHeardAt: this.#host.now() })
   }
 
-  /** Removes the replicas that have been silent for `dropLearnerMs`; returns them. */
-  dropExpired (): ReplicaId[] {
+  /** Removes the replicas that have been silent for `dropLearnerMs`. */
+  dropExpired (): void {
     const now = this.#host.now()
-    const expired: ReplicaId[] = []
-    for (const [replica, { lastHeardAt }] of this.#replicas) {
-      if (now - lastHeardAt < dropLearnerMs) continue
-      this.#replicas.delete(replica)
-      expired.push(replica)
-    }
-    return expired
+    for (const [replica, { lastHeardAt }] of this.#replicas) if (now - lastHeardAt >= dropLearnerMs) this.#replicas.delete(replica)
   }
 
   /**
--- a/src/registry/registry-box.ts
+++ b/src/registry/registry-box.ts
@@ -75,10 +75,10 @@
     this.#dependencies = { ...dependencies, intake: dependencies.intake ?? createIntake(settings, dependencies) }
     const { log } = dependencies
     this.#links = this.#createLinks()
-    this.#hosts = new KnownHosts(settings.host, settings.linkPort, this.#links)
+    this.#hosts = new KnownHosts(settings.host, settings.linkPort, this.#links, now)
     this.#membership = new MembershipManager({ zone: settings.zone, faults: settings.faults, log, now, transfer: () => this.#transfer() })
     this.#endpoints = this.#createEndpointTracker()
-    this.#loadHub = new LoadHub({ id: brandId(settings.id), log, intake: this.#dependencies.intake, now, listOthers: () => this.#hosts.others, findService: endpoint => this.#endpoints.findService(endpoint) })
+    this.#loadHub = new LoadHub({ id: brandId(settings.id), log, intake: this.#dependencies.intake, now, listOthers: () => this.#hosts.all, findService: endpoint => this.#endpoints.findService(endpoint) })
     this.#permits = this.#createPermitServer()
     this.#slots = new SlotServer({ hub: this.#loadHub, gateways: this.#gateways, now, isLeader: () => this.#log?.isLeader === true, findLeader: () => this.#findLeader(), listRecords: () => this.#endpoints.records })
     this.#documents = new DocumentAnnouncer({
@@ -107,7 +107,7 @@
     this.#log = await this.#openLog()
     this.#leaderClient = new LeaderClient({ log: this.#log, findLink: replica => this.#links.find(getKeeperName(replica), linkPort) })
     await startLog(this.#log, this.#hosts.seeds, this.#settings.first, log)
-    this.#hosts.addMembers(this.#log.replica)
+    this.#hosts.check(this.#log.replica)
     // The document of a snapshot is active from the start, without an apply event.
     this.#documents.announceChanges()
     // Only now, as no heartbeat arrives before.
@@ -122,7 +122,7 @@
     this.#dependencies.log.info('registry-started', { replica: this.#log.id, formed: this.#log.isFormed })
   }
 
-  /** Replaces the seeds; hosts that are already known stay known. */
+  /** Replaces the seeds; registries that are known stay known while they are up. */
   setSeeds (seeds: readonly string[]): void { this.#hosts.setSeeds(seeds) }
 
   /** Transfers leadership, then shuts down. */
@@ -263,13 +263,12 @@
 
   #sendHello (link: Link<RouteMessage>): void {
     if (this.#log === null) return
-    link.send({ type: 'registry-hello', replica: this.#log.id, zone: this.#settings.zone, later: !this.#settings.first, registries: this.#hosts.others })
+    link.send({ type: 'registry-hello', replica: this.#log.id, zone: this.#settings.zone, later: !this.#settings.first, registries: this.#hosts.recent })
   }
 
   #handleRegistryHello (message: Extract<RouteMessage, { type: 'registry-hello' }>): void {
     this.#membership.noteMessage(message.replica, message.zone, message.later === true)
-    this.#hosts.add(getKeeperName(message.replica))
-    for (const other of message.registries) this.#hosts.add(other)
+    this.#hosts.noteHello(getKeeperName(message.replica), message.registries)
   }
 
   #handleClosed (link: Link<RouteMessage>): void {
@@ -289,7 +288,8 @@
   #broadcastState (): void {
     this.#endpoints.tick()
     this.#gateways.broadcast(this.#greeter.composeBoxes())
-    for (const replica of this.#membership.dropExpired()) this.#hosts.remove(getKeeperName(replica))
+    this.#membership.dropExpired()
+    this.#hosts.check(this.#log?.replica ?? null)
     this.#saved.savePrompts(this.#loadHub.prompts)
   }
 
--- a/test/registry-follower.test.ts
+++ b/test/registry-follower.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { setTimeout as sleep } from 'node:timers/promises'
 import type { VersionedText } from '../src/coordination/index.js'
 import { SeenVersions, brandId } from '../src/core/index.js'
 import { RegistryFollower } from '../src/gateway/registry-follower.js'
@@ -82,6 +83,7 @@
 
   announce (version: number, isCurrent = false): void { this.#link?.send({ type: 'version', version, isCurrent }) }
   send (document: PackedDocument): void { this.#link?.send({ type: 'document', document }) }
+  list (registries: readonly string[]): void { this.#link?.send({ type: 'boxes', registries, gateways: 1 }) }
 
   #receive (link: Link<RouteMessage>, message: RouteMessage): void {
     if (message.type === 'gateway-hello') this.#link = link
@@ -168,3 +170,21 @@
     for (const pool of pools) pool.close()
   }
 })
+
+test('a registry that came after twelve others had gone was never dialed', () => {
+  const offset = { ms: 0 }
+  return FakeRegistry.run(async registry => {
+    registry.list([host, ...Array.from({ length: 12 }, (_, i) => `127.44.1.${i + 1}`)])
+    await sleep(1500)
+    offset.ms = 20_000
+    let isMet = false
+    const later = new LinkPool<RouteMessage>({ id: 'later', secret: null, clock: new EventLog('test', () => {}).clock, receive: () => { isMet = true }, noteOpen: () => {}, noteClosed: () => {}, noteFault: () => {} })
+    await later.listen('127.44.2.1', linkPort)
+    try {
+      registry.list([host, '127.44.2.1'])
+      await waitFor(() => isMet, 'the later registry is met')
+    } finally {
+      later.close()
+    }
+  }, [], () => performance.now() + offset.ms)
+})
