Unfinished events of all streams share a part of the box's memory

What callers saw: endpoints that write without end fill the memory of the gateway that called them, which ends with all its other requests.

Cause: an event that has begun and not ended was kept for each stream by itself, up to 4 MiB, in a buffer that doubled, on no account. Buffers of reads from endpoints were left to the collector, and a chunk of one byte was kept with its objects.

Change: UnfinishedEvents, on the account of runtime/intake: a quarter of the budget for all; the send with the largest event fails where there is no room. SseSplitter keeps blocks. Bytes from endpoints count towards the collection of buffers, and small chunks of answers are copied together.

A trial that paused all endpoints' connections once a turn took long stalled answers, and is not in.

--- a/src/gateway/answer-store.ts
+++ b/src/gateway/answer-store.ts
@@ -4,6 +4,7 @@
 import type { ClientIntake, ClientMemory, EventLog, Metrics } from '../runtime/index.js'
 import { AnswerBuffer } from './answer-buffer.js'
 import type { AnswerBufferHost, BufferAccount } from './answer-buffer.js'
+import { UnfinishedEvents } from './unfinished-events.js'
 import { readSendQueues } from './send-queues.js'
 
 /** Reads of callers are looked for while more than this share of the budget is held, at this interval, ms. */
@@ -19,6 +20,7 @@
 export class AnswerStore implements BufferAccount {
   /** Monotonic time of the box, ms. */
   readonly now: () => number
+  readonly unfinished: UnfinishedEvents
   #log: EventLog
   #metrics: Metrics
   #memory: ClientMemory
@@ -34,6 +36,7 @@
 
   constructor ({ intake, log, metrics }: AnswerStoreTools, now: () => number) {
     this.#memory = intake.memory
+    this.unfinished = new UnfinishedEvents(intake.memory)
     this.now = now
     this.#log = log
     this.#metrics = metrics
@@ -60,6 +63,9 @@
     if (delta < 0 && this.#paused.size > 0) this.#resume(buffer)
   }
 
+  /** Notes that `bytes` of an answer were read, also of one that is discarded. */
+  noteRead (bytes: number): void { this.#memory.noteRead(bytes) }
+
   mayReceive (buffer: AnswerBuffer): boolean {
     if (mayReceive(buffer, this)) return true
     this.#paused.add(buffer)
--- a/src/gateway/exchange-sends.ts
+++ b/src/gateway/exchange-sends.ts
@@ -97,6 +97,7 @@
     if (this.#active === sent) this.#active = this.#hedge
     if (this.#active === this.#hedge || this.#hedge === sent) this.#hedge = null
     sent.attempt.end = outcome
+    sent.splitter?.release()
     sent.view.remove(sent.placed, this.#host.now())
     this.#host.noteLoad()
   }
@@ -112,6 +113,7 @@
       },
       receiveChunk: chunk => {
         view.noteActive(this.#host.now())
+        this.#host.answers.noteRead(chunk.length)
         return this.#handler.receiveChunk(getSent(), chunk)
       },
       finish: () => this.#handler.finish(getSent()),
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -163,7 +163,7 @@
     const isStream = this.request.route.kind === 'events' && head.status === 200
     // A stream that has begun can only be continued by a stream.
     if (this.#phase === 'relaying' && !isStream) return this.#sends.hedge === null ? this.cut('endpoint-failed') : this.#cancelSend(sent, 'not a stream')
-    if (isStream) sent.splitter = new EventSplitter()
+    if (isStream) sent.splitter = new EventSplitter(this.#host.answers.unfinished, () => this.#step(() => this.#failOver(sent, 'broken', 'the box has no room for an event of this size')))
     else {
       this.#hedge.settle(sent)
       this.#run.noteFirst(sent)
@@ -196,7 +196,7 @@
     } catch (error) {
       return this.#failOver(sent, 'broken', (error as Error).message)
     }
-    if (events.length === 0) return
+    if (events.length === 0 || !this.#sends.has(sent)) return
     if (!this.pin.accept(sent.origin)) return this.#failOver(sent, 'broken', 'another software version began the stream')
     this.#hedge.settle(sent)
     if (sent.placed.firstAt === null) this.#run.noteFirst(sent)
--- a/src/gateway/relay-server.ts
+++ b/src/gateway/relay-server.ts
@@ -138,7 +138,10 @@
         response.writeHead(head.status, composeAnswerHeaders(head))
         response.flushHeaders()
       },
-      receiveChunk: chunk => response.write(chunk),
+      receiveChunk: chunk => {
+        this.#host.intake.memory.noteRead(chunk.length)
+        return response.write(chunk)
+      },
       finish: () => {
         response.end()
         end('ok')
--- a/src/protocol/sse.ts
+++ b/src/protocol/sse.ts
@@ -1,18 +1,27 @@
 const lineFeed = 10
 const carriageReturn = 13
 const maxEventBytes = 4 * 2 ** 20
-const minBufferBytes = 4096
+/** Sizes of the blocks in which an incomplete event is kept, bytes: most events fit into the first. */
+const firstBlockBytes = 4096
+const blockBytes = 32 * 1024
 const doneEvent = Buffer.from('data: [DONE]')
 const blankLines = [Buffer.from('\n\n'), Buffer.from('\n\r\n')]
 
 /** Splits a byte stream into server-sent events. Each byte is searched once, however the stream is cut into chunks. */
 export class SseSplitter {
-  /** Bytes after the last complete event, followed by free room. */
-  #buffer = Buffer.alloc(0)
+  /** Bytes after the last complete event; the last block has free room behind them. */
+  #blocks: Buffer[] = []
+  #freeBytes = 0
+  #heldBytes = 0
   #pending = 0
+  /** The last two of these bytes. */
+  #last: number | undefined
+  #lastButOne: number | undefined
 
   /** Number of buffered bytes after the last complete event. */
   get pending (): number { return this.#pending }
+  /** Memory in which they are kept, bytes; 0 while they need no more than the first block. */
+  get heldBytes (): number { return this.#heldBytes }
 
   /**
    * Adds bytes and returns the complete events, each with its terminating blank
@@ -24,8 +33,8 @@
     const crossing = this.#findCrossingEnd(chunk)
     const ends = new BlankLines(chunk)
     for (let end = crossing > 0 ? crossing : ends.next(0); end > 0; end = ends.next(start)) {
-      events.push(this.#pending === 0 ? chunk.subarray(start, end) : Buffer.concat([this.#buffer.subarray(0, this.#pending), chunk.subarray(start, end)]))
-      this.#pending = 0
+      events.push(this.#pending === 0 ? chunk.subarray(start, end) : this.#join(chunk.subarray(start, end)))
+      this.#clear()
       start = end
     }
     this.#append(chunk.subarray(start))
@@ -35,22 +44,47 @@
 
   // The index in the chunk after a blank line that begins in the buffered bytes, or -1.
   #findCrossingEnd (chunk: Buffer): number {
-    const last = this.#pending === 0 ? undefined : this.#buffer[this.#pending - 1]
+    const last = this.#last
     if (last === lineFeed && chunk[0] === lineFeed) return 1
     if (last === lineFeed && chunk[0] === carriageReturn && chunk[1] === lineFeed) return 2
-    return last === carriageReturn && this.#pending > 1 && this.#buffer[this.#pending - 2] === lineFeed && chunk[0] === lineFeed ? 1 : -1
+    return last === carriageReturn && this.#lastButOne === lineFeed && chunk[0] === lineFeed ? 1 : -1
   }
 
-  // Doubles the buffer, so that small chunks aren't copied again and again.
+  #join (rest: Buffer): Buffer {
+    const blocks = this.#blocks.slice(0, -1)
+    const last = this.#blocks[this.#blocks.length - 1]
+    return Buffer.concat([...blocks, last.subarray(0, last.length - this.#freeBytes), rest])
+  }
+
+  // The first block is used again.
+  #clear (): void {
+    this.#blocks.length = Math.min(1, this.#blocks.length)
+    this.#freeBytes = this.#blocks.length * firstBlockBytes
+    this.#heldBytes = 0
+    this.#pending = 0
+    this.#last = this.#lastButOne = undefined
+  }
+
+  // Copies the bytes, as a chunk of a few of them would keep the memory of a whole read.
   #append (bytes: Buffer): void {
-    const size = this.#pending + bytes.length
-    if (size > this.#buffer.length) {
-      const grown = Buffer.allocUnsafe(Math.max(minBufferBytes, 2 * size))
-      this.#buffer.copy(grown, 0, 0, this.#pending)
-      this.#buffer = grown
+    for (let start = 0; start < bytes.length;) {
+      if (this.#freeBytes === 0) this.#addBlock()
+      const block = this.#blocks[this.#blocks.length - 1]
+      const copied = bytes.copy(block, block.length - this.#freeBytes, start)
+      this.#freeBytes -= copied
+      start += copied
     }
-    bytes.copy(this.#buffer, this.#pending)
-    this.#pending = size
+    this.#pending += bytes.length
+    if (bytes.length > 1) this.#lastButOne = bytes[bytes.length - 2]
+    else if (bytes.length === 1) this.#lastButOne = this.#last
+    if (bytes.length > 0) this.#last = bytes[bytes.length - 1]
+  }
+
+  #addBlock (): void {
+    const size = this.#blocks.length === 0 ? firstBlockBytes : blockBytes
+    this.#blocks.push(Buffer.allocUnsafeSlow(size))
+    this.#freeBytes = size
+    if (this.#blocks.length > 1) this.#heldBytes += size
   }
 }
 
--- a/test/support/process-deployment.ts
+++ b/test/support/process-deployment.ts
@@ -12,6 +12,12 @@
 import { call, composeDocument, key, native } from './route-deployment.js'
 import type { CallAnswer } from './route-deployment.js'
 
+/** Routes and services of a routing document. */
+export interface ExtraRoutes {
+  readonly routes: readonly object[]
+  readonly services: readonly object[]
+}
+
 export type Listener = 'callers' | 'relay' | 'readiness' | 'gateway metrics' | 'registry' | 'registry metrics' | 'links'
 
 const { linkPort, loadPort, operatorPort, callerPort, readyPort, relayPort, metricsPort } = boxPorts
@@ -44,13 +50,13 @@
     this.#timer = setInterval(() => { void this.#register() }, 1000)
   }
 
-  /** Resolves once the gateway serves. */
-  static async start (network: string): Promise<ProcessDeployment> {
+  /** Resolves once the gateway serves. `extra`: routes and services beside those of the ordinary requests. */
+  static async start (network: string, extra: ExtraRoutes = { routes: [], services: [] }): Promise<ProcessDeployment> {
     const deployment = new ProcessDeployment(network)
     await deployment.#endpoint.listen(`${network}.2.1`)
     const limits = { headerBytes: 65_536, bodyBytes, headerMs: longMs, idleMs: longMs }
     const route = (name: string, kind: string) => ({ name, host: 'camp.example', prefix: `/${name}/`, kind, timeoutMs: longMs, targetMs: 10_000, mostAttempts: 2, services: [{ service: 'desk' }] })
-    const document = JSON.stringify(composeDocument(1, { limits, routes: [route('once', 'once')] }))
+    const document = JSON.stringify(composeDocument(1, { limits, routes: [route('once', 'once'), ...extra.routes], services: [{ name: 'desk' }, ...extra.services] }))
     await waitFor(async () => (await deployment.#operate('PUT', '/v1/routing', document)).status === 200, 'the document taken')
     await deployment.#register()
     await waitFor(async () => (await deployment.ask('ordinary')).status === 200, 'the gateway serves')
@@ -62,6 +68,18 @@
     return call({ host: `${this.#network}.1.1`, port: callerPort, method: 'POST', path: '/once/x', headers: this.#composeHeaders(requestId), body })
   }
 
+  get endpointHost (): string { return `${this.#network}.2.1` }
+
+  /** One request of a caller to any route, on a connection of its own. */
+  askAt (path: string, requestId: string, deadlineMs: number): Promise<CallAnswer> {
+    return call({ host: `${this.#network}.1.1`, port: callerPort, method: 'POST', path, headers: { host: 'camp.example', ...native.composeCall(requestId, key, deadlineMs) }, body: 'a body' })
+  }
+
+  /** Registers an endpoint of the test's own. */
+  async register (id: string, service: string, port: number): Promise<void> {
+    await this.#operate('PUT', `/v1/endpoints/${id}`, JSON.stringify({ service, host: this.endpointHost, port, zone: 'zone-a', slots: 1000, sequence: 1, born: 1, stage: 'ready' }))
+  }
+
   /** One ordinary call to a listener. */
   askListener (listener: Listener): Promise<CallAnswer> {
     switch (listener) {
