A new leader sends members only what they lack, in messages of limited size

What callers saw: after one kill of all registries with large configurations, no leader lasted.

Cause: a leader's record of a member began with an overdue message, so that the first heartbeat took the whole log for unacknowledged and sent it, in one message of up to 16 MB. Heartbeats waited behind it for longer than an election timeout; the leader stepped down and the next one did the same.

Evidence: raft-node.test.ts, two tests, both fail before: entries of older terms go to members that have them, and a message has 6 MB.

Change: entries are sent again from the first that was sent and not acknowledged; a member that lacks earlier ones says so, as before. Records of members are made before the first entry of the term. Entries of a message are limited to 1 MiB.

Why it works: a change of leader costs one small entry for each member that is up to date, and no message holds up heartbeats for an election timeout.

--- a/src/coordination/log/member-progress.ts
+++ b/src/coordination/log/member-progress.ts
@@ -14,22 +14,25 @@
   round = 0
   /** Time of its last reply, ms. */
   lastContactAt: number
+  /** Index from which entries are sent again: the member has those before it, as far as is known. A new leader takes a member to have all. */
+  #resendFrom: number
   #sentAt = -Infinity
   #sentRound = -1
   #resendMs = initialResendMs
 
   constructor (next: number, at: number) {
     this.next = next
+    this.#resendFrom = next
     this.lastContactAt = at
   }
 
   /** True if the resend timeout has passed since the last send. */
   mayResend (at: number): boolean { return at - this.#sentAt > this.#resendMs }
 
-  /** Resets `next` to the first unacknowledged entry if a resend is due. */
+  /** Resets `next` to the first entry that was sent and not acknowledged, if a resend is due. */
   retry (at: number): void {
-    if (this.next <= this.match + 1 || !this.mayResend(at)) return
-    this.next = this.match + 1
+    if (this.next <= this.#resendFrom || !this.mayResend(at)) return
+    this.next = this.#resendFrom
     this.#backOff()
   }
 
@@ -56,12 +59,14 @@
   noteMatch (match: number): void {
     if (match > this.match) this.#resendMs = initialResendMs
     this.match = Math.max(this.match, match)
+    this.#resendFrom = Math.max(this.#resendFrom, this.match + 1)
     this.next = Math.max(this.next, this.match + 1)
   }
 
   /** Records a log mismatch: entries after `hint` are missing or differ. */
   noteMismatch (hint: number, round: number): void {
     if (hint + 1 < this.next) this.next = Math.max(this.match, hint) + 1
+    this.#resendFrom = Math.min(this.#resendFrom, this.next)
     // Links preserve order, so a member that replies to a later round without acknowledging the last send has not received it.
     if (round > this.#sentRound) this.#resendMs = initialResendMs
   }
--- a/src/coordination/log/raft-leader.ts
+++ b/src/coordination/log/raft-leader.ts
@@ -4,6 +4,7 @@
  * owns it. Heartbeat round numbers are valid within the term only.
  */
 import type { EntryList } from './entry-list.js'
+import { limitEntries } from './entry-size.js'
 import type { EntryContent, LogEntry, Members, RaftTiming, ReplicaId } from './log-types.js'
 import { MemberProgress } from './member-progress.js'
 import { PendingReads } from './pending-reads.js'
@@ -13,6 +14,8 @@
 
 const maxEntriesPerMessage = 256
 const maxInFlightEntries = 2048
+/** Entries of one message, bytes: heartbeats and their replies wait behind it, and must not wait for an election timeout. */
+const maxBytesPerMessage = 2 ** 20
 
 /** The parts of the owning node that the leader uses. */
 export interface LeaderHost {
@@ -49,6 +52,8 @@
 
   /** Starts the term with a no-op entry: entries of older terms can only be committed together with an entry of this term. */
   start (): void {
+    // Before the entry, so that it is the first that they are sent.
+    for (const id of this.#peers) this.#getProgress(id)
     this.#append(this.#host.log.lastTime, { type: 'noop' })
     this.sendHeartbeatsIfDue()
   }
@@ -127,7 +132,7 @@
     if (isHeartbeat) progress.retry(now)
     if (progress.next <= log.snapshotIndex) return this.#sendSnapshot(to, progress, isHeartbeat)
     const capacity = progress.match + maxInFlightEntries - progress.next + 1
-    const entries = log.slice(progress.next, Math.max(0, Math.min(maxEntriesPerMessage, capacity)))
+    const entries = limitEntries(log.slice(progress.next, Math.max(0, Math.min(maxEntriesPerMessage, capacity))), maxBytesPerMessage)
     if (entries.length === 0 && !isHeartbeat) return
     const prevIndex = progress.next - 1
     const prevTerm = log.termAt(prevIndex)
--- a/test/raft-node.test.ts
+++ b/test/raft-node.test.ts
@@ -178,3 +178,40 @@
   observed.push(node.isCurrent)
   assert.deepEqual(observed, [false, false, true, false])
 })
+
+function listSent (effects: readonly RaftEffect[], to: ReplicaId): readonly LogEntry[] {
+  return effects.flatMap(effect => effect.type === 'send' && effect.to === to && effect.message.type === 'append' ? effect.message.entries : [])
+}
+
+function createEntries (count: number, command: string): LogEntry[] {
+  return Array.from({ length: count }, (_, i) => ({ index: i + 2, term: 1, time: 0, content: { type: 'command', command } }))
+}
+
+test('a new leader sent its snapshot and its whole log to members that had them', () => {
+  const node = new RaftNode(a, createStored(createEntries(20, 'x')), timing, () => 0.5, 0)
+  const effects = [...node.step({ type: 'tick', at: 1000 }), ...receive(node, 1001, b, { type: 'voteReply', term: 2, pre: true, granted: true }), ...receive(node, 1002, b, { type: 'voteReply', term: 2, pre: false, granted: true })]
+  effects.push(...node.step({ type: 'tick', at: 1060 }), ...node.step({ type: 'tick', at: 1120 }))
+  assert.equal(node.role, 'leader')
+  assert.ok(effects.every(effect => effect.type !== 'send' || effect.message.type !== 'snapshot'))
+  assert.deepEqual([...new Set(listSent(effects, c).map(({ content }) => content.type))], ['noop'])
+  // One that lacks entries says so, and gets them.
+  const sent = listSent(receive(node, 1130, c, { type: 'appendReply', term: 2, ok: false, match: 11, round: 1 }), c)
+  assert.equal(sent[0].index, 12)
+  assert.equal(sent.at(-1)?.content.type, 'noop')
+})
+
+test('a message held up the heartbeats behind it for longer than an election, as the bytes of its entries were not limited', () => {
+  const node = new RaftNode(a, createStored(createEntries(20, 'x'.repeat(300_000))), timing, () => 0.5, 0)
+  elect(node)
+  const sent: number[] = []
+  let effects = receive(node, 1010, c, { type: 'appendReply', term: 2, ok: false, match: 1, round: 1 })
+  for (let match = 1; match < 22;) {
+    const entries = listSent(effects, c)
+    assert.ok(entries.length > 0)
+    sent.push(entries.reduce((sum, { content }) => sum + (content.type === 'command' ? String(content.command).length : 0), 0))
+    match = entries[entries.length - 1].index
+    effects = receive(node, 1020, c, { type: 'appendReply', term: 2, ok: true, match, round: 2 })
+  }
+  assert.ok(Math.max(...sent) <= 2 ** 20, `${Math.max(...sent)} bytes in one message`)
+  assert.equal(sent.reduce((sum, bytes) => sum + bytes, 0), 20 * 300_000)
+})
