A stopping entry box answers the callers whose requests it can't finish

What callers saw: at the end of an entry box's drain time, or at a second SIGTERM, a closed connection without a status or an error event, for chats that were being written, chats that waited, and calls to services.

Cause: `stop` closed all connections in whatever state the exchanges were.

Change: exchanges end with an answer first: 503, not run, where nothing was written to an engine, else 504 or an error event. A second signal ends the wait in the same way.

Why it works: the outcome is taken from what was written, as for any other failure; what may be written at any moment is told as unknown.

--- a/src/tasks/caller-exchanges.ts
+++ b/src/tasks/caller-exchanges.ts
@@ -37,6 +37,8 @@
   #requestCount = 0
   #attemptCount = 0
   #serviceCallsInFlight = 0
+  /** Exchanges whose callers are connected. */
+  #live = new Set<{ stop (): void }>()
 
   constructor (host: CallerExchangesHost) {
     this.#host = host
@@ -59,12 +61,24 @@
     if (admission.type === 'over') {
       throw new RequestError('workspace-limit', `workspace ${context.workspace.name} has exceeded a limit`, { retryAfterMs: admission.retryAfterMs })
     }
-    new ChatExchange(this.#createChatHost(), context, response).run()
+    const exchange = new ChatExchange(this.#createChatHost(), context, response)
+    this.#track(exchange, response)
+    exchange.run()
   }
 
   startService (context: ServiceContext, response: ServerResponse): Promise<void> {
     this.#serviceCallsInFlight += 1
-    return new ServiceExchange(this.#createServiceHost(), context, response).run().finally(() => { this.#serviceCallsInFlight -= 1 })
+    const exchange = new ServiceExchange(this.#createServiceHost(), context, response)
+    this.#track(exchange, response)
+    return exchange.run().finally(() => { this.#serviceCallsInFlight -= 1 })
+  }
+
+  /** Gives all callers without an answer a final one, as the box stops. */
+  stop (): void { for (const exchange of [...this.#live]) exchange.stop() }
+
+  #track (exchange: { stop (): void }, response: ServerResponse): void {
+    this.#live.add(exchange)
+    response.on('close', () => this.#live.delete(exchange))
   }
 
   noteRefused (requestId: string, error: RequestError): void {
--- a/src/tasks/chat-exchange.ts
+++ b/src/tasks/chat-exchange.ts
@@ -18,7 +18,7 @@
 import { composeEngineBody, isTextOnly } from './chat-body.js'
 import { EngineStream } from './engine-stream.js'
 import type { EngineFailure } from './engine-stream.js'
-import { RequestError } from './request-error.js'
+import { RequestError, composeDrainError } from './request-error.js'
 
 /** One attempt at an engine. `placement` identifies the place that it holds there, since several attempts may be open at once. */
 interface ChatAttempt {
@@ -74,6 +74,14 @@
     void this.#startAttempt()
   }
 
+  /** Ends the exchange as its box stops, with an error: not run if nothing of it was written to an engine. */
+  stop (): void {
+    if (this.#isEnded) return
+    this.#cancelPlacement()
+    for (const attempt of [...this.#attempts]) this.#cancelAttempt(attempt, 'cancelled')
+    this.#fail(this.#hasWrittenBytes ? new RequestError('engine-timeout', 'the engine had not answered when this box stopped') : composeDrainError())
+  }
+
   get #isBuffered (): boolean { return this.#context.chat.stream !== true }
   get #isResuming (): boolean { return this.#assembler.tokens > 0 }
 
@@ -91,7 +99,8 @@
     const placement = this.#createPlacementId()
     this.#pendingPlacement = placement
     const placed = await this.#host.place(this.#composeSubmission(placement), this.#context.class.mayWait)
-    if (this.#pendingPlacement !== placement) return this.#returnGrant(placement, placed)
+    // A grant may come after the caller has disconnected, or an earlier attempt has gone on.
+    if (this.#pendingPlacement !== placement) return placed.type === 'granted' ? this.#host.end(placement, 'cancelled', 0) : undefined
     this.#pendingPlacement = null
     if (placed.type === 'refused') return this.#handleRefusal(placed)
     const engine = this.#host.findEngine(placed.engine)
@@ -126,11 +135,6 @@
     }
   }
 
-  // Returns a grant that arrived after the caller had disconnected or an earlier attempt had gone on.
-  #returnGrant (placement: RequestId, placed: Placement): void {
-    if (placed.type === 'granted') this.#host.end(placement, 'cancelled', 0)
-  }
-
   // While silent attempts are open, the next of their time-outs tries again.
   #handleRefusal (refusal: Extract<Placement, { type: 'refused' }>): void {
     if (this.#attempts.size > 0) {
@@ -159,16 +163,14 @@
       fail: (failure, backoffMs) => this.#handleFailure(attempt, failure, backoffMs)
     }, firstEventTimeoutMs, idleTimeoutMs)
     const attempt: ChatAttempt = { placement, engine, stream, isSilent: false }
-    for (const other of this.#unconnectedAttempts) this.#replaceUnconnected(other)
+    // No byte of these was sent, so nothing is lost if they end.
+    for (const other of this.#unconnectedAttempts) {
+      this.#unreachableCount += 1
+      this.#cancelAttempt(other, 'engine-unreachable')
+    }
     this.#attempts.add(attempt)
   }
 
-  // No byte of it was sent, so nothing is lost if it ends.
-  #replaceUnconnected (attempt: ChatAttempt): void {
-    this.#unreachableCount += 1
-    this.#cancelAttempt(attempt, 'engine-unreachable')
-  }
-
   #receiveEvents (attempt: ChatAttempt, events: readonly Buffer[]): boolean {
     if (attempt !== this.#writer && !events.every(event => this.#assembler.mayFollow(event))) return this.#failAttempt(attempt, 'other-version')
     this.#continueWith(attempt)
--- a/src/tasks/entry-box.ts
+++ b/src/tasks/entry-box.ts
@@ -35,6 +35,8 @@
 const configPollIntervalMs = 2000
 /** Interval at which a graceful shutdown checks for requests in flight. */
 const drainPollIntervalMs = 20
+/** How long a stopping box waits until its last answers are written, ms. */
+const flushMs = 50
 /** Sockets per engine; far above the number of concurrent requests that an engine serves. */
 const maxEngineSockets = 4096
 
@@ -61,6 +63,7 @@
   #directory: ShardDirectory
   #timers: NodeJS.Timeout[] = []
   #isLeaving = false
+  #isHastened = false
   #isKilled = false
   #violations = 0
   port = 0
@@ -170,7 +173,8 @@
   /**
    * Shuts down gracefully: fails the readiness probe, waits until the load balancer
    * has noticed, stops accepting connections and waits for the requests in flight.
-   * Resolves with the number of requests that were aborted when `drainMs` ran out.
+   * Resolves with the number of requests that had not ended when `drainMs` ran out;
+   * their callers get an error.
    */
   async stop (): Promise<number> {
     this.#isLeaving = true
@@ -180,13 +184,18 @@
     await sleep(this.settings.balancerLagMs)
     this.#server.stopAccepting()
     const deadline = performance.now() + this.settings.drainMs
-    while (this.inFlight > 0 && performance.now() < deadline) await sleep(drainPollIntervalMs)
+    while (this.inFlight > 0 && performance.now() < deadline && !this.#isHastened) await sleep(drainPollIntervalMs)
     const abortedCount = this.inFlight
+    this.#exchanges.stop()
+    if (abortedCount > 0) await sleep(flushMs)
     this.kill()
     this.#dependencies.log.info('entry-stopped', { cut: abortedCount })
     return abortedCount
   }
 
+  /** Ends a shutdown early: requests in flight get their final answers now. */
+  hasten (): void { this.#isHastened = true }
+
   /** Stops at once and aborts all requests in flight. */
   kill (): void {
     if (this.#isKilled) return
@@ -218,8 +227,6 @@
 
   get #isReady (): boolean { return !this.#isLeaving && this.#follower.revision > 0 }
 
-  // Callers.
-
   #createCallerHost (now: () => number): ConstructorParameters<typeof CallerServer>[0] {
     const box = this
     return {
@@ -236,8 +243,6 @@
     }
   }
 
-  // Links and messages.
-
   #noteOpen (link: Link<BoxMessage>): void {
     this.#openLinks.add(link)
     if (this.#isKeeper(link.peer)) this.#configSync.sendWatch(link, true)
@@ -269,8 +274,6 @@
     }
   }
 
-  // Configuration.
-
   #noteConfiguration (configuration: Configuration): void {
     this.#dependencies.log.info('configuration', { revision: configuration.revision })
     this.#dependencies.metrics.gauge('revision', configuration.revision)
@@ -334,8 +337,6 @@
     this.#loadReporter.report(peers, loads, this.#limits.demands)
   }
 
-  // Engines.
-
   #notifyShardOf (engine: EngineId, note: (shard: ShardId) => void): void {
     const shard = this.#directory.findShard(engine)
     if (shard !== undefined) note(shard)
--- a/src/tasks/request-error.ts
+++ b/src/tasks/request-error.ts
@@ -23,3 +23,11 @@
   const cause = thrown instanceof Error ? thrown : new Error(String(thrown))
   return new RequestError('internal', 'internal error', { cause })
 }
+
+/** `retry-after` from a stopping box, ms: other boxes are available. */
+const drainRetryMs = 50
+
+/** The error of a request that was not run before its box stopped. */
+export function composeDrainError (): RequestError {
+  return new RequestError('draining', 'this box is shutting down, and the request was not run', { retryAfterMs: drainRetryMs })
+}
--- a/src/tasks/service-exchange.ts
+++ b/src/tasks/service-exchange.ts
@@ -85,6 +85,7 @@
   #response: ServerResponse
   #deadline: number
   #hasWrittenBytes = false
+  #isAnswered = false
 
   constructor (host: ServiceHost, context: ServiceContext, response: ServerResponse) {
     this.#host = host
@@ -103,6 +104,9 @@
     }
   }
 
+  /** Answers the caller as its box stops: whether the call runs is unknown, as it may be written to an endpoint at any moment. */
+  stop (): void { this.#fail(new RequestError('engine-timeout', 'the call had not ended when this box stopped')) }
+
   get #leftMs (): number { return Math.max(0, this.#deadline - this.#host.now()) }
 
   get #isRepeatable (): boolean {
@@ -226,6 +230,8 @@
   }
 
   #respond (response: StoredAnswer, kind: 'ok' | 'replayed'): void {
+    if (this.#isAnswered) return
+    this.#isAnswered = true
     const headers: Record<string, string | number> = {
       'content-type': response.contentType,
       'content-length': response.body.length,
@@ -239,6 +245,8 @@
   }
 
   #fail (error: RequestError): void {
+    if (this.#isAnswered) return
+    this.#isAnswered = true
     sendError(this.#response, error, this.#context.requestId, this.#hasWrittenBytes)
     this.#reportEnd(error.kind, this.#response.statusCode)
   }
--- a/test/planned-stop.test.ts
+++ b/test/planned-stop.test.ts
@@ -87,3 +87,30 @@
     await deployment.stop()
   }
 })
+
+const entryCases: readonly { readonly name: string, readonly port: number, readonly hasten: boolean, readonly batch: number, readonly places?: number, readonly body: object, readonly codes: readonly string[] }[] = [
+  { name: 'streams at an engine', port: 21_400, hasten: false, batch: 8, body: { stream: true, max_tokens: 4000 }, codes: ['engine-timeout'] },
+  { name: 'answers that are not streamed', port: 21_425, hasten: false, batch: 8, body: { max_tokens: 4000 }, codes: ['engine-timeout'] },
+  { name: 'requests that wait for an engine', port: 21_450, hasten: false, batch: 1, places: 1, body: { max_tokens: 4000 }, codes: ['draining', 'engine-timeout'] },
+  { name: 'answers that are not streamed, at a second signal', port: 21_475, hasten: true, batch: 8, body: { max_tokens: 4000 }, codes: ['engine-timeout'] }
+]
+
+for (const { name, port, hasten, batch, places, body, codes } of entryCases) {
+  test(`an entry box that stopped closed callers' connections without an answer: ${name}`, async () => {
+    const deployment = await Deployment.start({ port, entries: 2, engines: 1, entry: { balancerLagMs: 50, drainMs: hasten ? 60_000 : 300 }, places, engine: { batch, baseMs: 50 } })
+    try {
+      const asked = Array.from({ length: 3 }, (_, i) => sendChat(deployment.url, { ...body, messages: [{ role: 'user', content: `question ${i}` }] }, { 'x-wrenlane-class': 'draft' }))
+      await waitFor(() => deployment.entries[0].inFlight === 3, 'three in flight')
+      await sleep(100)
+      const stopped = deployment.entries[0].stop()
+      await sleep(200)
+      if (hasten) deployment.entries[0].hasten()
+      const answers = await Promise.all(asked)
+      assert.ok(await stopped > 0)
+      const found = answers.map(({ body }) => /"code":"([a-z-]+)"/.exec(body)?.[1] ?? body.slice(-80))
+      assert.deepEqual([...new Set(found)].sort(), codes)
+    } finally {
+      await deployment.stop()
+    }
+  })
+}
