Names of functions begin with verbs of the list

Cause: `hasten`, `disturb` and `sayHello` do not.

Change: `halt`, `injectFault`, `announce`. No behaviour.

--- a/src/bin/entry.ts
+++ b/src/bin/entry.ts
@@ -18,6 +18,6 @@
       const cutRequests = await box.stop()
       await sink.flush()
       return cutRequests === 0 ? 0 : 1
-    }, () => box.inFlight, () => box.hasten())
+    }, () => box.inFlight, () => box.halt())
   }))
   .parse(process.argv)
--- a/src/bin/program.ts
+++ b/src/bin/program.ts
@@ -78,14 +78,14 @@
 }
 
 /**
- * On the first SIGTERM or SIGINT calls `stop` and exits with its code. On the second calls `hasten`, with which `stop`
+ * On the first SIGTERM or SIGINT calls `stop` and exits with its code. On the second calls `halt`, with which `stop`
  * ends soon; without it exits immediately, as on the third.
  */
-export function handleSignals (stop: () => Promise<number>, countInFlight: () => number, hasten?: () => void): void {
+export function handleSignals (stop: () => Promise<number>, countInFlight: () => number, halt?: () => void): void {
   let signals = 0
   const handleSignal = (): void => {
     signals += 1
-    if (signals === 2 && hasten !== undefined) return hasten()
+    if (signals === 2 && halt !== undefined) return halt()
     if (signals > 1) exitWithError(failureExitCode, `stopped immediately; ${countInFlight()} requests in flight were aborted`)
     stop().then(code => process.exit(code), (error: Error) => exitWithError(failureExitCode, error.message))
   }
--- a/src/bin/route-program.ts
+++ b/src/bin/route-program.ts
@@ -35,7 +35,7 @@
       const cutRequests = await box.stop()
       await context.flush()
       return cutRequests === 0 ? 0 : 1
-    }, () => box.inFlight, () => box.hasten())
+    }, () => box.inFlight, () => box.halt())
     await started
     followSettings<GatewaySettings>(path, gatewayFields, context.log, settings => box.setSeeds(settings.seeds))
   })
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -143,7 +143,7 @@
   }
 
   /** Ends a drain early: what is in flight is ended as at its end. */
-  hasten (): void { this.#drain.halt() }
+  halt (): void { this.#drain.halt() }
 
   /** Stops at once, as a crash would. */
   kill (): void {
--- a/src/proof/member-history.ts
+++ b/src/proof/member-history.ts
@@ -85,7 +85,7 @@
     this.#pass(2000)
     this.#expectProgress('at the start')
     for (let i = 0; i < rounds && this.#violations.length === 0; i++) {
-      if (this.#random() < 0.4) this.#disturb()
+      if (this.#random() < 0.4) this.#injectFault()
       else this.#replaceSome()
     }
   }
@@ -110,7 +110,7 @@
   }
 
   // One machine is restarted or cut off, or a zone is.
-  #disturb (): void {
+  #injectFault (): void {
     const machine = this.#shuffle(this.#machines.filter(({ node }) => node !== null))[0]
     const { zone } = machine
     const hit = this.#random() < 0.4 ? this.#machines.filter(one => one.zone === zone && one.node !== null) : [machine]
@@ -197,13 +197,13 @@
     this.#step(machine, { type: 'tick', at: this.#at })
     if (this.#at >= machine.plansAt) {
       machine.plansAt = this.#at + helloMs
-      this.#sayHello(machine)
+      this.#announce(machine)
       this.#plan(machine)
     }
     this.#sync(machine)
   }
 
-  #sayHello (machine: Machine): void {
+  #announce (machine: Machine): void {
     for (const other of this.#machines) {
       if (other !== machine && other.node !== null && this.#isLinked(machine, other)) other.heard.set(machine.id, { zone: machine.zone, isLater: machine.isLater, at: this.#at })
     }
--- a/src/tasks/entry-box.ts
+++ b/src/tasks/entry-box.ts
@@ -63,7 +63,7 @@
   #directory: ShardDirectory
   #timers: NodeJS.Timeout[] = []
   #isLeaving = false
-  #isHastened = false
+  #isHalted = false
   #isKilled = false
   #violations = 0
   port = 0
@@ -184,7 +184,7 @@
     await sleep(this.settings.balancerLagMs)
     this.#server.stopAccepting()
     const deadline = performance.now() + this.settings.drainMs
-    while (this.inFlight > 0 && performance.now() < deadline && !this.#isHastened) await sleep(drainPollIntervalMs)
+    while (this.inFlight > 0 && performance.now() < deadline && !this.#isHalted) await sleep(drainPollIntervalMs)
     const abortedCount = this.inFlight
     this.#exchanges.stop()
     if (abortedCount > 0) await sleep(flushMs)
@@ -194,7 +194,7 @@
   }
 
   /** Ends a shutdown early: requests in flight get their final answers now. */
-  hasten (): void { this.#isHastened = true }
+  halt (): void { this.#isHalted = true }
 
   /** Stops at once and aborts all requests in flight. */
   kill (): void {
--- a/test/gateway-stop.test.ts
+++ b/test/gateway-stop.test.ts
@@ -222,7 +222,7 @@
     await waitFor(() => endpoint.runs.length === 2, 'both run')
     const stopped = deployment.gateways[0].stop()
     await sleep(200)
-    deployment.gateways[0].hasten()
+    deployment.gateways[0].halt()
     assert.deepEqual((await Promise.all(asked)).map(({ status }) => status), [504, 504])
     assert.equal(await stopped, 2)
   } finally {
--- a/test/planned-stop.test.ts
+++ b/test/planned-stop.test.ts
@@ -88,23 +88,23 @@
   }
 })
 
-const entryCases: readonly { readonly name: string, readonly port: number, readonly hasten: boolean, readonly batch: number, readonly places?: number, readonly body: object, readonly codes: readonly string[] }[] = [
-  { name: 'streams at an engine', port: 21_400, hasten: false, batch: 8, body: { stream: true, max_tokens: 4000 }, codes: ['engine-timeout'] },
-  { name: 'answers that are not streamed', port: 21_425, hasten: false, batch: 8, body: { max_tokens: 4000 }, codes: ['engine-timeout'] },
-  { name: 'requests that wait for an engine', port: 21_450, hasten: false, batch: 1, places: 1, body: { max_tokens: 4000 }, codes: ['draining', 'engine-timeout'] },
-  { name: 'answers that are not streamed, at a second signal', port: 21_475, hasten: true, batch: 8, body: { max_tokens: 4000 }, codes: ['engine-timeout'] }
+const entryCases: readonly { readonly name: string, readonly port: number, readonly halt: boolean, readonly batch: number, readonly places?: number, readonly body: object, readonly codes: readonly string[] }[] = [
+  { name: 'streams at an engine', port: 21_400, halt: false, batch: 8, body: { stream: true, max_tokens: 4000 }, codes: ['engine-timeout'] },
+  { name: 'answers that are not streamed', port: 21_425, halt: false, batch: 8, body: { max_tokens: 4000 }, codes: ['engine-timeout'] },
+  { name: 'requests that wait for an engine', port: 21_450, halt: false, batch: 1, places: 1, body: { max_tokens: 4000 }, codes: ['draining', 'engine-timeout'] },
+  { name: 'answers that are not streamed, at a second signal', port: 21_475, halt: true, batch: 8, body: { max_tokens: 4000 }, codes: ['engine-timeout'] }
 ]
 
-for (const { name, port, hasten, batch, places, body, codes } of entryCases) {
+for (const { name, port, halt, batch, places, body, codes } of entryCases) {
   test(`an entry box that stopped closed callers' connections without an answer: ${name}`, async () => {
-    const deployment = await Deployment.start({ port, entries: 2, engines: 1, entry: { balancerLagMs: 50, drainMs: hasten ? 60_000 : 300 }, places, engine: { batch, baseMs: 50 } })
+    const deployment = await Deployment.start({ port, entries: 2, engines: 1, entry: { balancerLagMs: 50, drainMs: halt ? 60_000 : 300 }, places, engine: { batch, baseMs: 50 } })
     try {
       const asked = Array.from({ length: 3 }, (_, i) => sendChat(deployment.url, { ...body, messages: [{ role: 'user', content: `question ${i}` }] }, { 'x-wrenlane-class': 'draft' }))
       await waitFor(() => deployment.entries[0].inFlight === 3, 'three in flight')
       await sleep(100)
       const stopped = deployment.entries[0].stop()
       await sleep(200)
-      if (hasten) deployment.entries[0].hasten()
+      if (halt) deployment.entries[0].halt()
       const answers = await Promise.all(asked)
       assert.ok(await stopped > 0)
       const found = answers.map(({ body }) => /"code":"([a-z-]+)"/.exec(body)?.[1] ?? body.slice(-80))
