A take-up without the name of its first request waits for the registries' news

Cause: a gateway takes up such a stream where it knows of one version only and has heard all registries lately. After a suspension, which the steady clock does not count, they seem heard lately while their news is unread.

Evidence: stream-origins.test.ts, with the news unread as the caller returns, goes on at the old version before. Named take-ups ask the registries already.

Why it works: links keep the order of messages, so the answers come after all that was told before.

Not played over processes.

--- a/src/gateway/stream-origins.ts
+++ b/src/gateway/stream-origins.ts
@@ -4,7 +4,7 @@
  * the caller of a broken stream returns asks all registries. A stream whose origin
  * is not known is not continued: what two versions write doesn't fit together.
  */
-import { OriginTable, chooseByHash, originRetentionMs } from '../core/index.js'
+import { OriginTable, brandId, chooseByHash, originRetentionMs } from '../core/index.js'
 import type { BoxId, KeyedWorkspace, Route, SeenVersions, StreamKey, StreamOrigin, ZoneName } from '../core/index.js'
 import type { CallerHeaders, Link, RouteMessage, StreamOriginReport } from '../protocol/index.js'
 import type { EventLog, Metrics } from '../runtime/index.js'
@@ -40,12 +40,20 @@
   notedAt: number
 }
 
+/** What registries answered; `isComplete`: all that were asked did in time. */
+interface LookupResult {
+  readonly origin: StreamOrigin | null
+  readonly isComplete: boolean
+}
+
 interface Lookup {
   /** Registries that have not answered yet. */
   pending: number
-  finish (origin: StreamOrigin | null): void
+  finish (result: LookupResult): void
 }
 
+/** The key of no stream: the answers to its lookup show that all news sent before them has been read. */
+const noStream = brandId<StreamKey>('')
 /** Number of registries that store an origin: one may be lost with the box. */
 const storeCount = 2
 /** Origins of streams that go on are reported again at this interval, ms. */
@@ -99,11 +107,11 @@
   async resolve ({ requestId, resumes, lastEvent }: CallerHeaders, route: Route, workspace: KeyedWorkspace | null): Promise<Resumption> {
     if (route.kind !== 'events' || (resumes === null && lastEvent === null)) return { type: 'new' }
     if (lastEvent === null) return refuse('bad-request', 'the request names a stream to resume, but not its last event')
-    if (resumes === null) return this.#resolveUnnamed(route)
+    if (resumes === null) return await this.#resolveUnnamed(route)
     if (resumes === requestId) return refuse('bad-request', 'the request names itself as the one that began the stream to resume')
     const key = identifyStream(workspace, route, resumes)
     const own = this.#own.find(key, this.#host.now())
-    const origin = own ?? await this.#lookUp(key)
+    const origin = own ?? (await this.#lookUp(key)).origin
     this.#host.metrics.count('stream-lookups', { from: own !== null ? 'own' : origin !== null ? 'registry' : 'none' })
     if (origin === null || origin === 'ambiguous' || !this.isKnown(origin)) return refuse('stream-unknown', 'it is not known which software version began the stream')
     if (!route.services.some(({ service }) => service === origin.service)) return refuse('stream-version-gone', 'the route no longer leads to the service that began the stream')
@@ -115,7 +123,7 @@
     const lookup = this.#lookups.get(call)
     if (lookup === undefined) return
     lookup.pending -= 1
-    if (origin !== null || lookup.pending === 0) lookup.finish(origin)
+    if (origin !== null || lookup.pending === 0) lookup.finish({ origin, isComplete: lookup.pending === 0 })
   }
 
   /** Reports the streams of this box to registries that may not know them, also those that have ended; live ones again once their report is old. */
@@ -133,12 +141,13 @@
     if (due.length > 0) this.#report(due)
   }
 
-  // Without the id of its first request, the origin is known only if there was never another version.
-  #resolveUnnamed (route: Route): Resumption {
+  // Without the id of its first request, the origin is known only if there was never another version. News of one may be unread: the steady clock doesn't show that this box was suspended.
+  async #resolveUnnamed (route: Route): Promise<Resumption> {
     const { versions } = this.#host
+    const { isComplete } = await this.#lookUp(noStream)
     const origins = route.services.filter(({ weight }) => weight > 0).flatMap(({ service }) => versions.list(service).map(software => ({ service, software })))
     if (origins.length > 1) return refuse('bad-request', 'several software versions have served: the request must name the one that began the stream to resume')
-    if (origins.length === 0 || !this.#host.knowsAllVersions()) return refuse('stream-unknown', 'it is not known which software version began the stream')
+    if (origins.length === 0 || !isComplete || !this.#host.knowsAllVersions()) return refuse('stream-unknown', 'it is not known which software version began the stream')
     return { type: 'resumed', stream: { key: null, origin: origins[0] } }
   }
 
@@ -148,22 +157,23 @@
   /** True if endpoints can be told to be of this version. */
   isKnown (origin: StreamOrigin): boolean { return this.#host.versions.isKnown(origin) }
 
-  #lookUp (key: StreamKey): Promise<StreamOrigin | null> {
-    if (this.#lookups.size >= maxLookups) return Promise.resolve(null)
+  #lookUp (key: StreamKey): Promise<LookupResult> {
+    const none: LookupResult = { origin: null, isComplete: false }
+    if (this.#lookups.size >= maxLookups) return Promise.resolve(none)
     this.#calls += 1
     const call = this.#calls
     const asked = this.#host.listRegistries().filter(({ link }) => link.send({ type: 'find-stream', call, key }))
-    if (asked.length === 0) return Promise.resolve(null)
+    if (asked.length === 0) return Promise.resolve(none)
     return new Promise(resolve => {
-      const finish = (origin: StreamOrigin | null): void => {
+      const finish = (result: LookupResult): void => {
         clearTimeout(timer)
         this.#lookups.delete(call)
-        resolve(origin)
+        resolve(result)
       }
       const startTimer = (): NodeJS.Timeout => {
         const dueAt = this.#host.now() + lookupMs
         return setTimeout(() => {
-          if (this.#host.now() - dueAt <= heldUpMs) finish(null)
+          if (this.#host.now() - dueAt <= heldUpMs) finish(none)
           else timer = startTimer()
         }, lookupMs)
       }
--- a/test/stream-origins.test.ts
+++ b/test/stream-origins.test.ts
@@ -35,3 +35,28 @@
     clearTimeout(timer)
   })
 }
+
+/** A take-up that names no first request, at a box that knows one version; `news` of another one is unread as it arrives. */
+const unnamedCases: readonly { name: string, news: boolean, answers: boolean, type: Resumption['type'] }[] = [
+  { name: 'went on at the version known to a box that had been suspended, although the registries had told it of another', news: true, answers: true, type: 'refused' },
+  { name: 'is resumed where all registries answer, and there is one version', news: false, answers: true, type: 'resumed' },
+  { name: 'is refused where a registry does not answer', news: false, answers: false, type: 'refused' }
+]
+
+for (const { name, news, answers, type } of unnamedCases) {
+  test(`a stream without the name of its first request ${name}`, async () => {
+    const versions = new SeenVersions()
+    versions.note(origin)
+    const unread: (() => void)[] = news ? [() => versions.note({ ...origin, software: 'v2' })] : []
+    const send = (message: { readonly type: string, readonly call?: number }): boolean => {
+      if (answers && message.type === 'find-stream') unread.push(() => origins.receive({ type: 'stream-found', call: message.call as number, origin: null }))
+      return true
+    }
+    const registry = { host: '127.0.0.1', zone: 'zone-a', link: { send } }
+    const origins = new StreamOrigins({ id: 'gateway-1', zone: 'zone-a', now: () => performance.now(), listRegistries: () => [registry], versions, knowsAllVersions: () => true, metrics: { count: () => {} }, log: {} } as never)
+    const resolved = origins.resolve({ ...headers, resumes: null } as never, route as never, null)
+    // Links keep the order of messages.
+    for (const read of unread) read()
+    assert.equal((await resolved).type, type)
+  })
+}
