--- a/src/core/balance/fleet.ts
+++ b/src/core/balance/fleet.ts
@@ -38,7 +38,7 @@
 import { PauseEstimates } from './pause-estimates.js'
 import { isPauseTolerant } from './prompt-reading.js'
 import { StreamGaps } from './stream-gaps.js'
-import { estimateStreamMs } from './stream-estimate.js'
+import { estimateStreamDuration } from './stream-estimate.js'
 import { admitToEngines, measureCapacity } from './service-admission.js'
 import type { AdmissionContext } from './service-admission.js'
 import { admitPlain, composeShareReport, findShare } from './service-shares.js'
@@ -229,9 +229,9 @@
   }
 
   /** Time within which a stream that is sent now has ended, ms, as recent ones of its service show; null if its length isn't known. */
-  estimateStreamMs (work: RequestProfile, at: number): number | null {
+  estimateStreamDuration (work: RequestProfile, at: number): number | null {
     const state = this.#services.get(work.service)
-    return state === undefined ? null : estimateStreamMs(state, this.#findSnapshot(work.service, at).usable, work, at)
+    return state === undefined ? null : estimateStreamDuration(state, this.#findSnapshot(work.service, at).usable, work, at)
   }
 
   /** Number of boxes, including this one, that queue requests of the service at least as urgent as `priority`. */
--- a/src/gateway/gateway-box.ts
+++ b/src/gateway/gateway-box.ts
@@ -64,7 +64,7 @@
   #origins: StreamOrigins
   /** Null if usage reporting is off. */
   #usageReporter: UsageReporter | null
-  #drain = new Drain(now, work => this.#fleet.estimateStreamMs(work, now()))
+  #drain = new Drain(now, work => this.#fleet.estimateStreamDuration(work, now()))
   #sweepTimer = new SweepTimer(now, at => this.#sweep(at), ms => this.#dependencies.log.warn('gateway-held-up', { ms: Math.round(ms) }))
   #beliefsTimer: NodeJS.Timeout | null = null
   port = 0
--- a/src/gateway/stream-origins.ts
+++ b/src/gateway/stream-origins.ts
@@ -52,7 +52,7 @@
   finish (result: LookupResult): void
 }
 
-/** The key of no stream: the answers to its lookup show that all news sent before them has been read. */
+/** The key of no stream: the answers to its lookup show that all updates sent before them have been read. */
 const noStream = brandId<StreamKey>('')
 /** Number of registries that store an origin: one may be lost with the box. */
 const storeCount = 2
@@ -141,7 +141,7 @@
     if (due.length > 0) this.#report(due)
   }
 
-  // Without the id of its first request, the origin is known only if there was never another version. News of one may be unread: the steady clock doesn't show that this box was suspended.
+  // Without the id of its first request, the origin is known only if there was never another version. An update with one may be unread: the steady clock doesn't show that this box was suspended.
   async #resolveUnnamed (route: Route): Promise<Resumption> {
     const { versions } = this.#host
     const { isComplete } = await this.#lookUp(noStream)
