--- a/test/gateway-stop.test.ts
+++ b/test/gateway-stop.test.ts
@@ -5,6 +5,7 @@
 import type { StandinEndpoint } from '../src/standin/index.js'
 import { boxPorts } from './support/box-ports.js'
 import { waitFor } from './support/deployment.js'
+import { EndpointLinks } from './support/endpoint-links.js'
 import { RouteDeployment, composeDocument } from './support/route-deployment.js'
 import type { CallAnswer } from './support/route-deployment.js'
 
@@ -190,7 +191,9 @@
 const lateCases: readonly LateCase[] = [
   { name: 'streams that came late in a drain of 9 s were sent and cut', number: 249, drainSeconds: 9, sentMs: 2500, eventMs: 200, status: 503 },
   { name: 'streams of unknown length were sent late in a drain and cut', number: 250, drainSeconds: 9, sentMs: 2500, eventMs: -200, status: 503 },
-  { name: 'streams known to end in time are served in a drain', number: 251, drainSeconds: 4, sentMs: 500, eventMs: 10, status: 200 }
+  { name: 'streams known to end in time are served in a drain of 4 s', number: 251, drainSeconds: 4, sentMs: 500, eventMs: 10, status: 200 },
+  { name: 'streams known to end in time are served in a drain of 12 s', number: 253, drainSeconds: 12, sentMs: 2400, eventMs: 100, status: 200 },
+  { name: 'streams longer than what is left of a drain of 2 s are refused', number: 254, drainSeconds: 2, sentMs: 300, eventMs: 50, status: 503 }
 ]
 
 describe('streams that come in a drain', { concurrency: 4 }, () => {
@@ -229,3 +232,50 @@
     await deployment.stop()
   }
 })
+
+interface RelayCase {
+  readonly name: string
+  readonly number: number
+  /** Gateway that stops: 0 uses the other one as its relay. */
+  readonly stopped: 0 | 1
+  readonly path: string
+  readonly statuses: readonly number[]
+}
+
+const relayCases: readonly RelayCase[] = [
+  { name: 'sent over a relay', number: 19, stopped: 0, path: '/once/x', statuses: [504] },
+  { name: 'streams sent over a relay', number: 20, stopped: 0, path: '/stream/events-9', statuses: [504] },
+  { name: 'forwarded for another gateway', number: 37, stopped: 1, path: '/once/x', statuses: [502] }
+]
+
+describe('relayed requests without an answer when the drain of a gateway ends', { concurrency: 3 }, () => {
+  for (const { name, number, stopped, path, statuses } of relayCases) {
+    test(`requests were closed without an answer: ${name}`, async () => {
+      const links = [new EndpointLinks(), new EndpointLinks()]
+      const deployment = await RouteDeployment.start({ number, registries: 1, gateways: 2, connectors: links.map(({ connect }) => connect), gateway: { drainSeconds: 1 } })
+      try {
+        const document = composeDocument(1)
+        await deployment.putDocument(Object.assign(document, { routes: document.routes.map(route => ({ ...route, timeoutMs })) }))
+        const endpoint = await deployment.addEndpoint('desk')
+        await links[0].add(deployment.endpointHost, endpoint.port)
+        links[1].addDirect(endpoint.port)
+        links[0].cut('reset')
+        await waitFor(async () => {
+          await deployment.ask('/again/x')
+          return [...deployment.gateways[0].fleet.views].every(view => view.path === 'relay')
+        }, 'relayed')
+        endpoint.fault = { type: 'hang' }
+        const before = endpoint.runs.length
+        const asked = [1, 2].map(i => deployment.ask(path, { requestId: `relayed-${i}`, deadlineMs: timeoutMs }))
+        await waitFor(() => endpoint.runs.length === before + 2, 'both run')
+        await deployment.gateways[stopped].stop()
+        const answers = await Promise.all(asked)
+        assert.deepEqual([...new Set(answers.map(({ status }) => status))], statuses)
+        for (const { body } of answers) assert.equal(JSON.parse(body).outcome, 'unknown')
+      } finally {
+        await deployment.stop()
+        for (const link of links) link.close()
+      }
+    })
+  }
+})
