A stopping entry box refuses requests whose body is still being read

What callers saw: a closed connection without an answer for a request that was being read when the drain time was over, or when nothing else was in flight.

Cause: such a request has no exchange yet, so neither the wait nor the final answers of a stop knew of it.

Evidence: two cases of planned-stop.test.ts, a chat and a call, fail on the code before.

Change: the server of callers knows which requests are being read, and the stop refuses them as not run, with a time to return. The cases of entry boxes use ports of their own: those of configuration.test.ts were taken.

--- a/src/tasks/caller-server.ts
+++ b/src/tasks/caller-server.ts
@@ -9,7 +9,7 @@
 import type { BodyOutcome, ClientIntake, HttpExchange } from '../runtime/index.js'
 import { classHeader, formatError, requestIdHeader, sendError } from './error-response.js'
 import type { ChatContext } from './chat-host.js'
-import { RequestError, toRequestError } from './request-error.js'
+import { RequestError, composeDrainError, toRequestError } from './request-error.js'
 import type { ServiceContext } from './service-exchange.js'
 
 /** Functions and state of the box that the server depends on. */
@@ -39,6 +39,8 @@
 export class CallerServer {
   #host: CallerServerHost
   #server: ClientServer
+  /** Requests that have no exchange and no answer yet: their bodies are being read. */
+  #arriving = new Map<HttpExchange, RequestId>()
 
   constructor (host: CallerServerHost) {
     this.#host = host
@@ -71,25 +73,37 @@
     this.#server.http.closeIdleConnections()
   }
 
+  /** Refuses all requests that have no exchange yet, as the box stops. */
+  refuseArriving (): void {
+    for (const [exchange, requestId] of this.#arriving) this.#refuse(exchange, requestId, composeDrainError())
+  }
+
   /** Closes all connections, including those with requests in flight. */
   closeAllConnections (): void {
     this.#server.close()
     this.#host.intake.close()
   }
 
-  async #serve ({ request, response }: HttpExchange): Promise<void> {
+  async #serve (exchange: HttpExchange): Promise<void> {
+    const { request, response } = exchange
     const requestId = this.#host.createRequestId()
+    this.#arriving.set(exchange, requestId)
     if (this.#host.isLeaving) response.setHeader('connection', 'close')
     response.on('error', () => {})
     try {
       await this.#route(request, response, requestId)
     } catch (error) {
-      const requestError = toRequestError(error)
-      if (response.destroyed) return
-      discardBody(request)
-      sendError(response, requestError, requestId, false)
-      this.#host.noteRefused(requestId, requestError)
+      this.#refuse(exchange, requestId, toRequestError(error))
     }
+    this.#arriving.delete(exchange)
+  }
+
+  // One that was refused as the box stops may fail again once its body has been read.
+  #refuse ({ request, response }: HttpExchange, requestId: RequestId, error: RequestError): void {
+    if (response.destroyed || response.writableEnded) return
+    discardBody(request)
+    sendError(response, error, requestId, false)
+    this.#host.noteRefused(requestId, error)
   }
 
   async #route (request: IncomingMessage, response: ServerResponse, requestId: RequestId): Promise<void> {
@@ -120,6 +134,7 @@
     const requestClass = this.#findClass(request, workspace)
     const { body, hold } = await this.#readBody(request, chatByteCost)
     response.on('close', () => hold.release())
+    if (response.writableEnded) return hold.release()
     if (!hold.grow(Math.max(0, estimateParsed(body) - chatByteCost * body.length))) throw this.#refuseBody(request, workspace)
     const chat = parseChat(body)
     if (isBadChat(chat)) throw new RequestError('bad-request', chat.text, { param: chat.param })
@@ -137,6 +152,7 @@
     const service = this.#host.configuration.services.get(brandId<ServiceName>(match[1]))
     if (service === undefined) throw new RequestError('unknown-service', `no service ${JSON.stringify(match[1])} is configured`)
     const { body, hold } = await this.#readBody(request, 1)
+    if (response.writableEnded) return hold.release()
     const path = `${match[2] ?? '/'}${match[3] ?? ''}`
     void this.#host.startService({ requestId, workspace: workspace.name, service, method: request.method ?? 'POST', path, headers: request.headers, body, arrivedAt }, response).finally(() => hold.release())
   }
--- a/src/tasks/entry-box.ts
+++ b/src/tasks/entry-box.ts
@@ -187,7 +187,8 @@
     while (this.inFlight > 0 && performance.now() < deadline && !this.#isHalted) await sleep(drainPollIntervalMs)
     const abortedCount = this.inFlight
     this.#exchanges.stop()
-    if (abortedCount > 0) await sleep(flushMs)
+    this.#server.refuseArriving()
+    await sleep(flushMs)
     this.kill()
     this.#dependencies.log.info('entry-stopped', { cut: abortedCount })
     return abortedCount
@@ -281,8 +282,6 @@
     this.#configSync.reportRevision()
   }
 
-  // Members and shards.
-
   #noteMember (id: BoxId, isGone: boolean): void {
     if (isGone) this.#owner.removeBox(id)
     this.#updateShards()
--- a/test/planned-stop.test.ts
+++ b/test/planned-stop.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict'
+import { request as httpRequest } from 'node:http'
 import { test } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { composeAnswer } from '../src/standin/index.js'
-import { Deployment, sendChat, host, readStream, send, waitFor } from './support/deployment.js'
+import { Deployment, apiKey, sendChat, host, readStream, send, waitFor } from './support/deployment.js'
 import { RouteDeployment, composeDocument } from './support/route-deployment.js'
 import type { CallAnswer } from './support/route-deployment.js'
 
@@ -89,10 +90,10 @@
 })
 
 const entryCases: readonly { readonly name: string, readonly port: number, readonly halt: boolean, readonly batch: number, readonly places?: number, readonly body: object, readonly codes: readonly string[] }[] = [
-  { name: 'streams at an engine', port: 21_400, halt: false, batch: 8, body: { stream: true, max_tokens: 4000 }, codes: ['engine-timeout'] },
-  { name: 'answers that are not streamed', port: 21_425, halt: false, batch: 8, body: { max_tokens: 4000 }, codes: ['engine-timeout'] },
-  { name: 'requests that wait for an engine', port: 21_450, halt: false, batch: 1, places: 1, body: { max_tokens: 4000 }, codes: ['draining', 'engine-timeout'] },
-  { name: 'answers that are not streamed, at a second signal', port: 21_475, halt: true, batch: 8, body: { max_tokens: 4000 }, codes: ['engine-timeout'] }
+  { name: 'streams at an engine', port: 28_400, halt: false, batch: 8, body: { stream: true, max_tokens: 4000 }, codes: ['engine-timeout'] },
+  { name: 'answers that are not streamed', port: 28_425, halt: false, batch: 8, body: { max_tokens: 4000 }, codes: ['engine-timeout'] },
+  { name: 'requests that wait for an engine', port: 28_450, halt: false, batch: 1, places: 1, body: { max_tokens: 4000 }, codes: ['draining', 'engine-timeout'] },
+  { name: 'answers that are not streamed, at a second signal', port: 28_475, halt: true, batch: 8, body: { max_tokens: 4000 }, codes: ['engine-timeout'] }
 ]
 
 for (const { name, port, halt, batch, places, body, codes } of entryCases) {
@@ -114,3 +115,24 @@
     }
   })
 }
+
+for (const path of ['/v1/chat/completions', '/v1/services/bookings/confirm']) {
+  test(`an entry box that stopped closed the connection of a request whose body was being read: ${path}`, async () => {
+    const deployment = await Deployment.start({ port: path.includes('chat') ? 28_500 : 28_525, entries: 1, engines: 1, entry: { balancerLagMs: 200, drainMs: 300 } })
+    try {
+      const answer = new Promise<string>(resolve => {
+        const caller = httpRequest(`${deployment.url}${path}`, { method: 'POST', headers: { 'content-type': 'application/json', 'content-length': 100, authorization: `Bearer ${apiKey}`, 'idempotency-key': 'k' } }, response => {
+          response.resume()
+          resolve(`${response.statusCode} ${response.headers['x-wrenlane-outcome'] as string}`)
+        })
+        caller.on('error', error => resolve(error.message))
+        caller.write('{')
+      })
+      await sleep(100)
+      await deployment.entries[0].stop()
+      assert.equal(await answer, '503 not-run')
+    } finally {
+      await deployment.stop()
+    }
+  })
+}
